--- /dev/null
+++ b/src/yuccawick/core/agent.cc
@@ -0,0 +1,439 @@
+#include "yuccawick/core/agent.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace yuccawick::core {
+
+// Index
+//   Events       what the daemon tells
+//   Messages     what other nodes tell
+//   Membership   joining, replica, watching
+//   Ownership    claims, adoption
+//   Stopping     planned stop
+
+Agent::Agent(AgentSettings settings, Safeguards safeguards,
+             const QueuePolicy& queue_policy, const RoutePolicy& route_policy)
+    : m_settings(std::move(settings)),
+      m_self(m_settings.join.node),
+      m_safeguards(safeguards),
+      m_control(safeguards),
+      m_tail(m_self, m_settings.control, m_control, m_outbox,
+             [this](Time now) { OnControlChanged(now); }),
+      m_membership(m_self, m_settings.membership, safeguards, m_control,
+                   m_outbox),
+      m_budget(m_self, m_settings.budget, safeguards, m_control, m_outbox,
+               [this](const std::string& customer) {
+                 m_funding_changed.insert(customer);
+               }),
+      m_durability(m_self, m_settings.durability, m_control, m_outbox,
+                   [this](Ticket ticket) { m_held.push_back(ticket); }),
+      m_backups(m_control, m_outbox),
+      m_executor(m_self, m_settings.executor, safeguards, queue_policy,
+                 m_outbox),
+      m_home(m_self, m_settings.join.target, m_settings.home, safeguards,
+             {m_control, m_membership, m_budget, m_durability, m_executor,
+              route_policy, m_outbox}) {}
+
+std::vector<Command> Agent::Handle(Time now, const Event& event) {
+  if (m_stopped) return {};
+  std::visit([&](const auto& e) { On(e, now); }, event);
+  return TakeCommands(now);
+}
+
+// Carries out what the agent tells itself (its home and its executor are two
+// parts of one node) and returns the rest.
+std::vector<Command> Agent::TakeCommands(Time now) {
+  std::vector<Command> out;
+  while (true) {
+    RetryFunding(now);
+    for (const Ticket ticket : std::exchange(m_held, {}))
+      m_home.OnHeld(ticket, now);
+    auto commands = m_outbox.Take();
+    if (commands.empty() && m_funding_changed.empty() && m_held.empty())
+      return out;
+    for (auto& command : commands) {
+      auto* send = std::get_if<SendMessage>(&command);
+      if (send != nullptr && send->to == m_self) {
+        OnMessage(m_self, send->message, now);
+      } else {
+        out.push_back(std::move(command));
+      }
+    }
+  }
+}
+
+void Agent::RetryFunding(Time now) {
+  for (const auto& customer : std::exchange(m_funding_changed, {}))
+    m_home.OnFunding(customer, now);
+}
+
+// ---- Events
+
+void Agent::On(const Tick& /*event*/, Time now) {
+  m_tail.OnTick(now);
+  m_membership.OnTick(now);
+  m_budget.OnTick(now);
+  m_durability.OnTick(now);
+  if (m_durability.WantsControlRead())
+    m_durability.OnControlReadStarted(m_tail.ReadNow(now));
+  m_executor.OnTick(now);
+  for (const auto& [node, peer] : m_membership.peers()) {
+    if (m_membership.IsSuspect(node)) m_home.OnPeerLost(node, now);
+  }
+  m_home.OnTick(now);
+  m_backups.Forget(m_self, now);
+  KeepJoined(now);
+  KeepReplica(now);
+  ClaimLostHomes(now);
+  if (m_tail.LogIsDown() || !m_tail.HasState()) {
+    const NodeRef* ahead = m_membership.PeerAhead();
+    if (ahead != nullptr) m_tail.AskPeer(*ahead);
+  }
+  if (m_draining) Drain(now);
+}
+
+void Agent::On(const MessageReceived& event, Time now) {
+  // A message for an earlier incarnation must not be taken for ours: its
+  // numbers mean something else here.
+  const bool ours = event.to == m_self;
+  const auto* dispatch = std::get_if<Dispatch>(&event.message);
+  const auto* fence = std::get_if<FenceCall>(&event.message);
+  // These two say themselves whom they mean, and want a typed answer.
+  const bool answers_anyway = dispatch != nullptr || fence != nullptr;
+  if (!ours && !answers_anyway && m_safeguards.Has(Safeguard::kReplyMatch)) {
+    m_outbox.Push(Count{Counter::kStaleMessages, "other_incarnation", 1});
+    return;
+  }
+  m_membership.OnMessage(event.from, now);
+  OnMessage(event.from, event.message, now);
+}
+
+void Agent::On(const CallerMessage& /*event*/, Time /*now*/) {}
+
+void Agent::On(const SendFailed& event, Time now) {
+  m_membership.OnSendFailed(event.to, now);
+  m_home.OnPeerLost(event.to, now);
+}
+
+void Agent::On(const AppendDone& event, Time now) {
+  m_budget.OnAppend(event, now);
+  m_durability.OnAppend(event, now);
+  if (m_durability.WantsControlRead())
+    m_durability.OnControlReadStarted(m_tail.ReadNow(now));
+}
+
+void Agent::On(const ReadDone& event, Time now) {
+  if (m_tail.OnRead(event, now)) {
+    m_durability.OnControlRead(event.read, event.status == LogStatus::kOk);
+    return;
+  }
+  if (m_history_reads.contains(event.read)) return OnHistoryRead(event, now);
+  m_budget.OnRead(event, now);
+}
+
+void Agent::On(const VmListRead& event, Time now) {
+  m_membership.OnVmList(event, now);
+}
+
+void Agent::On(const RunChunk& event, Time /*now*/) {
+  m_executor.OnRunChunk(event);
+}
+
+void Agent::On(const RunDone& event, Time now) {
+  m_executor.OnRunDone(event, now);
+}
+
+void Agent::On(const StopRequested& /*event*/, Time now) {
+  if (m_draining) return;
+  m_draining = true;
+  m_home.StartDraining();
+  m_executor.StartDraining();
+  LogLine line;
+  line.event = LogEvent::kLeaving;
+  m_outbox.Push(line);
+  Drain(now);
+}
+
+// ---- Messages
+
+void Agent::OnMessage(const NodeRef& from, const Message& message, Time now) {
+  std::visit(
+      [&](const auto& m) {
+        using M = std::decay_t<decltype(m)>;
+        if constexpr (std::is_same_v<M, StartProgram>) {
+          m_home.OnStart(from, m, now);
+        } else if constexpr (std::is_same_v<M, CallRequest>) {
+          m_home.OnCall(from, m, now);
+        } else if constexpr (std::is_same_v<M, ProgramQuery>) {
+          m_home.OnQuery(from, m, now);
+        } else if constexpr (std::is_same_v<M, CancelRequest>) {
+          m_home.OnCancel(from, m, now);
+        } else if constexpr (std::is_same_v<M, Dispatch>) {
+          m_executor.OnDispatch(from, m, now);
+        } else if constexpr (std::is_same_v<M, DispatchChunk>) {
+          m_home.OnDispatchChunk(from, m);
+        } else if constexpr (std::is_same_v<M, DispatchReply>) {
+          m_home.OnDispatchReply(from, m, now);
+        } else if constexpr (std::is_same_v<M, CancelDispatch>) {
+          m_executor.OnCancel(from, m, now);
+        } else if constexpr (std::is_same_v<M, ReleaseCache>) {
+          m_executor.OnRelease(m.program);
+        } else if constexpr (std::is_same_v<M, Replicate>) {
+          m_backups.OnReplicate(from, m, now);
+        } else if constexpr (std::is_same_v<M, ReplicateReply>) {
+          m_durability.OnReplicateReply(from, m);
+        } else if constexpr (std::is_same_v<M, FenceCall>) {
+          m_executor.OnFence(from, m, now);
+        } else if constexpr (std::is_same_v<M, FenceReply>) {
+          m_home.OnFenceReply(from, m, now);
+        } else if constexpr (std::is_same_v<M, Probe>) {
+          OnProbe(from, m, now);
+        } else if constexpr (std::is_same_v<M, ProbeReply>) {
+          m_membership.OnProbeReply(from, m, now);
+        } else if constexpr (std::is_same_v<M, ControlPull>) {
+          m_tail.OnPull(from);
+        } else if constexpr (std::is_same_v<M, ControlPush>) {
+          m_tail.OnPush(m, now);
+        }
+      },
+      message);
+}
+
+void Agent::OnProbe(const NodeRef& from, const Probe& probe, Time now) {
+  ProbeReply reply;
+  reply.control_version = m_control.version();
+  reply.leaving = m_draining;
+  reply.load_ms = static_cast<std::uint64_t>(m_executor.LoadMs());
+  m_outbox.Send(from, reply);
+  if (probe.control_version > m_control.version() && m_tail.LogIsDown())
+    m_tail.AskPeer(from);
+  (void)now;
+}
+
+// ---- Membership
+
+void Agent::OnControlChanged(Time now) {
+  m_membership.OnControl();
+  m_budget.OnContracts(now);
+  LogContracts();
+  const Member* self = m_control.FindMember(m_self);
+  if (self != nullptr && !m_executor.IsJoined()) {
+    m_executor.OnJoined(self->joined);
+    LogLine line;
+    line.event = LogEvent::kJoined;
+    m_outbox.Push(line);
+  }
+  if (self != nullptr) m_durability.OnAssigned(self->replica);
+  AdoptClaimed(now);
+  WatchDependencies(now);
+  const bool superseded =
+      self != nullptr && self->IsClaimed() && !m_draining;
+  if (!superseded) return;
+  // Another node owns our programs. Whatever we still hold is out of date, so
+  // this incarnation ends; the platform starts the next one.
+  LogLine line;
+  line.severity = Severity::kWarning;
+  line.event = LogEvent::kSuperseded;
+  line.detail = ToString(self->adopter);
+  m_outbox.Push(line);
+  m_outbox.Push(Stop{StopCause::kSuperseded});
+  m_stopped = true;
+}
+
+void Agent::LogContracts() {
+  for (const auto& [customer, contract] : m_control.contracts()) {
+    Offset& logged = m_logged_contracts.try_emplace(customer, kNoOffset)
+                         .first->second;
+    if (logged == contract.version) continue;
+    logged = contract.version;
+    LogLine line;
+    line.event = LogEvent::kContractInForce;
+    line.customer = customer;
+    line.detail = std::to_string(contract.version);
+    m_outbox.Push(line);
+  }
+}
+
+bool Agent::MayRetry(Time* last, Time now) const {
+  if (*last != 0 && now - *last < m_settings.append_retry) return false;
+  *last = now;
+  return true;
+}
+
+void Agent::KeepJoined(Time now) {
+  if (m_executor.IsJoined() || m_tail.phase() != ConfigPhase::kCurrent) return;
+  if (m_draining || !MayRetry(&m_joined_at, now)) return;
+  m_outbox.Append(std::string(kControlStream), {m_settings.join});
+  m_tail.ReadNow(now);
+}
+
+NodeRef Agent::ChooseReplica() const {
+  std::map<NodeRef, int> homes_backed;
+  for (const auto& [node, member] : m_control.members()) {
+    if (!member.IsClaimed()) ++homes_backed[member.replica];
+  }
+  const Member* best = nullptr;
+  const auto    cost = [&](const Member& m) {
+    const bool other_model = m.join.target != m_settings.join.target;
+    return std::tuple(other_model, homes_backed[m.join.node],
+                         PairHash(m_self.vm, m.join.node.vm));
+  };
+  for (const auto& [node, member] : m_control.members()) {
+    // A replica in the same zone would go with it.
+    const bool fits = member.join.kind == BackendKind::kModel &&
+                      member.join.zone != m_settings.join.zone &&
+                      !member.leaving && m_membership.IsUsable(node);
+    if (!fits) continue;
+    if (best == nullptr || cost(member) < cost(*best)) best = &member;
+  }
+  return best == nullptr ? NodeRef{} : best->join.node;
+}
+
+void Agent::KeepReplica(Time now) {
+  if (m_settings.join.kind != BackendKind::kModel) return;
+  if (!m_executor.IsJoined() || m_draining) return;
+  const NodeRef* candidate = m_durability.Candidate();
+  if (candidate != nullptr && !m_membership.IsUsable(*candidate)) {
+    m_durability.DropCandidate();
+    candidate = nullptr;
+  }
+  const NodeRef* replica = m_durability.Replica();
+  const bool     fine = replica != nullptr && m_membership.IsUsable(*replica);
+  if (fine && candidate == nullptr) return;
+  if (candidate == nullptr) {
+    const NodeRef chosen = ChooseReplica();
+    if (chosen.vm.empty()) return;
+    m_durability.StartCandidate(chosen, m_home.Everything(), now);
+    m_assigned_at = 0;
+    return;
+  }
+  // Assigned only when it has everything: from then on it alone may take over.
+  if (!m_durability.IsCandidateReady() || !MayRetry(&m_assigned_at, now))
+    return;
+  m_outbox.Append(std::string(kControlStream),
+                  {ReplicaRecord{m_self, *candidate}});
+  m_tail.ReadNow(now);
+}
+
+void Agent::WatchDependencies(Time now) {
+  std::set<NodeRef> watched;
+  for (const auto& [node, member] : m_control.members()) {
+    if (member.IsClaimed()) continue;
+    if (member.replica == m_self) watched.insert(node);
+    const bool orphan = member.join.kind == BackendKind::kModel &&
+                        m_control.MayClaim(node, m_self);
+    if (orphan && IsFirstToClaim(node)) watched.insert(node);
+    const bool own_replica =
+        m_durability.Replica() != nullptr && *m_durability.Replica() == node;
+    if (own_replica) watched.insert(node);
+  }
+  m_membership.Watch(watched, now);
+}
+
+// ---- Ownership
+
+bool Agent::IsFirstToClaim(const NodeRef& target) const {
+  const Member* member = m_control.FindMember(target);
+  if (member != nullptr && member->replica == m_self) return true;
+  std::optional<std::pair<std::uint64_t, NodeRef>> first;
+  for (const auto& [node, other] : m_control.members()) {
+    const bool able = other.join.kind == BackendKind::kModel &&
+                      !other.IsClaimed() && node != target && !other.leaving &&
+                      (node == m_self || m_membership.IsUsable(node));
+    if (!able) continue;
+    const std::pair rank{PairHash(ToString(target), ToString(node)), node};
+    if (!first || rank < *first) first = rank;
+  }
+  return first && first->second == m_self;
+}
+
+void Agent::ClaimLostHomes(Time now) {
+  if (m_settings.join.kind != BackendKind::kModel || m_draining) return;
+  if (!m_executor.IsJoined()) return;
+  for (const auto& [node, member] : m_control.members()) {
+    const bool lost = member.join.kind == BackendKind::kModel &&
+                      !member.IsClaimed() && node != m_self &&
+                      m_membership.IsLost(node, now);
+    if (!lost || !m_control.MayClaim(node, m_self)) continue;
+    if (IsFirstToClaim(node)) AppendClaim(node, m_self, now);
+  }
+}
+
+void Agent::AppendClaim(const NodeRef& target, const NodeRef& adopter,
+                        Time now) {
+  if (!MayRetry(&m_claimed_at[target], now)) return;
+  m_outbox.Append(std::string(kControlStream), {ClaimRecord{target, adopter}});
+  LogLine line;
+  line.severity = Severity::kWarning;
+  line.event = LogEvent::kClaimAppended;
+  line.detail = ToString(target);
+  m_outbox.Push(line);
+  m_tail.ReadNow(now);
+}
+
+void Agent::AdoptClaimed(Time now) {
+  for (const auto& [node, member] : m_control.members()) {
+    if (member.adopter != m_self || m_adopted.contains(node)) continue;
+    m_adopted.insert(node);
+    m_home.Adopt(node, member.claimed, m_backups.Take(node), now);
+    LogLine line;
+    line.severity = Severity::kWarning;
+    line.event = LogEvent::kAdopted;
+    line.detail = ToString(node);
+    m_outbox.Push(line);
+    ReadHistory(node, 0);
+  }
+}
+
+void Agent::ReadHistory(const NodeRef& target, Offset from) {
+  m_history_reads[m_outbox.Read(HistoryStream(target.vm), from)] = target;
+}
+
+void Agent::OnHistoryRead(const ReadDone& done, Time now) {
+  const NodeRef target = m_history_reads.at(done.read);
+  m_history_reads.erase(done.read);
+  // Without the log's part an answer already given could be missing: ask again
+  // until it answers; meanwhile callers' requests wait.
+  if (done.status != LogStatus::kOk) return ReadHistory(target, 0);
+  Offset next = done.end;
+  for (const auto& logged : done.records) {
+    next = logged.offset + 1;
+    const auto* history = std::get_if<HistoryRecord>(&logged.record);
+    if (history != nullptr) m_home.OnHistory(*history, now);
+  }
+  if (next < done.end) return ReadHistory(target, next);
+  m_home.OnHistoryComplete(target, now);
+}
+
+// ---- Stopping
+
+void Agent::Drain(Time now) {
+  const Member* self = m_control.FindMember(m_self);
+  if (self != nullptr && !self->leaving && MayRetry(&m_left_at, now)) {
+    m_outbox.Append(std::string(kControlStream), {LeaveRecord{m_self}});
+    m_tail.ReadNow(now);
+  }
+  const bool busy = m_home.InFlight() > 0 || !m_executor.IsIdle();
+  if (busy && m_safeguards.Has(Safeguard::kDrainInFlight)) return;
+  m_durability.FlushNow(now);
+  if (!m_durability.IsQuiet()) return;
+  m_budget.ReturnAll(now);
+  if (!m_budget.IsQuiet()) return;
+  const bool hands_over = self != nullptr && !self->IsClaimed() &&
+                          m_durability.Replica() != nullptr;
+  if (hands_over) return AppendClaim(m_self, *m_durability.Replica(), now);
+  const bool told = self == nullptr || self->leaving || self->IsClaimed();
+  if (!told) return;
+  m_executor.ReleaseAll();
+  LogLine line;
+  line.event = LogEvent::kStopped;
+  m_outbox.Push(line);
+  m_outbox.Push(Stop{StopCause::kDrained});
+  m_stopped = true;
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/chart.h
@@ -0,0 +1,130 @@
+// State charts: which states a thing may be in and which events move it.
+//
+// Charts are text files under charts/, one transition a line:
+//
+//   # comment
+//   start  queued
+//   queued     dispatch   running
+//
+// The core interprets them; nothing else says which transition is legal. Each
+// chart is checked against the enums of its states and events when it is
+// loaded: unknown names, unreachable states and states no enum value names are
+// errors. Charts are compiled into the program as text, since VMs keep no files.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace yuccawick::core {
+
+enum class ChartFault : std::uint8_t {
+  kBadLine,           // neither `start S` nor `S E S`
+  kUnknownState,      // a state that the enum does not name
+  kUnknownEvent,      // an event that the enum does not name
+  kDuplicate,         // two transitions from one state on one event
+  kNoStart,           // no start line, or more than one
+  kUnreachableState,  // no path from the start leads there
+  kUnusedEvent,       // no transition uses the event
+};
+std::string_view Name(ChartFault fault);
+
+struct ChartError {
+  ChartFault  fault;
+  int         line = 0;  // 1-based; 0: the chart as a whole
+  std::string word;      // the state or event at fault
+};
+
+using NameList = std::vector<std::string_view>;
+
+class Chart {
+ public:
+  static tl::expected<Chart, ChartError> Parse(std::string_view text,
+                                               const NameList&  states,
+                                               const NameList&  events);
+  int start() const { return m_start; }
+  // The next state, or -1 if the event is not allowed there.
+  int Next(int state, int event) const;
+
+ private:
+  Chart(std::size_t states, std::size_t events);
+  tl::expected<void, ChartError> CheckUse(const NameList& states,
+                                          const NameList& events) const;
+
+  std::size_t      m_events;
+  int              m_start = -1;
+  std::vector<int> m_next;  // [state * events + event]
+};
+
+// A chart whose states and events are enums counted from 0.
+template <class State, class Event>
+class TypedChart {
+ public:
+  explicit TypedChart(Chart chart) : m_chart(std::move(chart)) {}
+
+  State Start() const { return static_cast<State>(m_chart.start()); }
+  bool  Allows(State state, Event event) const {
+    return m_chart.Next(Index(state), Index(event)) >= 0;
+  }
+  // Moves `state` on; false, and no move, if the chart has no such transition.
+  bool Fire(State* state, Event event) const {
+    const int next = m_chart.Next(Index(*state), Index(event));
+    if (next < 0) return false;
+    *state = static_cast<State>(next);
+    return true;
+  }
+
+ private:
+  template <class E>
+  static int Index(E value) {
+    return static_cast<int>(value);
+  }
+  Chart m_chart;
+};
+
+// The charts of this project, parsed once; a chart that does not load ends the
+// process with the fault, since nothing can be decided without it.
+enum class ProgramPhase : std::uint8_t {
+  kIdle, kFunding, kRecording, kRunning, kSettling, kRecovering, kEnded
+};
+enum class ProgramEvent : std::uint8_t {
+  kCallReady, kFunded, kRecorded, kRefused, kAnswered, kDurable, kAdopted,
+  kRecovered, kEnd
+};
+enum class CallPhase : std::uint8_t { kQueued, kRunning, kDone };
+enum class CallEvent : std::uint8_t { kStart, kFinish, kGiveUp };
+enum class PeerPhase : std::uint8_t { kUnknown, kAlive, kSuspect, kLeaving,
+                                      kGone };
+enum class PeerEvent : std::uint8_t { kHeard, kSilent, kLeave, kRemoved };
+enum class ConfigPhase : std::uint8_t { kNone, kCurrent, kBehind };
+enum class ConfigEvent : std::uint8_t { kRead, kReadFailed, kFromPeer };
+
+using ProgramChart = TypedChart<ProgramPhase, ProgramEvent>;
+using CallChart = TypedChart<CallPhase, CallEvent>;
+using PeerChart = TypedChart<PeerPhase, PeerEvent>;
+using ConfigChart = TypedChart<ConfigPhase, ConfigEvent>;
+
+const ProgramChart& GetProgramChart();
+const CallChart&    GetCallChart();
+const PeerChart&    GetPeerChart();
+const ConfigChart&  GetConfigChart();
+
+std::string_view Name(ProgramPhase phase);
+std::string_view Name(CallPhase phase);
+std::string_view Name(PeerPhase phase);
+std::string_view Name(ConfigPhase phase);
+
+// One chart as it was compiled in, with the names it is checked against.
+struct ChartSource {
+  std::string_view name;
+  std::string_view text;
+  NameList         states;
+  NameList         events;
+};
+const std::vector<ChartSource>& ChartSources();
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/control.cc
@@ -0,0 +1,180 @@
+#include "yuccawick/core/control.h"
+
+#include <algorithm>
+
+namespace yuccawick::core {
+namespace {
+
+// Claimed members are kept this many control records, so that tokens minted by
+// them still lead to their programs. At 500 records a day that is 16 days.
+constexpr Offset kKeepClaimed = 8192;
+// A chain of claims longer than this is a fold gone wrong.
+constexpr int kMaxClaimChain = 64;
+
+}  // namespace
+
+std::string_view Name(Resource resource) {
+  return resource == Resource::kTokens ? "tokens" : "programs";
+}
+
+std::string HistoryStream(const std::string& vm) { return "history." + vm; }
+
+std::string GrantStream(const std::string& customer) {
+  return "grants." + customer;
+}
+
+Effect Control::Apply(const LoggedRecord& logged) {
+  // A late or repeated read may bring records from below; taking one would
+  // bring back a contract that has been amended since.
+  const bool newer_only = m_safeguards.Has(Safeguard::kNewerControlOnly);
+  if (newer_only && logged.offset <= m_version) return Effect::kOld;
+  const Effect effect = std::visit(
+      [&](const auto& record) { return Fold(logged.offset, record); },
+      logged.record);
+  m_version = logged.offset;
+  return effect;
+}
+
+Effect Control::Apply(const SnapshotRecord& snapshot) {
+  if (snapshot.as_of <= m_version) return Effect::kOld;
+  m_contracts.clear();
+  m_members.clear();
+  m_newest_on_vm.clear();
+  for (const auto& c : snapshot.contracts)
+    m_contracts[c.contract.customer] = c;
+  std::vector<const Member*> by_join;
+  for (const auto& m : snapshot.members) {
+    m_members[m.join.node] = m;
+    by_join.push_back(&m);
+  }
+  std::sort(by_join.begin(), by_join.end(), [](const auto* a, const auto* b) {
+    return a->joined < b->joined;
+  });
+  for (const auto* m : by_join) m_newest_on_vm[m->join.node.vm] = m->join.node;
+  m_version = snapshot.as_of;
+  return Effect::kApplied;
+}
+
+SnapshotRecord Control::Snapshot() const {
+  SnapshotRecord snapshot;
+  snapshot.as_of = m_version;
+  for (const auto& [customer, c] : m_contracts)
+    snapshot.contracts.push_back(c);
+  for (const auto& [node, m] : m_members) snapshot.members.push_back(m);
+  return snapshot;
+}
+
+const ContractInForce* Control::FindContract(
+    const std::string& customer) const {
+  const auto it = m_contracts.find(customer);
+  return it == m_contracts.end() ? nullptr : &it->second;
+}
+
+const Member* Control::FindMember(const NodeRef& node) const {
+  const auto it = m_members.find(node);
+  return it == m_members.end() ? nullptr : &it->second;
+}
+
+const Member* Control::FindVm(const std::string& vm) const {
+  const auto it = m_newest_on_vm.find(vm);
+  return it == m_newest_on_vm.end() ? nullptr : FindMember(it->second);
+}
+
+Control::Home Control::Resolve(const NodeRef& origin) const {
+  Home home{origin, kNoOffset};
+  for (int i = 0; i < kMaxClaimChain; ++i) {
+    const Member* member = FindMember(home.node);
+    if (member == nullptr || !member->IsClaimed()) break;
+    home = {member->adopter, member->claimed};
+  }
+  return home;
+}
+
+bool Control::MayClaim(const NodeRef& target, const NodeRef& adopter) const {
+  const Member* member = FindMember(target);
+  const Member* by = FindMember(adopter);
+  if (member == nullptr || member->IsClaimed()) return false;
+  if (by == nullptr || by->IsClaimed() || target == adopter) return false;
+  if (member->replica == adopter) return true;
+  if (!m_safeguards.Has(Safeguard::kReplicaClaimsOnly)) return true;
+  // Whoever is not the replica may miss answers already acknowledged. Only when
+  // the replica itself has been taken over is the log the best copy left.
+  const Member* replica = FindMember(member->replica);
+  return replica == nullptr || replica->IsClaimed();
+}
+
+Effect Control::Fold(Offset offset, const JoinRecord& record) {
+  if (FindMember(record.node) != nullptr) return Effect::kVoid;
+  // An application server's agent owns no programs, so nobody ever claims it:
+  // its record goes when the next one joins on that VM.
+  const Member* older = FindVm(record.node.vm);
+  if (older != nullptr && older->join.kind == BackendKind::kService)
+    m_members.erase(NodeRef(older->join.node));
+  Member member;
+  member.join = record;
+  member.joined = offset;
+  m_members[record.node] = member;
+  m_newest_on_vm[record.node.vm] = record.node;
+  DropSettledMembers();
+  return Effect::kApplied;
+}
+
+Effect Control::Fold(Offset /*offset*/, const ReplicaRecord& record) {
+  const auto home = m_members.find(record.home);
+  if (home == m_members.end() || home->second.IsClaimed())
+    return Effect::kVoid;
+  const Member* replica = FindMember(record.replica);
+  if (replica == nullptr || replica->IsClaimed()) return Effect::kVoid;
+  home->second.replica = record.replica;
+  return Effect::kApplied;
+}
+
+Effect Control::Fold(Offset offset, const ClaimRecord& record) {
+  if (!MayClaim(record.target, record.adopter)) return Effect::kVoid;
+  Member& target = m_members[record.target];
+  target.adopter = record.adopter;
+  target.claimed = offset;
+  return Effect::kApplied;
+}
+
+Effect Control::Fold(Offset /*offset*/, const LeaveRecord& record) {
+  const auto it = m_members.find(record.node);
+  if (it == m_members.end()) return Effect::kVoid;
+  it->second.leaving = true;
+  return Effect::kApplied;
+}
+
+Effect Control::Fold(Offset offset, const ContractRecord& record) {
+  const ContractInForce* current = FindContract(record.contract.customer);
+  const Offset in_force = current == nullptr ? kNoOffset : current->version;
+  // Two operators amending one version at once: the first in log order wins,
+  // the other reads back that its record is void and is told of a conflict.
+  const bool checked = m_safeguards.Has(Safeguard::kAmendsVersion);
+  if (checked && record.amends != in_force) return Effect::kVoid;
+  if (!Validate(record.contract).empty()) return Effect::kVoid;
+  m_contracts[record.contract.customer] = {offset, record.contract};
+  return Effect::kApplied;
+}
+
+Effect Control::Fold(Offset offset, const SnapshotRecord& record) {
+  m_last_snapshot = offset;
+  return Apply(record) == Effect::kApplied ? Effect::kApplied : Effect::kVoid;
+}
+
+Effect Control::Fold(Offset /*offset*/, const HistoryRecord& /*record*/) {
+  return Effect::kVoid;
+}
+
+Effect Control::Fold(Offset /*offset*/, const GrantRecord& /*record*/) {
+  return Effect::kVoid;
+}
+
+void Control::DropSettledMembers() {
+  const Offset now = m_version + 1;
+  std::erase_if(m_members, [now](const auto& entry) {
+    const Member& member = entry.second;
+    return member.IsClaimed() && member.claimed + kKeepClaimed < now;
+  });
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/control.h
@@ -0,0 +1,77 @@
+// State of the control stream: contracts, members, claims.
+//
+// Every node folds the same records in the same order and so reaches the same
+// state. The version of the whole is the last offset folded in; a node only
+// ever moves to a higher one, which is why an accepted configuration never
+// reverts.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "yuccawick/core/records.h"
+#include "yuccawick/core/safeguards.h"
+
+namespace yuccawick::core {
+
+enum class Effect : std::uint8_t {
+  kApplied,  // the state moved on
+  kVoid,     // read and passed over: its condition did not hold
+  kOld,      // at or below the version already held
+};
+
+class Control {
+ public:
+  explicit Control(Safeguards safeguards) : m_safeguards(safeguards) {}
+
+  // Folds one record in. Old offsets change nothing, in any order.
+  Effect Apply(const LoggedRecord& logged);
+  // Takes a snapshot if it is newer than what is held.
+  Effect Apply(const SnapshotRecord& snapshot);
+
+  Offset         version() const { return m_version; }
+  SnapshotRecord Snapshot() const;
+  // Offset of the newest snapshot seen on the stream; kNoOffset if none.
+  Offset last_snapshot() const { return m_last_snapshot; }
+
+  const ContractInForce* FindContract(const std::string& customer) const;
+  const Member*          FindMember(const NodeRef& node) const;
+  // The incarnation that last joined on that VM, if any.
+  const Member* FindVm(const std::string& vm) const;
+  const std::map<NodeRef, Member>& members() const { return m_members; }
+  const std::map<std::string, ContractInForce>& contracts() const {
+    return m_contracts;
+  }
+
+  struct Home {
+    NodeRef node;                // who owns the programs now
+    Offset  fence = kNoOffset;   // claim that made it so; kNoOffset: origin
+  };
+  // Follows claims from a node to the present owner of its programs.
+  Home Resolve(const NodeRef& origin) const;
+
+  // True if a claim by `adopter` would be valid now.
+  bool MayClaim(const NodeRef& target, const NodeRef& adopter) const;
+
+ private:
+  Effect Fold(Offset offset, const JoinRecord& record);
+  Effect Fold(Offset offset, const ReplicaRecord& record);
+  Effect Fold(Offset offset, const ClaimRecord& record);
+  Effect Fold(Offset offset, const LeaveRecord& record);
+  Effect Fold(Offset offset, const ContractRecord& record);
+  Effect Fold(Offset offset, const SnapshotRecord& record);
+  Effect Fold(Offset offset, const HistoryRecord& record);
+  Effect Fold(Offset offset, const GrantRecord& record);
+  void   DropSettledMembers();
+
+  Safeguards                             m_safeguards;
+  Offset                                 m_version = kNoOffset;
+  Offset                                 m_last_snapshot = kNoOffset;
+  std::map<std::string, ContractInForce> m_contracts;
+  std::map<NodeRef, Member>              m_members;
+  std::map<std::string, NodeRef>         m_newest_on_vm;
+};
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/control_tail.cc
@@ -0,0 +1,100 @@
+#include "yuccawick/core/control_tail.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "yuccawick/core/membership.h"
+
+namespace yuccawick::core {
+
+ControlTail::ControlTail(NodeRef self, ControlTailSettings settings,
+                         Control& control, Outbox& outbox,
+                         std::function<void(Time)> on_change)
+    : m_self(std::move(self)),
+      m_settings(settings),
+      m_control(control),
+      m_outbox(outbox),
+      m_on_change(std::move(on_change)) {}
+
+void ControlTail::OnTick(Time now) {
+  const bool overdue =
+      m_read != 0 && now - m_read_at > m_settings.read_timeout;
+  if (overdue) {
+    m_read = 0;
+    GetConfigChart().Fire(&m_phase, ConfigEvent::kReadFailed);
+  }
+  if (m_read == 0 && now >= m_next_read) ReadNow(now);
+  MaybeSnapshot(now);
+}
+
+std::uint64_t ControlTail::ReadNow(Time now) {
+  m_read = m_outbox.Read(std::string(kControlStream), m_control.version() + 1);
+  m_read_at = now;
+  m_next_read = now + m_settings.poll_interval;
+  return m_read;
+}
+
+bool ControlTail::OnRead(const ReadDone& done, Time now) {
+  if (done.stream != kControlStream) return false;
+  const bool current = done.read == m_read;
+  if (current) m_read = 0;
+  if (done.status != LogStatus::kOk) {
+    if (current) GetConfigChart().Fire(&m_phase, ConfigEvent::kReadFailed);
+    return true;
+  }
+  const Offset before = m_control.version();
+  Fold(done);
+  GetConfigChart().Fire(&m_phase, ConfigEvent::kRead);
+  if (m_control.version() != before) m_on_change(now);
+  const bool more = m_control.version() + 1 < done.end && !done.records.empty();
+  if (more && m_read == 0) ReadNow(now);
+  return true;
+}
+
+void ControlTail::Fold(const ReadDone& done) {
+  const bool gap = done.earliest > m_control.version() + 1;
+  if (gap) {
+    // Records that we have not read are gone. Only a snapshot taken after them
+    // stands for them; folding on without one could bring back old contracts.
+    for (const auto& logged : done.records) {
+      const auto* snapshot = std::get_if<SnapshotRecord>(&logged.record);
+      if (snapshot != nullptr && snapshot->as_of >= done.earliest - 1)
+        m_control.Apply(*snapshot);
+    }
+    if (done.earliest > m_control.version() + 1) return;
+  }
+  for (const auto& logged : done.records) m_control.Apply(logged);
+}
+
+void ControlTail::OnPull(const NodeRef& from) {
+  if (HasState()) m_outbox.Send(from, ControlPush{m_control.Snapshot()});
+}
+
+void ControlTail::OnPush(const ControlPush& push, Time now) {
+  if (m_control.Apply(push.snapshot) != Effect::kApplied) return;
+  GetConfigChart().Fire(&m_phase, ConfigEvent::kFromPeer);
+  m_on_change(now);
+}
+
+void ControlTail::AskPeer(const NodeRef& peer) {
+  m_outbox.Send(peer, ControlPull{});
+}
+
+void ControlTail::MaybeSnapshot(Time now) {
+  if (!m_settings.writes_snapshots || m_phase != ConfigPhase::kCurrent) return;
+  // Spread over as long again, so that usually one node writes it.
+  const auto spread = static_cast<Duration>(
+      PairHash("snapshot", ToString(m_self)) %
+      static_cast<std::uint64_t>(m_settings.snapshot_interval));
+  const bool fresh = m_control.last_snapshot() != m_seen_snapshot;
+  if (fresh || m_snapshot_due == 0) {
+    m_seen_snapshot = m_control.last_snapshot();
+    m_snapshot_due = now + m_settings.snapshot_interval + spread;
+    return;
+  }
+  if (now < m_snapshot_due) return;
+  m_snapshot_due = now + m_settings.snapshot_interval + spread;
+  m_outbox.Append(std::string(kControlStream), {m_control.Snapshot()});
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/durability.cc
@@ -0,0 +1,234 @@
+#include "yuccawick/core/durability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccawick::core {
+namespace {
+
+constexpr std::size_t kMetaBytes = 200;  // of a delta without its turns
+constexpr std::size_t kTurnBytes = 100;  // of a turn without its texts
+constexpr Duration    kKeepEnded = 60'000;        // well past the next flush
+constexpr Duration    kKeepUnassigned = 600'000;  // a candidate copies sooner
+constexpr std::size_t kMostPerAppend = 512;
+constexpr std::size_t kMostBytesPerAppend = 1 << 20;
+
+}  // namespace
+
+std::size_t SizeOf(const ProgramDelta& delta) {
+  std::size_t size = kMetaBytes;
+  for (const auto& turn : delta.turns)
+    size += kTurnBytes + turn.call.body.size() + turn.answer.text.size();
+  return size;
+}
+
+// ---- Durability
+
+Durability::Durability(NodeRef self, DurabilitySettings settings,
+                       const Control& control, Outbox& outbox,
+                       std::function<void(Ticket)> on_held)
+    : m_self(std::move(self)),
+      m_settings(settings),
+      m_control(control),
+      m_outbox(outbox),
+      m_on_held(std::move(on_held)) {}
+
+Ticket Durability::Hold(const ProgramDelta& delta, Time now) {
+  const Ticket ticket = m_outbox.NextNumber();
+  m_waiting.insert(ticket);
+  const std::size_t bytes = SizeOf(delta);
+  m_unlogged.push_back({ticket, delta, bytes});
+  m_bytes += bytes;
+  if (m_replica) SendBatch(&*m_replica, ticket, delta, now);
+  if (m_candidate) SendBatch(&*m_candidate, ticket, delta, now);
+  return ticket;
+}
+
+void Durability::SendBatch(Link* link, Ticket ticket,
+                           const ProgramDelta& delta, Time now) {
+  link->unacked[ticket] = delta;
+  link->last_sent = now;
+  m_outbox.Send(link->node, Replicate{ticket, {delta}});
+}
+
+void Durability::StartCandidate(const NodeRef&            node,
+                                std::vector<ProgramDelta> everything,
+                                Time                      now) {
+  m_candidate = Link{node, {}, now};
+  for (const auto& delta : everything)
+    SendBatch(&*m_candidate, m_outbox.NextNumber(), delta, now);
+}
+
+bool Durability::IsCandidateReady() const {
+  return m_candidate && m_candidate->unacked.empty();
+}
+
+const NodeRef* Durability::Candidate() const {
+  return m_candidate ? &m_candidate->node : nullptr;
+}
+
+const NodeRef* Durability::Replica() const {
+  return m_replica ? &m_replica->node : nullptr;
+}
+
+void Durability::OnAssigned(const NodeRef& replica) {
+  if (replica.vm.empty() || (m_replica && m_replica->node == replica)) return;
+  if (!m_candidate || m_candidate->node != replica) return;
+  // Deltas it has acknowledged as a candidate were copied to it before it was
+  // assigned, but only an assigned replica's word counts: those that wait are
+  // sent once more, and its second acknowledgement settles them.
+  m_replica = std::move(m_candidate);
+  m_candidate.reset();
+  for (const auto& item : m_appending) {
+    if (m_waiting.contains(item.ticket))
+      m_replica->unacked[item.ticket] = item.delta;
+  }
+  for (const auto& item : m_unlogged) {
+    if (m_waiting.contains(item.ticket))
+      m_replica->unacked[item.ticket] = item.delta;
+  }
+  m_replica->last_sent = 0;
+}
+
+void Durability::OnReplicateReply(const NodeRef&        from,
+                                  const ReplicateReply& reply) {
+  const auto settle = [&](std::optional<Link>* link) {
+    if (!*link || (*link)->node != from || !reply.held) return false;
+    return (*link)->unacked.erase(reply.batch) > 0;
+  };
+  settle(&m_candidate);
+  if (settle(&m_replica)) Held(reply.batch);
+}
+
+void Durability::Held(Ticket ticket) {
+  if (m_waiting.erase(ticket) > 0) m_on_held(ticket);
+}
+
+void Durability::OnTick(Time now) {
+  if (m_replica) Resend(&*m_replica, now);
+  if (m_candidate) Resend(&*m_candidate, now);
+  const bool replica_holds = m_replica && m_replica->unacked.empty();
+  const Duration interval =
+      replica_holds ? m_settings.flush_interval : m_settings.flush_linger;
+  if (now - m_last_flush >= interval) FlushNow(now);
+}
+
+void Durability::Resend(Link* link, Time now) {
+  if (now - link->last_sent < m_settings.resend_after) return;
+  link->last_sent = now;
+  for (const auto& [ticket, delta] : link->unacked)
+    m_outbox.Send(link->node, Replicate{ticket, {delta}});
+}
+
+void Durability::FlushNow(Time now) {
+  if (m_append != 0 || m_unlogged.empty() || now < m_retry_at) return;
+  m_last_flush = now;
+  HistoryRecord record;
+  record.home = m_self;
+  std::size_t bytes = 0;
+  while (!m_unlogged.empty() && m_appending.size() < kMostPerAppend &&
+         bytes < kMostBytesPerAppend) {
+    Item& item = m_unlogged.front();
+    bytes += item.bytes;
+    record.deltas.push_back(item.delta);
+    m_appending.push_back(std::move(item));
+    m_unlogged.pop_front();
+  }
+  m_append = m_outbox.Append(HistoryStream(m_self.vm), {std::move(record)});
+}
+
+void Durability::OnAppend(const AppendDone& done, Time now) {
+  if (done.append != m_append || m_append == 0) return;
+  m_append = 0;
+  if (done.status == LogStatus::kOk) {
+    for (const auto& item : m_appending) {
+      m_bytes -= item.bytes;
+      if (m_waiting.contains(item.ticket)) m_unconfirmed.insert(item.ticket);
+    }
+    m_appending.clear();
+    return;
+  }
+  // Refused, or nobody knows: appended again, since reading a delta twice
+  // changes nothing.
+  for (auto it = m_appending.rbegin(); it != m_appending.rend(); ++it)
+    m_unlogged.push_front(std::move(*it));
+  m_appending.clear();
+  m_retry_at = now + Info(Reason::kLogUnavailable).retry_after;
+}
+
+bool Durability::WantsControlRead() const {
+  return !m_unconfirmed.empty() && m_control_read == 0;
+}
+
+void Durability::OnControlReadStarted(std::uint64_t read) {
+  m_control_read = read;
+  m_confirming.merge(m_unconfirmed);
+  m_unconfirmed.clear();
+}
+
+void Durability::OnControlRead(std::uint64_t read, bool ok) {
+  if (read != m_control_read || m_control_read == 0) return;
+  m_control_read = 0;
+  const Member* member = m_control.FindMember(m_self);
+  const bool    owner = member != nullptr && !member->IsClaimed();
+  if (!ok) {
+    m_unconfirmed.merge(m_confirming);
+    m_confirming.clear();
+    return;
+  }
+  // Claimed: the adopter may have read the history before the append landed.
+  if (!owner) return;
+  for (const Ticket ticket : std::exchange(m_confirming, {})) Held(ticket);
+}
+
+// ---- BackupStore
+
+void BackupStore::OnReplicate(const NodeRef& from, const Replicate& replicate,
+                              Time now) {
+  const Member*  member = m_control.FindMember(from);
+  ReplicateReply reply{replicate.batch, false};
+  const bool     claimed = member != nullptr && member->IsClaimed();
+  if (!claimed) {
+    Backup& backup = m_homes[from];
+    backup.updated = now;
+    for (const auto& delta : replicate.deltas)
+      backup.programs[delta.meta.id].Apply(delta);
+    reply.held = true;
+  }
+  m_outbox.Send(from, reply);
+}
+
+std::vector<ProgramDelta> BackupStore::Take(const NodeRef& home) {
+  std::vector<ProgramDelta> deltas;
+  const auto                it = m_homes.find(home);
+  if (it == m_homes.end()) return deltas;
+  for (const auto& [id, state] : it->second.programs)
+    deltas.push_back(state.Whole());
+  m_homes.erase(it);
+  return deltas;
+}
+
+void BackupStore::Forget(const NodeRef& self, Time now) {
+  for (auto& [home, backup] : m_homes) {
+    std::erase_if(backup.programs, [now](const auto& entry) {
+      const ProgramMeta& meta = entry.second.meta;
+      return meta.ended && now - meta.last_active > kKeepEnded;
+    });
+  }
+  std::erase_if(m_homes, [&](const auto& entry) {
+    const Member* member = m_control.FindMember(entry.first);
+    if (member == nullptr) return false;
+    if (member->IsClaimed()) return member->adopter != self;
+    const bool elsewhere =
+        !member->replica.vm.empty() && member->replica != self;
+    return elsewhere && now - entry.second.updated > kKeepUnassigned;
+  });
+}
+
+std::size_t BackupStore::ProgramCount() const {
+  std::size_t count = 0;
+  for (const auto& [home, backup] : m_homes) count += backup.programs.size();
+  return count;
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/entry.cc
@@ -0,0 +1,319 @@
+#include "yuccawick/core/entry.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace yuccawick::core {
+
+// Index
+//   Events     what the daemon tells
+//   Sending    finding the home, parking, giving up
+//   Replies    matching, retrying, streaming
+
+Entry::Entry(EntrySettings settings, Safeguards safeguards)
+    : m_settings(std::move(settings)),
+      m_safeguards(safeguards),
+      m_control(safeguards),
+      m_tail(m_settings.self, m_settings.control, m_control, m_outbox,
+             [this](Time now) {
+               m_membership.OnControl();
+               m_membership.Watch({}, now);
+             }),
+      m_membership(m_settings.self, m_settings.membership, safeguards,
+                   m_control, m_outbox),
+      m_retries(m_settings.retry, m_settings.seed) {}
+
+std::vector<Command> Entry::Handle(Time now, const Event& event) {
+  if (m_stopped) return {};
+  std::visit([&](const auto& e) { On(e, now); }, event);
+  if (m_draining && m_pending.empty()) {
+    m_outbox.Push(Stop{StopCause::kDrained});
+    m_stopped = true;
+  }
+  return m_outbox.Take();
+}
+
+// ---- Events
+
+void Entry::On(const Tick& /*event*/, Time now) {
+  m_tail.OnTick(now);
+  m_membership.OnTick(now);
+  if (m_tail.LogIsDown() || !m_tail.HasState()) {
+    const NodeRef* ahead = m_membership.PeerAhead();
+    if (ahead != nullptr) m_tail.AskPeer(*ahead);
+  }
+  std::vector<std::uint64_t> due;
+  std::vector<std::uint64_t> late;
+  for (auto& [request, pending] : m_pending) {
+    if (now > pending.deadline + m_settings.reply_margin) {
+      late.push_back(request);
+    } else if (pending.retry_at != 0 && now >= pending.retry_at) {
+      due.push_back(request);
+    }
+  }
+  for (const auto request : late)
+    GiveUp(request, Refuse(Reason::kDeadline));
+  for (const auto request : due) TrySend(request, now);
+  std::vector<NodeRef> lost;
+  for (const auto& [node, peer] : m_membership.peers()) {
+    if (m_membership.IsSuspect(node)) lost.push_back(node);
+  }
+  for (const auto& node : lost) LostHome(node, now);
+}
+
+void Entry::On(const CallerMessage& event, Time now) {
+  if (const auto* cancel = std::get_if<CancelRequest>(&event.message)) {
+    const auto it = m_pending.find(cancel->request);
+    if (it == m_pending.end()) return;
+    if (!it->second.sent_to.vm.empty())
+      m_outbox.Send(it->second.sent_to, *cancel);
+    m_pending.erase(it);
+    return;
+  }
+  Pending pending;
+  pending.message = event.message;
+  pending.arrived = now;
+  pending.deadline = now + m_settings.default_deadline;
+  std::uint64_t request = 0;
+  if (const auto* start = std::get_if<StartProgram>(&event.message)) {
+    request = start->request;
+    pending.program = start->parent;
+  } else if (const auto* call = std::get_if<CallRequest>(&event.message)) {
+    request = call->request;
+    pending.program = call->call.program;
+    pending.deadline = call->call.deadline;
+  } else if (const auto* query = std::get_if<ProgramQuery>(&event.message)) {
+    request = query->request;
+    pending.program = query->program;
+  }
+  Accept(request, std::move(pending), now);
+}
+
+void Entry::Accept(std::uint64_t request, Pending pending, Time now) {
+  m_pending[request] = std::move(pending);
+  if (m_draining) return GiveUp(request, Refuse(Reason::kDraining));
+  m_retries.OnFreshRequest();
+  TrySend(request, now);
+}
+
+void Entry::On(const MessageReceived& event, Time now) {
+  const bool ours = event.to == m_settings.self;
+  // A reply to an earlier incarnation carries a number that here belongs to
+  // some other caller: that caller would be given a stranger's answer.
+  if (!ours && m_safeguards.Has(Safeguard::kReplyMatch)) {
+    m_outbox.Push(Count{Counter::kStaleMessages, "other_incarnation", 1});
+    return;
+  }
+  m_membership.OnMessage(event.from, now);
+  std::visit(
+      [&](const auto& m) {
+        using M = std::decay_t<decltype(m)>;
+        if constexpr (std::is_same_v<M, StartReply> ||
+                      std::is_same_v<M, CallReply> ||
+                      std::is_same_v<M, ProgramReply>) {
+          OnReply(event.from, m.request, m.ok, m.failure, m, now);
+        } else if constexpr (std::is_same_v<M, CallChunk>) {
+          OnChunk(event.from, m);
+        } else if constexpr (std::is_same_v<M, Probe>) {
+          m_outbox.Send(event.from,
+                        ProbeReply{m_control.version(), m_draining, 0});
+        } else if constexpr (std::is_same_v<M, ProbeReply>) {
+          m_membership.OnProbeReply(event.from, m, now);
+        } else if constexpr (std::is_same_v<M, ControlPull>) {
+          m_tail.OnPull(event.from);
+        } else if constexpr (std::is_same_v<M, ControlPush>) {
+          m_tail.OnPush(m, now);
+        }
+      },
+      event.message);
+}
+
+void Entry::On(const SendFailed& event, Time now) {
+  m_membership.OnSendFailed(event.to, now);
+  LostHome(event.to, now);
+}
+
+void Entry::On(const ReadDone& event, Time now) { m_tail.OnRead(event, now); }
+
+void Entry::On(const VmListRead& event, Time now) {
+  m_membership.OnVmList(event, now);
+}
+
+void Entry::On(const StopRequested& /*event*/, Time /*now*/) {
+  m_draining = true;
+  LogLine line;
+  line.event = LogEvent::kLeaving;
+  m_outbox.Push(line);
+}
+
+// ---- Sending
+
+tl::expected<NodeRef, Failure> Entry::ChooseHome(const std::string& model,
+                                                 std::uint64_t request) const {
+  const Member* best = nullptr;
+  bool          known = false;
+  const auto    cost = [&](const Member& m) {
+    // Among equally loaded ones, each request has an order of its own.
+    return std::pair(m_membership.LoadOf(m.join.node),
+                        PairHash(std::to_string(request), m.join.node.vm));
+  };
+  for (const auto& [node, member] : m_control.members()) {
+    if (member.join.kind != BackendKind::kModel) continue;
+    if (member.join.target != model || member.IsClaimed()) continue;
+    known = true;
+    if (!m_membership.IsUsable(node)) continue;
+    if (best == nullptr || cost(member) < cost(*best)) best = &member;
+  }
+  if (best != nullptr) return best->join.node;
+  return tl::make_unexpected(
+      Refuse(known ? Reason::kHomeUnreachable : Reason::kUnknownBackend));
+}
+
+tl::expected<NodeRef, Failure> Entry::Target(const Pending& pending) const {
+  if (!m_tail.HasState())
+    return tl::make_unexpected(Refuse(Reason::kNotReady));
+  if (!pending.program.IsSet()) {
+    const auto& start = std::get<StartProgram>(pending.message);
+    return ChooseHome(start.model, start.request);
+  }
+  const auto home = m_control.Resolve(pending.program.origin);
+  if (m_control.FindMember(home.node) == nullptr)
+    return tl::make_unexpected(Refuse(Reason::kUnknownProgram));
+  if (m_membership.IsSuspect(home.node))
+    return tl::make_unexpected(Refuse(Reason::kHomeUnreachable));
+  return home.node;
+}
+
+void Entry::TrySend(std::uint64_t request, Time now) {
+  Pending& pending = m_pending.at(request);
+  const auto target = Target(pending);
+  if (!target) {
+    if (target.error().reason == Reason::kHomeUnreachable)
+      return Park(request, now);
+    return OnFailure(request, target.error(), now);
+  }
+  pending.retry_at = 0;
+  pending.parked_at = 0;
+  pending.sent_to = *target;
+  pending.sent_at = now;
+  pending.may_have_run = true;
+  ++pending.attempts;
+  std::visit(
+      [&](const auto& m) {
+        using M = std::decay_t<decltype(m)>;
+        if constexpr (std::is_same_v<M, StartProgram> ||
+                      std::is_same_v<M, CallRequest> ||
+                      std::is_same_v<M, ProgramQuery>) {
+          m_outbox.Send(*target, m);
+        }
+      },
+      pending.message);
+}
+
+void Entry::Park(std::uint64_t request, Time now) {
+  Pending& pending = m_pending.at(request);
+  if (pending.parked_at == 0) {
+    pending.parked_at = now;
+    m_outbox.Retried(Reason::kHomeUnreachable);
+  }
+  const bool over = now - pending.parked_at > m_settings.most_parked ||
+                    now >= pending.deadline;
+  if (over) return GiveUp(request, Refuse(Reason::kHomeUnreachable));
+  pending.retry_at = now + m_settings.retry.first_wait;
+}
+
+// The final answer, at once. Whether it ran is known only if it was never sent
+// or the last home to have it said so.
+void Entry::GiveUp(std::uint64_t request, Failure failure) {
+  const auto it = m_pending.find(request);
+  if (it == m_pending.end()) return;
+  const bool call = std::holds_alternative<CallRequest>(it->second.message);
+  const bool unsure = it->second.may_have_run && call &&
+                      failure.ran == Ran::kNo;
+  if (unsure && m_safeguards.Has(Safeguard::kRanAccuracy))
+    failure.ran = Ran::kUnknown;
+  m_outbox.Refused(failure.reason);
+  m_outbox.Push(ReplyToCaller{
+      request, FailureReply(it->second.message, request, failure)});
+  m_pending.erase(it);
+}
+
+Message Entry::FailureReply(const Message& request_message,
+                            std::uint64_t request, const Failure& failure) {
+  if (std::holds_alternative<StartProgram>(request_message))
+    return StartReply{request, false, {}, failure};
+  if (std::holds_alternative<CallRequest>(request_message))
+    return CallReply{request, false, {}, failure};
+  return ProgramReply{request, false, {}, failure};
+}
+
+// ---- Replies
+
+Entry::Pending* Entry::FindFrom(const NodeRef& from, std::uint64_t request) {
+  const auto it = m_pending.find(request);
+  const bool matches = it != m_pending.end() &&
+                       (it->second.sent_to == from ||
+                        !m_safeguards.Has(Safeguard::kReplyMatch));
+  if (matches) return &it->second;
+  m_outbox.Push(Count{Counter::kStaleMessages, "reply", 1});
+  return nullptr;
+}
+
+void Entry::OnChunk(const NodeRef& from, const CallChunk& chunk) {
+  Pending* pending = FindFrom(from, chunk.request);
+  if (pending == nullptr) return;
+  // A lost or crossed chunk ends streaming; the reply brings the rest.
+  if (chunk.position != pending->streamed.size()) return;
+  pending->streamed += chunk.text;
+  m_outbox.Push(ReplyToCaller{chunk.request, chunk});
+}
+
+void Entry::OnReply(const NodeRef& from, std::uint64_t request, bool ok,
+                    const Failure& failure, const Message& reply, Time now) {
+  Pending* pending = FindFrom(from, request);
+  if (pending == nullptr) return;
+  if (!ok) {
+    // This home has answered: what was sent to it did not run after all.
+    if (failure.ran == Ran::kNo && pending->attempts == 1)
+      pending->may_have_run = false;
+    return OnFailure(request, failure, now);
+  }
+  const auto* answer = std::get_if<CallReply>(&reply);
+  const bool  other_text =
+      answer != nullptr && !answer->answer.text.starts_with(pending->streamed);
+  if (other_text) {
+    // The call ran again after a failure and gave another text than the part
+    // the caller already has. Asked again, the home gives the whole of it.
+    const Failure restart{Reason::kHomeUnreachable, Ran::kYes, 1};
+    return GiveUp(request, restart);
+  }
+  m_outbox.Push(ReplyToCaller{request, reply});
+  m_pending.erase(request);
+}
+
+void Entry::OnFailure(std::uint64_t request, const Failure& failure,
+                      Time now) {
+  Pending& pending = m_pending.at(request);
+  const bool again = IsRetriable(failure) && pending.streamed.empty() &&
+                     now < pending.deadline && !m_draining &&
+                     m_retries.Take(pending.attempts);
+  if (!again) return GiveUp(request, failure);
+  m_outbox.Retried(failure.reason);
+  ++pending.attempts;
+  pending.retry_at =
+      now + m_retries.Wait(pending.attempts - 1, failure.retry_after);
+}
+
+void Entry::LostHome(const NodeRef& node, Time now) {
+  for (auto& [request, pending] : m_pending) {
+    if (pending.sent_to != node || pending.retry_at != 0) continue;
+    // Sent again once there is a new home: homes tell a repeated sequence by
+    // their record of it, and an unrepeatable call by its intent.
+    pending.retry_at = now;
+    pending.parked_at = now;
+    m_outbox.Retried(Reason::kHomeUnreachable);
+  }
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/entry.h
@@ -0,0 +1,102 @@
+// The entry's decisions: any caller's request, to the home of its program.
+//
+// An entry keeps nothing that matters. It finds the home by the program's id
+// and the claims, sends the request there, and is the only node that retries:
+// what certainly did not run, and what a home recognizes by its sequence number
+// when it comes again. A home that is lost is waited for until its programs
+// have a new one, no longer than `most_parked`.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "yuccawick/core/control_tail.h"
+#include "yuccawick/core/membership.h"
+#include "yuccawick/core/retry.h"
+
+namespace yuccawick::core {
+
+struct EntrySettings {
+  NodeRef             self;
+  ControlTailSettings control;
+  MembershipSettings  membership;
+  RetrySettings       retry;
+  std::uint64_t       seed = 1;
+  Duration most_parked = 8000;      // ms to wait for a lost home's successor
+  Duration reply_margin = 6000;     // ms past the deadline for the reply
+  Duration default_deadline = 60000;  // ms, for starts and queries
+};
+
+class Entry {
+ public:
+  Entry(EntrySettings settings, Safeguards safeguards);
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  std::vector<Command> Handle(Time now, const Event& event);
+
+  const Control&    control() const { return m_control; }
+  const Membership& membership() const { return m_membership; }
+  ConfigPhase       config_phase() const { return m_tail.phase(); }
+  std::size_t       InFlight() const { return m_pending.size(); }
+  bool              IsDraining() const { return m_draining; }
+  const NodeRef&    self() const { return m_settings.self; }
+
+ private:
+  struct Pending {
+    Message     message;        // as first given
+    ProgramId   program;        // unset for a start without a parent
+    Time        arrived = 0;
+    Time        deadline = 0;
+    int         attempts = 0;
+    Time        retry_at = 0;   // 0: sent, waiting for the reply
+    Time        parked_at = 0;  // 0: not waiting for a new home
+    NodeRef     sent_to;        // empty: never sent
+    Time        sent_at = 0;
+    bool        may_have_run = false;  // some attempt may have arrived
+    std::string streamed;       // text already passed on
+  };
+  using Requests = std::map<std::uint64_t, Pending>;
+
+  void On(const Tick& event, Time now);
+  void On(const MessageReceived& event, Time now);
+  void On(const CallerMessage& event, Time now);
+  void On(const SendFailed& event, Time now);
+  void On(const ReadDone& event, Time now);
+  void On(const VmListRead& event, Time now);
+  void On(const StopRequested& event, Time now);
+  void On(const AppendDone&, Time) {}
+  void On(const RunChunk&, Time) {}
+  void On(const RunDone&, Time) {}
+
+  void Accept(std::uint64_t request, Pending pending, Time now);
+  void TrySend(std::uint64_t request, Time now);
+  // Where the request goes now; a failure if there is no such place.
+  tl::expected<NodeRef, Failure> Target(const Pending& pending) const;
+  tl::expected<NodeRef, Failure> ChooseHome(const std::string& model,
+                                            std::uint64_t      request) const;
+  void Park(std::uint64_t request, Time now);
+  void GiveUp(std::uint64_t request, Failure failure);
+  void OnFailure(std::uint64_t request, const Failure& failure, Time now);
+  void OnChunk(const NodeRef& from, const CallChunk& chunk);
+  void OnReply(const NodeRef& from, std::uint64_t request, bool ok,
+               const Failure& failure, const Message& reply, Time now);
+  void LostHome(const NodeRef& node, Time now);
+  Pending* FindFrom(const NodeRef& from, std::uint64_t request);
+  static Message FailureReply(const Message& request_message,
+                              std::uint64_t request, const Failure& failure);
+
+  EntrySettings m_settings;
+  Safeguards    m_safeguards;
+  Outbox        m_outbox;
+  Control       m_control;
+  ControlTail   m_tail;
+  Membership    m_membership;
+  RetryBudget   m_retries;
+  Requests      m_pending;
+  bool          m_draining = false;
+  bool          m_stopped = false;
+};
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/executor.cc
@@ -0,0 +1,383 @@
+#include "yuccawick/core/executor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace yuccawick::core {
+
+// Index
+//   Orders       taking, refusing and finding calls again
+//   Running      the server's answers
+//   Queue        what runs next, what has waited too long
+//   Memory       prefixes and remembered calls
+
+Executor::Executor(NodeRef self, ExecutorSettings settings,
+                   Safeguards safeguards, const QueuePolicy& policy,
+                   Outbox& outbox)
+    : m_self(std::move(self)),
+      m_settings(settings),
+      m_safeguards(safeguards),
+      m_policy(policy),
+      m_outbox(outbox) {
+  assert(settings.slots > 0 && "a server needs at least one slot");
+}
+
+void Executor::OnJoined(Offset joined) {
+  m_joined = joined;
+  m_outbox.Push(ReleasePrefix{ProgramId{}, m_joined});
+}
+
+// ---- Orders
+
+void Executor::Refuse(const NodeRef& home, const Dispatch& dispatch,
+                      Failure failure) {
+  m_outbox.Refused(failure.reason);
+  DispatchReply reply;
+  reply.dispatch = dispatch.dispatch;
+  reply.failure = failure;
+  reply.load_ms = static_cast<std::uint64_t>(LoadMs());
+  m_outbox.Send(home, reply);
+}
+
+bool Executor::IsFencedOff(const Dispatch& dispatch) const {
+  if (!m_safeguards.Has(Safeguard::kExecutorFence)) return false;
+  const auto it = m_fences.find(dispatch.call.program);
+  return it != m_fences.end() && dispatch.fence < it->second;
+}
+
+void Executor::OnDispatch(const NodeRef& from, const Dispatch& dispatch,
+                          Time now) {
+  const CallKey key{dispatch.call.program, dispatch.call.sequence};
+  const bool    checked = m_safeguards.Has(Safeguard::kIncarnationCheck);
+  if (checked && dispatch.executor != m_self) {
+    // An earlier incarnation may have run it and lost its memory of that.
+    Failure failure = core::Refuse(Reason::kWrongIncarnation);
+    if (dispatch.call.unrepeatable)
+      failure = {Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+    return Refuse(from, dispatch, failure);
+  }
+  if (IsFencedOff(dispatch)) {
+    // The sender was replaced while paused or cut off. Running its order could
+    // run a call a second time after the new owner has dealt with it.
+    m_outbox.Push(Count{Counter::kFencedOrders, "home", 1});
+    return Refuse(from, dispatch, core::Refuse(Reason::kFenced));
+  }
+  Offset& fence = m_fences.try_emplace(key.first, kNoOffset).first->second;
+  fence = std::max(fence, dispatch.fence);
+  if (m_safeguards.Has(Safeguard::kExecutorDedup) &&
+      AnswerKnown(from, dispatch, key))
+    return;
+  // Calls are forgotten some time after their deadline; a copy that is late
+  // beyond that must not be taken for a new call.
+  if (now > dispatch.call.deadline)
+    return Refuse(from, dispatch, core::Refuse(Reason::kDeadline));
+  if (!IsJoined()) return Refuse(from, dispatch, core::Refuse(Reason::kNotReady));
+  if (m_draining) return Refuse(from, dispatch, core::Refuse(Reason::kDraining));
+  Enqueue(from, dispatch, now);
+}
+
+bool Executor::AnswerKnown(const NodeRef& from, const Dispatch& dispatch,
+                           const CallKey& key) {
+  const auto it = m_entries.find(key);
+  if (it == m_entries.end()) return false;
+  Entry& entry = it->second;
+  const bool repeated = entry.home == from &&
+                        dispatch.dispatch <= entry.order.dispatch;
+  const bool finished = entry.phase == CallPhase::kDone;
+  // A new attempt at a call that may be repeated runs again.
+  if (finished && !repeated && !dispatch.call.unrepeatable) return false;
+  // So does one that was given up before it started.
+  if (finished && !repeated && entry.reply.failure.ran == Ran::kNo &&
+      !entry.reply.ok)
+    return false;
+  if (!repeated) {
+    entry.home = from;
+    entry.order.dispatch = dispatch.dispatch;
+    entry.order.fence = dispatch.fence;
+  }
+  if (!finished) return true;
+  entry.reply.dispatch = entry.order.dispatch;
+  m_outbox.Send(entry.home, entry.reply);
+  return true;
+}
+
+void Executor::Enqueue(const NodeRef& from, const Dispatch& dispatch,
+                       Time now) {
+  const CallKey key{dispatch.call.program, dispatch.call.sequence};
+  Entry         entry;
+  entry.home = from;
+  entry.order = dispatch;
+  entry.arrived = now;
+  const Duration wait = WaitAhead(entry, now);
+  const Duration allowed =
+      std::min<Duration>(dispatch.max_wait, dispatch.call.deadline - now);
+  if (wait > allowed) {
+    // It could not start in time: the caller is told now, with when to return.
+    return Refuse(from, dispatch,
+                  core::Refuse(Reason::kOverloaded, wait - allowed + 1));
+  }
+  m_entries[key] = std::move(entry);
+  m_queue.insert(key);
+  StartNext(now);
+}
+
+void Executor::OnCancel(const NodeRef& from, const CancelDispatch& cancel,
+                        Time now) {
+  for (auto& [key, entry] : m_entries) {
+    if (entry.home != from || entry.order.dispatch != cancel.dispatch) continue;
+    if (entry.phase == CallPhase::kQueued) {
+      DispatchReply reply;
+      reply.failure = core::Refuse(Reason::kCancelled);
+      m_queue.erase(key);
+      GetCallChart().Fire(&entry.phase, CallEvent::kGiveUp);
+      return Finish(CallKey(key), reply, now);
+    }
+    // An order that may not be repeated is left to finish: stopping it halfway
+    // would leave an outcome nobody knows.
+    const bool stop = entry.phase == CallPhase::kRunning &&
+                      !entry.order.call.unrepeatable && !entry.cancelled;
+    if (!stop) return;
+    entry.cancelled = true;
+    m_outbox.Push(CancelRun{entry.run});
+    return;
+  }
+}
+
+void Executor::OnFence(const NodeRef& from, const FenceCall& fence, Time now) {
+  FenceReply reply;
+  reply.program = fence.program;
+  reply.sequence = fence.sequence;
+  reply.fence = fence.fence;
+  if (fence.executor != m_self) {
+    reply.state = FencedState::kNotMe;
+    m_outbox.Send(from, reply);
+    return;
+  }
+  Offset& highest =
+      m_fences.try_emplace(fence.program, kNoOffset).first->second;
+  highest = std::max(highest, fence.fence);
+  const CallKey key{fence.program, fence.sequence};
+  const auto    it = m_entries.find(key);
+  if (it != m_entries.end() && it->second.phase == CallPhase::kQueued) {
+    // Still waiting: with the fence raised it will never run.
+    m_queue.erase(key);
+    GetCallChart().Fire(&it->second.phase, CallEvent::kGiveUp);
+    DispatchReply given_up;
+    given_up.failure = core::Refuse(Reason::kFenced);
+    Finish(key, given_up, now);
+  }
+  if (it == m_entries.end()) {
+    reply.state = FencedState::kNeverSeen;
+  } else if (it->second.phase == CallPhase::kRunning) {
+    reply.state = FencedState::kRunning;
+  } else {
+    const DispatchReply& done = it->second.reply;
+    const bool never_ran = !done.ok && done.failure.ran == Ran::kNo;
+    reply.state =
+        never_ran ? FencedState::kNeverSeen : FencedState::kFinished;
+    reply.ok = done.ok;
+    reply.answer = done.answer;
+    reply.failure = done.failure;
+  }
+  m_outbox.Send(from, reply);
+}
+
+// ---- Running
+
+void Executor::StartRun(const CallKey& key, Time now) {
+  Entry& entry = m_entries.at(key);
+  GetCallChart().Fire(&entry.phase, CallEvent::kStart);
+  entry.run = m_outbox.NextNumber();
+  m_queue.erase(key);
+  m_runs[entry.run] = key;
+  m_outbox.Push(RunCall{entry.run, m_joined, entry.order.call,
+                        entry.order.prompt, entry.order.priority});
+  if (m_settings.kind != BackendKind::kModel) return;
+  Prefix& prefix = m_prefixes[key.first];
+  prefix.tokens = EstimateTokens(entry.order.prompt);
+  prefix.used = now;
+}
+
+void Executor::OnRunChunk(const RunChunk& chunk) {
+  const auto it = m_runs.find(chunk.run);
+  if (it == m_runs.end()) return;
+  Entry& entry = m_entries.at(it->second);
+  m_outbox.Send(entry.home, DispatchChunk{entry.order.dispatch, entry.position,
+                                          chunk.text});
+  entry.position += chunk.text.size();
+}
+
+void Executor::OnRunDone(const RunDone& done, Time now) {
+  const auto it = m_runs.find(done.run);
+  if (it == m_runs.end()) {
+    m_outbox.Push(Count{Counter::kStaleMessages, "run_done", 1});
+    return;
+  }
+  const CallKey key = it->second;
+  m_runs.erase(it);
+  Entry& entry = m_entries.at(key);
+  GetCallChart().Fire(&entry.phase, CallEvent::kFinish);
+  DispatchReply reply;
+  reply.ok = done.ok;
+  reply.answer = done.answer;
+  reply.failure = done.failure;
+  const auto prefix = m_prefixes.find(key.first);
+  if (prefix != m_prefixes.end()) {
+    prefix->second.used = now;
+    prefix->second.tokens += EstimateTokens(entry.order.call.body) +
+                             EstimateTokens(done.answer.text);
+  }
+  Finish(key, reply, now);
+  StartNext(now);
+}
+
+void Executor::Finish(const CallKey& key, DispatchReply reply, Time now) {
+  Entry& entry = m_entries.at(key);
+  entry.phase = CallPhase::kDone;
+  entry.done_at = now;
+  reply.dispatch = entry.order.dispatch;
+  reply.load_ms = static_cast<std::uint64_t>(LoadMs());
+  entry.reply = reply;
+  // The answer of a repeatable call is not needed again; the prompt never.
+  entry.order.prompt.clear();
+  m_outbox.Send(entry.home, std::move(reply));
+  if (!entry.order.call.unrepeatable) entry.reply.answer.text.clear();
+}
+
+// ---- Queue
+
+QueuedCall Executor::Describe(const Entry& entry) const {
+  QueuedCall call;
+  call.priority = entry.order.priority;
+  call.attained = entry.order.attained;
+  call.prompt = EstimateTokens(entry.order.prompt);
+  call.cached = std::min(call.prompt, CachedTokens(entry.order.call.program));
+  call.max_tokens = entry.order.call.max_tokens;
+  call.cache_weight = entry.order.cache_weight;
+  call.max_wait = entry.order.max_wait;
+  call.arrived = entry.arrived;
+  return call;
+}
+
+Duration Executor::Estimate(const Entry& entry) const {
+  const QueuedCall call = Describe(entry);
+  const double     prefill = static_cast<double>(call.prompt - call.cached) /
+                         m_settings.prefill_tokens_per_ms;
+  const double decode = static_cast<double>(call.max_tokens) /
+                        m_settings.decode_tokens_per_ms;
+  return static_cast<Duration>(prefill + decode);
+}
+
+Duration Executor::WaitAhead(const Entry& entry, Time now) const {
+  if (m_runs.size() + m_queue.size() < m_settings.slots) return 0;
+  const double rank = m_policy.Rank(Describe(entry), now);
+  Duration     work = 0;
+  for (const auto& key : m_queue) {
+    const Entry& other = m_entries.at(key);
+    if (m_policy.Rank(Describe(other), now) <= rank) work += Estimate(other);
+  }
+  // Calls at the server are on average halfway through.
+  for (const auto& [run, key] : m_runs)
+    work += Estimate(m_entries.at(key)) / 2;
+  return work / static_cast<Duration>(m_settings.slots);
+}
+
+Duration Executor::LoadMs() const {
+  if (m_runs.size() + m_queue.size() < m_settings.slots) return 0;
+  Duration work = 0;
+  for (const auto& key : m_queue) work += Estimate(m_entries.at(key));
+  for (const auto& [run, key] : m_runs)
+    work += Estimate(m_entries.at(key)) / 2;
+  return work / static_cast<Duration>(m_settings.slots);
+}
+
+void Executor::StartNext(Time now) {
+  while (m_runs.size() < m_settings.slots && !m_queue.empty()) {
+    const auto best = std::min_element(
+        m_queue.begin(), m_queue.end(),
+        [&](const CallKey& a, const CallKey& b) {
+          return m_policy.Rank(Describe(m_entries.at(a)), now) <
+                 m_policy.Rank(Describe(m_entries.at(b)), now);
+        });
+    StartRun(CallKey(*best), now);
+  }
+}
+
+void Executor::GiveUpLate(Time now) {
+  std::vector<CallKey> late;
+  for (const auto& key : m_queue) {
+    const Entry& entry = m_entries.at(key);
+    const Time   last = std::min(entry.arrived + entry.order.max_wait,
+                                 entry.order.call.deadline);
+    if (now > last) late.push_back(key);
+  }
+  for (const auto& key : late) {
+    Entry& entry = m_entries.at(key);
+    m_queue.erase(key);
+    GetCallChart().Fire(&entry.phase, CallEvent::kGiveUp);
+    const bool past_deadline = now > entry.order.call.deadline;
+    DispatchReply reply;
+    reply.failure = past_deadline
+                        ? core::Refuse(Reason::kDeadline)
+                        : core::Refuse(Reason::kOverloaded,
+                                       std::max<Duration>(1, LoadMs()));
+    m_outbox.Refused(reply.failure.reason);
+    Finish(key, reply, now);
+  }
+}
+
+void Executor::OnTick(Time now) {
+  GiveUpLate(now);
+  for (const auto& [run, key] : m_runs) {
+    Entry& entry = m_entries.at(key);
+    const bool stop = now > entry.order.call.deadline && !entry.cancelled &&
+                      !entry.order.call.unrepeatable;
+    if (!stop) continue;
+    entry.cancelled = true;
+    m_outbox.Push(CancelRun{run});
+  }
+  ForgetOld(now);
+  StartNext(now);
+}
+
+// ---- Memory
+
+void Executor::OnRelease(const ProgramId& program) {
+  if (!m_safeguards.Has(Safeguard::kPrefixRelease)) return;
+  if (m_prefixes.erase(program) == 0) return;
+  m_outbox.Push(ReleasePrefix{program, m_joined});
+}
+
+void Executor::ReleaseAll() {
+  m_prefixes.clear();
+  m_outbox.Push(ReleasePrefix{ProgramId{}, m_joined});
+}
+
+void Executor::ForgetOld(Time now) {
+  std::erase_if(m_entries, [&](const auto& item) {
+    const Entry& entry = item.second;
+    return entry.phase == CallPhase::kDone &&
+           now > entry.order.call.deadline + m_settings.clock_margin;
+  });
+  std::vector<ProgramId> unused;
+  for (const auto& [program, prefix] : m_prefixes) {
+    if (now - prefix.used > m_settings.prefix_hold) unused.push_back(program);
+  }
+  // A release lost on the way, or a home that vanished, must not keep engine
+  // memory held: every prefix is on a lease that only use extends.
+  for (const auto& program : unused) OnRelease(program);
+  std::erase_if(m_fences, [&](const auto& item) {
+    const CallKey first{item.first, 0};
+    const auto    it = m_entries.lower_bound(first);
+    const bool    known = it != m_entries.end() && it->first.first == item.first;
+    return !known && item.second == kNoOffset;
+  });
+}
+
+Tokens Executor::CachedTokens(const ProgramId& program) const {
+  const auto it = m_prefixes.find(program);
+  return it == m_prefixes.end() ? 0 : it->second.tokens;
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/home.cc
@@ -0,0 +1,918 @@
+#include "yuccawick/core/home.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace yuccawick::core {
+
+// Index
+//   Starting     programs and sub-agents
+//   Calls        checks, order, funding, recording, sending
+//   Outcomes     answers, refusals, timeouts
+//   Ending       by the caller, by idleness
+//   Recovery     programs taken over from another home
+//   Shared       helpers of the above
+
+Home::Home(NodeRef self, std::string model, HomeSettings settings,
+           Safeguards safeguards, Parts parts)
+    : m_self(std::move(self)),
+      m_model(std::move(model)),
+      m_settings(settings),
+      m_safeguards(safeguards),
+      m_parts(parts) {}
+
+// ---- Starting
+
+tl::expected<void, Failure> Home::CheckStart(const StartProgram& start) const {
+  if (m_draining) return tl::make_unexpected(Refuse(Reason::kDraining));
+  const ContractInForce* contract =
+      m_parts.control.FindContract(start.customer);
+  if (contract == nullptr)
+    return tl::make_unexpected(Refuse(Reason::kNoContract));
+  if (FindClass(contract->contract, start.service_class) == nullptr)
+    return tl::make_unexpected(Refuse(Reason::kUnknownClass));
+  if (start.model != m_model)
+    return tl::make_unexpected(Refuse(Reason::kUnknownBackend));
+  if (!m_parts.executor.IsJoined())
+    return tl::make_unexpected(Refuse(Reason::kNotReady));
+  if (!start.parent.IsSet()) return {};
+  const auto parent = m_programs.find(start.parent);
+  if (parent == m_programs.end())
+    return tl::make_unexpected(Refuse(Reason::kUnknownProgram));
+  const ProgramMeta& meta = parent->second.state.meta;
+  if (meta.workspace != start.workspace || meta.customer != start.customer)
+    return tl::make_unexpected(Refuse(Reason::kWrongWorkspace));
+  if (meta.ended) return tl::make_unexpected(Refuse(Reason::kProgramEnded));
+  return {};
+}
+
+void Home::OnStart(const NodeRef& from, const StartProgram& start, Time now) {
+  const Caller caller{from, start.request};
+  const auto   known = [&](const Start& other) { return other.caller == caller; };
+  if (std::any_of(m_starts.begin(), m_starts.end(), known)) return;
+  if (auto ok = CheckStart(start); !ok)
+    return ReplyStart(caller, tl::make_unexpected(ok.error()));
+  TryStart({caller, start, now}, now);
+}
+
+void Home::TryStart(const Start& start, Time now) {
+  // Sub-agents share their parent's slot; a slot of their own could leave every
+  // parent waiting for a child that gets none.
+  if (start.start.parent.IsSet()) return Mint(start, false, now);
+  const Funding funding = m_parts.budget.Reserve(start.start.customer,
+                                                 Resource::kPrograms, 1, now);
+  switch (funding) {
+    case Funding::kFunded:
+      return Mint(start, true, now);
+    case Funding::kWaiting:
+      if (now - start.since < m_settings.funding_timeout) {
+        m_starts.push_back(start);
+        return;
+      }
+      [[fallthrough]];
+    case Funding::kLogDown:
+      return ReplyStart(start.caller, tl::make_unexpected(
+                                          Refuse(Reason::kLogUnavailable)));
+    case Funding::kRefused:
+      return ReplyStart(start.caller,
+                        tl::make_unexpected(Refuse(Reason::kProgramLimit)));
+  }
+}
+
+void Home::Mint(const Start& start, bool holds_slot, Time now) {
+  const ProgramId id{m_self, ++m_minted};
+  Program&        program = m_programs[id];
+  ProgramMeta&    meta = program.state.meta;
+  meta.id = id;
+  meta.customer = start.start.customer;
+  meta.workspace = start.start.workspace;
+  meta.model = start.start.model;
+  meta.service_class = start.start.service_class;
+  meta.parent = start.start.parent;
+  meta.last_active = now;
+  program.holds_slot = holds_slot;
+  m_parts.outbox.Push(Count{Counter::kPrograms, "started", 1});
+  Log(LogEvent::kProgramStarted, program, 0, "");
+  const Ticket ticket = HoldMeta(&program, now);
+  m_started[ticket] = {start.caller, start.start, now};
+  m_started_as[ticket] = id;
+}
+
+void Home::RetryStarts(const std::string& customer, Time now) {
+  for (const auto& start : std::exchange(m_starts, {})) {
+    if (start.start.customer == customer) {
+      TryStart(start, now);
+    } else {
+      m_starts.push_back(start);
+    }
+  }
+}
+
+// ---- Calls
+
+tl::expected<Home::Program*, Failure> Home::FindFor(
+    const ProgramId& id, const std::string& customer,
+    const std::string& workspace) {
+  const auto it = m_programs.find(id);
+  if (it == m_programs.end()) {
+    const auto home = m_parts.control.Resolve(id.origin);
+    const bool elsewhere = home.node != m_self;
+    return tl::make_unexpected(
+        Refuse(elsewhere ? Reason::kFenced : Reason::kUnknownProgram));
+  }
+  const ProgramMeta& meta = it->second.state.meta;
+  const bool own = meta.workspace == workspace && meta.customer == customer;
+  if (!own && m_safeguards.Has(Safeguard::kWorkspaceCheck))
+    return tl::make_unexpected(Refuse(Reason::kWrongWorkspace));
+  return &it->second;
+}
+
+void Home::OnCall(const NodeRef& from, const CallRequest& request, Time now) {
+  const Caller caller{from, request.request};
+  const Call&  call = request.call;
+  const auto   found = FindFor(call.program, call.customer, call.workspace);
+  if (!found) return Reply(caller, tl::make_unexpected(found.error()));
+  Program* program = *found;
+  if (AnswerKnown(program, caller, call)) return;
+  if (auto ok = CheckNew(*program, call, now); !ok)
+    return Reply(caller, tl::make_unexpected(ok.error()));
+  program->state.meta.last_active = now;
+  RootOf(program)->state.meta.last_active = now;
+  program->waiting[call.sequence] = {call, {caller}};
+  Advance(program, now);
+}
+
+bool Home::AnswerKnown(Program* program, const Caller& caller,
+                       const Call& call) {
+  const auto attach = [&](const Call& known, std::vector<Caller>* callers) {
+    if (!SameRequest(known, call)) {
+      Reply(caller, tl::make_unexpected(Refuse(Reason::kSequenceReused)));
+      return;
+    }
+    if (std::find(callers->begin(), callers->end(), caller) == callers->end())
+      callers->push_back(caller);
+  };
+  if (!m_safeguards.Has(Safeguard::kHomeDedup)) return false;
+  if (program->active && program->active->call.sequence == call.sequence) {
+    attach(program->active->call, &program->active->callers);
+    return true;
+  }
+  const auto waiting = program->waiting.find(call.sequence);
+  if (waiting != program->waiting.end()) {
+    attach(waiting->second.call, &waiting->second.callers);
+    return true;
+  }
+  const auto turn = program->state.turns.find(call.sequence);
+  if (turn == program->state.turns.end()) return false;
+  if (SameRequest(turn->second.call, call)) {
+    Reply(caller, turn->second.ToOutcome());
+  } else {
+    Reply(caller, tl::make_unexpected(Refuse(Reason::kSequenceReused)));
+  }
+  return true;
+}
+
+tl::expected<void, Failure> Home::CheckNew(const Program& program,
+                                           const Call& call, Time now) const {
+  const auto refuse = [](Reason reason) {
+    return tl::make_unexpected(Refuse(reason));
+  };
+  const ProgramMeta& meta = program.state.meta;
+  if (meta.ended) return refuse(Reason::kProgramEnded);
+  if (m_draining) return refuse(Reason::kDraining);
+  if (m_parts.durability.IsFull()) return refuse(Reason::kLogUnavailable);
+  const ContractInForce* contract = m_parts.control.FindContract(meta.customer);
+  if (contract == nullptr) return refuse(Reason::kNoContract);
+  if (call.sequence == 0) return refuse(Reason::kMalformed);
+  if (call.sequence > contract->contract.max_turns)
+    return refuse(Reason::kTurnLimit);
+  if (call.sequence >= program.state.NextSequence() + m_settings.window)
+    return refuse(Reason::kSequenceGap);
+  if (now >= call.deadline) return refuse(Reason::kDeadline);
+  if (!HasBackend(call)) return refuse(Reason::kUnknownBackend);
+  return {};
+}
+
+void Home::Advance(Program* program, Time now) {
+  if (program->phase != ProgramPhase::kIdle || program->waiting.empty()) return;
+  auto next = program->waiting.begin();
+  const bool in_order = next->first == program->state.NextSequence();
+  // Running a later call first would act on a state its program has not reached
+  // yet, e.g. publish a notice before its draft is approved.
+  if (!in_order && m_safeguards.Has(Safeguard::kCallOrder)) return;
+  Active active;
+  active.call = next->second.call;
+  active.callers = std::move(next->second.callers);
+  active.since = now;
+  program->waiting.erase(next);
+  program->active = std::move(active);
+  Fire(program, ProgramEvent::kCallReady);
+  Fund(program, now);
+}
+
+void Home::Fund(Program* program, Time now) {
+  Active&                active = *program->active;
+  const std::string&     customer = program->state.meta.customer;
+  const ContractInForce* contract = m_parts.control.FindContract(customer);
+  if (contract == nullptr)
+    return Refused(program, Refuse(Reason::kNoContract), now);
+  const Tokens worst = WorstCase(*program, active.call);
+  Tokens&      spent = RootOf(program)->state.meta.spent;
+  if (spent + worst > contract->contract.program_budget)
+    return Refused(program, Refuse(Reason::kProgramBudget), now);
+  const Funding funding =
+      m_parts.budget.Reserve(customer, Resource::kTokens, worst, now);
+  switch (funding) {
+    case Funding::kFunded:
+      active.reserved = worst;
+      spent += worst;
+      Fire(program, ProgramEvent::kFunded);
+      return Record(program, now);
+    case Funding::kWaiting:
+      return;
+    case Funding::kRefused:
+      return Refused(program, Refuse(Reason::kCustomerBudget), now);
+    case Funding::kLogDown:
+      return Refused(program, Refuse(Reason::kLogUnavailable), now);
+  }
+}
+
+void Home::Record(Program* program, Time now) {
+  Active& active = *program->active;
+  active.since = now;
+  active.executor = Route(*program, active.call);
+  if (active.executor.vm.empty())
+    return Refused(program, Refuse(Reason::kBackendUnreachable), now);
+  // Where the call is about to be sent is held before it is sent. Otherwise a
+  // new owner would not know that it may have run, and would run it again.
+  if (active.call.unrepeatable)
+    program->state.meta.intent = {active.call, active.executor};
+  Program* root = RootOf(program);
+  active.tickets.insert(HoldMeta(program, now));
+  if (root != program) active.tickets.insert(HoldMeta(root, now));
+  for (const Ticket ticket : active.tickets)
+    m_tickets[ticket] = program->state.meta.id;
+  if (!m_safeguards.Has(Safeguard::kIntentFirst)) {
+    active.tickets.clear();
+    Fire(program, ProgramEvent::kRecorded);
+    Send(program, now);
+  }
+}
+
+void Home::Send(Program* program, Time now) {
+  Active&            active = *program->active;
+  const ProgramMeta& meta = program->state.meta;
+  active.since = now;
+  active.dispatch = m_parts.outbox.NextNumber();
+  m_dispatches[active.dispatch] = meta.id;
+  Dispatch dispatch;
+  dispatch.dispatch = active.dispatch;
+  dispatch.fence = program->fence;
+  dispatch.executor = active.executor;
+  dispatch.call = active.call;
+  dispatch.attained = RootOf(program)->attained;
+  const bool model = active.call.kind == BackendKind::kModel;
+  if (model) {
+    dispatch.prompt = program->state.Prompt();
+    program->prefixes[active.executor] = EstimateTokens(dispatch.prompt);
+  }
+  const ContractInForce* contract = m_parts.control.FindContract(meta.customer);
+  if (contract != nullptr) {
+    const ServiceClass* service =
+        FindClass(contract->contract, meta.service_class);
+    if (service == nullptr) service = FindClass(contract->contract, "");
+    dispatch.priority = service->priority;
+    dispatch.max_wait = service->max_wait;
+    dispatch.cache_weight = contract->contract.cache_weight;
+  }
+  m_parts.outbox.Send(active.executor, dispatch);
+}
+
+// ---- Outcomes
+
+void Home::OnDispatchChunk(const NodeRef& from, const DispatchChunk& chunk) {
+  const auto it = m_dispatches.find(chunk.dispatch);
+  if (it == m_dispatches.end()) return;
+  const auto program = m_programs.find(it->second);
+  if (program == m_programs.end() || !program->second.active) return;
+  const Active& active = *program->second.active;
+  if (active.dispatch != chunk.dispatch || active.executor != from) return;
+  for (const auto& caller : active.callers) {
+    m_parts.outbox.Send(caller.entry,
+                        CallChunk{caller.request, chunk.position, chunk.text});
+  }
+}
+
+void Home::OnDispatchReply(const NodeRef& from, const DispatchReply& reply,
+                           Time now) {
+  m_parts.membership.OnLoad(from, static_cast<Duration>(reply.load_ms));
+  const auto it = m_dispatches.find(reply.dispatch);
+  const auto found = it == m_dispatches.end() ? m_programs.end()
+                                              : m_programs.find(it->second);
+  Program* program = found == m_programs.end() ? nullptr : &found->second;
+  // Answers may be late, repeated or crossed: only the one to the dispatch now
+  // running, from the node it went to, is this call's answer.
+  const bool matches = program != nullptr && program->active &&
+                       program->phase == ProgramPhase::kRunning &&
+                       program->active->dispatch == reply.dispatch &&
+                       program->active->executor == from;
+  if (!matches) {
+    m_parts.outbox.Push(Count{Counter::kStaleMessages, "dispatch_reply", 1});
+    return;
+  }
+  m_dispatches.erase(it);
+  if (reply.ok) return Settle(program, reply.answer, nullptr, now);
+  Failed(program, reply.failure, now);
+}
+
+// The call did not run: everything reserved comes back.
+void Home::Refused(Program* program, Failure failure, Time now) {
+  Active active = std::move(*program->active);
+  program->active.reset();
+  for (const Ticket ticket : active.tickets) m_tickets.erase(ticket);
+  if (active.reserved > 0) {
+    RootOf(program)->state.meta.spent -= active.reserved;
+    m_parts.budget.Release(program->state.meta.customer, Resource::kTokens,
+                           active.reserved, now);
+  }
+  program->state.meta.intent = {};
+  Fire(program, ProgramEvent::kRefused);
+  Log(LogEvent::kCallRefused, *program, active.call.sequence,
+      Name(failure.reason));
+  ReplyAll(active.callers, tl::make_unexpected(failure));
+  Advance(program, now);
+}
+
+void Home::Failed(Program* program, Failure failure, Time now) {
+  if (failure.ran == Ran::kNo) return Refused(program, failure, now);
+  const bool unrepeatable = program->active->call.unrepeatable;
+  if (unrepeatable && m_safeguards.Has(Safeguard::kUnknownIsFinal)) {
+    if (failure.ran == Ran::kUnknown)
+      failure = {Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+    // Becomes a turn like any other: the same sequence is answered with it for
+    // ever, and never runs again.
+    return Settle(program, {}, &failure, now);
+  }
+  // May be repeated: the caller issues the same sequence again. What it may
+  // have cost stays spent.
+  program->active->reserved = 0;
+  Refused(program, failure, now);
+}
+
+void Home::Settle(Program* program, const Answer& answer,
+                  const Failure* failure, Time now) {
+  Active&      active = *program->active;
+  ProgramMeta& meta = program->state.meta;
+  Program*     root = RootOf(program);
+  const Tokens actual = answer.usage.prompt + answer.usage.completion;
+  const Tokens unused =
+      failure != nullptr ? 0 : std::max<Tokens>(0, active.reserved - actual);
+  if (active.call.kind == BackendKind::kModel && unused > 0) {
+    root->state.meta.spent -= unused;
+    m_parts.budget.Release(meta.customer, Resource::kTokens, unused, now);
+  }
+  root->attained += actual;
+  Turn turn;
+  turn.call = active.call;
+  turn.answer = answer;
+  turn.failed = failure != nullptr;
+  if (failure != nullptr) turn.failure = *failure;
+  turn.fence = program->fence;
+  program->state.turns[active.call.sequence] = turn;
+  meta.intent = {};
+  meta.last_active = now;
+  active.since = now;
+  active.tickets = {HoldTurn(program, turn, now)};
+  if (root != program) HoldMeta(root, now);
+  m_tickets[*active.tickets.begin()] = meta.id;
+  Fire(program, ProgramEvent::kAnswered);
+  if (m_safeguards.Has(Safeguard::kDurableAnswer)) return;
+  m_tickets.erase(*active.tickets.begin());
+  Answered(program, now);
+}
+
+void Home::Answered(Program* program, Time now) {
+  Active active = std::move(*program->active);
+  program->active.reset();
+  Fire(program, ProgramEvent::kDurable);
+  const Turn& turn = program->state.turns.at(active.call.sequence);
+  m_parts.outbox.Push(
+      Count{Counter::kCalls, turn.failed ? "failed" : "ok", 1});
+  const bool unknown = turn.failed && turn.failure.ran == Ran::kUnknown;
+  Log(unknown ? LogEvent::kOutcomeUnknown : LogEvent::kCallFinished, *program,
+      active.call.sequence, turn.failed ? Name(turn.failure.reason) : "");
+  ReplyAll(active.callers, turn.ToOutcome());
+  Advance(program, now);
+}
+
+void Home::OnHeld(Ticket ticket, Time now) {
+  if (const auto it = m_started.find(ticket); it != m_started.end()) {
+    const Start start = it->second;
+    const auto  id = m_started_as.at(ticket);
+    m_started.erase(it);
+    m_started_as.erase(ticket);
+    return ReplyStart(start.caller, id);
+  }
+  if (const auto it = m_ending.find(ticket); it != m_ending.end()) {
+    const Ending ending = it->second;
+    m_ending.erase(it);
+    const auto program = m_programs.find(ending.program);
+    if (program != m_programs.end())
+      ReplyQuery(ending.caller, program->second.state.Whole());
+    return;
+  }
+  const auto it = m_tickets.find(ticket);
+  if (it == m_tickets.end()) return;
+  const ProgramId id = it->second;
+  m_tickets.erase(it);
+  const auto found = m_programs.find(id);
+  if (found == m_programs.end() || !found->second.active) return;
+  Program* program = &found->second;
+  auto&    tickets = program->active->tickets;
+  tickets.erase(ticket);
+  if (!tickets.empty()) return;
+  if (program->phase == ProgramPhase::kRecording) {
+    Fire(program, ProgramEvent::kRecorded);
+    return Send(program, now);
+  }
+  if (program->phase == ProgramPhase::kSettling) Answered(program, now);
+}
+
+void Home::OnFunding(const std::string& customer, Time now) {
+  RetryStarts(customer, now);
+  for (auto& [id, program] : m_programs) {
+    const bool waits = program.phase == ProgramPhase::kFunding &&
+                       program.state.meta.customer == customer;
+    if (waits) Fund(&program, now);
+  }
+}
+
+void Home::OnPeerLost(const NodeRef& node, Time now) {
+  for (auto& [id, program] : m_programs) {
+    const bool waits = program.phase == ProgramPhase::kRunning &&
+                       program.active->executor == node;
+    if (!waits) continue;
+    m_dispatches.erase(program.active->dispatch);
+    Failed(&program,
+           {Reason::kBackendUnreachable, Ran::kUnknown,
+            Info(Reason::kBackendUnreachable).retry_after},
+           now);
+  }
+}
+
+void Home::OnTimeouts(Program* program, Time now) {
+  if (!program->active) return;
+  Active&        active = *program->active;
+  const Duration waited = now - active.since;
+  switch (program->phase) {
+    case ProgramPhase::kFunding:
+      if (waited > m_settings.funding_timeout || now > active.call.deadline)
+        return Refused(program, Refuse(Reason::kLogUnavailable), now);
+      return Fund(program, now);
+    case ProgramPhase::kRecording:
+      if (waited > m_settings.durable_timeout || now > active.call.deadline)
+        return Refused(program, Refuse(Reason::kNotDurable), now);
+      return;
+    case ProgramPhase::kRunning:
+      if (now <= active.call.deadline + m_settings.reply_margin) return;
+      m_parts.outbox.Send(active.executor, CancelDispatch{active.dispatch});
+      m_dispatches.erase(active.dispatch);
+      return Failed(program, {Reason::kDeadline, Ran::kUnknown,
+                              Info(Reason::kDeadline).retry_after}, now);
+    case ProgramPhase::kSettling: {
+      if (waited <= m_settings.durable_timeout) return;
+      // The answer exists but could still be lost: the callers are told so at
+      // once and get it when they ask again.
+      const Failure failure{Reason::kNotDurable, Ran::kYes,
+                            Info(Reason::kNotDurable).retry_after};
+      ReplyAll(std::exchange(active.callers, {}), tl::make_unexpected(failure));
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+void Home::DropLateWaiting(Program* program, Time now) {
+  std::vector<Waiting> late;
+  std::erase_if(program->waiting, [&](auto& entry) {
+    if (now <= entry.second.call.deadline) return false;
+    late.push_back(std::move(entry.second));
+    return true;
+  });
+  for (const auto& waiting : late) {
+    ReplyAll(waiting.callers,
+             tl::make_unexpected(Refuse(Reason::kDeadline)));
+  }
+}
+
+void Home::OnCancel(const NodeRef& from, const CancelRequest& cancel,
+                    Time /*now*/) {
+  const auto found = m_programs.find(cancel.program);
+  if (found == m_programs.end()) return;
+  Program&     program = found->second;
+  const Caller caller{from, cancel.request};
+  for (auto& [sequence, waiting] : program.waiting)
+    std::erase(waiting.callers, caller);
+  std::erase_if(program.waiting, [](const auto& entry) {
+    return entry.second.callers.empty();
+  });
+  if (!program.active) return;
+  std::erase(program.active->callers, caller);
+  const bool stop = program.active->callers.empty() &&
+                    program.phase == ProgramPhase::kRunning &&
+                    !program.active->call.unrepeatable;
+  if (!stop) return;
+  m_parts.outbox.Send(program.active->executor,
+                      CancelDispatch{program.active->dispatch});
+}
+
+void Home::OnTick(Time now) {
+  for (auto& [id, program] : m_programs) {
+    DropLateWaiting(&program, now);
+    if (program.phase == ProgramPhase::kRecovering) {
+      ResolveIntent(&program, now);
+    } else {
+      OnTimeouts(&program, now);
+    }
+  }
+  for (const auto& start : std::exchange(m_starts, {})) TryStart(start, now);
+  std::vector<Ticket> late;
+  for (const auto& [ticket, start] : m_started) {
+    if (now - start.since > m_settings.durable_timeout) late.push_back(ticket);
+  }
+  for (const Ticket ticket : late) {
+    const Caller caller = m_started.at(ticket).caller;
+    Program* program = &m_programs.at(m_started_as.at(ticket));
+    Finish(program, now);
+    HoldMeta(program, now);
+    m_started.erase(ticket);
+    m_started_as.erase(ticket);
+    ReplyStart(caller, tl::make_unexpected(Refuse(Reason::kNotDurable)));
+  }
+  ExpireIdle(now);
+}
+
+// ---- Ending
+
+void Home::OnQuery(const NodeRef& from, const ProgramQuery& query, Time now) {
+  const Caller caller{from, query.request};
+  const auto   found = FindFor(query.program, query.customer, query.workspace);
+  if (!found) return ReplyQuery(caller, tl::make_unexpected(found.error()));
+  Program* program = *found;
+  if (program->phase == ProgramPhase::kRecovering)
+    return ReplyQuery(caller, tl::make_unexpected(Refuse(Reason::kNotReady)));
+  if (!query.end || program->state.meta.ended)
+    return ReplyQuery(caller, program->state.Whole());
+  if (program->active || !program->waiting.empty())
+    return ReplyQuery(caller, tl::make_unexpected(Refuse(Reason::kNotReady)));
+  Finish(program, now);
+  const Ticket ticket = HoldMeta(program, now);
+  m_ending[ticket] = {caller, query.program};
+}
+
+// Ends the program and its sub-agents. None has a call under way.
+void Home::Finish(Program* program, Time now) {
+  if (program->state.meta.ended) return;
+  const ProgramId id = program->state.meta.id;
+  program->state.meta.ended = true;
+  program->state.meta.last_active = now;
+  Fire(program, ProgramEvent::kEnd);
+  ReleasePrefixes(program);
+  if (program->holds_slot) {
+    program->holds_slot = false;
+    m_parts.budget.Release(program->state.meta.customer, Resource::kPrograms, 1,
+                           now);
+  }
+  m_parts.outbox.Push(Count{Counter::kPrograms, "ended", 1});
+  Log(LogEvent::kProgramEnded, *program, 0, "");
+  for (auto& [child_id, child] : m_programs) {
+    const bool ends = child.state.meta.parent == id &&
+                      child.phase == ProgramPhase::kIdle;
+    if (!ends || child.state.meta.ended) continue;
+    Finish(&child, now);
+    HoldMeta(&child, now);
+  }
+}
+
+void Home::ReleasePrefixes(Program* program) {
+  if (!m_safeguards.Has(Safeguard::kPrefixRelease)) return;
+  for (const auto& [executor, tokens] : program->prefixes)
+    m_parts.outbox.Send(executor, ReleaseCache{program->state.meta.id});
+  program->prefixes.clear();
+}
+
+void Home::ExpireIdle(Time now) {
+  std::vector<ProgramId> forgotten;
+  for (auto& [id, program] : m_programs) {
+    const ProgramMeta& meta = program.state.meta;
+    const Duration     idle = now - meta.last_active;
+    if (meta.ended) {
+      if (idle > m_settings.keep_ended) forgotten.push_back(id);
+      continue;
+    }
+    const ContractInForce* contract =
+        m_parts.control.FindContract(meta.customer);
+    if (contract == nullptr || program.phase != ProgramPhase::kIdle) continue;
+    if (!program.waiting.empty() || idle <= contract->contract.idle_timeout)
+      continue;
+    // The caller has vanished, or its tool hangs: engine memory and slot must
+    // not stay held for it.
+    m_parts.outbox.Push(Count{Counter::kPrograms, "expired", 1});
+    Finish(&program, now);
+    HoldMeta(&program, now);
+  }
+  for (const auto& id : forgotten) m_programs.erase(id);
+}
+
+// ---- Recovery
+
+void Home::Adopt(const NodeRef& target, Offset fence,
+                 const std::vector<ProgramDelta>& deltas, Time now) {
+  for (const auto& delta : deltas) {
+    Program& program = m_programs[delta.meta.id];
+    program.state.Apply(delta);
+    program.fence = fence;
+    program.adopted_from = target;
+    program.holds_slot = !delta.meta.parent.IsSet() && !delta.meta.ended;
+    program.attained = delta.meta.spent;
+    if (delta.meta.ended) {
+      Fire(&program, ProgramEvent::kEnd);
+      continue;
+    }
+    // Others may have waited for the caller's next call; it starts afresh.
+    program.state.meta.last_active = now;
+    Fire(&program, ProgramEvent::kAdopted);
+    m_parts.outbox.Push(Count{Counter::kPrograms, "adopted", 1});
+  }
+}
+
+void Home::OnHistory(const HistoryRecord& record, Time now) {
+  const auto owner = m_parts.control.Resolve(record.home);
+  if (owner.node != m_self || record.home == m_self) return;
+  for (const auto& delta : record.deltas) {
+    const auto found = m_programs.find(delta.meta.id);
+    if (found == m_programs.end()) {
+      Adopt(record.home, owner.fence, {delta}, now);
+      continue;
+    }
+    Program& program = found->second;
+    if (program.phase != ProgramPhase::kRecovering) continue;
+    program.state.Apply(delta);
+    if (!program.state.meta.ended) continue;
+    Fire(&program, ProgramEvent::kEnd);
+    program.holds_slot = false;
+  }
+}
+
+void Home::OnHistoryComplete(const NodeRef& target, Time now) {
+  for (auto& [id, program] : m_programs) {
+    if (program.adopted_from != target) continue;
+    program.adopted_from = {};
+    program.state.meta.fence = program.fence;
+    m_parts.durability.Hold(program.state.Whole(), now);
+    if (program.phase == ProgramPhase::kRecovering) ResolveIntent(&program, now);
+  }
+}
+
+void Home::ResolveIntent(Program* program, Time now) {
+  if (!program->adopted_from.vm.empty()) return;  // history not read yet
+  const Intent& intent = program->state.meta.intent;
+  const bool settled =
+      !intent.IsSet() ||
+      program->state.turns.contains(intent.call.sequence);
+  if (settled) return Recovered(program, now);
+  if (!program->active) {
+    Active active;
+    active.call = intent.call;
+    active.executor = intent.executor;
+    active.since = now;
+    const auto waiting = program->waiting.find(intent.call.sequence);
+    if (waiting != program->waiting.end()) {
+      active.callers = std::move(waiting->second.callers);
+      program->waiting.erase(waiting);
+    }
+    program->active = std::move(active);
+  }
+  Active& active = *program->active;
+  if (now - active.since > m_settings.recovery_timeout) {
+    // No answer from the one place where it may have run: nobody can know.
+    const Failure unknown{Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+    return Settle(program, {}, &unknown, now);
+  }
+  if (active.fence_sent != 0 &&
+      now - active.fence_sent < m_settings.fence_resend)
+    return;
+  active.fence_sent = now;
+  m_parts.outbox.Send(active.executor,
+                      FenceCall{program->state.meta.id, active.call.sequence,
+                                program->fence, active.executor});
+}
+
+void Home::OnFenceReply(const NodeRef& from, const FenceReply& reply,
+                        Time now) {
+  const auto found = m_programs.find(reply.program);
+  if (found == m_programs.end()) return;
+  Program* program = &found->second;
+  const bool matches = program->phase == ProgramPhase::kRecovering &&
+                       program->active && program->active->executor == from &&
+                       program->active->call.sequence == reply.sequence &&
+                       program->fence == reply.fence;
+  if (!matches) return;
+  switch (reply.state) {
+    case FencedState::kNeverSeen:
+      // Fenced, so that it never will run there: free to run it afresh.
+      if (!program->active->callers.empty()) {
+        program->waiting[reply.sequence] = {
+            program->active->call, std::move(program->active->callers)};
+      }
+      program->active.reset();
+      program->state.meta.intent = {};
+      return Recovered(program, now);
+    case FencedState::kRunning:
+      program->active->since = now;  // alive: ask again
+      return;
+    case FencedState::kFinished:
+    case FencedState::kNotMe:
+      break;
+  }
+  Failure failure = reply.failure;
+  if (reply.state == FencedState::kNotMe)
+    failure = {Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+  const bool ok = reply.state == FencedState::kFinished && reply.ok;
+  Settle(program, reply.answer, ok ? nullptr : &failure, now);
+}
+
+void Home::Recovered(Program* program, Time now) {
+  program->active.reset();
+  Fire(program, ProgramEvent::kRecovered);
+  Advance(program, now);
+}
+
+// ---- Shared
+
+void Home::Fire(Program* program, ProgramEvent event) {
+  const bool legal = GetProgramChart().Fire(&program->phase, event);
+  assert(legal && "charts/program.chart has no such transition");
+  (void)legal;
+}
+
+Ticket Home::HoldMeta(Program* program, Time now) {
+  ++program->state.meta.revision;
+  return m_parts.durability.Hold({program->state.meta, {}}, now);
+}
+
+Ticket Home::HoldTurn(Program* program, const Turn& turn, Time now) {
+  ++program->state.meta.revision;
+  return m_parts.durability.Hold({program->state.meta, {turn}}, now);
+}
+
+Home::Program* Home::RootOf(Program* program) {
+  while (program->state.meta.parent.IsSet()) {
+    const auto it = m_programs.find(program->state.meta.parent);
+    if (it == m_programs.end()) break;
+    program = &it->second;
+  }
+  return program;
+}
+
+Tokens Home::WorstCase(const Program& program, const Call& call) const {
+  if (call.kind != BackendKind::kModel) return 0;
+  if (!m_safeguards.Has(Safeguard::kWorstCaseReserve)) return 1;
+  const Tokens prompt =
+      EstimateTokens(FullPrompt(program.state.Prompt(), call));
+  return prompt + call.max_tokens;
+}
+
+bool Home::HasBackend(const Call& call) const {
+  const auto& members = m_parts.control.members();
+  return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+    const JoinRecord& join = entry.second.join;
+    return !entry.second.IsClaimed() && join.kind == call.kind &&
+           join.target == call.target;
+  });
+}
+
+NodeRef Home::Route(const Program& program, const Call& call) const {
+  std::vector<NodeRef>        nodes;
+  std::vector<RouteCandidate> candidates;
+  for (const auto& [node, member] : m_parts.control.members()) {
+    if (member.join.kind != call.kind || member.join.target != call.target)
+      continue;
+    RouteCandidate candidate;
+    candidate.is_home = node == m_self;
+    const auto& peers = m_parts.membership.peers();
+    const bool  heard = candidate.is_home || peers.contains(node);
+    // An engine whose load is not known would look idle: leave it out.
+    if (!heard && call.kind == BackendKind::kModel) continue;
+    candidate.usable =
+        candidate.is_home || m_parts.membership.IsUsable(node);
+    candidate.wait = candidate.is_home ? m_parts.executor.LoadMs()
+                                       : m_parts.membership.LoadOf(node);
+    const auto prefix = program.prefixes.find(node);
+    if (prefix != program.prefixes.end()) candidate.cached = prefix->second;
+    nodes.push_back(node);
+    candidates.push_back(candidate);
+  }
+  if (nodes.empty()) return {};
+  // Equal candidates are taken in an order of each program's own, or every home
+  // would choose the same server.
+  const auto shift = static_cast<std::ptrdiff_t>(
+      PairHash("route", ToString(program.state.meta.id)) % nodes.size());
+  std::rotate(nodes.begin(), nodes.begin() + shift, nodes.end());
+  std::rotate(candidates.begin(), candidates.begin() + shift,
+              candidates.end());
+  RouteRequest request;
+  request.prompt = EstimateTokens(program.state.Prompt());
+  const ContractInForce* contract =
+      m_parts.control.FindContract(program.state.meta.customer);
+  if (contract != nullptr)
+    request.cache_weight = contract->contract.cache_weight;
+  const int chosen = m_parts.routes.Choose(request, candidates);
+  return chosen < 0 ? NodeRef{} : nodes[static_cast<std::size_t>(chosen)];
+}
+
+void Home::ReplyAll(const std::vector<Caller>& callers,
+                    const Outcome&             outcome) {
+  for (const auto& caller : callers) Reply(caller, outcome);
+}
+
+void Home::Reply(const Caller& caller, const Outcome& outcome) {
+  CallReply reply;
+  reply.request = caller.request;
+  reply.ok = outcome.has_value();
+  if (outcome) {
+    reply.answer = *outcome;
+  } else {
+    reply.failure = outcome.error();
+    m_parts.outbox.Refused(outcome.error().reason);
+  }
+  m_parts.outbox.Send(caller.entry, std::move(reply));
+}
+
+void Home::ReplyStart(const Caller&                              caller,
+                      const tl::expected<ProgramId, Failure>& result) {
+  StartReply reply;
+  reply.request = caller.request;
+  reply.ok = result.has_value();
+  if (result) {
+    reply.program = *result;
+  } else {
+    reply.failure = result.error();
+    m_parts.outbox.Refused(result.error().reason);
+  }
+  m_parts.outbox.Send(caller.entry, std::move(reply));
+}
+
+void Home::ReplyQuery(const Caller&                                 caller,
+                      const tl::expected<ProgramDelta, Failure>& result) {
+  ProgramReply reply;
+  reply.request = caller.request;
+  reply.ok = result.has_value();
+  if (result) {
+    reply.program = *result;
+  } else {
+    reply.failure = result.error();
+    m_parts.outbox.Refused(result.error().reason);
+  }
+  m_parts.outbox.Send(caller.entry, std::move(reply));
+}
+
+std::size_t Home::InFlight() const {
+  std::size_t count = m_starts.size() + m_started.size() + m_ending.size();
+  for (const auto& [id, program] : m_programs)
+    count += program.waiting.size() + (program.active ? 1 : 0);
+  return count;
+}
+
+std::vector<ProgramDelta> Home::Everything() const {
+  std::vector<ProgramDelta> deltas;
+  for (const auto& [id, program] : m_programs)
+    deltas.push_back(program.state.Whole());
+  return deltas;
+}
+
+const ProgramState* Home::Find(const ProgramId& id) const {
+  const auto it = m_programs.find(id);
+  return it == m_programs.end() ? nullptr : &it->second.state;
+}
+
+std::optional<ProgramPhase> Home::PhaseOf(const ProgramId& id) const {
+  const auto it = m_programs.find(id);
+  if (it == m_programs.end()) return std::nullopt;
+  return it->second.phase;
+}
+
+void Home::Log(LogEvent event, const Program& program, Sequence call,
+               std::string_view reason) {
+  LogLine line;
+  line.event = event;
+  line.customer = program.state.meta.customer;
+  line.program = ToString(program.state.meta.id);
+  line.call = call;
+  line.reason = std::string(reason);
+  m_parts.outbox.Push(std::move(line));
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/home.h
@@ -0,0 +1,201 @@
+// The agent's half that owns programs.
+//
+// A program's calls run one after another in the order of their sequence
+// numbers, through the phases of charts/program.chart:
+//
+//   funding     its worst case is reserved from the program's and the
+//               customer's budget
+//   recording   the reservation, and where an unrepeatable call is about to be
+//               sent, are held safely
+//   running     one executor incarnation has the order
+//   settling    the answer is being held safely; only then is it given out
+//
+// After a claim, programs pass through `recovering`: an unrepeatable call that
+// may have run is looked up at the executor, which is fenced first (compare the
+// recovery of open ledgers in BookKeeper: fence, then read).
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "yuccawick/core/budget.h"
+#include "yuccawick/core/chart.h"
+#include "yuccawick/core/durability.h"
+#include "yuccawick/core/executor.h"
+#include "yuccawick/core/membership.h"
+#include "yuccawick/core/scheduling.h"
+
+namespace yuccawick::core {
+
+struct HomeSettings {
+  Sequence window = 16;              // calls that may arrive ahead of order
+  Duration durable_timeout = 3000;   // ms until an answer is refused as not
+                                     // durable
+  Duration funding_timeout = 3000;   // ms a call waits for a slice
+  Duration reply_margin = 2000;      // ms past the deadline for a late reply
+  Duration recovery_timeout = 2000;  // ms for a fenced executor to answer
+  Duration fence_resend = 300;       // ms between questions to it
+  Duration keep_ended = 60000;       // ms an ended program is still known
+};
+
+class Home {
+ public:
+  // What a home needs of its agent. All outlive the home.
+  struct Parts {
+    const Control&     control;
+    Membership&        membership;
+    Budget&            budget;
+    Durability&        durability;
+    const Executor&    executor;
+    const RoutePolicy& routes;
+    Outbox&            outbox;
+  };
+  Home(NodeRef self, std::string model, HomeSettings settings,
+       Safeguards safeguards, Parts parts);
+
+  // Callers, by way of an entry.
+  void OnStart(const NodeRef& from, const StartProgram& start, Time now);
+  void OnCall(const NodeRef& from, const CallRequest& request, Time now);
+  void OnQuery(const NodeRef& from, const ProgramQuery& query, Time now);
+  void OnCancel(const NodeRef& from, const CancelRequest& cancel, Time now);
+
+  // Executors.
+  void OnDispatchChunk(const NodeRef& from, const DispatchChunk& chunk);
+  void OnDispatchReply(const NodeRef& from, const DispatchReply& reply,
+                       Time now);
+  void OnFenceReply(const NodeRef& from, const FenceReply& reply, Time now);
+  // The node no longer answers; what it was given may have run.
+  void OnPeerLost(const NodeRef& node, Time now);
+
+  // The agent's other parts.
+  void OnHeld(Ticket ticket, Time now);
+  void OnFunding(const std::string& customer, Time now);
+  void OnTick(Time now);
+
+  // Taking over `target` under the claim at `fence`: first the replica's copy,
+  // then what the log holds, then recovery.
+  void Adopt(const NodeRef& target, Offset fence,
+             const std::vector<ProgramDelta>& deltas, Time now);
+  void OnHistory(const HistoryRecord& record, Time now);
+  void OnHistoryComplete(const NodeRef& target, Time now);
+
+  void StartDraining() { m_draining = true; }
+  // Calls and starts not yet answered.
+  std::size_t InFlight() const;
+  std::size_t ProgramCount() const { return m_programs.size(); }
+  // State of every program, for a new replica.
+  std::vector<ProgramDelta> Everything() const;
+  const ProgramState*       Find(const ProgramId& id) const;
+  std::optional<ProgramPhase> PhaseOf(const ProgramId& id) const;
+
+ private:
+  struct Caller {
+    NodeRef       entry;
+    std::uint64_t request = 0;
+    bool          operator==(const Caller&) const = default;
+  };
+  struct Waiting {
+    Call                call;
+    std::vector<Caller> callers;
+  };
+  struct Active {
+    Call                call;
+    std::vector<Caller> callers;
+    Tokens              reserved = 0;
+    NodeRef             executor;
+    std::uint64_t       dispatch = 0;  // 0: not sent
+    std::set<Ticket>    tickets;       // must be held before going on
+    Time                since = 0;     // of the present phase
+    Time                fence_sent = 0;
+  };
+  struct Program {
+    ProgramState                state;
+    ProgramPhase                phase = ProgramPhase::kIdle;
+    std::map<Sequence, Waiting> waiting;
+    std::optional<Active>       active;
+    Offset                      fence = kNoOffset;
+    NodeRef                     adopted_from;        // while history is read
+    std::map<NodeRef, Tokens>   prefixes;            // engines that hold some
+    bool                        holds_slot = false;  // of max_programs
+    Tokens                      attained = 0;
+  };
+  struct Start {
+    Caller       caller;
+    StartProgram start;
+    Time         since = 0;
+  };
+  struct Ending {
+    Caller    caller;
+    ProgramId program;
+  };
+
+  // Starting and ending.
+  tl::expected<void, Failure> CheckStart(const StartProgram& start) const;
+  void TryStart(const Start& start, Time now);
+  void Mint(const Start& start, bool holds_slot, Time now);
+  void Finish(Program* program, Time now);
+  void ReleasePrefixes(Program* program);
+  void RetryStarts(const std::string& customer, Time now);
+
+  // One call.
+  tl::expected<Program*, Failure> FindFor(const ProgramId&   id,
+                                          const std::string& customer,
+                                          const std::string& workspace);
+  tl::expected<void, Failure>     CheckNew(const Program& program,
+                                           const Call& call, Time now) const;
+  bool AnswerKnown(Program* program, const Caller& caller, const Call& call);
+  void Advance(Program* program, Time now);
+  void Fund(Program* program, Time now);
+  void Record(Program* program, Time now);
+  void Send(Program* program, Time now);
+  void Refused(Program* program, Failure failure, Time now);
+  void Failed(Program* program, Failure failure, Time now);
+  void Settle(Program* program, const Answer& answer,
+              const Failure* failure, Time now);
+  void Answered(Program* program, Time now);
+  void OnTimeouts(Program* program, Time now);
+  void DropLateWaiting(Program* program, Time now);
+  void ExpireIdle(Time now);
+
+  // Recovery.
+  void ResolveIntent(Program* program, Time now);
+  void Recovered(Program* program, Time now);
+
+  // Shared.
+  void     Fire(Program* program, ProgramEvent event);
+  Ticket   HoldMeta(Program* program, Time now);
+  Ticket   HoldTurn(Program* program, const Turn& turn, Time now);
+  Program* RootOf(Program* program);
+  Tokens   WorstCase(const Program& program, const Call& call) const;
+  NodeRef  Route(const Program& program, const Call& call) const;
+  bool     HasBackend(const Call& call) const;
+  void     ReplyAll(const std::vector<Caller>& callers, const Outcome& outcome);
+  void     Reply(const Caller& caller, const Outcome& outcome);
+  void     ReplyStart(const Caller&                              caller,
+                      const tl::expected<ProgramId, Failure>& result);
+  void     ReplyQuery(const Caller&                                 caller,
+                      const tl::expected<ProgramDelta, Failure>& result);
+  void     Log(LogEvent event, const Program& program, Sequence call,
+               std::string_view reason);
+
+  NodeRef      m_self;
+  std::string  m_model;
+  HomeSettings m_settings;
+  Safeguards   m_safeguards;
+  Parts        m_parts;
+  bool         m_draining = false;
+
+  std::uint64_t                      m_minted = 0;
+  std::map<ProgramId, Program>       m_programs;
+  std::vector<Start>                 m_starts;         // wait for a slot
+  std::map<Ticket, Start>            m_started;        // wait to be held
+  std::map<Ticket, ProgramId>        m_started_as;
+  std::map<Ticket, Ending>           m_ending;         // wait to be held
+  std::map<Ticket, ProgramId>        m_tickets;        // of active calls
+  std::map<std::uint64_t, ProgramId> m_dispatches;
+};
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/membership.cc
@@ -0,0 +1,178 @@
+#include "yuccawick/core/membership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace yuccawick::core {
+
+std::uint64_t PairHash(std::string_view a, std::string_view b) {
+  return XXH3_64bits_withSeed(b.data(), b.size(),
+                              XXH3_64bits(a.data(), a.size()));
+}
+
+std::vector<NodeRef> PickPeers(const NodeRef& self, const Control& control,
+                               std::size_t count) {
+  std::vector<std::pair<std::uint64_t, NodeRef>> ranked;
+  for (const auto& [node, member] : control.members()) {
+    if (node == self || member.IsClaimed()) continue;
+    ranked.emplace_back(PairHash(self.vm, ToString(node)), node);
+  }
+  const auto keep = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(keep),
+                    ranked.end());
+  std::vector<NodeRef> picked;
+  for (std::size_t i = 0; i < keep; ++i) picked.push_back(ranked[i].second);
+  return picked;
+}
+
+Membership::Membership(NodeRef self, MembershipSettings settings,
+                       Safeguards safeguards, const Control& control,
+                       Outbox& outbox)
+    : m_self(std::move(self)),
+      m_settings(settings),
+      m_safeguards(safeguards),
+      m_control(control),
+      m_outbox(outbox) {}
+
+void Membership::Fire(Peer* peer, PeerEvent event) {
+  GetPeerChart().Fire(&peer->phase, event);
+}
+
+Peer& Membership::PeerOf(const NodeRef& node, Time now) {
+  const auto [it, added] = m_peers.try_emplace(node);
+  if (added) it->second.heard = now;
+  return it->second;
+}
+
+void Membership::Watch(const std::set<NodeRef>& peers, Time now) {
+  m_watched = peers;
+  for (const auto& node : PickPeers(m_self, m_control, m_settings.random_peers))
+    m_watched.insert(node);
+  m_watched.erase(m_self);
+  for (const auto& node : m_watched) PeerOf(node, now);
+}
+
+void Membership::OnMessage(const NodeRef& from, Time now) {
+  Peer& peer = PeerOf(from, now);
+  peer.heard = now;
+  Fire(&peer, PeerEvent::kHeard);
+}
+
+void Membership::OnProbeReply(const NodeRef& from, const ProbeReply& reply,
+                              Time now) {
+  Peer& peer = PeerOf(from, now);
+  peer.load = static_cast<Duration>(reply.load_ms);
+  peer.control_version = std::max(peer.control_version, reply.control_version);
+  if (reply.leaving) Fire(&peer, PeerEvent::kLeave);
+}
+
+void Membership::OnLoad(const NodeRef& from, Duration load) {
+  const auto it = m_peers.find(from);
+  if (it != m_peers.end()) it->second.load = load;
+}
+
+void Membership::OnSendFailed(const NodeRef& to, Time now) {
+  Fire(&PeerOf(to, now), PeerEvent::kSilent);
+}
+
+void Membership::OnVmList(const VmListRead& list, Time now) {
+  std::map<std::string, bool> listed;
+  for (const auto& entry : list.vms) listed[entry.vm] = entry.leaving;
+  // The list lags: a VM not on it may be new. Only one that was on it and is
+  // no more has been removed.
+  for (const auto& [vm, leaving] : m_listed) {
+    if (!listed.contains(vm)) m_unlisted.insert(vm);
+  }
+  for (const auto& [vm, leaving] : listed) m_unlisted.erase(vm);
+  m_listed = std::move(listed);
+  for (const auto& [node, member] : m_control.members()) {
+    if (node == m_self) continue;
+    const auto it = m_listed.find(node.vm);
+    if (it != m_listed.end() && it->second)
+      Fire(&PeerOf(node, now), PeerEvent::kLeave);
+  }
+}
+
+void Membership::OnControl() {
+  for (auto& [node, peer] : m_peers) {
+    const Member* newest = m_control.FindVm(node.vm);
+    if (newest != nullptr && newest->join.node != node)
+      Fire(&peer, PeerEvent::kRemoved);
+    const Member* member = m_control.FindMember(node);
+    if (member == nullptr) continue;
+    if (member->leaving) Fire(&peer, PeerEvent::kLeave);
+    if (member->IsClaimed()) Fire(&peer, PeerEvent::kRemoved);
+  }
+}
+
+void Membership::OnTick(Time now) {
+  const Duration pause = m_last_tick == 0 ? 0 : now - m_last_tick;
+  m_last_tick = now;
+  // After a pause of this node every peer looks silent. Suspecting them all
+  // would claim programs of healthy homes; give each a fresh chance instead.
+  const bool paused = m_safeguards.Has(Safeguard::kPauseDetection) &&
+                      pause > m_settings.suspect_after / 2;
+  for (const auto& node : m_watched) {
+    Peer& peer = PeerOf(node, now);
+    if (peer.phase == PeerPhase::kGone) continue;
+    if (paused) peer.heard = std::max(peer.heard, now);
+    if (now - peer.heard > m_settings.suspect_after)
+      Fire(&peer, PeerEvent::kSilent);
+    if (now - peer.probed < m_settings.probe_interval) continue;
+    peer.probed = now;
+    m_outbox.Send(node, Probe{m_control.version()});
+  }
+}
+
+bool Membership::IsUsable(const NodeRef& node) const {
+  const Member* member = m_control.FindMember(node);
+  if (member == nullptr || member->IsClaimed()) return false;
+  if (m_unlisted.contains(node.vm)) return false;
+  const Member* newest = m_control.FindVm(node.vm);
+  if (newest != nullptr && newest->join.node != node) return false;
+  const auto it = m_peers.find(node);
+  const PeerPhase phase =
+      it == m_peers.end() ? PeerPhase::kUnknown : it->second.phase;
+  const bool leaving = member->leaving || phase == PeerPhase::kLeaving;
+  // A server that is leaving would be stopped with the new work on it.
+  if (leaving && m_safeguards.Has(Safeguard::kLeavingStopsWork)) return false;
+  return phase == PeerPhase::kUnknown || phase == PeerPhase::kAlive ||
+         phase == PeerPhase::kLeaving;
+}
+
+bool Membership::IsSuspect(const NodeRef& node) const {
+  const Member* newest = m_control.FindVm(node.vm);
+  if (newest != nullptr && newest->join.node != node) return true;
+  if (m_unlisted.contains(node.vm)) return true;
+  const auto it = m_peers.find(node);
+  if (it == m_peers.end()) return false;
+  return it->second.phase == PeerPhase::kSuspect ||
+         it->second.phase == PeerPhase::kGone;
+}
+
+bool Membership::IsLost(const NodeRef& node, Time now) const {
+  const Member* newest = m_control.FindVm(node.vm);
+  if (newest != nullptr && newest->join.node != node) return true;
+  if (m_unlisted.contains(node.vm)) return true;
+  // One broken connection makes a peer suspect; only lasting silence, watched
+  // from here, is reason enough to take its programs over.
+  const auto it = m_peers.find(node);
+  return it != m_peers.end() && it->second.phase == PeerPhase::kSuspect &&
+         now - it->second.heard > m_settings.suspect_after;
+}
+
+Duration Membership::LoadOf(const NodeRef& node) const {
+  const auto it = m_peers.find(node);
+  return it == m_peers.end() ? 0 : it->second.load;
+}
+
+const NodeRef* Membership::PeerAhead() const {
+  for (const auto& [node, peer] : m_peers) {
+    if (peer.control_version > m_control.version()) return &node;
+  }
+  return nullptr;
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/retry.cc
@@ -0,0 +1,45 @@
+#include "yuccawick/core/retry.h"
+
+#include <algorithm>
+
+namespace yuccawick::core {
+
+bool IsRetriable(const Failure& failure) {
+  if (failure.ran != Ran::kNo) return false;
+  switch (failure.reason) {
+    case Reason::kDraining:
+    case Reason::kNotReady:
+    case Reason::kHomeUnreachable:
+    case Reason::kFenced:
+      return true;
+    default:
+      return false;
+  }
+}
+
+RetryBudget::RetryBudget(RetrySettings settings, std::uint64_t seed)
+    : m_settings(settings), m_tokens(settings.burst), m_random(seed) {}
+
+void RetryBudget::OnFreshRequest() {
+  m_tokens = std::min(m_settings.burst, m_tokens + m_settings.per_request);
+}
+
+bool RetryBudget::Take(int attempts_made) {
+  if (attempts_made >= m_settings.most_attempts) return false;
+  // Without a bound on retries, a node that refuses everything would be sent
+  // every request many times over, just when it can least bear it.
+  if (m_tokens < 1) return false;
+  m_tokens -= 1;
+  return true;
+}
+
+Duration RetryBudget::Wait(int attempts_made, Duration asked_for) {
+  constexpr int kMostDoublings = 16;
+  const int     doublings = std::min(attempts_made, kMostDoublings);
+  const Duration cap = std::min(m_settings.longest_wait,
+                                m_settings.first_wait << doublings);
+  std::uniform_int_distribution<Duration> jitter(cap / 2, cap);
+  return std::max(asked_for, jitter(m_random));
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/scheduling.cc
@@ -0,0 +1,77 @@
+#include "yuccawick/core/scheduling.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccawick::core {
+namespace {
+
+// One class of priority outweighs this many doublings of attained service.
+constexpr double kPriorityStep = 4.0;
+// Waiting this part of the allowed time is worth one class of priority.
+constexpr double kAgingClasses = 10.0;
+// At full cache weight, a token to recompute counts this many times over.
+constexpr double kCacheEmphasis = 8.0;
+constexpr double kFullWeight = 100.0;
+
+template <class Cost>
+int Cheapest(const std::vector<RouteCandidate>& candidates, Cost cost) {
+  int    best = -1;
+  double best_cost = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!candidates[i].usable) continue;
+    const double value = cost(candidates[i]);
+    if (best >= 0 && value >= best_cost) continue;
+    best = static_cast<int>(i);
+    best_cost = value;
+  }
+  return best;
+}
+
+}  // namespace
+
+double FifoQueue::Rank(const QueuedCall& call, Time /*now*/) const {
+  return static_cast<double>(call.arrived);
+}
+
+double AttainedServiceQueue::Rank(const QueuedCall& call, Time now) const {
+  const double attained =
+      std::log2(1.0 + static_cast<double>(std::max<Tokens>(0, call.attained)));
+  const double waited = static_cast<double>(now - call.arrived);
+  const double allowed =
+      static_cast<double>(std::max<Duration>(1, call.max_wait));
+  const double aging = kAgingClasses * waited / allowed;
+  return kPriorityStep * (static_cast<double>(call.priority) - aging) +
+         attained;
+}
+
+int LeastLoadedRoute::Choose(
+    const RouteRequest& /*request*/,
+    const std::vector<RouteCandidate>& candidates) const {
+  return Cheapest(candidates, [](const RouteCandidate& c) {
+    return static_cast<double>(c.wait);
+  });
+}
+
+int StickyRoute::Choose(const RouteRequest& /*request*/,
+                        const std::vector<RouteCandidate>& candidates) const {
+  return Cheapest(candidates, [](const RouteCandidate& c) {
+    return c.is_home ? -1.0 : static_cast<double>(c.wait);
+  });
+}
+
+int CacheAwareRoute::Choose(
+    const RouteRequest&                request,
+    const std::vector<RouteCandidate>& candidates) const {
+  const double weight = 1.0 + (kCacheEmphasis - 1.0) *
+                                  static_cast<double>(request.cache_weight) /
+                                  kFullWeight;
+  return Cheapest(candidates, [&](const RouteCandidate& c) {
+    const auto missing = static_cast<double>(
+        std::max<Tokens>(0, request.prompt - c.cached));
+    return static_cast<double>(c.wait) +
+           weight * missing / m_prefill_tokens_per_ms;
+  });
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/testing/group.h
@@ -0,0 +1,175 @@
+// A few nodes of the real core, driven by hand on a manual clock.
+//
+// Group carries messages between entries and agents, answers their log and
+// backend commands from the fakes, and lets a test lose, repeat, delay, cut,
+// kill, freeze and wake. It is the harness of the proofs and of the recovery
+// measurements, and serves embedders for the same. Everything follows from the
+// seed; nothing sleeps.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "yuccawick/core/agent.h"
+#include "yuccawick/core/entry.h"
+#include "yuccawick/testing/fakes.h"
+
+namespace yuccawick::testing {
+
+struct GroupSettings {
+  std::uint64_t    seed = 1;
+  core::Safeguards safeguards = core::Safeguards::All();
+  core::Duration   latency = 1;       // ms, one way
+  core::Duration   jitter = 0;        // ms at most, drawn from the seed
+  core::Duration   tick = 50;         // ms between ticks
+  core::Duration   model_time = 100;  // ms a model call takes
+  core::Duration   service_time = 20;
+};
+
+// What a test may do with a message on its way.
+enum class Fate : std::uint8_t { kDeliver, kLose, kRepeat, kDelay };
+
+class Group {
+ public:
+  explicit Group(GroupSettings settings);
+
+  // Nodes. VMs are named by the test; a restart gives a new incarnation.
+  core::NodeRef AddAgent(const std::string& vm, const std::string& zone,
+                         core::BackendKind kind, const std::string& target);
+  core::NodeRef AddEntry(const std::string& vm, const std::string& zone);
+  void          Kill(const std::string& vm);
+  core::NodeRef Restart(const std::string& vm);
+  void          Freeze(const std::string& vm);
+  void          Thaw(const std::string& vm);
+  void          Stop(const std::string& vm);  // planned stop
+  void          Cut(const std::string& a, const std::string& b);
+  void          Heal();
+  void          CutLog(const std::string& vm, bool cut);
+  // The platform's list as every node is told it from now on.
+  void SetVmList(const std::vector<core::VmEntry>& vms);
+
+  // Time.
+  void       Advance(core::Duration ms);
+  // Advances until `done` or the limit; false at the limit.
+  bool       AdvanceUntil(const std::function<bool()>& done,
+                          core::Duration               limit);
+  core::Time now() const { return m_now; }
+  // Decides the fate of each message as it is sent.
+  using Filter = std::function<Fate(const core::NodeRef& from,
+                                    const core::SendMessage& send)>;
+  void SetFilter(Filter filter) { m_filter = std::move(filter); }
+
+  // Operators.
+  void Publish(const core::Contract& contract);
+  static core::Contract DefaultContract(const std::string& customer);
+
+  // Callers. Each returns the number of the request.
+  std::uint64_t Start(const std::string& entry, const std::string& customer,
+                      const std::string&     workspace,
+                      const std::string&     model = "m",
+                      const core::ProgramId& parent = {});
+  std::uint64_t Call(const std::string& entry, core::Call call);
+  std::uint64_t Query(const std::string& entry, const core::ProgramId& program,
+                      const std::string& customer,
+                      const std::string& workspace, bool end);
+  // A model call of the program with sensible fields.
+  core::Call ModelCall(const core::ProgramId& program, core::Sequence sequence,
+                       const std::string& body);
+  core::Call ServiceCall(const core::ProgramId& program,
+                         core::Sequence sequence, const std::string& body);
+  // Ready-made steps: advance until answered.
+  std::optional<core::ProgramId> StartNow(const std::string& entry,
+                                          const std::string& customer,
+                                          const std::string& workspace);
+  core::CallReply CallNow(const std::string& entry, core::Call call);
+  // Calls again with the same sequence, as a caller would, until the answer is
+  // final: success, or a failure that says the call ran or may have.
+  core::CallReply CallThrough(const std::vector<std::string>& entries,
+                              core::Call call, core::Duration limit);
+
+  bool IsAnswered(std::uint64_t request) const;
+  const core::Message* AnswerTo(std::uint64_t request) const;
+  std::size_t          AnswerCount(std::uint64_t request) const;
+  core::Time           AnsweredAt(std::uint64_t request) const;
+
+  // Inspection.
+  core::Agent& agent(const std::string& vm);
+  core::Entry& entry(const std::string& vm);
+  FakeBackend& backend(const std::string& vm);
+  FakeLog&     log() { return m_log; }
+  bool         IsRunning(const std::string& vm) const;
+  std::int64_t message_count() const { return m_messages; }
+  std::int64_t CountOf(core::Counter counter, const std::string& label) const;
+  int          TotalEffects(const FakeBackend::Key& key) const;
+  // Waits until all agents have joined, have replicas and know the contracts.
+  bool Settle(core::Duration limit = 20000);
+
+ private:
+  struct Node {
+    core::NodeRef                ref;
+    std::string                  zone;
+    core::BackendKind            kind = core::BackendKind::kModel;
+    std::string                  target;
+    std::unique_ptr<core::Agent> agent;
+    std::unique_ptr<core::Entry> entry;
+    bool                         alive = false;
+    bool                         frozen = false;
+    bool                         log_cut = false;
+    std::deque<core::Event>      held;  // while frozen
+  };
+  struct Timed {
+    core::Time    at = 0;
+    std::uint64_t order = 0;
+    std::string   vm;
+    std::uint64_t incarnation = 0;  // 0: whatever runs there
+    core::Event   event;
+    bool operator>(const Timed& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void Boot(Node* node);
+  void Deliver(Node* node, const core::Event& event);
+  void Carry(Node* node, const core::Command& command);
+  void CarryMessage(Node* node, const core::SendMessage& send);
+  void Post(const std::string& vm, std::uint64_t incarnation,
+            core::Duration after, core::Event event);
+  void StepTo(core::Time time);
+  void FinishRuns();
+  bool IsCut(const std::string& a, const std::string& b) const;
+  core::Duration Latency();
+  std::uint64_t  Give(const std::string& entry, core::Message message,
+                      std::uint64_t request);
+
+  GroupSettings                       m_settings;
+  std::mt19937_64                     m_random;
+  core::AttainedServiceQueue          m_queue_policy;
+  core::CacheAwareRoute               m_route_policy{10};
+  core::Time                          m_now = 1'000'000'000;
+  core::Time                          m_next_tick = 0;
+  std::uint64_t                       m_order = 0;
+  std::uint64_t                       m_incarnations = 0;
+  std::uint64_t                       m_requests = 0;
+  std::int64_t                        m_messages = 0;
+  FakeLog                             m_log;
+  std::map<std::string, Node>         m_nodes;
+  std::map<std::string, FakeBackend>  m_backends;
+  std::set<std::pair<std::string, std::string>>    m_cuts;
+  std::vector<core::VmEntry>                       m_vm_list;
+  bool                                             m_has_vm_list = false;
+  Filter                                           m_filter;
+  std::map<std::uint64_t, std::vector<core::Message>> m_answers;
+  std::map<std::uint64_t, core::Time>              m_answered_at;
+  std::map<std::pair<core::Counter, std::string>, std::int64_t> m_counts;
+  std::priority_queue<Timed, std::vector<Timed>, std::greater<>> m_events;
+};
+
+}  // namespace yuccawick::testing
--- /dev/null
+++ b/tests/fixture.h
@@ -0,0 +1,86 @@
+// The group that most proofs run against: two entries, three agents beside
+// model engines in three availability zones, two beside application servers.
+#pragma once
+
+#include <string>
+
+#include "yuccawick/testing/group.h"
+
+namespace yuccawick::tests {
+
+using testing::FakeBackend;
+using testing::Fate;
+using testing::Group;
+using testing::GroupSettings;
+using testing::LogMode;
+
+constexpr core::Duration kLong = 60'000;  // ms, ample for any recovery
+
+inline const std::string kHomeA = "model-a";
+inline const std::string kHomeB = "model-b";
+inline const std::string kHomeC = "model-c";
+inline const std::string kDesk1 = "app-a";
+inline const std::string kDesk2 = "app-b";
+
+struct SmallGroup {
+  explicit SmallGroup(core::Safeguards safeguards = core::Safeguards::All(),
+                      std::uint64_t    seed = 1)
+      : group(Settings(safeguards, seed)) {
+    group.AddEntry("entry-a", "saburtalo");
+    group.AddEntry("entry-b", "gldani");
+    group.AddAgent(kHomeA, "saburtalo", core::BackendKind::kModel, "m");
+    group.AddAgent(kHomeB, "gldani", core::BackendKind::kModel, "m");
+    group.AddAgent(kHomeC, "isani", core::BackendKind::kModel, "m");
+    group.AddAgent(kDesk1, "saburtalo", core::BackendKind::kService, "booking");
+    group.AddAgent(kDesk2, "gldani", core::BackendKind::kService, "booking");
+    group.Publish(Group::DefaultContract("sakhli"));
+    settled = group.Settle();
+  }
+
+  static GroupSettings Settings(core::Safeguards safeguards,
+                                std::uint64_t    seed) {
+    GroupSettings settings;
+    settings.safeguards = safeguards;
+    settings.seed = seed;
+    return settings;
+  }
+
+  // Starts a program; its home is home().
+  core::ProgramId Start() {
+    const auto started = group.StartNow("entry-a", "sakhli", "w1");
+    program = started.value_or(core::ProgramId{});
+    return program;
+  }
+  std::string Home() const { return program.origin.vm; }
+  // The VM that backs the home up.
+  std::string Replica() {
+    return group.agent(Home()).durability().Replica()->vm;
+  }
+  // A model agent that is neither the home nor its replica.
+  std::string Bystander() {
+    for (const auto& vm : {kHomeA, kHomeB, kHomeC}) {
+      if (vm != Home() && vm != Replica()) return vm;
+    }
+    return {};
+  }
+  // Where the program lives now, as some entry sees it.
+  std::string HomeNow() {
+    return group.entry("entry-b").control().Resolve(program.origin).node.vm;
+  }
+  bool IsBusy(const std::string& vm) {
+    return group.agent(vm).executor().RunningCount() > 0;
+  }
+  // The application server that has taken the call.
+  std::string DeskOf(core::Sequence sequence) {
+    for (const auto& vm : {kDesk1, kDesk2}) {
+      if (group.backend(vm).EffectsOf({program, sequence}) > 0) return vm;
+    }
+    return {};
+  }
+
+  Group           group;
+  core::ProgramId program;
+  bool            settled = false;
+};
+
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/path_test.cc
@@ -0,0 +1,55 @@
+// The whole path in the core: start, dependent calls, a sub-agent, an
+// unrepeatable booking, the end.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+Test(Program, CallsOverTwoEntries_FinishesWhole) {
+  SmallGroup s;
+  cr_assert(s.settled);
+  s.Start();
+  cr_assert(s.program.IsSet());
+  const auto first = s.group.CallNow(
+      "entry-a", s.group.ModelCall(s.program, 1, "a slot on Friday"));
+  cr_assert(first.ok, "%s", core::Name(first.failure.reason).data());
+  const auto booked =
+      s.group.CallNow("entry-b", s.group.ServiceCall(s.program, 2, "friday 9"));
+  cr_assert(booked.ok, "%s", core::Name(booked.failure.reason).data());
+  const auto last =
+      s.group.CallNow("entry-b", s.group.ModelCall(s.program, 3, "receipt"));
+  cr_assert(last.ok);
+  cr_assert_eq(s.group.TotalEffects({s.program, 2}), 1);
+  const auto end =
+      s.group.Query("entry-a", s.program, "sakhli", "w1", true);
+  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(end); },
+                                 kLong));
+  const auto& reply = std::get<core::ProgramReply>(*s.group.AnswerTo(end));
+  cr_assert(reply.ok);
+  cr_assert_eq(reply.program.turns.size(), 3);
+  s.group.Advance(1000);
+  cr_assert_eq(s.group.backend(s.Home()).prefixes_held(), 0);
+}
+
+Test(Program, HomeKilledBetweenTurns_GoesOnAtItsReplica) {
+  // The caller sees its second call answered a few seconds late. The home dies
+  // between turns; its replica hears nothing for two seconds, claims it on the
+  // log, and serves the next call with the history whole.
+  SmallGroup s;
+  s.Start();
+  cr_assert(s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"))
+                .ok);
+  const std::string replica = s.Replica();
+  s.group.Kill(s.Home());
+  const auto reply = s.group.CallThrough(
+      {"entry-a", "entry-b"}, s.group.ModelCall(s.program, 2, "two"), kLong);
+  cr_assert(reply.ok, "%s", core::Name(reply.failure.reason).data());
+  const auto* state = s.group.agent(replica).home().Find(s.program);
+  cr_assert_not_null(state);
+  cr_assert_eq(state->turns.size(), 2);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
