Carry the core in processes: daemons, operator command, stand-ins

Cause: the core ran only in the hand-driven group. Change: control thread on Cap'n Proto's loop, HTTP callers' interface, clients of log, VM list, engines and services, the operator's command, stand-ins that count their effects. Ruled out: kj::Executor::executeSync for posting events (a poster that holds a lock while the loop ends never returns); a job queue woken by a cross-thread fulfiller instead. The path over processes is not yet run.

--- /dev/null
+++ b/src/yuccawick/cli/main.cc
@@ -0,0 +1,195 @@
+// yw: the operator's command.
+//
+// Exit codes: 0 done, 1 refused (the reason on standard error), 2 usage.
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <gflags/gflags.h>
+
+#include "yuccawick/cli/contract_file.h"
+#include "yuccawick/cli/operator.h"
+#include "yuccawick/daemon/node_shell.h"
+#include "yuccawick/daemon/settings.h"
+#include "yuccawick/platform/log_client.h"
+
+DEFINE_string(log_service, "", "host:port of the platform's log");
+DEFINE_int64(amends, -2, "version to amend; the one in force if not given");
+
+namespace yuccawick::cli {
+namespace {
+
+constexpr int           kRefused = 1;
+constexpr int           kUsage = 2;
+constexpr std::int64_t  kNoAmends = -2;
+constexpr const char*   kHelp = R"(usage: yw [--log_service=HOST:PORT] COMMAND
+  contract check FILE     say whether the file is a contract
+  contract publish FILE   put it in force (--amends=VERSION: only over that one)
+  contract show [NAME]    contracts in force, with their versions
+  members                 nodes, zones, replicas, claims
+  budget NAME             what is granted of a customer's totals
+  drain VM                have the agent there finish, hand over and stop
+YUCCAWICK_LOG_SERVICE may name the log instead of the flag.
+)";
+
+class ClientLog : public LogAccess {
+ public:
+  explicit ClientLog(const platform::LogClient& client) : m_client(client) {}
+  core::AppendDone Append(const core::AppendRecords& command) override {
+    return m_client.Append(command);
+  }
+  core::ReadDone Read(const core::ReadRecords& command) override {
+    return m_client.Read(command);
+  }
+
+ private:
+  const platform::LogClient& m_client;
+};
+
+int Fail(const core::Failure& failure) {
+  std::cerr << "refused: " << core::Name(failure.reason)
+            << ", ran: " << core::Name(failure.ran)
+            << ", retry after ms: " << failure.retry_after << "\n";
+  return kRefused;
+}
+
+ContractResult ReadFile(const std::string& path) {
+  std::ifstream      in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseContract(text.str());
+}
+
+int PrintFaults(const std::vector<FileError>& errors) {
+  for (const auto& error : errors) {
+    std::cerr << Name(error.fault) << " " << error.key
+              << (error.key.empty() ? "" : " ") << error.detail << "\n";
+  }
+  return kRefused;
+}
+
+using Arguments = std::vector<std::string>;
+
+int CheckContract(Operator& /*op*/, const Arguments& arguments) {
+  const auto contract = ReadFile(arguments.at(0));
+  if (!contract) return PrintFaults(contract.error());
+  std::cout << "contract of " << contract->customer << " is fine\n";
+  return 0;
+}
+
+int PublishContract(Operator& op, const Arguments& arguments) {
+  const auto contract = ReadFile(arguments.at(0));
+  if (!contract) return PrintFaults(contract.error());
+  const core::Offset amends = FLAGS_amends;
+  const auto         published =
+      op.Publish(*contract, amends == kNoAmends ? nullptr : &amends);
+  if (!published) return Fail(published.error());
+  std::cout << contract->customer << " in force as version "
+            << published->version << "\n";
+  return 0;
+}
+
+int ShowContracts(Operator& op, const Arguments& arguments) {
+  const auto control = op.ReadControl();
+  if (!control) return Fail(control.error());
+  for (const auto& [customer, in_force] : control->contracts()) {
+    if (!arguments.empty() && arguments[0] != customer) continue;
+    std::cout << "version " << in_force.version << "\n"
+              << FormatContract(in_force.contract) << "\n";
+  }
+  return 0;
+}
+
+int ShowMembers(Operator& op, const Arguments& /*arguments*/) {
+  const auto control = op.ReadControl();
+  if (!control) return Fail(control.error());
+  for (const auto& [node, member] : control->members()) {
+    std::cout << core::ToString(node) << " " << member.join.zone << " "
+              << core::Name(member.join.kind) << " " << member.join.target
+              << " replica=" << member.replica.vm
+              << (member.leaving ? " leaving" : "");
+    if (member.IsClaimed())
+      std::cout << " claimed-by=" << core::ToString(member.adopter);
+    std::cout << "\n";
+  }
+  return 0;
+}
+
+int ShowBudget(Operator& op, const Arguments& arguments) {
+  const auto ledger = op.ReadGrants(arguments.at(0));
+  if (!ledger) return Fail(ledger.error());
+  for (const auto resource :
+       {core::Resource::kTokens, core::Resource::kPrograms}) {
+    const auto& state = ledger->state(resource);
+    std::cout << core::Name(resource) << ": granted " << state.granted << " of "
+              << state.total << " (period " << state.period << ")\n";
+  }
+  return 0;
+}
+
+int Drain(Operator& op, const Arguments& arguments) {
+  const auto drained = op.Drain(arguments.at(0));
+  if (!drained) return Fail(drained.error());
+  std::cout << arguments[0] << " is leaving\n";
+  return 0;
+}
+
+struct Subcommand {
+  const char* group;
+  const char* name;  // empty: the group is the whole command
+  std::size_t least;
+  std::size_t most;
+  int (*run)(Operator&, const Arguments&);
+};
+constexpr std::array<Subcommand, 6> kCommands{{
+    {"contract", "check", 1, 1, CheckContract},
+    {"contract", "publish", 1, 1, PublishContract},
+    {"contract", "show", 0, 1, ShowContracts},
+    {"members", "", 0, 0, ShowMembers},
+    {"budget", "", 1, 1, ShowBudget},
+    {"drain", "", 1, 1, Drain},
+}};
+
+const Subcommand* Find(const Arguments& words, Arguments* arguments) {
+  for (const auto& command : kCommands) {
+    const std::size_t used = *command.name == '\0' ? 1 : 2;
+    if (words.size() < used || words[0] != command.group) continue;
+    if (used == 2 && words[1] != command.name) continue;
+    *arguments = Arguments(words.begin() + static_cast<std::ptrdiff_t>(used),
+                           words.end());
+    if (arguments->size() < command.least || arguments->size() > command.most)
+      return nullptr;
+    return &command;
+  }
+  return nullptr;
+}
+
+}  // namespace
+}  // namespace yuccawick::cli
+
+int main(int argc, char** argv) {
+  namespace cli = yuccawick::cli;
+  gflags::SetUsageMessage(cli::kHelp);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::vector<std::string> environment;
+  if (const char* log = std::getenv("YUCCAWICK_LOG_SERVICE"); log != nullptr)
+    environment.push_back(std::string("YUCCAWICK_LOG_SERVICE=") + log);
+  yuccawick::daemon::ApplyEnvironment(environment);
+  const cli::Arguments   words(argv + 1, argv + argc);
+  cli::Arguments         arguments;
+  const cli::Subcommand* command = cli::Find(words, &arguments);
+  const auto             endpoint =
+      yuccawick::platform::ParseEndpoint(FLAGS_log_service);
+  const bool offline = command != nullptr && command->run == cli::CheckContract;
+  if (command == nullptr || (!endpoint && !offline)) {
+    std::cerr << cli::kHelp;
+    return cli::kUsage;
+  }
+  const yuccawick::platform::LogClient client(
+      endpoint.value_or(yuccawick::platform::Endpoint{}), {});
+  cli::ClientLog log(client);
+  cli::Operator  op(log, std::to_string(yuccawick::daemon::MintIncarnation()));
+  return command->run(op, arguments);
+}
--- a/src/yuccawick/core/agent.cc
+++ b/src/yuccawick/core/agent.cc
@@ -99,7 +99,7 @@
 void Agent::On(const MessageReceived& event, Time now) {
   // A message for an earlier incarnation must not be taken for ours: its
   // numbers mean something else here.
-  const bool ours = event.to == m_self;
+  const bool ours = IsMeant(event.to, m_self);
   const auto* dispatch = std::get_if<Dispatch>(&event.message);
   const auto* fence = std::get_if<FenceCall>(&event.message);
   // These two say themselves whom they mean, and want a typed answer.
@@ -137,6 +137,7 @@
 
 void Agent::On(const VmListRead& event, Time now) {
   m_membership.OnVmList(event, now);
+  m_tail.OnVmList(event);
 }
 
 void Agent::On(const RunChunk& event, Time /*now*/) {
@@ -230,6 +231,8 @@
   if (self != nullptr) m_durability.OnAssigned(self->replica);
   AdoptClaimed(now);
   WatchDependencies(now);
+  // An operator's drain reaches the agent as a record, like everybody else.
+  if (self != nullptr && self->leaving) On(StopRequested{}, now);
   const bool superseded =
       self != nullptr && self->IsClaimed() && !m_draining;
   if (!superseded) return;
--- a/src/yuccawick/core/control_tail.cc
+++ b/src/yuccawick/core/control_tail.cc
@@ -21,7 +21,7 @@
       m_read != 0 && now - m_read_at > m_settings.read_timeout;
   if (overdue) {
     m_read = 0;
-    GetConfigChart().Fire(&m_phase, ConfigEvent::kReadFailed);
+    OnReadFailed();
   }
   if (m_read == 0 && now >= m_next_read) ReadNow(now);
   MaybeSnapshot(now);
@@ -39,7 +39,7 @@
   const bool current = done.read == m_read;
   if (current) m_read = 0;
   if (done.status != LogStatus::kOk) {
-    if (current) GetConfigChart().Fire(&m_phase, ConfigEvent::kReadFailed);
+    if (current) OnReadFailed();
     return true;
   }
   const Offset before = m_control.version();
@@ -51,6 +51,15 @@
   return true;
 }
 
+void ControlTail::OnReadFailed() {
+  GetConfigChart().Fire(&m_phase, ConfigEvent::kReadFailed);
+  if (HasState() || m_vms.empty()) return;
+  // Started in an outage: no member is known yet, but the platform's list names
+  // VMs whose nodes have been up for longer. One is asked at a time.
+  const auto& vm = m_vms[m_asked++ % m_vms.size()].vm;
+  if (vm != m_self.vm) AskPeer(NodeRef{vm, 0});
+}
+
 void ControlTail::Fold(const ReadDone& done) {
   const bool gap = done.earliest > m_control.version() + 1;
   if (gap) {
--- a/src/yuccawick/core/control_tail.h
+++ b/src/yuccawick/core/control_tail.h
@@ -33,6 +33,8 @@
   bool OnRead(const ReadDone& done, Time now);
   void OnPull(const NodeRef& from);
   void OnPush(const ControlPush& push, Time now);
+  // Where to ask while no state is held and the log is down.
+  void OnVmList(const VmListRead& list) { m_vms = list.vms; }
   // A peer is ahead of us while we cannot read.
   void AskPeer(const NodeRef& peer);
 
@@ -45,6 +47,7 @@
 
  private:
   void Fold(const ReadDone& done);
+  void OnReadFailed();
   void MaybeSnapshot(Time now);
 
   NodeRef                   m_self;
@@ -56,6 +59,8 @@
   std::uint64_t             m_read = 0;  // under way; 0: none
   Time                      m_read_at = 0;
   Time                      m_next_read = 0;
+  std::vector<VmEntry>      m_vms;
+  std::size_t               m_asked = 0;  // index into m_vms of the next to ask
   Offset                    m_seen_snapshot = kNoOffset;
   Time                      m_snapshot_due = 0;
 };
--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -98,7 +98,7 @@
 }
 
 void Entry::On(const MessageReceived& event, Time now) {
-  const bool ours = event.to == m_settings.self;
+  const bool ours = IsMeant(event.to, m_settings.self);
   // A reply to an earlier incarnation carries a number that here belongs to
   // some other caller: that caller would be given a stranger's answer.
   if (!ours && m_safeguards.Has(Safeguard::kReplyMatch)) {
@@ -138,6 +138,7 @@
 
 void Entry::On(const VmListRead& event, Time now) {
   m_membership.OnVmList(event, now);
+  m_tail.OnVmList(event);
 }
 
 void Entry::On(const StopRequested& /*event*/, Time /*now*/) {
--- a/src/yuccawick/core/messages.h
+++ b/src/yuccawick/core/messages.h
@@ -378,6 +378,7 @@
 
 struct VmEntry {
   std::string vm;
+  std::string address;  // host:port of its node
   bool        leaving = false;
 
   bool operator==(const VmEntry&) const = default;
--- a/src/yuccawick/core/types.h
+++ b/src/yuccawick/core/types.h
@@ -58,6 +58,12 @@
 
 enum class ParseError { kBadProgramId };
 
+// True if a message addressed to `to` is for `self`. Incarnation 0 means
+// whichever runs on that VM.
+inline bool IsMeant(const NodeRef& to, const NodeRef& self) {
+  return to == self || (to.vm == self.vm && to.incarnation == 0);
+}
+
 std::string                               ToString(const NodeRef& node);
 std::string                               ToString(const ProgramId& id);
 tl::expected<ProgramId, ParseError>       ParseProgramId(std::string_view text);
--- /dev/null
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -0,0 +1,266 @@
+// yw-agent: the server agent, one beside each backend server.
+//
+// Exit codes: 0 stopped as asked, 2 bad settings, 3 superseded (another agent
+// has claimed this one's programs; the platform starts the next incarnation).
+#include <atomic>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <sstream>
+
+#include <Poco/JSON/Object.h>
+#include <gflags/gflags.h>
+
+#include "yuccawick/core/agent.h"
+#include "yuccawick/daemon/node_shell.h"
+#include "yuccawick/daemon/settings.h"
+#include "yuccawick/daemon/status_server.h"
+#include "yuccawick/platform/backend_client.h"
+
+DEFINE_string(vm, "", "name of this VM");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(listen, "", "host:port for other nodes (RPC)");
+DEFINE_string(http, "", "host:port for /healthz, /status and /metrics");
+DEFINE_string(log_service, "", "host:port of the platform's log");
+DEFINE_string(vm_list, "", "host:port of the platform's list of VMs");
+DEFINE_string(backend, "", "host:port of the backend server beside this agent");
+DEFINE_string(kind, "model", "kind of backend server: model or service");
+DEFINE_string(target, "", "name of the model or service it serves");
+DEFINE_int32(slots, 0, "calls given to it at once; 0: 8 for models, 1 for services");
+DEFINE_int32(control_poll_ms, 2000, "between reads of the control stream");
+DEFINE_int32(probe_ms, 500, "between probes of one peer");
+DEFINE_int32(suspect_ms, 2000, "silence after which a peer is suspect");
+DEFINE_int32(flush_ms, 4000, "between appends of history");
+DEFINE_int32(prefix_hold_ms, 120000, "unused prefix kept in engine memory");
+DEFINE_int32(snapshot_ms, 3600000,
+             "between control snapshots; below a third of the log's retention");
+DEFINE_int32(call_timeout_ms, 120000, "silence of the backend server in a call");
+DEFINE_string(log_level, "info", "least severity logged");
+
+namespace yuccawick::daemon {
+namespace {
+
+constexpr int kExitSuperseded = 3;
+constexpr int kModelSlots = 8;
+constexpr int kStatusThreads = 4;
+constexpr int kMostMs = 86'400'000;
+// Recomputing a prompt token is taken to cost this, until engines report it.
+constexpr double kPrefillTokensPerMs = 10;
+
+std::vector<SettingRule> Rules() {
+  using Kind = SettingKind;
+  return {{"vm", Kind::kName},
+          {"zone", Kind::kName},
+          {"listen", Kind::kEndpoint},
+          {"http", Kind::kEndpoint},
+          {"log_service", Kind::kEndpoint},
+          {"vm_list", Kind::kEndpoint},
+          {"backend", Kind::kEndpoint},
+          {"kind", Kind::kChoice, 0, 0, true, {"model", "service"}},
+          {"target", Kind::kName},
+          {"slots", Kind::kNumber, 0, 1024},
+          {"control_poll_ms", Kind::kNumber, 50, 7000},
+          {"probe_ms", Kind::kNumber, 50, 10000},
+          {"suspect_ms", Kind::kNumber, 200, 60000},
+          {"flush_ms", Kind::kNumber, 20, 60000},
+          {"prefix_hold_ms", Kind::kNumber, 100, kMostMs},
+          {"snapshot_ms", Kind::kNumber, 1000, kMostMs},
+          {"call_timeout_ms", Kind::kNumber, 100, 3600000},
+          {"log_level",
+           Kind::kChoice,
+           0,
+           0,
+           true,
+           {"debug", "info", "warning", "error"}}};
+}
+
+std::vector<SettingError> Contradictions() {
+  std::vector<SettingError> errors;
+  const auto contradict = [&errors](bool wrong, const char* setting,
+                                    const char* detail) {
+    if (wrong) errors.push_back({SettingFault::kContradiction, setting, detail});
+  };
+  contradict(!FLAGS_listen.empty() && FLAGS_listen == FLAGS_http, "http",
+             "must differ from listen");
+  contradict(FLAGS_suspect_ms < 2 * FLAGS_probe_ms, "suspect_ms",
+             "must allow for two probes (probe_ms)");
+  contradict(FLAGS_kind == "service" && FLAGS_slots > 1, "slots",
+             "a service gets its calls one at a time");
+  return errors;
+}
+
+core::Severity LeastSeverity() {
+  for (const auto s : {core::Severity::kDebug, core::Severity::kWarning,
+                       core::Severity::kError}) {
+    if (core::Name(s) == FLAGS_log_level) return s;
+  }
+  return core::Severity::kInfo;
+}
+
+bool IsService() { return FLAGS_kind == "service"; }
+
+int Slots() {
+  if (FLAGS_slots > 0) return FLAGS_slots;
+  return IsService() ? 1 : kModelSlots;
+}
+
+core::AgentSettings MakeSettings(const core::NodeRef& self) {
+  core::AgentSettings settings;
+  settings.join.node = self;
+  settings.join.zone = FLAGS_zone;
+  settings.join.kind =
+      IsService() ? core::BackendKind::kService : core::BackendKind::kModel;
+  settings.join.target = FLAGS_target;
+  settings.join.address = FLAGS_listen;
+  settings.join.server = FLAGS_backend;
+  settings.control.poll_interval = FLAGS_control_poll_ms;
+  settings.control.snapshot_interval = FLAGS_snapshot_ms;
+  settings.membership.probe_interval = FLAGS_probe_ms;
+  settings.membership.suspect_after = FLAGS_suspect_ms;
+  settings.durability.flush_interval = FLAGS_flush_ms;
+  settings.executor.kind = settings.join.kind;
+  settings.executor.slots = static_cast<std::size_t>(Slots());
+  settings.executor.prefix_hold = FLAGS_prefix_hold_ms;
+  settings.executor.prefill_tokens_per_ms = kPrefillTokensPerMs;
+  return settings;
+}
+
+class AgentDecider : public Decider {
+ public:
+  AgentDecider(core::AgentSettings settings, const core::QueuePolicy& queue,
+               const core::RoutePolicy& route)
+      : m_agent(std::move(settings), core::Safeguards::All(), queue, route) {}
+
+  std::vector<core::Command> Handle(core::Time         now,
+                                    const core::Event& event) override {
+    return m_agent.Handle(now, event);
+  }
+  const core::Control& control() const override { return m_agent.control(); }
+
+  std::string Status() const override {
+    Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+    const auto* replica = m_agent.durability().Replica();
+    json.set("vm", FLAGS_vm);
+    json.set("zone", FLAGS_zone);
+    json.set("serves", FLAGS_kind + " " + FLAGS_target);
+    json.set("joined", m_agent.IsJoined());
+    json.set("draining", m_agent.IsDraining());
+    json.set("configuration",
+             std::string(core::Name(m_agent.config_phase())));
+    json.set("control_version", m_agent.control().version());
+    json.set("contracts", m_agent.control().contracts().size());
+    json.set("replica", replica == nullptr ? "" : replica->vm);
+    json.set("programs", m_agent.home().ProgramCount());
+    json.set("backed_up_programs", m_agent.backups().ProgramCount());
+    json.set("in_flight", m_agent.home().InFlight());
+    json.set("queued", m_agent.executor().QueueLength());
+    json.set("running", m_agent.executor().RunningCount());
+    json.set("prefixes", m_agent.executor().PrefixCount());
+    json.set("unlogged_bytes", m_agent.durability().UnloggedBytes());
+    std::ostringstream out;
+    json.stringify(out, 2);
+    return out.str() + "\n";
+  }
+
+ private:
+  core::Agent m_agent;
+};
+
+// Gives the backend server its orders, each in a thread of a pool.
+class BackendRunner {
+ public:
+  BackendRunner(const platform::BackendClient& client, std::size_t threads)
+      : m_client(client), m_pool(threads) {}
+
+  void SetShell(NodeShell* shell) { m_shell = shell; }
+
+  void Carry(const core::Command& command) {
+    if (const auto* run = std::get_if<core::RunCall>(&command)) Run(*run);
+    if (const auto* cancel = std::get_if<core::CancelRun>(&command))
+      Cancel(cancel->run);
+    if (const auto* release = std::get_if<core::ReleasePrefix>(&command)) {
+      m_pool.Add([this, order = *release] { m_client.Release(order); });
+    }
+  }
+
+ private:
+  using Flag = std::shared_ptr<std::atomic<bool>>;
+
+  void Run(const core::RunCall& order) {
+    auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    {
+      const std::lock_guard lock(m_mutex);
+      m_runs[order.run] = cancelled;
+    }
+    m_pool.Add([this, order, cancelled] {
+      const auto done =
+          m_client.Run(order, *cancelled, [&](const std::string& text) {
+            m_shell->Post(core::RunChunk{order.run, text});
+          });
+      m_shell->Post(done);
+      const std::lock_guard lock(m_mutex);
+      m_runs.erase(order.run);
+    });
+  }
+
+  void Cancel(std::uint64_t run) {
+    const std::lock_guard lock(m_mutex);
+    const auto            it = m_runs.find(run);
+    if (it != m_runs.end()) *it->second = true;
+  }
+
+  const platform::BackendClient& m_client;
+  NodeShell*                     m_shell = nullptr;
+  std::mutex                     m_mutex;
+  std::map<std::uint64_t, Flag>  m_runs;
+  WorkerPool                     m_pool;
+};
+
+std::unique_ptr<platform::BackendClient> MakeClient() {
+  const auto endpoint = *platform::ParseEndpoint(FLAGS_backend);
+  const platform::HttpSettings http{1000, FLAGS_call_timeout_ms};
+  if (IsService())
+    return std::make_unique<platform::ServiceClient>(endpoint, http);
+  return std::make_unique<platform::EngineClient>(endpoint, http);
+}
+
+int Run() {
+  const core::NodeRef self{FLAGS_vm, MintIncarnation()};
+  JsonLog             log(self, FLAGS_zone, LeastSeverity());
+  Metrics             metrics;
+  const core::AttainedServiceQueue queue;
+  const core::CacheAwareRoute      route(kPrefillTokensPerMs);
+  AgentDecider                     decider(MakeSettings(self), queue, route);
+  const auto                       client = MakeClient();
+  const auto threads = static_cast<std::size_t>(Slots()) + 2;
+  auto       runner = std::make_unique<BackendRunner>(*client, threads);
+  ShellSettings settings;
+  settings.self = self;
+  settings.listen = FLAGS_listen;
+  settings.log = *platform::ParseEndpoint(FLAGS_log_service);
+  settings.vm_list = *platform::ParseEndpoint(FLAGS_vm_list);
+  NodeShell shell(settings, decider, log, metrics,
+                  [&](const core::Command& command) { runner->Carry(command); });
+  runner->SetShell(&shell);
+  const auto   http = *platform::ParseEndpoint(FLAGS_http);
+  StatusServer server({http.host, http.port, kStatusThreads}, metrics,
+                      [&] { return shell.Status(); },
+                      [](const auto&) { return nullptr; });
+  const auto cause = shell.Run([&] { server.Start(); });
+  server.Stop();
+  runner.reset();  // its threads use the shell
+  return cause == core::StopCause::kSuperseded ? kExitSuperseded : 0;
+}
+
+}  // namespace
+}  // namespace yuccawick::daemon
+
+int main(int argc, char** argv) {
+  namespace daemon = yuccawick::daemon;
+  int exit = 0;
+  if (!daemon::LoadSettings(&argc, &argv, daemon::Rules(),
+                            daemon::Contradictions, &exit))
+    return exit;
+  return daemon::Run();
+}
--- /dev/null
+++ b/src/yuccawick/daemon/node_shell.cc
@@ -0,0 +1,364 @@
+#include "yuccawick/daemon/node_shell.h"
+
+#include <csignal>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <random>
+#include <type_traits>
+#include <utility>
+
+#include <kj/async-unix.h>
+#include <kj/exception.h>
+
+namespace yuccawick::daemon {
+
+// Index
+//   Link     the way to one other node
+//   Server   messages that come in
+//   Loop     the control thread
+//   Shell    the public face
+
+namespace {
+
+constexpr std::size_t kReadThreads = 2;
+constexpr std::size_t kMostUnsent = 4096;  // messages waiting for one peer
+
+// ---- Link
+
+// A connection to one peer. Messages are handed over in order, each at most
+// once: a message is never sent again, so that a receiver sees no copies.
+class Link {
+ public:
+  using OnFailed = std::function<void()>;
+
+  Link(kj::Network& network, std::string address, OnFailed on_failed)
+      : m_address(std::move(address)),
+        m_on_failed(std::move(on_failed)),
+        m_connected(Connect(network).fork()) {}
+
+  const std::string& address() const { return m_address; }
+  bool               IsBroken() const { return m_broken; }
+
+  kj::Promise<void> Send(const rpc::Envelope& envelope) {
+    ++m_unsent;
+    return m_connected.addBranch()
+        .then([this, envelope]() {
+          auto request = m_node->deliverRequest();
+          rpc::Write(envelope, request.initEnvelope());
+          return request.send().ignoreResult();
+        })
+        .then([this]() { --m_unsent; },
+              [this](kj::Exception&&) {
+                --m_unsent;
+                Break();
+              });
+  }
+  bool IsFull() const { return m_unsent >= kMostUnsent; }
+
+ private:
+  kj::Promise<void> Connect(kj::Network& network) {
+    return network.parseAddress(m_address)
+        .then([this](kj::Own<kj::NetworkAddress>&& address) {
+          m_network_address = kj::mv(address);
+          return m_network_address->connect();
+        })
+        .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+          m_stream = kj::mv(stream);
+          m_client = kj::heap<capnp::TwoPartyClient>(*m_stream);
+          m_node = m_client->bootstrap().castAs<rpc::wire::Node>();
+        });
+  }
+
+  void Break() {
+    if (m_broken) return;
+    m_broken = true;
+    m_on_failed();
+  }
+
+  std::string                           m_address;
+  OnFailed                              m_on_failed;
+  bool                                  m_broken = false;
+  std::size_t                           m_unsent = 0;
+  kj::Own<kj::NetworkAddress>           m_network_address;
+  kj::Own<kj::AsyncIoStream>            m_stream;
+  kj::Own<capnp::TwoPartyClient>        m_client;
+  std::optional<rpc::wire::Node::Client> m_node;
+  kj::ForkedPromise<void>               m_connected;
+};
+
+// ---- Server
+
+class NodeServer final : public rpc::wire::Node::Server {
+ public:
+  using OnEnvelope = std::function<void(rpc::Envelope)>;
+  explicit NodeServer(OnEnvelope on_envelope)
+      : m_on_envelope(std::move(on_envelope)) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    auto envelope = rpc::Read(context.getParams().getEnvelope());
+    KJ_REQUIRE(envelope.has_value(), "not an envelope of this protocol");
+    m_on_envelope(std::move(*envelope));
+    return kj::READY_NOW;
+  }
+
+ private:
+  OnEnvelope m_on_envelope;
+};
+
+}  // namespace
+
+// ---- Loop
+
+class NodeShell::Loop : private kj::TaskSet::ErrorHandler {
+ public:
+  using Job = std::function<void()>;
+
+  explicit Loop(NodeShell& shell)
+      : m_shell(shell),
+        m_io(SetUpIo()),
+        m_appends(1),
+        m_reads(kReadThreads),
+        m_lists(1),
+        m_tasks(*this) {}
+
+  core::StopCause Run(const std::function<void()>& on_ready) {
+    Listen();
+    m_tasks.add(JobLoop());
+    WaitForSignal(SIGTERM);
+    WaitForSignal(SIGINT);
+    m_tasks.add(TickLoop());
+    on_ready();
+    auto stopped = kj::newPromiseAndFulfiller<void>();
+    m_stopped = kj::mv(stopped.fulfiller);
+    stopped.promise.wait(m_io.waitScope);
+    // Let the last messages out before the links go.
+    const auto grace = kGraceMs * kj::MILLISECONDS;
+    m_io.provider->getTimer().afterDelay(grace).wait(m_io.waitScope);
+    const std::lock_guard lock(m_jobs_mutex);
+    m_closed = true;
+    m_jobs.clear();
+    return m_cause;
+  }
+
+  // From any thread: has the job run in the control thread soon. Dropped once
+  // the loop has ended.
+  void Add(Job job) {
+    const std::lock_guard lock(m_jobs_mutex);
+    if (m_closed) return;
+    m_jobs.push_back(std::move(job));
+    if (m_wake.get() == nullptr) return;
+    m_wake->fulfill();
+    m_wake = nullptr;
+  }
+
+  void Handle(const core::Event& event) {
+    for (const auto& command : m_shell.m_decider.Handle(WallClock(), event))
+      Carry(command);
+  }
+
+ private:
+  static constexpr int kGraceMs = 100;
+
+  // Signals are captured before any other thread is there to take them.
+  static kj::AsyncIoContext SetUpIo() {
+    kj::UnixEventPort::captureSignal(SIGTERM);
+    kj::UnixEventPort::captureSignal(SIGINT);
+    return kj::setupAsyncIo();
+  }
+
+  // Runs jobs of other threads, in the order they came.
+  kj::Promise<void> JobLoop() {
+    std::deque<Job> jobs;
+    kj::Promise<void> woken = kj::READY_NOW;
+    {
+      const std::lock_guard lock(m_jobs_mutex);
+      jobs.swap(m_jobs);
+      if (jobs.empty()) {
+        auto wake = kj::newPromiseAndCrossThreadFulfiller<void>();
+        m_wake = kj::mv(wake.fulfiller);
+        woken = kj::mv(wake.promise);
+      }
+    }
+    for (const auto& job : jobs) job();
+    return woken.then([this] { return JobLoop(); });
+  }
+
+  void Listen() {
+    auto address = m_io.provider->getNetwork()
+                       .parseAddress(m_shell.m_settings.listen)
+                       .wait(m_io.waitScope);
+    m_listener = address->listen();
+    m_server = kj::heap<capnp::TwoPartyServer>(
+        kj::heap<NodeServer>([this](rpc::Envelope envelope) {
+          m_addresses[envelope.from.vm] = envelope.from_address;
+          Handle(core::MessageReceived{envelope.from, envelope.to,
+                                       std::move(envelope.message)});
+        }));
+    m_tasks.add(m_server->listen(*m_listener));
+  }
+
+  void WaitForSignal(int number) {
+    m_tasks.add(m_io.unixEventPort.onSignal(number).then(
+        [this](siginfo_t) { Handle(core::StopRequested{}); }));
+  }
+
+  kj::Promise<void> TickLoop() {
+    return m_io.provider->getTimer()
+        .afterDelay(m_shell.m_settings.tick * kj::MILLISECONDS)
+        .then([this] {
+          Handle(core::Tick{});
+          ReadVmListIfDue();
+          return TickLoop();
+        });
+  }
+
+  void ReadVmListIfDue() {
+    const auto now = WallClock();
+    if (now < m_next_list) return;
+    m_next_list = now + m_shell.m_settings.vm_list_interval;
+    m_lists.Add([this] {
+      const auto list = m_shell.m_vm_client.Read();
+      if (!list) return;
+      Add([this, list = *list] {
+        for (const auto& vm : list.vms) {
+          // What a node says of itself goes before the lagging list.
+          if (!vm.address.empty()) m_addresses.try_emplace(vm.vm, vm.address);
+        }
+        Handle(list);
+      });
+    });
+  }
+
+  void Carry(const core::Command& command) {
+    std::visit(
+        [&](const auto& c) {
+          using C = std::decay_t<decltype(c)>;
+          if constexpr (std::is_same_v<C, core::SendMessage>) {
+            Send(c);
+          } else if constexpr (std::is_same_v<C, core::AppendRecords>) {
+            m_appends.Add([this, c] {
+              m_shell.Post(m_shell.m_log_client.Append(c));
+            });
+          } else if constexpr (std::is_same_v<C, core::ReadRecords>) {
+            m_reads.Add(
+                [this, c] { m_shell.Post(m_shell.m_log_client.Read(c)); });
+          } else if constexpr (std::is_same_v<C, core::LogLine>) {
+            m_shell.m_log.Write(c);
+          } else if constexpr (std::is_same_v<C, core::Count>) {
+            m_shell.m_metrics.Add(c);
+          } else if constexpr (std::is_same_v<C, core::Stop>) {
+            m_cause = c.cause;
+            if (m_stopped.get() != nullptr) m_stopped->fulfill();
+          } else {
+            m_shell.m_on_command(c);
+          }
+        },
+        command);
+  }
+
+  std::string AddressOf(const core::NodeRef& node) const {
+    const auto& control = m_shell.m_decider.control();
+    if (const auto* member = control.FindMember(node); member != nullptr)
+      return member->join.address;
+    const auto known = m_addresses.find(node.vm);
+    return known == m_addresses.end() ? "" : known->second;
+  }
+
+  void Send(const core::SendMessage& send) {
+    const std::string address = AddressOf(send.to);
+    if (address.empty()) return Failed(send.to);
+    auto& link = m_links[send.to.vm];
+    const bool stale = link.get() != nullptr &&
+                       (link->IsBroken() || link->address() != address);
+    // Links are dropped outside their own callbacks only.
+    if (stale) {
+      m_retired.push_back(kj::mv(link));
+      link = nullptr;
+    }
+    if (link.get() == nullptr) {
+      link = kj::heap<Link>(m_io.provider->getNetwork(), address,
+                            [this, to = send.to] { Failed(to); });
+    }
+    if (link->IsFull()) return Failed(send.to);
+    m_tasks.add(link->Send({m_shell.m_settings.self, send.to,
+                            m_shell.m_settings.listen, send.message}));
+  }
+
+  // Told to the core in a turn of its own: it may be in the middle of one now.
+  void Failed(const core::NodeRef& to) {
+    m_tasks.add(kj::evalLater([this, to] { Handle(core::SendFailed{to}); }));
+  }
+
+  void taskFailed(kj::Exception&& exception) override {
+    (void)exception;  // a peer's broken connection; its link has told the core
+  }
+
+  NodeShell&           m_shell;
+  kj::AsyncIoContext   m_io;
+  std::mutex           m_jobs_mutex;
+  std::deque<Job>      m_jobs;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_wake;
+  bool                 m_closed = false;
+  core::StopCause      m_cause = core::StopCause::kDrained;
+  core::Time           m_next_list = 0;
+  WorkerPool           m_appends;
+  WorkerPool           m_reads;
+  WorkerPool           m_lists;
+  std::map<std::string, std::string>         m_addresses;
+  kj::Own<kj::ConnectionReceiver>            m_listener;
+  kj::Own<capnp::TwoPartyServer>             m_server;
+  std::map<std::string, kj::Own<Link>>       m_links;
+  std::vector<kj::Own<Link>>                 m_retired;
+  kj::Own<kj::PromiseFulfiller<void>>        m_stopped;
+  kj::TaskSet                                m_tasks;
+};
+
+// ---- Shell
+
+NodeShell::NodeShell(ShellSettings settings, Decider& decider, JsonLog& log,
+                     Metrics& metrics, CommandSink on_command)
+    : m_settings(std::move(settings)),
+      m_decider(decider),
+      m_log(log),
+      m_metrics(metrics),
+      m_on_command(std::move(on_command)),
+      m_log_client(m_settings.log, m_settings.http),
+      m_vm_client(m_settings.vm_list, m_settings.http),
+      m_loop(std::make_unique<Loop>(*this)) {}
+
+NodeShell::~NodeShell() = default;
+
+core::StopCause NodeShell::Run(const std::function<void()>& on_ready) {
+  return m_loop->Run(on_ready);
+}
+
+void NodeShell::Post(const core::Event& event) {
+  m_loop->Add([this, event] { m_loop->Handle(event); });
+}
+
+std::string NodeShell::Status() {
+  const auto status = std::make_shared<std::promise<std::string>>();
+  auto       told = status->get_future();
+  m_loop->Add([this, status] { status->set_value(m_decider.Status()); });
+  const auto limit = std::chrono::milliseconds(m_settings.http.answer_timeout_ms);
+  if (told.wait_for(limit) != std::future_status::ready) return {};
+  return told.get();
+}
+
+core::Time WallClock() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::uint64_t MintIncarnation() {
+  constexpr unsigned kRandomBits = 16;
+  std::random_device random;
+  return (static_cast<std::uint64_t>(WallClock()) << kRandomBits) |
+         (random() & ((1U << kRandomBits) - 1));
+}
+
+}  // namespace yuccawick::daemon
--- /dev/null
+++ b/src/yuccawick/daemon/status_server.h
@@ -0,0 +1,47 @@
+// The HTTP server of a daemon: /healthz, /status, /metrics, and whatever the
+// daemon serves beside them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServer.h>
+
+#include "yuccawick/daemon/telemetry.h"
+
+namespace yuccawick::daemon {
+
+struct HttpServerSettings {
+  std::string host;
+  int         port = 0;
+  int         threads = 8;            // requests served at once
+  int         client_timeout_ms = 10000;  // for a client to send or read on
+};
+
+class StatusServer {
+ public:
+  // Makes a handler for a path of the daemon's own, null for none.
+  using Factory = std::function<Poco::Net::HTTPRequestHandler*(
+      const Poco::Net::HTTPServerRequest& request)>;
+  using StatusText = std::function<std::string()>;
+
+  StatusServer(HttpServerSettings settings, const Metrics& metrics,
+               StatusText status, Factory factory);
+  ~StatusServer();
+  StatusServer(const StatusServer&) = delete;
+  StatusServer& operator=(const StatusServer&) = delete;
+
+  void Start();
+  // Takes no more connections and lets those under way finish.
+  void Stop();
+  int  port() const;
+
+ private:
+  std::unique_ptr<Poco::Net::HTTPServer> m_server;
+  int                                    m_port = 0;
+};
+
+}  // namespace yuccawick::daemon
--- /dev/null
+++ b/src/yuccawick/platform/log_client.h
@@ -0,0 +1,43 @@
+// Client of the platform's append-only log, over HTTP.
+//
+//   POST /streams/S/records  {"records": ["...", ...]}  -> {"last": N}
+//   GET  /streams/S/records?from=N
+//        -> {"earliest": N, "end": N, "records": [{"offset": N, "data": "..."}]}
+//
+// 503 means that nothing was appended. A missing answer means that nobody
+// knows.
+#pragma once
+
+#include "yuccawick/core/messages.h"
+#include "yuccawick/platform/http.h"
+
+namespace yuccawick::platform {
+
+class LogClient {
+ public:
+  LogClient(Endpoint endpoint, HttpSettings settings)
+      : m_endpoint(std::move(endpoint)), m_settings(settings) {}
+
+  core::AppendDone Append(const core::AppendRecords& command) const;
+  core::ReadDone   Read(const core::ReadRecords& command) const;
+
+ private:
+  Endpoint     m_endpoint;
+  HttpSettings m_settings;
+};
+
+// The platform's list of VMs: GET /vms
+//   -> {"vms": [{"vm": "...", "address": "host:port", "leaving": false}]}
+class VmListClient {
+ public:
+  VmListClient(Endpoint endpoint, HttpSettings settings)
+      : m_endpoint(std::move(endpoint)), m_settings(settings) {}
+
+  tl::expected<core::VmListRead, HttpError> Read() const;
+
+ private:
+  Endpoint     m_endpoint;
+  HttpSettings m_settings;
+};
+
+}  // namespace yuccawick::platform
--- a/src/yuccawick/rpc/convert.cc
+++ b/src/yuccawick/rpc/convert.cc
@@ -17,6 +17,20 @@
 template <class T>
 constexpr bool kIsVector<std::vector<T>> = true;
 
+// Number of values of each enum that crosses the wire.
+template <class E>
+constexpr unsigned kValueCount = 0;
+template <>
+constexpr unsigned kValueCount<core::Reason> = core::kReasonCount;
+template <>
+constexpr unsigned kValueCount<core::Ran> = 3;
+template <>
+constexpr unsigned kValueCount<core::BackendKind> = 2;
+template <>
+constexpr unsigned kValueCount<core::Resource> = core::kResourceCount;
+template <>
+constexpr unsigned kValueCount<core::FencedState> = 4;
+
 // Copies a core struct into a Cap'n Proto one.
 class Writer {
  public:
@@ -63,7 +77,11 @@
     } else if constexpr (std::is_same_v<T, bool>) {
       value = field.as<bool>();
     } else if constexpr (std::is_enum_v<T>) {
-      value = static_cast<T>(field.as<std::uint16_t>());
+      static_assert(kValueCount<T> > 0, "add the enum to kValueCount");
+      const auto number = field.as<std::uint16_t>();
+      // Name tables are indexed by these: one out of range must not get in.
+      KJ_REQUIRE(number < kValueCount<T>, "no such value", name, number);
+      value = static_cast<T>(number);
     } else if constexpr (std::is_integral_v<T>) {
       value = field.as<T>();
     } else if constexpr (kIsVector<T>) {
--- /dev/null
+++ b/standins/engine.h
@@ -0,0 +1,87 @@
+// Stand-in of a model engine.
+//
+// Streams answers token by token, serves a limited number of calls at once by
+// priority, keeps prefixes in a limited cache, reports load with a lag, and
+// publishes cache events late and with gaps. One kind refuses orders that carry
+// an old fencing number, the other ignores the number.
+//
+//   POST /v1/chat/completions, POST /v1/cache/release
+//   GET  /v1/load, GET /v1/cache/events?from=N, GET /effects
+//   POST /control {"hold": bool}   while set, calls run but do not finish
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <set>
+#include <vector>
+
+#include "server.h"
+
+namespace standins {
+
+struct EngineSettings {
+  std::string  model;
+  int          slots = 8;
+  int          decode_ms = 2;        // per token of the answer
+  int          prefill_tokens_per_ms = 50;
+  std::int64_t cache_tokens = 200000;
+  int          event_lag_ms = 500;
+  int          event_gap_every = 10;  // every n-th cache event is lost
+  bool         checks_fence = true;
+};
+
+class Engine : public StandIn {
+ public:
+  explicit Engine(EngineSettings settings) : m_settings(settings) {}
+  void Serve(const Request&                 request,
+             Poco::Net::HTTPServerResponse& response) override;
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Prefix {
+    std::int64_t                     tokens = 0;
+    std::list<std::string>::iterator age;
+  };
+  struct CacheEvent {
+    std::int64_t      number = 0;
+    Clock::time_point at;
+    std::string       key;
+    std::string       what;
+  };
+
+  void Complete(const Request&                 request,
+                Poco::Net::HTTPServerResponse& response);
+  void Release(const Request&                 request,
+               Poco::Net::HTTPServerResponse& response);
+  void Load(Poco::Net::HTTPServerResponse& response);
+  void Events(const Request&                 request,
+              Poco::Net::HTTPServerResponse& response);
+  void Effects(Poco::Net::HTTPServerResponse& response);
+  bool IsFenced(std::int64_t fence);
+  void TakeSlot(std::int64_t priority);
+  void GiveSlot();
+  // Tokens of the prompt already held; holds all of it from now on.
+  std::int64_t UsePrefix(const std::string& key, std::int64_t tokens);
+  void         Drop(const std::string& key, const char* why);
+  void         Publish(const std::string& key, const char* what);
+
+  EngineSettings                m_settings;
+  std::mutex                    m_mutex;
+  std::condition_variable       m_changed;
+  int                           m_running = 0;
+  std::multiset<std::int64_t>   m_waiting;  // priorities
+  bool                          m_hold = false;
+  std::int64_t                  m_fence = -1;
+  std::map<std::string, Prefix> m_prefixes;
+  std::list<std::string>        m_ages;  // least recently used first
+  std::int64_t                  m_cached = 0;
+  std::vector<CacheEvent>       m_events;
+  std::int64_t                  m_event_number = 0;
+  std::map<std::string, int>    m_completions;  // by cache key
+  std::int64_t                  m_refused = 0;
+  std::int64_t                  m_tokens = 0;
+};
+
+}  // namespace standins
