--- a/src/yuccawick/cli/contract_file.cc
+++ b/src/yuccawick/cli/contract_file.cc
@@ -1,13 +1,13 @@
 #include "yuccawick/cli/contract_file.h"
 
-#include <array>
-#include <sstream>
-
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include <array>
+#include <sstream>
+
 namespace yuccawick::cli {
 namespace {
 
@@ -19,9 +19,9 @@
 
 // Where a number of the file goes, and in what unit.
 struct NumberKey {
-  const char* key;
+  const char*  key;
   std::int64_t core::Contract::*member;
-  std::int64_t unit;
+  std::int64_t                  unit;
 };
 constexpr std::array<NumberKey, 7> kNumbers{{
     {"max_programs", &core::Contract::max_programs, 1},
@@ -32,18 +32,18 @@
     {"idle_timeout_s", &core::Contract::idle_timeout, kMsPerSecond},
     {"cache_weight", &core::Contract::cache_weight, 1},
 }};
-constexpr const char* kCustomer = "customer";
-constexpr const char* kClasses = "classes";
+constexpr const char*              kCustomer = "customer";
+constexpr const char*              kClasses = "classes";
 
 struct ClassNumberKey {
-  const char* key;
+  const char*  key;
   std::int64_t core::ServiceClass::*member;
 };
 constexpr std::array<ClassNumberKey, 2> kClassNumbers{{
     {"priority", &core::ServiceClass::priority},
     {"max_wait_ms", &core::ServiceClass::max_wait},
 }};
-constexpr const char* kClassName = "name";
+constexpr const char*                   kClassName = "name";
 
 using Errors = std::vector<FileError>;
 
@@ -98,8 +98,7 @@
   return false;
 }
 
-void TakeClasses(const Object& json, core::Contract* contract,
-                 Errors* errors) {
+void TakeClasses(const Object& json, core::Contract* contract, Errors* errors) {
   if (!json.isArray(kClasses)) {
     errors->push_back({FileFault::kMissingKey, kClasses, "want a list"});
     return;
@@ -146,8 +145,7 @@
   TakeClasses(*json, &contract, &errors);
   if (!errors.empty()) return tl::make_unexpected(errors);
   for (const auto fault : core::Validate(contract)) {
-    errors.push_back(
-        {FileFault::kInvalid, "", std::string(core::Name(fault))});
+    errors.push_back({FileFault::kInvalid, "", std::string(core::Name(fault))});
   }
   if (!errors.empty()) return tl::make_unexpected(errors);
   return contract;
--- a/src/yuccawick/cli/contract_file.h
+++ b/src/yuccawick/cli/contract_file.h
@@ -5,9 +5,8 @@
 #pragma once
 
 #include <string>
-#include <vector>
-
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "yuccawick/core/contract.h"
 
--- a/src/yuccawick/cli/main.cc
+++ b/src/yuccawick/cli/main.cc
@@ -1,14 +1,14 @@
 // yw: the operator's command.
 //
 // Exit codes: 0 done, 1 refused (the reason on standard error), 2 usage.
+#include <gflags/gflags.h>
+
 #include <array>
 #include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
 
-#include <gflags/gflags.h>
-
 #include "yuccawick/cli/contract_file.h"
 #include "yuccawick/cli/operator.h"
 #include "yuccawick/daemon/node_shell.h"
@@ -21,10 +21,10 @@
 namespace yuccawick::cli {
 namespace {
 
-constexpr int           kRefused = 1;
-constexpr int           kUsage = 2;
-constexpr std::int64_t  kNoAmends = -2;
-constexpr const char*   kHelp = R"(usage: yw [--log_service=HOST:PORT] COMMAND
+constexpr int          kRefused = 1;
+constexpr int          kUsage = 2;
+constexpr std::int64_t kNoAmends = -2;
+constexpr const char*  kHelp = R"(usage: yw [--log_service=HOST:PORT] COMMAND
   contract check FILE     say whether the file is a contract
   contract publish FILE   put it in force (--amends=VERSION: only over that one)
   contract show [NAME]    contracts in force, with their versions
@@ -180,8 +180,7 @@
   const cli::Arguments   words(argv + 1, argv + argc);
   cli::Arguments         arguments;
   const cli::Subcommand* command = cli::Find(words, &arguments);
-  const auto             endpoint =
-      yuccawick::platform::ParseEndpoint(FLAGS_log_service);
+  const auto endpoint = yuccawick::platform::ParseEndpoint(FLAGS_log_service);
   const bool offline = command != nullptr && command->run == cli::CheckContract;
   if (command == nullptr || (!endpoint && !offline)) {
     std::cerr << cli::kHelp;
--- a/src/yuccawick/cli/operator.cc
+++ b/src/yuccawick/cli/operator.cc
@@ -38,10 +38,9 @@
     const auto done = ReadFrom(kControl, next);
     if (!done) return tl::make_unexpected(done.error());
     for (const auto& logged : done->records) {
-      const bool gap = done->earliest > control.version() + 1;
-      const auto* snapshot =
-          std::get_if<core::SnapshotRecord>(&logged.record);
-      const bool covers =
+      const bool  gap = done->earliest > control.version() + 1;
+      const auto* snapshot = std::get_if<core::SnapshotRecord>(&logged.record);
+      const bool  covers =
           snapshot != nullptr && snapshot->as_of >= done->earliest - 1;
       if (gap && !covers) continue;
       if (gap) control.Apply(*snapshot);
@@ -85,8 +84,7 @@
     const core::Offset read =
         done->records.empty() ? done->end : done->records.back().offset + 1;
     next = std::max(next, read);
-    if (next >= done->end)
-      return tl::make_unexpected(LogDown(Ran::kUnknown));
+    if (next >= done->end) return tl::make_unexpected(LogDown(Ran::kUnknown));
   }
 }
 
--- a/src/yuccawick/cli/operator.h
+++ b/src/yuccawick/cli/operator.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <string>
-
 #include <tl/expected.hpp>
 
 #include "yuccawick/core/budget.h"
@@ -40,8 +39,8 @@
   // `amends` if given. Fails with kConflict if another amendment came first,
   // and with kLogUnavailable if the log does not answer; `ran` then says
   // whether it took effect (unknown: run `show` once the log is back).
-  tl::expected<Published, core::Failure> Publish(
-      const core::Contract& contract, const core::Offset* amends);
+  tl::expected<Published, core::Failure> Publish(const core::Contract& contract,
+                                                 const core::Offset*   amends);
 
   // Has the node on that VM finish and hand over.
   tl::expected<void, core::Failure> Drain(const std::string& vm);
--- a/src/yuccawick/core/agent.cc
+++ b/src/yuccawick/core/agent.cc
@@ -99,11 +99,11 @@
 void Agent::On(const MessageReceived& event, Time now) {
   // A message for an earlier incarnation must not be taken for ours: its
   // numbers mean something else here.
-  const bool ours = IsMeant(event.to, m_self);
+  const bool  ours = IsMeant(event.to, m_self);
   const auto* dispatch = std::get_if<Dispatch>(&event.message);
   const auto* fence = std::get_if<FenceCall>(&event.message);
   // These two say themselves whom they mean, and want a typed answer.
-  const bool answers_anyway = dispatch != nullptr || fence != nullptr;
+  const bool  answers_anyway = dispatch != nullptr || fence != nullptr;
   if (!ours && !answers_anyway && m_safeguards.Has(Safeguard::kReplyMatch)) {
     m_outbox.Push(Count{Counter::kStaleMessages, "other_incarnation", 1});
     return;
@@ -228,13 +228,17 @@
     line.event = LogEvent::kJoined;
     m_outbox.Push(line);
   }
-  if (self != nullptr) m_durability.OnAssigned(self->replica);
+  if (self != nullptr && m_durability.OnAssigned(self->replica)) {
+    LogLine line;
+    line.event = LogEvent::kReplicaAssigned;
+    line.detail = ToString(self->replica);
+    m_outbox.Push(line);
+  }
   AdoptClaimed(now);
   WatchDependencies(now);
   // An operator's drain reaches the agent as a record, like everybody else.
   if (self != nullptr && self->leaving) On(StopRequested{}, now);
-  const bool superseded =
-      self != nullptr && self->IsClaimed() && !m_draining;
+  const bool superseded = self != nullptr && self->IsClaimed() && !m_draining;
   if (!superseded) return;
   // Another node owns our programs. Whatever we still hold is out of date, so
   // this incarnation ends; the platform starts the next one.
@@ -249,8 +253,8 @@
 
 void Agent::LogContracts() {
   for (const auto& [customer, contract] : m_control.contracts()) {
-    Offset& logged = m_logged_contracts.try_emplace(customer, kNoOffset)
-                         .first->second;
+    Offset& logged =
+        m_logged_contracts.try_emplace(customer, kNoOffset).first->second;
     if (logged == contract.version) continue;
     logged = contract.version;
     LogLine line;
--- a/src/yuccawick/core/agent.h
+++ b/src/yuccawick/core/agent.h
@@ -44,17 +44,17 @@
   std::vector<Command> Handle(Time now, const Event& event);
 
   // Inspection, for status pages and tests.
-  const Control&    control() const { return m_control; }
-  const Membership& membership() const { return m_membership; }
-  const Budget&     budget() const { return m_budget; }
-  const Durability& durability() const { return m_durability; }
-  const Executor&   executor() const { return m_executor; }
-  const Home&       home() const { return m_home; }
+  const Control&     control() const { return m_control; }
+  const Membership&  membership() const { return m_membership; }
+  const Budget&      budget() const { return m_budget; }
+  const Durability&  durability() const { return m_durability; }
+  const Executor&    executor() const { return m_executor; }
+  const Home&        home() const { return m_home; }
   const BackupStore& backups() const { return m_backups; }
-  ConfigPhase       config_phase() const { return m_tail.phase(); }
-  bool              IsJoined() const { return m_executor.IsJoined(); }
-  bool              IsDraining() const { return m_draining; }
-  const NodeRef&    self() const { return m_self; }
+  ConfigPhase        config_phase() const { return m_tail.phase(); }
+  bool               IsJoined() const { return m_executor.IsJoined(); }
+  bool               IsDraining() const { return m_draining; }
+  const NodeRef&     self() const { return m_self; }
 
  private:
   // Events.
@@ -74,24 +74,24 @@
   void OnProbe(const NodeRef& from, const Probe& probe, Time now);
 
   // Membership and ownership.
-  void OnControlChanged(Time now);
-  void LogContracts();
-  void KeepJoined(Time now);
-  void KeepReplica(Time now);
+  void    OnControlChanged(Time now);
+  void    LogContracts();
+  void    KeepJoined(Time now);
+  void    KeepReplica(Time now);
   NodeRef ChooseReplica() const;
-  void ClaimLostHomes(Time now);
-  bool IsFirstToClaim(const NodeRef& target) const;
-  void AppendClaim(const NodeRef& target, const NodeRef& adopter, Time now);
-  void AdoptClaimed(Time now);
-  void ReadHistory(const NodeRef& target, Offset from);
-  void OnHistoryRead(const ReadDone& done, Time now);
-  void WatchDependencies(Time now);
+  void    ClaimLostHomes(Time now);
+  bool    IsFirstToClaim(const NodeRef& target) const;
+  void    AppendClaim(const NodeRef& target, const NodeRef& adopter, Time now);
+  void    AdoptClaimed(Time now);
+  void    ReadHistory(const NodeRef& target, Offset from);
+  void    OnHistoryRead(const ReadDone& done, Time now);
+  void    WatchDependencies(Time now);
 
   // Planned stop.
   void Drain(Time now);
   bool MayRetry(Time* last, Time now) const;
 
-  void RetryFunding(Time now);
+  void                 RetryFunding(Time now);
   std::vector<Command> TakeCommands(Time now);
 
   AgentSettings m_settings;
--- a/src/yuccawick/core/budget.cc
+++ b/src/yuccawick/core/budget.cc
@@ -153,7 +153,7 @@
   const ContractInForce& contract = *m_control.FindContract(customer);
   const GrantCheckpoint& state = account->ledger.state(resource);
   const std::int64_t     total = TotalOf(contract, resource);
-  const bool new_period = state.period < purse.period;
+  const bool             new_period = state.period < purse.period;
   const std::int64_t     granted = new_period ? 0 : state.granted;
   const std::int64_t     left = total - granted;
   const std::int64_t     missing = amount - purse.available;
@@ -190,8 +190,7 @@
 }
 
 void Budget::ReadOn(const std::string& customer, Account* account, Time now) {
-  account->read =
-      m_outbox.Read(GrantStream(customer), account->ledger.next());
+  account->read = m_outbox.Read(GrantStream(customer), account->ledger.next());
   account->since = now;
 }
 
@@ -201,7 +200,7 @@
   if (contract == nullptr) return;
   Account& account = m_accounts[customer];
   RollPeriod(*contract, &account, now);
-  Purse& purse = PurseOf(&account, resource);
+  Purse&     purse = PurseOf(&account, resource);
   // Reserved under a total that has been lowered since: it may not be spent
   // again, or programs would exceed what the amended contract grants.
   const bool lowered = IsLowered(*contract, account, resource);
@@ -233,7 +232,7 @@
     const Effect effect = account->ledger.Apply(logged, done.earliest);
     const auto*  grant = std::get_if<GrantRecord>(&logged.record);
     if (grant == nullptr || grant->holder != m_self) continue;
-    Purse& purse = PurseOf(account, grant->resource);
+    Purse&     purse = PurseOf(account, grant->resource);
     // What was given back left the purse when it was written.
     const bool credit = effect == Effect::kApplied && grant->amount > 0 &&
                         grant->period == purse.period &&
@@ -268,8 +267,8 @@
       account.log_down_until = now + Info(Reason::kLogUnavailable).retry_after;
       m_on_change(customer);
     }
-    ReturnSpare(customer, &account, Resource::kPrograms,
-                m_settings.spare_slots, now);
+    ReturnSpare(customer, &account, Resource::kPrograms, m_settings.spare_slots,
+                now);
   }
   OnContracts(now);
 }
@@ -294,7 +293,7 @@
                        Resource resource) const {
   const GrantCheckpoint& state = account.ledger.state(resource);
   const std::int64_t     total = TotalOf(contract, resource);
-  const bool amended =
+  const bool             amended =
       state.version != kNoOffset && contract.version > state.version;
   return (amended && total < state.total) || state.granted > total;
 }
@@ -318,8 +317,9 @@
 }
 
 bool Budget::IsQuiet() const {
-  return std::all_of(m_accounts.begin(), m_accounts.end(),
-                     [](const auto& entry) { return entry.second.append == 0; });
+  return std::all_of(
+      m_accounts.begin(), m_accounts.end(),
+      [](const auto& entry) { return entry.second.append == 0; });
 }
 
 std::int64_t Budget::AvailableOf(const std::string& customer,
--- a/src/yuccawick/core/budget.h
+++ b/src/yuccawick/core/budget.h
@@ -27,7 +27,7 @@
   // Folds one record in. `earliest` is the first offset the log still holds.
   Effect Apply(const LoggedRecord& logged, Offset earliest);
   // Notes that the stream has been read up to `end`.
-  void ReadTo(Offset end, Offset earliest);
+  void   ReadTo(Offset end, Offset earliest);
 
   // False until enough has been read to know the sums.
   bool                   IsKnown(Resource resource) const;
@@ -39,9 +39,9 @@
 
  private:
   struct Account {
-    GrantCheckpoint                 state;
-    bool                            known = false;
-    std::vector<LoggedRecord>       unplaced;  // read before a usable checkpoint
+    GrantCheckpoint           state;
+    bool                      known = false;
+    std::vector<LoggedRecord> unplaced;  // read before a usable checkpoint
     std::map<NodeRef, std::int64_t> outstanding;
   };
   static Effect Fold(Offset offset, const GrantRecord& grant, Account* account);
@@ -66,7 +66,7 @@
   // Unused slots above this many are given back.
   std::int64_t spare_slots = 8;
   // An append or read without an answer is given up after this long, ms.
-  Duration log_timeout = 3000;
+  Duration     log_timeout = 3000;
 };
 
 class Budget {
@@ -82,10 +82,10 @@
                   std::int64_t amount, Time now);
   // Gives back what was reserved and not used. Tokens of a past period are
   // dropped: their total is no longer in force.
-  void Release(const std::string& customer, Resource resource,
-               std::int64_t amount, Time now);
+  void    Release(const std::string& customer, Resource resource,
+                  std::int64_t amount, Time now);
   // Slots that came with an adopted program.
-  void Inherit(const std::string& customer, std::int64_t slots);
+  void    Inherit(const std::string& customer, std::int64_t slots);
 
   void OnAppend(const AppendDone& done, Time now);
   void OnRead(const ReadDone& done, Time now);
@@ -119,20 +119,19 @@
   static Purse& PurseOf(Account* account, Resource resource);
   std::int64_t  TotalOf(const ContractInForce& contract,
                         Resource               resource) const;
-  void          RollPeriod(const ContractInForce& contract, Account* account,
-                           Time now);
-  Funding       Ask(const std::string& customer, Account* account,
-                    Resource resource, std::int64_t amount, Time now);
-  void          Write(const std::string& customer, Account* account,
-                      Resource resource, std::int64_t amount, Time now);
-  void          ReadOn(const std::string& customer, Account* account, Time now);
+  void RollPeriod(const ContractInForce& contract, Account* account, Time now);
+  Funding Ask(const std::string& customer, Account* account, Resource resource,
+              std::int64_t amount, Time now);
+  void Write(const std::string& customer, Account* account, Resource resource,
+             std::int64_t amount, Time now);
+  void ReadOn(const std::string& customer, Account* account, Time now);
   // Sets everything above `keep` aside and writes it back when the log allows.
-  void          ReturnSpare(const std::string& customer, Account* account,
-                            Resource resource, std::int64_t keep, Time now);
+  void ReturnSpare(const std::string& customer, Account* account,
+                   Resource resource, std::int64_t keep, Time now);
   // True if the contract in force grants less than the slices already out.
-  bool          IsLowered(const ContractInForce& contract,
-                          const Account& account, Resource resource) const;
-  void          Absorb(const ReadDone& done, Account* account);
+  bool IsLowered(const ContractInForce& contract, const Account& account,
+                 Resource resource) const;
+  void Absorb(const ReadDone& done, Account* account);
 
   NodeRef                                 m_self;
   BudgetSettings                          m_settings;
--- a/src/yuccawick/core/chart.cc
+++ b/src/yuccawick/core/chart.cc
@@ -19,12 +19,12 @@
 // ---- Names
 
 constexpr std::array<std::string_view, 7> kFaultNames{
-    "bad_line", "unknown_state", "unknown_event",    "duplicate",
+    "bad_line", "unknown_state", "unknown_event", "duplicate",
     "no_start", "unreachable",   "unused_event"};
 const NameList kProgramStates{"idle",     "funding",    "recording", "running",
                               "settling", "recovering", "ended"};
-const NameList kProgramEvents{"call_ready", "funded",  "recorded",
-                              "refused",    "answered", "durable",
+const NameList kProgramEvents{"call_ready", "funded",    "recorded",
+                              "refused",    "answered",  "durable",
                               "adopted",    "recovered", "end"};
 const NameList kCallStates{"queued", "running", "done"};
 const NameList kCallEvents{"start", "finish", "give_up"};
--- a/src/yuccawick/core/chart.h
+++ b/src/yuccawick/core/chart.h
@@ -9,17 +9,17 @@
 // The core interprets them; nothing else says which transition is legal. Each
 // chart is checked against the enums of its states and events when it is
 // loaded: unknown names, unreachable states and states no enum value names are
-// errors. Charts are compiled into the program as text, since VMs keep no files.
+// errors. Charts are compiled into the program as text, since VMs keep no
+// files.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <utility>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 namespace yuccawick::core {
 
 enum class ChartFault : std::uint8_t {
@@ -46,9 +46,9 @@
   static tl::expected<Chart, ChartError> Parse(std::string_view text,
                                                const NameList&  states,
                                                const NameList&  events);
-  int start() const { return m_start; }
+  int                                    start() const { return m_start; }
   // The next state, or -1 if the event is not allowed there.
-  int Next(int state, int event) const;
+  int                                    Next(int state, int event) const;
 
  private:
   Chart(std::size_t states, std::size_t events);
@@ -68,7 +68,7 @@
 
   State Start() const { return static_cast<State>(m_chart.start()); }
   bool  Allows(State state, Event event) const {
-    return m_chart.Next(Index(state), Index(event)) >= 0;
+     return m_chart.Next(Index(state), Index(event)) >= 0;
   }
   // Moves `state` on; false, and no move, if the chart has no such transition.
   bool Fire(State* state, Event event) const {
@@ -89,16 +89,34 @@
 // The charts of this project, parsed once; a chart that does not load ends the
 // process with the fault, since nothing can be decided without it.
 enum class ProgramPhase : std::uint8_t {
-  kIdle, kFunding, kRecording, kRunning, kSettling, kRecovering, kEnded
+  kIdle,
+  kFunding,
+  kRecording,
+  kRunning,
+  kSettling,
+  kRecovering,
+  kEnded
 };
 enum class ProgramEvent : std::uint8_t {
-  kCallReady, kFunded, kRecorded, kRefused, kAnswered, kDurable, kAdopted,
-  kRecovered, kEnd
+  kCallReady,
+  kFunded,
+  kRecorded,
+  kRefused,
+  kAnswered,
+  kDurable,
+  kAdopted,
+  kRecovered,
+  kEnd
 };
 enum class CallPhase : std::uint8_t { kQueued, kRunning, kDone };
 enum class CallEvent : std::uint8_t { kStart, kFinish, kGiveUp };
-enum class PeerPhase : std::uint8_t { kUnknown, kAlive, kSuspect, kLeaving,
-                                      kGone };
+enum class PeerPhase : std::uint8_t {
+  kUnknown,
+  kAlive,
+  kSuspect,
+  kLeaving,
+  kGone
+};
 enum class PeerEvent : std::uint8_t { kHeard, kSilent, kLeave, kRemoved };
 enum class ConfigPhase : std::uint8_t { kNone, kCurrent, kBehind };
 enum class ConfigEvent : std::uint8_t { kRead, kReadFailed, kFromPeer };
--- a/src/yuccawick/core/contract.cc
+++ b/src/yuccawick/core/contract.cc
@@ -17,16 +17,17 @@
 constexpr std::int64_t kWeekDays = 7;
 
 constexpr std::array<std::string_view, 14> kFaultNames{
-    "bad_customer",    "max_programs",  "max_turns",       "program_budget",
-    "total_budget",    "period",        "idle_timeout",    "cache_weight",
-    "no_class",        "bad_class_name", "duplicate_class", "priority",
-    "max_wait",        "wait_above_timeout"};
+    "bad_customer",   "max_programs",      "max_turns",
+    "program_budget", "total_budget",      "period",
+    "idle_timeout",   "cache_weight",      "no_class",
+    "bad_class_name", "duplicate_class",   "priority",
+    "max_wait",       "wait_above_timeout"};
 
 bool Within(std::int64_t value, std::int64_t low, std::int64_t high) {
   return value >= low && value <= high;
 }
 
-void ValidateClasses(const Contract& contract,
+void ValidateClasses(const Contract&             contract,
                      std::vector<ContractFault>* faults) {
   if (contract.classes.empty()) faults->push_back(ContractFault::kNoClass);
   std::set<std::string_view> names;
@@ -51,7 +52,7 @@
 
 std::vector<ContractFault> Validate(const Contract& contract) {
   std::vector<ContractFault> faults;
-  const auto require = [&faults](bool ok, ContractFault fault) {
+  const auto                 require = [&faults](bool ok, ContractFault fault) {
     if (!ok) faults.push_back(fault);
   };
   require(IsValidName(contract.customer), ContractFault::kBadCustomer);
--- a/src/yuccawick/core/control.cc
+++ b/src/yuccawick/core/control.cc
@@ -9,7 +9,7 @@
 // them still lead to their programs. At 500 records a day that is 16 days.
 constexpr Offset kKeepClaimed = 8192;
 // A chain of claims longer than this is a fold gone wrong.
-constexpr int kMaxClaimChain = 64;
+constexpr int    kMaxClaimChain = 64;
 
 }  // namespace
 
@@ -40,16 +40,14 @@
   m_contracts.clear();
   m_members.clear();
   m_newest_on_vm.clear();
-  for (const auto& c : snapshot.contracts)
-    m_contracts[c.contract.customer] = c;
+  for (const auto& c : snapshot.contracts) m_contracts[c.contract.customer] = c;
   std::vector<const Member*> by_join;
   for (const auto& m : snapshot.members) {
     m_members[m.join.node] = m;
     by_join.push_back(&m);
   }
-  std::sort(by_join.begin(), by_join.end(), [](const auto* a, const auto* b) {
-    return a->joined < b->joined;
-  });
+  std::sort(by_join.begin(), by_join.end(),
+            [](const auto* a, const auto* b) { return a->joined < b->joined; });
   for (const auto* m : by_join) m_newest_on_vm[m->join.node.vm] = m->join.node;
   m_version = snapshot.as_of;
   return Effect::kApplied;
@@ -58,8 +56,7 @@
 SnapshotRecord Control::Snapshot() const {
   SnapshotRecord snapshot;
   snapshot.as_of = m_version;
-  for (const auto& [customer, c] : m_contracts)
-    snapshot.contracts.push_back(c);
+  for (const auto& [customer, c] : m_contracts) snapshot.contracts.push_back(c);
   for (const auto& [node, m] : m_members) snapshot.members.push_back(m);
   return snapshot;
 }
@@ -121,8 +118,7 @@
 
 Effect Control::Fold(Offset /*offset*/, const ReplicaRecord& record) {
   const auto home = m_members.find(record.home);
-  if (home == m_members.end() || home->second.IsClaimed())
-    return Effect::kVoid;
+  if (home == m_members.end() || home->second.IsClaimed()) return Effect::kVoid;
   const Member* replica = FindMember(record.replica);
   if (replica == nullptr || replica->IsClaimed()) return Effect::kVoid;
   home->second.replica = record.replica;
@@ -149,7 +145,7 @@
   const Offset in_force = current == nullptr ? kNoOffset : current->version;
   // Two operators amending one version at once: the first in log order wins,
   // the other reads back that its record is void and is told of a conflict.
-  const bool checked = m_safeguards.Has(Safeguard::kAmendsVersion);
+  const bool   checked = m_safeguards.Has(Safeguard::kAmendsVersion);
   if (checked && record.amends != in_force) return Effect::kVoid;
   if (!Validate(record.contract).empty()) return Effect::kVoid;
   m_contracts[record.contract.customer] = {offset, record.contract};
--- a/src/yuccawick/core/control.h
+++ b/src/yuccawick/core/control.h
@@ -34,20 +34,20 @@
   Offset         version() const { return m_version; }
   SnapshotRecord Snapshot() const;
   // Offset of the newest snapshot seen on the stream; kNoOffset if none.
-  Offset last_snapshot() const { return m_last_snapshot; }
+  Offset         last_snapshot() const { return m_last_snapshot; }
 
   const ContractInForce* FindContract(const std::string& customer) const;
   const Member*          FindMember(const NodeRef& node) const;
   // The incarnation that last joined on that VM, if any.
-  const Member* FindVm(const std::string& vm) const;
+  const Member*          FindVm(const std::string& vm) const;
   const std::map<NodeRef, Member>& members() const { return m_members; }
   const std::map<std::string, ContractInForce>& contracts() const {
     return m_contracts;
   }
 
   struct Home {
-    NodeRef node;                // who owns the programs now
-    Offset  fence = kNoOffset;   // claim that made it so; kNoOffset: origin
+    NodeRef node;               // who owns the programs now
+    Offset  fence = kNoOffset;  // claim that made it so; kNoOffset: origin
   };
   // Follows claims from a node to the present owner of its programs.
   Home Resolve(const NodeRef& origin) const;
--- a/src/yuccawick/core/control_tail.cc
+++ b/src/yuccawick/core/control_tail.cc
@@ -17,8 +17,7 @@
       m_on_change(std::move(on_change)) {}
 
 void ControlTail::OnTick(Time now) {
-  const bool overdue =
-      m_read != 0 && now - m_read_at > m_settings.read_timeout;
+  const bool overdue = m_read != 0 && now - m_read_at > m_settings.read_timeout;
   if (overdue) {
     m_read = 0;
     OnReadFailed();
--- a/src/yuccawick/core/control_tail.h
+++ b/src/yuccawick/core/control_tail.h
@@ -15,11 +15,11 @@
 namespace yuccawick::core {
 
 struct ControlTailSettings {
-  Duration poll_interval = 2000;        // ms between reads
-  Duration read_timeout = 3000;         // ms until a read is given up
-  Duration snapshot_interval = 3600000; // ms between snapshots; below a third
-                                        // of the log's retention
-  bool     writes_snapshots = true;     // agents do, entries do not
+  Duration poll_interval = 2000;         // ms between reads
+  Duration read_timeout = 3000;          // ms until a read is given up
+  Duration snapshot_interval = 3600000;  // ms between snapshots; below a third
+                                         // of the log's retention
+  bool     writes_snapshots = true;      // agents do, entries do not
 };
 
 class ControlTail {
--- a/src/yuccawick/core/durability.cc
+++ b/src/yuccawick/core/durability.cc
@@ -6,9 +6,9 @@
 namespace yuccawick::core {
 namespace {
 
-constexpr std::size_t kMetaBytes = 200;  // of a delta without its turns
-constexpr std::size_t kTurnBytes = 100;  // of a turn without its texts
-constexpr Duration    kKeepEnded = 60'000;        // well past the next flush
+constexpr std::size_t kMetaBytes = 200;     // of a delta without its turns
+constexpr std::size_t kTurnBytes = 100;     // of a turn without its texts
+constexpr Duration    kKeepEnded = 60'000;  // well past the next flush
 constexpr Duration    kKeepUnassigned = 600'000;  // a candidate copies sooner
 constexpr std::size_t kMostPerAppend = 512;
 constexpr std::size_t kMostBytesPerAppend = 1 << 20;
@@ -44,8 +44,8 @@
   return ticket;
 }
 
-void Durability::SendBatch(Link* link, Ticket ticket,
-                           const ProgramDelta& delta, Time now) {
+void Durability::SendBatch(Link* link, Ticket ticket, const ProgramDelta& delta,
+                           Time now) {
   link->unacked[ticket] = delta;
   link->last_sent = now;
   m_outbox.Send(link->node, Replicate{ticket, {delta}});
@@ -71,9 +71,10 @@
   return m_replica ? &m_replica->node : nullptr;
 }
 
-void Durability::OnAssigned(const NodeRef& replica) {
-  if (replica.vm.empty() || (m_replica && m_replica->node == replica)) return;
-  if (!m_candidate || m_candidate->node != replica) return;
+bool Durability::OnAssigned(const NodeRef& replica) {
+  if (replica.vm.empty() || (m_replica && m_replica->node == replica))
+    return false;
+  if (!m_candidate || m_candidate->node != replica) return false;
   // Deltas it has acknowledged as a candidate were copied to it before it was
   // assigned, but only an assigned replica's word counts: those that wait are
   // sent once more, and its second acknowledgement settles them.
@@ -88,6 +89,7 @@
       m_replica->unacked[item.ticket] = item.delta;
   }
   m_replica->last_sent = 0;
+  return true;
 }
 
 void Durability::OnReplicateReply(const NodeRef&        from,
@@ -107,7 +109,7 @@
 void Durability::OnTick(Time now) {
   if (m_replica) Resend(&*m_replica, now);
   if (m_candidate) Resend(&*m_candidate, now);
-  const bool replica_holds = m_replica && m_replica->unacked.empty();
+  const bool     replica_holds = m_replica && m_replica->unacked.empty();
   const Duration interval =
       replica_holds ? m_settings.flush_interval : m_settings.flush_linger;
   if (now - m_last_flush >= interval) FlushNow(now);
--- a/src/yuccawick/core/durability.h
+++ b/src/yuccawick/core/durability.h
@@ -1,7 +1,8 @@
 // Holding what a home has done safely before it says so.
 //
 // A delta is held once either
-//   - the assigned replica, in another availability zone, has acknowledged it, or
+//   - the assigned replica, in another availability zone, has acknowledged it,
+//   or
 //   - the log has taken it and a read of the control stream begun afterwards
 //     shows no claim of this home.
 // The first costs one exchange between zones and no append; the log is written
@@ -48,11 +49,12 @@
   void StartCandidate(const NodeRef& node, std::vector<ProgramDelta> everything,
                       Time now);
   // True once the candidate has everything and may be assigned.
-  bool           IsCandidateReady() const;
+  bool IsCandidateReady() const;
   const NodeRef* Candidate() const;
   void           DropCandidate() { m_candidate.reset(); }
   // The control stream names this node's replica (empty: none).
-  void           OnAssigned(const NodeRef& replica);
+  // Returns true if that changes it.
+  bool           OnAssigned(const NodeRef& replica);
   const NodeRef* Replica() const;
 
   void OnReplicateReply(const NodeRef& from, const ReplicateReply& reply);
@@ -81,9 +83,9 @@
     std::size_t  bytes = 0;
   };
   struct Link {
-    NodeRef                       node;
+    NodeRef                        node;
     std::map<Ticket, ProgramDelta> unacked;
-    Time                          last_sent = 0;
+    Time                           last_sent = 0;
   };
 
   void SendBatch(Link* link, Ticket ticket, const ProgramDelta& delta,
@@ -101,11 +103,11 @@
   std::optional<Link> m_replica;    // assigned in the control stream
   std::optional<Link> m_candidate;  // being brought up to date
   std::deque<Item>    m_unlogged;
-  std::size_t         m_bytes = 0;      // of m_unlogged and m_appending
-  std::vector<Item>   m_appending;      // under way to the log
-  std::uint64_t       m_append = 0;     // its number; 0: none
-  std::set<Ticket>    m_unconfirmed;    // logged, control not read since
-  std::set<Ticket>    m_confirming;     // covered by m_control_read
+  std::size_t         m_bytes = 0;    // of m_unlogged and m_appending
+  std::vector<Item>   m_appending;    // under way to the log
+  std::uint64_t       m_append = 0;   // its number; 0: none
+  std::set<Ticket>    m_unconfirmed;  // logged, control not read since
+  std::set<Ticket>    m_confirming;   // covered by m_control_read
   std::uint64_t       m_control_read = 0;
   Time                m_last_flush = 0;
   Time                m_retry_at = 0;
@@ -124,16 +126,16 @@
   std::vector<ProgramDelta> Take(const NodeRef& home);
   // Forgets ended programs after a while, and homes that have been claimed by
   // others or have had another replica for a while.
-  void        Forget(const NodeRef& self, Time now);
-  std::size_t ProgramCount() const;
+  void                      Forget(const NodeRef& self, Time now);
+  std::size_t               ProgramCount() const;
 
  private:
   struct Backup {
     std::map<ProgramId, ProgramState> programs;
     Time                              updated = 0;
   };
-  const Control&              m_control;
-  Outbox&                     m_outbox;
+  const Control&            m_control;
+  Outbox&                   m_outbox;
   std::map<NodeRef, Backup> m_homes;
 };
 
--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -52,8 +52,7 @@
       due.push_back(request);
     }
   }
-  for (const auto request : late)
-    GiveUp(request, Refuse(Reason::kDeadline));
+  for (const auto request : late) GiveUp(request, Refuse(Reason::kDeadline));
   for (const auto request : due) TrySend(request, now);
   std::vector<NodeRef> lost;
   for (const auto& [node, peer] : m_membership.peers()) {
@@ -172,8 +171,7 @@
 }
 
 tl::expected<NodeRef, Failure> Entry::Target(const Pending& pending) const {
-  if (!m_tail.HasState())
-    return tl::make_unexpected(Refuse(Reason::kNotReady));
+  if (!m_tail.HasState()) return tl::make_unexpected(Refuse(Reason::kNotReady));
   if (!pending.program.IsSet()) {
     const auto& start = std::get<StartProgram>(pending.message);
     return ChooseHome(start.model, start.request);
@@ -187,7 +185,7 @@
 }
 
 void Entry::TrySend(std::uint64_t request, Time now) {
-  Pending& pending = m_pending.at(request);
+  Pending&   pending = m_pending.at(request);
   const auto target = Target(pending);
   if (!target) {
     if (target.error().reason == Reason::kHomeUnreachable)
@@ -230,8 +228,8 @@
   const auto it = m_pending.find(request);
   if (it == m_pending.end()) return;
   const bool call = std::holds_alternative<CallRequest>(it->second.message);
-  const bool unsure = it->second.may_have_run && call &&
-                      failure.ran == Ran::kNo;
+  const bool unsure =
+      it->second.may_have_run && call && failure.ran == Ran::kNo;
   if (unsure && m_safeguards.Has(Safeguard::kRanAccuracy))
     failure.ran = Ran::kUnknown;
   m_outbox.Refused(failure.reason);
@@ -253,9 +251,9 @@
 
 Entry::Pending* Entry::FindFrom(const NodeRef& from, std::uint64_t request) {
   const auto it = m_pending.find(request);
-  const bool matches = it != m_pending.end() &&
-                       (it->second.sent_to == from ||
-                        !m_safeguards.Has(Safeguard::kReplyMatch));
+  const bool matches =
+      it != m_pending.end() &&
+      (it->second.sent_to == from || !m_safeguards.Has(Safeguard::kReplyMatch));
   if (matches) return &it->second;
   m_outbox.Push(Count{Counter::kStaleMessages, "reply", 1});
   return nullptr;
@@ -293,9 +291,8 @@
   m_pending.erase(request);
 }
 
-void Entry::OnFailure(std::uint64_t request, const Failure& failure,
-                      Time now) {
-  Pending& pending = m_pending.at(request);
+void Entry::OnFailure(std::uint64_t request, const Failure& failure, Time now) {
+  Pending&   pending = m_pending.at(request);
   const bool again = IsRetriable(failure) && pending.streamed.empty() &&
                      now < pending.deadline && !m_draining &&
                      m_retries.Take(pending.attempts);
--- a/src/yuccawick/core/entry.h
+++ b/src/yuccawick/core/entry.h
@@ -23,8 +23,8 @@
   MembershipSettings  membership;
   RetrySettings       retry;
   std::uint64_t       seed = 1;
-  Duration most_parked = 8000;      // ms to wait for a lost home's successor
-  Duration reply_margin = 6000;     // ms past the deadline for the reply
+  Duration most_parked = 8000;        // ms to wait for a lost home's successor
+  Duration reply_margin = 6000;       // ms past the deadline for the reply
   Duration default_deadline = 60000;  // ms, for starts and queries
 };
 
@@ -45,8 +45,8 @@
 
  private:
   struct Pending {
-    Message     message;        // as first given
-    ProgramId   program;        // unset for a start without a parent
+    Message     message;  // as first given
+    ProgramId   program;  // unset for a start without a parent
     Time        arrived = 0;
     Time        deadline = 0;
     int         attempts = 0;
@@ -55,7 +55,7 @@
     NodeRef     sent_to;        // empty: never sent
     Time        sent_at = 0;
     bool        may_have_run = false;  // some attempt may have arrived
-    std::string streamed;       // text already passed on
+    std::string streamed;              // text already passed on
   };
   using Requests = std::map<std::uint64_t, Pending>;
 
@@ -76,13 +76,13 @@
   tl::expected<NodeRef, Failure> Target(const Pending& pending) const;
   tl::expected<NodeRef, Failure> ChooseHome(const std::string& model,
                                             std::uint64_t      request) const;
-  void Park(std::uint64_t request, Time now);
-  void GiveUp(std::uint64_t request, Failure failure);
-  void OnFailure(std::uint64_t request, const Failure& failure, Time now);
-  void OnChunk(const NodeRef& from, const CallChunk& chunk);
-  void OnReply(const NodeRef& from, std::uint64_t request, bool ok,
-               const Failure& failure, const Message& reply, Time now);
-  void LostHome(const NodeRef& node, Time now);
+  void                           Park(std::uint64_t request, Time now);
+  void                           GiveUp(std::uint64_t request, Failure failure);
+  void     OnFailure(std::uint64_t request, const Failure& failure, Time now);
+  void     OnChunk(const NodeRef& from, const CallChunk& chunk);
+  void     OnReply(const NodeRef& from, std::uint64_t request, bool ok,
+                   const Failure& failure, const Message& reply, Time now);
+  void     LostHome(const NodeRef& node, Time now);
   Pending* FindFrom(const NodeRef& from, std::uint64_t request);
   static Message FailureReply(const Message& request_message,
                               std::uint64_t request, const Failure& failure);
--- a/src/yuccawick/core/executor.cc
+++ b/src/yuccawick/core/executor.cc
@@ -72,8 +72,10 @@
   // beyond that must not be taken for a new call.
   if (now > dispatch.call.deadline)
     return Refuse(from, dispatch, core::Refuse(Reason::kDeadline));
-  if (!IsJoined()) return Refuse(from, dispatch, core::Refuse(Reason::kNotReady));
-  if (m_draining) return Refuse(from, dispatch, core::Refuse(Reason::kDraining));
+  if (!IsJoined())
+    return Refuse(from, dispatch, core::Refuse(Reason::kNotReady));
+  if (m_draining)
+    return Refuse(from, dispatch, core::Refuse(Reason::kDraining));
   Enqueue(from, dispatch, now);
 }
 
@@ -81,9 +83,9 @@
                            const CallKey& key) {
   const auto it = m_entries.find(key);
   if (it == m_entries.end()) return false;
-  Entry& entry = it->second;
-  const bool repeated = entry.home == from &&
-                        dispatch.dispatch <= entry.order.dispatch;
+  Entry&     entry = it->second;
+  const bool repeated =
+      entry.home == from && dispatch.dispatch <= entry.order.dispatch;
   const bool finished = entry.phase == CallPhase::kDone;
   // A new attempt at a call that may be repeated runs again.
   if (finished && !repeated && !dispatch.call.unrepeatable) return false;
@@ -173,9 +175,8 @@
     reply.state = FencedState::kRunning;
   } else {
     const DispatchReply& done = it->second.reply;
-    const bool never_ran = !done.ok && done.failure.ran == Ran::kNo;
-    reply.state =
-        never_ran ? FencedState::kNeverSeen : FencedState::kFinished;
+    const bool           never_ran = !done.ok && done.failure.ran == Ran::kNo;
+    reply.state = never_ran ? FencedState::kNeverSeen : FencedState::kFinished;
     reply.ok = done.ok;
     reply.answer = done.answer;
     reply.failure = done.failure;
@@ -264,8 +265,8 @@
   const QueuedCall call = Describe(entry);
   const double     prefill = static_cast<double>(call.prompt - call.cached) /
                          m_settings.prefill_tokens_per_ms;
-  const double decode = static_cast<double>(call.max_tokens) /
-                        m_settings.decode_tokens_per_ms;
+  const double decode =
+      static_cast<double>(call.max_tokens) / m_settings.decode_tokens_per_ms;
   return static_cast<Duration>(prefill + decode);
 }
 
@@ -278,8 +279,7 @@
     if (m_policy.Rank(Describe(other), now) <= rank) work += Estimate(other);
   }
   // Calls at the server are on average halfway through.
-  for (const auto& [run, key] : m_runs)
-    work += Estimate(m_entries.at(key)) / 2;
+  for (const auto& [run, key] : m_runs) work += Estimate(m_entries.at(key)) / 2;
   return work / static_cast<Duration>(m_settings.slots);
 }
 
@@ -287,8 +287,7 @@
   if (m_runs.size() + m_queue.size() < m_settings.slots) return 0;
   Duration work = 0;
   for (const auto& key : m_queue) work += Estimate(m_entries.at(key));
-  for (const auto& [run, key] : m_runs)
-    work += Estimate(m_entries.at(key)) / 2;
+  for (const auto& [run, key] : m_runs) work += Estimate(m_entries.at(key)) / 2;
   return work / static_cast<Duration>(m_settings.slots);
 }
 
@@ -316,7 +315,7 @@
     Entry& entry = m_entries.at(key);
     m_queue.erase(key);
     GetCallChart().Fire(&entry.phase, CallEvent::kGiveUp);
-    const bool past_deadline = now > entry.order.call.deadline;
+    const bool    past_deadline = now > entry.order.call.deadline;
     DispatchReply reply;
     reply.failure = past_deadline
                         ? core::Refuse(Reason::kDeadline)
@@ -330,7 +329,7 @@
 void Executor::OnTick(Time now) {
   GiveUpLate(now);
   for (const auto& [run, key] : m_runs) {
-    Entry& entry = m_entries.at(key);
+    Entry&     entry = m_entries.at(key);
     const bool stop = now > entry.order.call.deadline && !entry.cancelled &&
                       !entry.order.call.unrepeatable;
     if (!stop) continue;
@@ -370,7 +369,7 @@
   std::erase_if(m_fences, [&](const auto& item) {
     const CallKey first{item.first, 0};
     const auto    it = m_entries.lower_bound(first);
-    const bool    known = it != m_entries.end() && it->first.first == item.first;
+    const bool known = it != m_entries.end() && it->first.first == item.first;
     return !known && item.second == kNoOffset;
   });
 }
--- a/src/yuccawick/core/executor.h
+++ b/src/yuccawick/core/executor.h
@@ -23,10 +23,10 @@
 
 struct ExecutorSettings {
   BackendKind kind = BackendKind::kModel;
-  std::size_t slots = 8;                   // calls at the server at once
-  double      prefill_tokens_per_ms = 10;  // to estimate waits
-  double      decode_tokens_per_ms = 0.05; // per call
-  Duration    prefix_hold = 120000;        // ms an unused prefix is kept
+  std::size_t slots = 8;                    // calls at the server at once
+  double      prefill_tokens_per_ms = 10;   // to estimate waits
+  double      decode_tokens_per_ms = 0.05;  // per call
+  Duration    prefix_hold = 120000;         // ms an unused prefix is kept
   Duration    clock_margin = 2000;  // ms a finished call is remembered past
                                     // its deadline
 };
@@ -65,14 +65,14 @@
  private:
   using CallKey = std::pair<ProgramId, Sequence>;
   struct Entry {
-    NodeRef       home;      // who is told the outcome
+    NodeRef       home;  // who is told the outcome
     Dispatch      order;
     CallPhase     phase = CallPhase::kQueued;
     Time          arrived = 0;
     std::uint64_t run = 0;
-    std::uint64_t position = 0;   // bytes streamed
+    std::uint64_t position = 0;  // bytes streamed
     bool          cancelled = false;
-    DispatchReply reply;          // once done
+    DispatchReply reply;  // once done
     Time          done_at = 0;
   };
   struct Prefix {
@@ -80,20 +80,19 @@
     Time   used = 0;
   };
 
-  void     Refuse(const NodeRef& home, const Dispatch& dispatch,
-                  Failure failure);
-  bool     IsFencedOff(const Dispatch& dispatch) const;
+  void Refuse(const NodeRef& home, const Dispatch& dispatch, Failure failure);
+  bool IsFencedOff(const Dispatch& dispatch) const;
   // True if the call was known already and has been dealt with.
-  bool     AnswerKnown(const NodeRef& from, const Dispatch& dispatch,
-                       const CallKey& key);
-  void     Enqueue(const NodeRef& from, const Dispatch& dispatch, Time now);
-  void     Finish(const CallKey& key, DispatchReply reply, Time now);
-  void     StartNext(Time now);
-  void     StartRun(const CallKey& key, Time now);
-  void     GiveUpLate(Time now);
-  void     ForgetOld(Time now);
-  Duration Estimate(const Entry& entry) const;
-  Duration WaitAhead(const Entry& entry, Time now) const;
+  bool AnswerKnown(const NodeRef& from, const Dispatch& dispatch,
+                   const CallKey& key);
+  void Enqueue(const NodeRef& from, const Dispatch& dispatch, Time now);
+  void Finish(const CallKey& key, DispatchReply reply, Time now);
+  void StartNext(Time now);
+  void StartRun(const CallKey& key, Time now);
+  void GiveUpLate(Time now);
+  void ForgetOld(Time now);
+  Duration   Estimate(const Entry& entry) const;
+  Duration   WaitAhead(const Entry& entry, Time now) const;
   QueuedCall Describe(const Entry& entry) const;
 
   NodeRef                          m_self;
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -49,7 +49,7 @@
 
 void Home::OnStart(const NodeRef& from, const StartProgram& start, Time now) {
   const Caller caller{from, start.request};
-  const auto   known = [&](const Start& other) { return other.caller == caller; };
+  const auto known = [&](const Start& other) { return other.caller == caller; };
   if (std::any_of(m_starts.begin(), m_starts.end(), known)) return;
   if (auto ok = CheckStart(start); !ok)
     return ReplyStart(caller, tl::make_unexpected(ok.error()));
@@ -60,8 +60,8 @@
   // Sub-agents share their parent's slot; a slot of their own could leave every
   // parent waiting for a child that gets none.
   if (start.start.parent.IsSet()) return Mint(start, false, now);
-  const Funding funding = m_parts.budget.Reserve(start.start.customer,
-                                                 Resource::kPrograms, 1, now);
+  const Funding funding =
+      m_parts.budget.Reserve(start.start.customer, Resource::kPrograms, 1, now);
   switch (funding) {
     case Funding::kFunded:
       return Mint(start, true, now);
@@ -72,8 +72,8 @@
       }
       [[fallthrough]];
     case Funding::kLogDown:
-      return ReplyStart(start.caller, tl::make_unexpected(
-                                          Refuse(Reason::kLogUnavailable)));
+      return ReplyStart(start.caller,
+                        tl::make_unexpected(Refuse(Reason::kLogUnavailable)));
     case Funding::kRefused:
       return ReplyStart(start.caller,
                         tl::make_unexpected(Refuse(Reason::kProgramLimit)));
@@ -196,7 +196,7 @@
 
 void Home::Advance(Program* program, Time now) {
   if (program->phase != ProgramPhase::kIdle || program->waiting.empty()) return;
-  auto next = program->waiting.begin();
+  auto       next = program->waiting.begin();
   const bool in_order = next->first == program->state.NextSequence();
   // Running a later call first would act on a state its program has not reached
   // yet, e.g. publish a notice before its draft is approved.
@@ -308,9 +308,9 @@
                            Time now) {
   m_parts.membership.OnLoad(from, static_cast<Duration>(reply.load_ms));
   const auto it = m_dispatches.find(reply.dispatch);
-  const auto found = it == m_dispatches.end() ? m_programs.end()
-                                              : m_programs.find(it->second);
-  Program* program = found == m_programs.end() ? nullptr : &found->second;
+  const auto found =
+      it == m_dispatches.end() ? m_programs.end() : m_programs.find(it->second);
+  Program*   program = found == m_programs.end() ? nullptr : &found->second;
   // Answers may be late, repeated or crossed: only the one to the dispatch now
   // running, from the node it went to, is this call's answer.
   const bool matches = program != nullptr && program->active &&
@@ -397,8 +397,7 @@
   program->active.reset();
   Fire(program, ProgramEvent::kDurable);
   const Turn& turn = program->state.turns.at(active.call.sequence);
-  m_parts.outbox.Push(
-      Count{Counter::kCalls, turn.failed ? "failed" : "ok", 1});
+  m_parts.outbox.Push(Count{Counter::kCalls, turn.failed ? "failed" : "ok", 1});
   const bool unknown = turn.failed && turn.failure.ran == Ran::kUnknown;
   Log(unknown ? LogEvent::kOutcomeUnknown : LogEvent::kCallFinished, *program,
       active.call.sequence, turn.failed ? Name(turn.failure.reason) : "");
@@ -478,8 +477,10 @@
       if (now <= active.call.deadline + m_settings.reply_margin) return;
       m_parts.outbox.Send(active.executor, CancelDispatch{active.dispatch});
       m_dispatches.erase(active.dispatch);
-      return Failed(program, {Reason::kDeadline, Ran::kUnknown,
-                              Info(Reason::kDeadline).retry_after}, now);
+      return Failed(program,
+                    {Reason::kDeadline, Ran::kUnknown,
+                     Info(Reason::kDeadline).retry_after},
+                    now);
     case ProgramPhase::kSettling: {
       if (waited <= m_settings.durable_timeout) return;
       // The answer exists but could still be lost: the callers are told so at
@@ -502,8 +503,7 @@
     return true;
   });
   for (const auto& waiting : late) {
-    ReplyAll(waiting.callers,
-             tl::make_unexpected(Refuse(Reason::kDeadline)));
+    ReplyAll(waiting.callers, tl::make_unexpected(Refuse(Reason::kDeadline)));
   }
 }
 
@@ -515,9 +515,8 @@
   const Caller caller{from, cancel.request};
   for (auto& [sequence, waiting] : program.waiting)
     std::erase(waiting.callers, caller);
-  std::erase_if(program.waiting, [](const auto& entry) {
-    return entry.second.callers.empty();
-  });
+  std::erase_if(program.waiting,
+                [](const auto& entry) { return entry.second.callers.empty(); });
   if (!program.active) return;
   std::erase(program.active->callers, caller);
   const bool stop = program.active->callers.empty() &&
@@ -544,7 +543,7 @@
   }
   for (const Ticket ticket : late) {
     const Caller caller = m_started.at(ticket).caller;
-    Program* program = &m_programs.at(m_started_as.at(ticket));
+    Program*     program = &m_programs.at(m_started_as.at(ticket));
     Finish(program, now);
     HoldMeta(program, now);
     m_started.erase(ticket);
@@ -588,8 +587,8 @@
   m_parts.outbox.Push(Count{Counter::kPrograms, "ended", 1});
   Log(LogEvent::kProgramEnded, *program, 0, "");
   for (auto& [child_id, child] : m_programs) {
-    const bool ends = child.state.meta.parent == id &&
-                      child.phase == ProgramPhase::kIdle;
+    const bool ends =
+        child.state.meta.parent == id && child.phase == ProgramPhase::kIdle;
     if (!ends || child.state.meta.ended) continue;
     Finish(&child, now);
     HoldMeta(&child, now);
@@ -672,16 +671,16 @@
     program.adopted_from = {};
     program.state.meta.fence = program.fence;
     m_parts.durability.Hold(program.state.Whole(), now);
-    if (program.phase == ProgramPhase::kRecovering) ResolveIntent(&program, now);
+    if (program.phase == ProgramPhase::kRecovering)
+      ResolveIntent(&program, now);
   }
 }
 
 void Home::ResolveIntent(Program* program, Time now) {
   if (!program->adopted_from.vm.empty()) return;  // history not read yet
   const Intent& intent = program->state.meta.intent;
-  const bool settled =
-      !intent.IsSet() ||
-      program->state.turns.contains(intent.call.sequence);
+  const bool    settled =
+      !intent.IsSet() || program->state.turns.contains(intent.call.sequence);
   if (settled) return Recovered(program, now);
   if (!program->active) {
     Active active;
@@ -714,7 +713,7 @@
                         Time now) {
   const auto found = m_programs.find(reply.program);
   if (found == m_programs.end()) return;
-  Program* program = &found->second;
+  Program*   program = &found->second;
   const bool matches = program->phase == ProgramPhase::kRecovering &&
                        program->active && program->active->executor == from &&
                        program->active->call.sequence == reply.sequence &&
@@ -806,8 +805,7 @@
     const bool  heard = candidate.is_home || peers.contains(node);
     // An engine whose load is not known would look idle: leave it out.
     if (!heard && call.kind == BackendKind::kModel) continue;
-    candidate.usable =
-        candidate.is_home || m_parts.membership.IsUsable(node);
+    candidate.usable = candidate.is_home || m_parts.membership.IsUsable(node);
     candidate.wait = candidate.is_home ? m_parts.executor.LoadMs()
                                        : m_parts.membership.LoadOf(node);
     const auto prefix = program.prefixes.find(node);
@@ -821,8 +819,7 @@
   const auto shift = static_cast<std::ptrdiff_t>(
       PairHash("route", ToString(program.state.meta.id)) % nodes.size());
   std::rotate(nodes.begin(), nodes.begin() + shift, nodes.end());
-  std::rotate(candidates.begin(), candidates.begin() + shift,
-              candidates.end());
+  std::rotate(candidates.begin(), candidates.begin() + shift, candidates.end());
   RouteRequest request;
   request.prompt = EstimateTokens(program.state.Prompt());
   const ContractInForce* contract =
@@ -851,7 +848,7 @@
   m_parts.outbox.Send(caller.entry, std::move(reply));
 }
 
-void Home::ReplyStart(const Caller&                              caller,
+void Home::ReplyStart(const Caller&                           caller,
                       const tl::expected<ProgramId, Failure>& result) {
   StartReply reply;
   reply.request = caller.request;
@@ -865,7 +862,7 @@
   m_parts.outbox.Send(caller.entry, std::move(reply));
 }
 
-void Home::ReplyQuery(const Caller&                                 caller,
+void Home::ReplyQuery(const Caller&                              caller,
                       const tl::expected<ProgramDelta, Failure>& result) {
   ProgramReply reply;
   reply.request = caller.request;
--- a/src/yuccawick/core/home.h
+++ b/src/yuccawick/core/home.h
@@ -82,13 +82,13 @@
   void OnHistory(const HistoryRecord& record, Time now);
   void OnHistoryComplete(const NodeRef& target, Time now);
 
-  void StartDraining() { m_draining = true; }
+  void                        StartDraining() { m_draining = true; }
   // Calls and starts not yet answered.
-  std::size_t InFlight() const;
-  std::size_t ProgramCount() const { return m_programs.size(); }
+  std::size_t                 InFlight() const;
+  std::size_t                 ProgramCount() const { return m_programs.size(); }
   // State of every program, for a new replica.
-  std::vector<ProgramDelta> Everything() const;
-  const ProgramState*       Find(const ProgramId& id) const;
+  std::vector<ProgramDelta>   Everything() const;
+  const ProgramState*         Find(const ProgramId& id) const;
   std::optional<ProgramPhase> PhaseOf(const ProgramId& id) const;
 
  private:
@@ -134,7 +134,7 @@
 
   // Starting and ending.
   tl::expected<void, Failure> CheckStart(const StartProgram& start) const;
-  void TryStart(const Start& start, Time now);
+  void                        TryStart(const Start& start, Time now);
   void Mint(const Start& start, bool holds_slot, Time now);
   void Finish(Program* program, Time now);
   void ReleasePrefixes(Program* program);
@@ -144,8 +144,8 @@
   tl::expected<Program*, Failure> FindFor(const ProgramId&   id,
                                           const std::string& customer,
                                           const std::string& workspace);
-  tl::expected<void, Failure>     CheckNew(const Program& program,
-                                           const Call& call, Time now) const;
+  tl::expected<void, Failure> CheckNew(const Program& program, const Call& call,
+                                       Time now) const;
   bool AnswerKnown(Program* program, const Caller& caller, const Call& call);
   void Advance(Program* program, Time now);
   void Fund(Program* program, Time now);
@@ -153,8 +153,8 @@
   void Send(Program* program, Time now);
   void Refused(Program* program, Failure failure, Time now);
   void Failed(Program* program, Failure failure, Time now);
-  void Settle(Program* program, const Answer& answer,
-              const Failure* failure, Time now);
+  void Settle(Program* program, const Answer& answer, const Failure* failure,
+              Time now);
   void Answered(Program* program, Time now);
   void OnTimeouts(Program* program, Time now);
   void DropLateWaiting(Program* program, Time now);
@@ -174,9 +174,9 @@
   bool     HasBackend(const Call& call) const;
   void     ReplyAll(const std::vector<Caller>& callers, const Outcome& outcome);
   void     Reply(const Caller& caller, const Outcome& outcome);
-  void     ReplyStart(const Caller&                              caller,
+  void     ReplyStart(const Caller&                           caller,
                       const tl::expected<ProgramId, Failure>& result);
-  void     ReplyQuery(const Caller&                                 caller,
+  void     ReplyQuery(const Caller&                              caller,
                       const tl::expected<ProgramDelta, Failure>& result);
   void     Log(LogEvent event, const Program& program, Sequence call,
                std::string_view reason);
@@ -190,11 +190,11 @@
 
   std::uint64_t                      m_minted = 0;
   std::map<ProgramId, Program>       m_programs;
-  std::vector<Start>                 m_starts;         // wait for a slot
-  std::map<Ticket, Start>            m_started;        // wait to be held
+  std::vector<Start>                 m_starts;   // wait for a slot
+  std::map<Ticket, Start>            m_started;  // wait to be held
   std::map<Ticket, ProgramId>        m_started_as;
-  std::map<Ticket, Ending>           m_ending;         // wait to be held
-  std::map<Ticket, ProgramId>        m_tickets;        // of active calls
+  std::map<Ticket, Ending>           m_ending;   // wait to be held
+  std::map<Ticket, ProgramId>        m_tickets;  // of active calls
   std::map<std::uint64_t, ProgramId> m_dispatches;
 };
 
--- a/src/yuccawick/core/membership.cc
+++ b/src/yuccawick/core/membership.cc
@@ -1,9 +1,9 @@
 #include "yuccawick/core/membership.h"
 
-#include <algorithm>
-
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace yuccawick::core {
 
 std::uint64_t PairHash(std::string_view a, std::string_view b) {
@@ -132,7 +132,7 @@
   if (m_unlisted.contains(node.vm)) return false;
   const Member* newest = m_control.FindVm(node.vm);
   if (newest != nullptr && newest->join.node != node) return false;
-  const auto it = m_peers.find(node);
+  const auto      it = m_peers.find(node);
   const PeerPhase phase =
       it == m_peers.end() ? PeerPhase::kUnknown : it->second.phase;
   const bool leaving = member->leaving || phase == PeerPhase::kLeaving;
--- a/src/yuccawick/core/membership.h
+++ b/src/yuccawick/core/membership.h
@@ -19,16 +19,16 @@
 namespace yuccawick::core {
 
 struct MembershipSettings {
-  Duration probe_interval = 500;  // ms between probes of one peer
-  Duration suspect_after = 2000;  // ms of silence
-  std::size_t random_peers = 4;   // probed beside those depended on
+  Duration    probe_interval = 500;  // ms between probes of one peer
+  Duration    suspect_after = 2000;  // ms of silence
+  std::size_t random_peers = 4;      // probed beside those depended on
 };
 
 struct Peer {
   PeerPhase phase = PeerPhase::kUnknown;
-  Time      heard = 0;     // last message from it
-  Time      probed = 0;    // last probe sent
-  Duration  load = 0;      // ms a new call would wait there, as last told
+  Time      heard = 0;   // last message from it
+  Time      probed = 0;  // last probe sent
+  Duration  load = 0;    // ms a new call would wait there, as last told
   Offset    control_version = kNoOffset;
 };
 
@@ -49,14 +49,14 @@
   void OnTick(Time now);
 
   // May be given new work: not suspect, leaving, gone or claimed.
-  bool     IsUsable(const NodeRef& node) const;
-  bool     IsSuspect(const NodeRef& node) const;
+  bool                           IsUsable(const NodeRef& node) const;
+  bool                           IsSuspect(const NodeRef& node) const;
   // Certainly replaced, or silent for long enough to be claimed.
-  bool     IsLost(const NodeRef& node, Time now) const;
-  Duration LoadOf(const NodeRef& node) const;
+  bool                           IsLost(const NodeRef& node, Time now) const;
+  Duration                       LoadOf(const NodeRef& node) const;
   const std::map<NodeRef, Peer>& peers() const { return m_peers; }
   // A peer whose control state is ahead of ours, if any.
-  const NodeRef* PeerAhead() const;
+  const NodeRef*                 PeerAhead() const;
 
  private:
   void  Fire(Peer* peer, PeerEvent event);
@@ -69,7 +69,7 @@
   Outbox&                     m_outbox;
   std::map<NodeRef, Peer>     m_peers;
   std::set<NodeRef>           m_watched;
-  std::map<std::string, bool> m_listed;  // VM to leaving, as last listed
+  std::map<std::string, bool> m_listed;    // VM to leaving, as last listed
   std::set<std::string>       m_unlisted;  // were listed, are no more
   Time                        m_last_tick = 0;
 };
--- a/src/yuccawick/core/messages.cc
+++ b/src/yuccawick/core/messages.cc
@@ -6,7 +6,7 @@
 namespace yuccawick::core {
 namespace {
 
-constexpr std::array<std::string_view, 4> kSeverityNames{"debug", "info",
+constexpr std::array<std::string_view, 4>  kSeverityNames{"debug", "info",
                                                          "warning", "error"};
 constexpr std::array<std::string_view, 17> kEventNames{
     "joined",          "replica_assigned", "contract_in_force",
--- a/src/yuccawick/core/messages.h
+++ b/src/yuccawick/core/messages.h
@@ -146,9 +146,9 @@
 struct Dispatch {
   std::uint64_t dispatch = 0;  // home's number for this attempt
   Offset        fence = kNoOffset;
-  NodeRef       executor;      // the one incarnation meant
+  NodeRef       executor;  // the one incarnation meant
   Call          call;
-  std::string   prompt;        // history before the call; empty for services
+  std::string   prompt;  // history before the call; empty for services
   std::int64_t  priority = 5;
   Duration      max_wait = 0;  // ms it may wait for the backend server
   Tokens        attained = 0;  // service the whole program has had
@@ -404,9 +404,9 @@
 // SIGTERM: finish what is under way, take nothing new, hand over, stop.
 struct StopRequested {};
 
-using Event = std::variant<Tick, MessageReceived, CallerMessage, SendFailed, AppendDone,
-                           ReadDone, VmListRead, RunChunk, RunDone,
-                           StopRequested>;
+using Event =
+    std::variant<Tick, MessageReceived, CallerMessage, SendFailed, AppendDone,
+                 ReadDone, VmListRead, RunChunk, RunDone, StopRequested>;
 
 // ---- Commands: what the core tells a daemon
 
@@ -516,9 +516,9 @@
   StopCause cause = StopCause::kDrained;
 };
 
-using Command = std::variant<SendMessage, AppendRecords, ReadRecords, RunCall,
-                             CancelRun, ReleasePrefix, ReplyToCaller, LogLine,
-                             Count, Stop>;
+using Command =
+    std::variant<SendMessage, AppendRecords, ReadRecords, RunCall, CancelRun,
+                 ReleasePrefix, ReplyToCaller, LogLine, Count, Stop>;
 
 // Collects commands for the shell, and numbers appends, reads and the like.
 class Outbox {
@@ -531,7 +531,7 @@
   void          Retried(Reason reason);
 
   // A number never given before by this outbox.
-  std::uint64_t NextNumber() { return ++m_number; }
+  std::uint64_t        NextNumber() { return ++m_number; }
   // Takes the commands collected since the last call, in order.
   std::vector<Command> Take();
 
--- a/src/yuccawick/core/program.h
+++ b/src/yuccawick/core/program.h
@@ -50,7 +50,7 @@
   ProgramId   program;
   std::string customer;
   std::string workspace;
-  Sequence    sequence = 0;          // 1 for the first call of the program
+  Sequence    sequence = 0;  // 1 for the first call of the program
   BackendKind kind = BackendKind::kModel;
   std::string target;                // model or service name
   std::string body;                  // new user content or tool arguments
@@ -79,11 +79,11 @@
 // A finished call. An unrepeatable call whose outcome nobody can know is a turn
 // too, so that it is never run again.
 struct Turn {
-  Call        call;
-  Answer      answer;
-  bool        failed = false;  // `failure` holds, not `answer`
-  Failure     failure;
-  Offset      fence = kNoOffset;  // claim its owner held when writing this
+  Call    call;
+  Answer  answer;
+  bool    failed = false;  // `failure` holds, not `answer`
+  Failure failure;
+  Offset  fence = kNoOffset;  // claim its owner held when writing this
 
   Outcome ToOutcome() const;
   template <class V>
@@ -114,15 +114,15 @@
   ProgramId     id;
   std::string   customer;
   std::string   workspace;
-  std::string   model;          // the model the program was started for
-  std::string   service_class;  // class of the contract
-  ProgramId     parent;         // set for a sub-agent
+  std::string   model;              // the model the program was started for
+  std::string   service_class;      // class of the contract
+  ProgramId     parent;             // set for a sub-agent
   Offset        fence = kNoOffset;  // claim its owner held when writing this
-  std::uint64_t revision = 0;   // grows with every change of one owner
-  Tokens        spent = 0;      // own spending, reservations included
+  std::uint64_t revision = 0;       // grows with every change of one owner
+  Tokens        spent = 0;          // own spending, reservations included
   bool          ended = false;
   Time          last_active = 0;
-  Intent        intent;         // open unrepeatable call
+  Intent        intent;  // open unrepeatable call
 
   template <class V>
   void Visit(V& v) {
@@ -156,10 +156,10 @@
   ProgramMeta              meta;
   std::map<Sequence, Turn> turns;
 
-  Sequence NextSequence() const;
+  Sequence     NextSequence() const;
   // Text the engine is given before the new call: every finished model turn.
-  std::string Prompt() const;
-  void        Apply(const ProgramDelta& delta);
+  std::string  Prompt() const;
+  void         Apply(const ProgramDelta& delta);
   // Everything, for a new replica or a rewrite in the log.
   ProgramDelta Whole() const;
 };
--- a/src/yuccawick/core/records.h
+++ b/src/yuccawick/core/records.h
@@ -24,7 +24,7 @@
 // fencing number of the orders it gives to that server.
 struct JoinRecord {
   NodeRef     node;
-  std::string zone;     // availability zone
+  std::string zone;  // availability zone
   BackendKind kind = BackendKind::kModel;
   std::string target;   // model or service name
   std::string address;  // host:port of its RPC listener
--- a/src/yuccawick/core/retry.cc
+++ b/src/yuccawick/core/retry.cc
@@ -34,10 +34,10 @@
 }
 
 Duration RetryBudget::Wait(int attempts_made, Duration asked_for) {
-  constexpr int kMostDoublings = 16;
-  const int     doublings = std::min(attempts_made, kMostDoublings);
-  const Duration cap = std::min(m_settings.longest_wait,
-                                m_settings.first_wait << doublings);
+  constexpr int  kMostDoublings = 16;
+  const int      doublings = std::min(attempts_made, kMostDoublings);
+  const Duration cap =
+      std::min(m_settings.longest_wait, m_settings.first_wait << doublings);
   std::uniform_int_distribution<Duration> jitter(cap / 2, cap);
   return std::max(asked_for, jitter(m_random));
 }
--- a/src/yuccawick/core/retry.h
+++ b/src/yuccawick/core/retry.h
@@ -14,10 +14,10 @@
 namespace yuccawick::core {
 
 struct RetrySettings {
-  double   per_request = 0.2;   // retry tokens a fresh request adds
-  double   burst = 50;          // most tokens saved up
-  Duration first_wait = 50;     // ms before the first retry, doubled each time
-  Duration longest_wait = 1000; // ms
+  double   per_request = 0.2;    // retry tokens a fresh request adds
+  double   burst = 50;           // most tokens saved up
+  Duration first_wait = 50;      // ms before the first retry, doubled each time
+  Duration longest_wait = 1000;  // ms
   int      most_attempts = 12;
 };
 
@@ -29,9 +29,9 @@
  public:
   RetryBudget(RetrySettings settings, std::uint64_t seed);
 
-  void OnFreshRequest();
+  void     OnFreshRequest();
   // Takes one token; false if there is none or the attempts are used up.
-  bool Take(int attempts_made);
+  bool     Take(int attempts_made);
   // Wait before attempt number `attempts_made` + 1, at least what the refusing
   // node asked for.
   Duration Wait(int attempts_made, Duration asked_for);
--- a/src/yuccawick/core/scheduling.cc
+++ b/src/yuccawick/core/scheduling.cc
@@ -67,8 +67,8 @@
                                   static_cast<double>(request.cache_weight) /
                                   kFullWeight;
   return Cheapest(candidates, [&](const RouteCandidate& c) {
-    const auto missing = static_cast<double>(
-        std::max<Tokens>(0, request.prompt - c.cached));
+    const auto missing =
+        static_cast<double>(std::max<Tokens>(0, request.prompt - c.cached));
     return static_cast<double>(c.wait) +
            weight * missing / m_prefill_tokens_per_ms;
   });
--- a/src/yuccawick/core/scheduling.h
+++ b/src/yuccawick/core/scheduling.h
@@ -19,13 +19,13 @@
 namespace yuccawick::core {
 
 struct QueuedCall {
-  std::int64_t priority = 5;      // 0 first, 9 last
-  Tokens       attained = 0;      // service its program has had, tokens
-  Tokens       prompt = 0;        // tokens of the prompt
-  Tokens       cached = 0;        // of these, likely in the prefix cache
-  Tokens       max_tokens = 0;    // most tokens to generate
-  std::int64_t cache_weight = 50; // 0 latency .. 100 cache
-  Duration     max_wait = 0;      // ms it may wait
+  std::int64_t priority = 5;       // 0 first, 9 last
+  Tokens       attained = 0;       // service its program has had, tokens
+  Tokens       prompt = 0;         // tokens of the prompt
+  Tokens       cached = 0;         // of these, likely in the prefix cache
+  Tokens       max_tokens = 0;     // most tokens to generate
+  std::int64_t cache_weight = 50;  // 0 latency .. 100 cache
+  Duration     max_wait = 0;       // ms it may wait
   Time         arrived = 0;
 };
 
@@ -34,7 +34,7 @@
   virtual ~QueuePolicy() = default;
   virtual std::string_view Name() const = 0;
   // The call of lowest rank runs next.
-  virtual double Rank(const QueuedCall& call, Time now) const = 0;
+  virtual double           Rank(const QueuedCall& call, Time now) const = 0;
 };
 
 // First come, first served.
@@ -53,10 +53,10 @@
 };
 
 struct RouteCandidate {
-  bool     usable = true;      // alive and not leaving
-  Duration wait = 0;           // ms a new call would wait there
-  Tokens   cached = 0;         // tokens of its prompt likely cached there
-  bool     is_home = false;    // the program's own server
+  bool     usable = true;    // alive and not leaving
+  Duration wait = 0;         // ms a new call would wait there
+  Tokens   cached = 0;       // tokens of its prompt likely cached there
+  bool     is_home = false;  // the program's own server
 };
 
 struct RouteRequest {
@@ -69,24 +69,24 @@
   virtual ~RoutePolicy() = default;
   virtual std::string_view Name() const = 0;
   // Index of the chosen candidate, or -1 if none is usable.
-  virtual int Choose(const RouteRequest&                request,
-                     const std::vector<RouteCandidate>& candidates) const = 0;
+  virtual int              Choose(const RouteRequest&                request,
+                                  const std::vector<RouteCandidate>& candidates) const = 0;
 };
 
 // Shortest wait.
 class LeastLoadedRoute : public RoutePolicy {
  public:
   std::string_view Name() const override { return "least_loaded"; }
-  int Choose(const RouteRequest&                request,
-             const std::vector<RouteCandidate>& candidates) const override;
+  int              Choose(const RouteRequest&                request,
+                          const std::vector<RouteCandidate>& candidates) const override;
 };
 
 // Always the program's own server while it is usable.
 class StickyRoute : public RoutePolicy {
  public:
   std::string_view Name() const override { return "sticky"; }
-  int Choose(const RouteRequest&                request,
-             const std::vector<RouteCandidate>& candidates) const override;
+  int              Choose(const RouteRequest&                request,
+                          const std::vector<RouteCandidate>& candidates) const override;
 };
 
 // Wait there plus the time to compute what is not cached there, the latter
@@ -96,8 +96,8 @@
   explicit CacheAwareRoute(double prefill_tokens_per_ms)
       : m_prefill_tokens_per_ms(prefill_tokens_per_ms) {}
   std::string_view Name() const override { return "cache_aware"; }
-  int Choose(const RouteRequest&                request,
-             const std::vector<RouteCandidate>& candidates) const override;
+  int              Choose(const RouteRequest&                request,
+                          const std::vector<RouteCandidate>& candidates) const override;
 
  private:
   double m_prefill_tokens_per_ms;
--- a/src/yuccawick/core/types.h
+++ b/src/yuccawick/core/types.h
@@ -10,16 +10,15 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-
 #include <tl/expected.hpp>
 
 namespace yuccawick::core {
 
-using Time = std::int64_t;      // milliseconds since the Unix epoch
-using Duration = std::int64_t;  // milliseconds
-using Tokens = std::int64_t;    // engine tokens, the unit of every budget
-using Offset = std::int64_t;    // position of a record in a log stream
-using Sequence = std::uint32_t; // position of a call in its program, from 1
+using Time = std::int64_t;       // milliseconds since the Unix epoch
+using Duration = std::int64_t;   // milliseconds
+using Tokens = std::int64_t;     // engine tokens, the unit of every budget
+using Offset = std::int64_t;     // position of a record in a log stream
+using Sequence = std::uint32_t;  // position of a call in its program, from 1
 
 constexpr Offset kNoOffset = -1;  // "before every record"
 
@@ -64,9 +63,9 @@
   return to == self || (to.vm == self.vm && to.incarnation == 0);
 }
 
-std::string                               ToString(const NodeRef& node);
-std::string                               ToString(const ProgramId& id);
-tl::expected<ProgramId, ParseError>       ParseProgramId(std::string_view text);
+std::string                         ToString(const NodeRef& node);
+std::string                         ToString(const ProgramId& id);
+tl::expected<ProgramId, ParseError> ParseProgramId(std::string_view text);
 
 // True for names safe in ids, stream names and URLs: [a-z0-9-], 1 to 63 long.
 bool IsValidName(std::string_view name);
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -2,6 +2,9 @@
 //
 // Exit codes: 0 stopped as asked, 2 bad settings, 3 superseded (another agent
 // has claimed this one's programs; the platform starts the next incarnation).
+#include <Poco/JSON/Object.h>
+#include <gflags/gflags.h>
+
 #include <atomic>
 #include <iostream>
 #include <map>
@@ -9,9 +12,6 @@
 #include <mutex>
 #include <sstream>
 
-#include <Poco/JSON/Object.h>
-#include <gflags/gflags.h>
-
 #include "yuccawick/core/agent.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
@@ -27,7 +27,8 @@
 DEFINE_string(backend, "", "host:port of the backend server beside this agent");
 DEFINE_string(kind, "model", "kind of backend server: model or service");
 DEFINE_string(target, "", "name of the model or service it serves");
-DEFINE_int32(slots, 0, "calls given to it at once; 0: 8 for models, 1 for services");
+DEFINE_int32(slots, 0,
+             "calls given to it at once; 0: 8 for models, 1 for services");
 DEFINE_int32(control_poll_ms, 2000, "between reads of the control stream");
 DEFINE_int32(probe_ms, 500, "between probes of one peer");
 DEFINE_int32(suspect_ms, 2000, "silence after which a peer is suspect");
@@ -35,16 +36,17 @@
 DEFINE_int32(prefix_hold_ms, 120000, "unused prefix kept in engine memory");
 DEFINE_int32(snapshot_ms, 3600000,
              "between control snapshots; below a third of the log's retention");
-DEFINE_int32(call_timeout_ms, 120000, "silence of the backend server in a call");
+DEFINE_int32(call_timeout_ms, 120000,
+             "silence of the backend server in a call");
 DEFINE_string(log_level, "info", "least severity logged");
 
 namespace yuccawick::daemon {
 namespace {
 
-constexpr int kExitSuperseded = 3;
-constexpr int kModelSlots = 8;
-constexpr int kStatusThreads = 4;
-constexpr int kMostMs = 86'400'000;
+constexpr int    kExitSuperseded = 3;
+constexpr int    kModelSlots = 8;
+constexpr int    kStatusThreads = 4;
+constexpr int    kMostMs = 86'400'000;
 // Recomputing a prompt token is taken to cost this, until engines report it.
 constexpr double kPrefillTokensPerMs = 10;
 
@@ -79,7 +81,8 @@
   std::vector<SettingError> errors;
   const auto contradict = [&errors](bool wrong, const char* setting,
                                     const char* detail) {
-    if (wrong) errors.push_back({SettingFault::kContradiction, setting, detail});
+    if (wrong)
+      errors.push_back({SettingFault::kContradiction, setting, detail});
   };
   contradict(!FLAGS_listen.empty() && FLAGS_listen == FLAGS_http, "http",
              "must differ from listen");
@@ -140,14 +143,13 @@
 
   std::string Status() const override {
     Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
-    const auto* replica = m_agent.durability().Replica();
+    const auto*        replica = m_agent.durability().Replica();
     json.set("vm", FLAGS_vm);
     json.set("zone", FLAGS_zone);
     json.set("serves", FLAGS_kind + " " + FLAGS_target);
     json.set("joined", m_agent.IsJoined());
     json.set("draining", m_agent.IsDraining());
-    json.set("configuration",
-             std::string(core::Name(m_agent.config_phase())));
+    json.set("configuration", std::string(core::Name(m_agent.config_phase())));
     json.set("control_version", m_agent.control().version());
     json.set("contracts", m_agent.control().contracts().size());
     json.set("replica", replica == nullptr ? "" : replica->vm);
@@ -226,27 +228,28 @@
 }
 
 int Run() {
-  const core::NodeRef self{FLAGS_vm, MintIncarnation()};
-  JsonLog             log(self, FLAGS_zone, LeastSeverity());
-  Metrics             metrics;
+  const core::NodeRef              self{FLAGS_vm, MintIncarnation()};
+  JsonLog                          log(self, FLAGS_zone, LeastSeverity());
+  Metrics                          metrics;
   const core::AttainedServiceQueue queue;
   const core::CacheAwareRoute      route(kPrefillTokensPerMs);
   AgentDecider                     decider(MakeSettings(self), queue, route);
   const auto                       client = MakeClient();
-  const auto threads = static_cast<std::size_t>(Slots()) + 2;
-  auto       runner = std::make_unique<BackendRunner>(*client, threads);
+  const auto    threads = static_cast<std::size_t>(Slots()) + 2;
+  auto          runner = std::make_unique<BackendRunner>(*client, threads);
   ShellSettings settings;
   settings.self = self;
   settings.listen = FLAGS_listen;
   settings.log = *platform::ParseEndpoint(FLAGS_log_service);
   settings.vm_list = *platform::ParseEndpoint(FLAGS_vm_list);
-  NodeShell shell(settings, decider, log, metrics,
-                  [&](const core::Command& command) { runner->Carry(command); });
+  NodeShell shell(
+      settings, decider, log, metrics,
+      [&](const core::Command& command) { runner->Carry(command); });
   runner->SetShell(&shell);
   const auto   http = *platform::ParseEndpoint(FLAGS_http);
-  StatusServer server({http.host, http.port, kStatusThreads}, metrics,
-                      [&] { return shell.Status(); },
-                      [](const auto&) { return nullptr; });
+  StatusServer server(
+      {http.host, http.port, kStatusThreads}, metrics,
+      [&] { return shell.Status(); }, [](const auto&) { return nullptr; });
   const auto cause = shell.Run([&] { server.Start(); });
   server.Stop();
   runner.reset();  // its threads use the shell
--- a/src/yuccawick/daemon/caller_api.cc
+++ b/src/yuccawick/daemon/caller_api.cc
@@ -1,11 +1,5 @@
 #include "yuccawick/daemon/caller_api.h"
 
-#include <charconv>
-#include <chrono>
-#include <optional>
-#include <sstream>
-#include <utility>
-
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -16,6 +10,12 @@
 #include <Poco/URI.h>
 #include <Poco/UTF8Encoding.h>
 
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <sstream>
+#include <utility>
+
 namespace yuccawick::daemon {
 
 // Index
@@ -248,8 +248,8 @@
 Object::Ptr CompletionJson(const core::Call& call, const char* kind,
                            const Object::Ptr& choice) {
   Object::Ptr json = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
-  json->set("id", core::ToString(call.program) + "/" +
-                      std::to_string(call.sequence));
+  json->set("id",
+            core::ToString(call.program) + "/" + std::to_string(call.sequence));
   json->set("object", kind);
   json->set("model", call.target);
   Poco::JSON::Array::Ptr choices = new Poco::JSON::Array;
@@ -290,8 +290,7 @@
 // What all handlers share: a number, a mailbox and the wait for replies.
 class Handler : public Poco::Net::HTTPRequestHandler {
  public:
-  explicit Handler(CallerApi& api)
-      : m_api(api), m_request(api.NextRequest()) {}
+  explicit Handler(CallerApi& api) : m_api(api), m_request(api.NextRequest()) {}
 
   void handleRequest(HTTPServerRequest&  request,
                      HTTPServerResponse& response) final {
@@ -574,8 +573,7 @@
     if (!headers) return Refused(response, headers.error());
     const auto program = core::ParseProgramId(m_id);
     if (!program) return Refused(response, Refuse(Reason::kMalformed));
-    const bool end =
-        request.getMethod() == Poco::Net::HTTPRequest::HTTP_DELETE;
+    const bool end = request.getMethod() == Poco::Net::HTTPRequest::HTTP_DELETE;
     m_api.Post(core::ProgramQuery{m_request, *program, headers->customer,
                                   headers->workspace, end});
     core::Message message;
--- a/src/yuccawick/daemon/caller_api.h
+++ b/src/yuccawick/daemon/caller_api.h
@@ -4,6 +4,9 @@
 // thread and waits for its replies in a mailbox.
 #pragma once
 
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+
 #include <atomic>
 #include <condition_variable>
 #include <deque>
@@ -11,9 +14,6 @@
 #include <memory>
 #include <mutex>
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServerRequest.h>
-
 #include "yuccawick/core/messages.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/telemetry.h"
@@ -22,8 +22,8 @@
 
 struct CallerApiSettings {
   std::size_t    max_body_bytes = 1 << 20;
-  core::Duration default_deadline = 60000;   // ms
-  core::Duration longest_deadline = 3600000; // ms
+  core::Duration default_deadline = 60000;    // ms
+  core::Duration longest_deadline = 3600000;  // ms
   core::Duration answer_margin = 15000;  // ms past the deadline for an answer
 };
 
@@ -51,12 +51,12 @@
   void Deliver(const core::ReplyToCaller& reply);
 
   // For the handlers.
-  std::uint64_t             NextRequest() { return ++m_requests; }
-  std::shared_ptr<Mailbox>  Open(std::uint64_t request);
-  void                      Close(std::uint64_t request);
-  void                      Post(core::Message message);
-  const CallerApiSettings&  settings() const { return m_settings; }
-  Metrics&                  metrics() { return m_metrics; }
+  std::uint64_t            NextRequest() { return ++m_requests; }
+  std::shared_ptr<Mailbox> Open(std::uint64_t request);
+  void                     Close(std::uint64_t request);
+  void                     Post(core::Message message);
+  const CallerApiSettings& settings() const { return m_settings; }
+  Metrics&                 metrics() { return m_metrics; }
 
  private:
   CallerApiSettings                                 m_settings;
--- a/src/yuccawick/daemon/entry_main.cc
+++ b/src/yuccawick/daemon/entry_main.cc
@@ -1,12 +1,12 @@
 // yw-entry: the entry daemon, on the thin VMs behind the platform's balancer.
 //
 // Exit codes: 0 stopped as asked, 2 bad settings.
-#include <memory>
-#include <sstream>
-
 #include <Poco/JSON/Object.h>
 #include <gflags/gflags.h>
 
+#include <memory>
+#include <sstream>
+
 #include "yuccawick/core/entry.h"
 #include "yuccawick/daemon/caller_api.h"
 #include "yuccawick/daemon/node_shell.h"
@@ -85,8 +85,7 @@
     json.set("vm", FLAGS_vm);
     json.set("zone", FLAGS_zone);
     json.set("draining", m_entry.IsDraining());
-    json.set("configuration",
-             std::string(core::Name(m_entry.config_phase())));
+    json.set("configuration", std::string(core::Name(m_entry.config_phase())));
     json.set("control_version", m_entry.control().version());
     json.set("contracts", m_entry.control().contracts().size());
     json.set("members", m_entry.control().members().size());
@@ -131,12 +130,11 @@
   settings.log = *platform::ParseEndpoint(FLAGS_log_service);
   settings.vm_list = *platform::ParseEndpoint(FLAGS_vm_list);
   std::unique_ptr<CallerApi> api;
-  NodeShell shell(settings, decider, log, metrics,
-                  [&](const core::Command& command) {
-                    const auto* reply =
-                        std::get_if<core::ReplyToCaller>(&command);
-                    if (reply != nullptr) api->Deliver(*reply);
-                  });
+  NodeShell                  shell(
+                       settings, decider, log, metrics, [&](const core::Command& command) {
+        const auto* reply = std::get_if<core::ReplyToCaller>(&command);
+        if (reply != nullptr) api->Deliver(*reply);
+      });
   CallerApiSettings api_settings;
   api_settings.max_body_bytes =
       static_cast<std::size_t>(FLAGS_max_body_kb) * kBytesPerKb;
--- a/src/yuccawick/daemon/node_shell.cc
+++ b/src/yuccawick/daemon/node_shell.cc
@@ -1,18 +1,17 @@
 #include "yuccawick/daemon/node_shell.h"
 
-#include <csignal>
+#include <kj/async-unix.h>
+#include <kj/exception.h>
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <mutex>
 #include <random>
 #include <type_traits>
 #include <utility>
 
-#include <kj/async-unix.h>
-#include <kj/exception.h>
-
 namespace yuccawick::daemon {
 
 // Index
@@ -78,15 +77,15 @@
     m_on_failed();
   }
 
-  std::string                           m_address;
-  OnFailed                              m_on_failed;
-  bool                                  m_broken = false;
-  std::size_t                           m_unsent = 0;
-  kj::Own<kj::NetworkAddress>           m_network_address;
-  kj::Own<kj::AsyncIoStream>            m_stream;
-  kj::Own<capnp::TwoPartyClient>        m_client;
+  std::string                            m_address;
+  OnFailed                               m_on_failed;
+  bool                                   m_broken = false;
+  std::size_t                            m_unsent = 0;
+  kj::Own<kj::NetworkAddress>            m_network_address;
+  kj::Own<kj::AsyncIoStream>             m_stream;
+  kj::Own<capnp::TwoPartyClient>         m_client;
   std::optional<rpc::wire::Node::Client> m_node;
-  kj::ForkedPromise<void>               m_connected;
+  kj::ForkedPromise<void>                m_connected;
 };
 
 // ---- Server
@@ -171,7 +170,7 @@
 
   // Runs jobs of other threads, in the order they came.
   kj::Promise<void> JobLoop() {
-    std::deque<Job> jobs;
+    std::deque<Job>   jobs;
     kj::Promise<void> woken = kj::READY_NOW;
     {
       const std::lock_guard lock(m_jobs_mutex);
@@ -239,9 +238,8 @@
           if constexpr (std::is_same_v<C, core::SendMessage>) {
             Send(c);
           } else if constexpr (std::is_same_v<C, core::AppendRecords>) {
-            m_appends.Add([this, c] {
-              m_shell.Post(m_shell.m_log_client.Append(c));
-            });
+            m_appends.Add(
+                [this, c] { m_shell.Post(m_shell.m_log_client.Append(c)); });
           } else if constexpr (std::is_same_v<C, core::ReadRecords>) {
             m_reads.Add(
                 [this, c] { m_shell.Post(m_shell.m_log_client.Read(c)); });
@@ -270,7 +268,7 @@
   void Send(const core::SendMessage& send) {
     const std::string address = AddressOf(send.to);
     if (address.empty()) return Failed(send.to);
-    auto& link = m_links[send.to.vm];
+    auto&      link = m_links[send.to.vm];
     const bool stale = link.get() != nullptr &&
                        (link->IsBroken() || link->address() != address);
     // Links are dropped outside their own callbacks only.
@@ -296,24 +294,24 @@
     (void)exception;  // a peer's broken connection; its link has told the core
   }
 
-  NodeShell&           m_shell;
-  kj::AsyncIoContext   m_io;
-  std::mutex           m_jobs_mutex;
-  std::deque<Job>      m_jobs;
+  NodeShell&                                     m_shell;
+  kj::AsyncIoContext                             m_io;
+  std::mutex                                     m_jobs_mutex;
+  std::deque<Job>                                m_jobs;
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_wake;
-  bool                 m_closed = false;
-  core::StopCause      m_cause = core::StopCause::kDrained;
-  core::Time           m_next_list = 0;
-  WorkerPool           m_appends;
-  WorkerPool           m_reads;
-  WorkerPool           m_lists;
-  std::map<std::string, std::string>         m_addresses;
-  kj::Own<kj::ConnectionReceiver>            m_listener;
-  kj::Own<capnp::TwoPartyServer>             m_server;
-  std::map<std::string, kj::Own<Link>>       m_links;
-  std::vector<kj::Own<Link>>                 m_retired;
-  kj::Own<kj::PromiseFulfiller<void>>        m_stopped;
-  kj::TaskSet                                m_tasks;
+  bool                                           m_closed = false;
+  core::StopCause                      m_cause = core::StopCause::kDrained;
+  core::Time                           m_next_list = 0;
+  WorkerPool                           m_appends;
+  WorkerPool                           m_reads;
+  WorkerPool                           m_lists;
+  std::map<std::string, std::string>   m_addresses;
+  kj::Own<kj::ConnectionReceiver>      m_listener;
+  kj::Own<capnp::TwoPartyServer>       m_server;
+  std::map<std::string, kj::Own<Link>> m_links;
+  std::vector<kj::Own<Link>>           m_retired;
+  kj::Own<kj::PromiseFulfiller<void>>  m_stopped;
+  kj::TaskSet                          m_tasks;
 };
 
 // ---- Shell
@@ -343,7 +341,8 @@
   const auto status = std::make_shared<std::promise<std::string>>();
   auto       told = status->get_future();
   m_loop->Add([this, status] { status->set_value(m_decider.Status()); });
-  const auto limit = std::chrono::milliseconds(m_settings.http.answer_timeout_ms);
+  const auto limit =
+      std::chrono::milliseconds(m_settings.http.answer_timeout_ms);
   if (told.wait_for(limit) != std::future_status::ready) return {};
   return told.get();
 }
--- a/src/yuccawick/daemon/node_shell.h
+++ b/src/yuccawick/daemon/node_shell.h
@@ -5,6 +5,9 @@
 // touches the core. Other threads hand it events with Post().
 #pragma once
 
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
 #include <deque>
 #include <functional>
 #include <map>
@@ -13,9 +16,6 @@
 #include <string>
 #include <vector>
 
-#include <capnp/rpc-twoparty.h>
-#include <kj/async-io.h>
-
 #include "yuccawick/core/control.h"
 #include "yuccawick/core/messages.h"
 #include "yuccawick/daemon/telemetry.h"
@@ -33,16 +33,16 @@
                                             const core::Event& event) = 0;
   virtual const core::Control&       control() const = 0;
   // A readable page of the present state, as JSON.
-  virtual std::string Status() const = 0;
+  virtual std::string                Status() const = 0;
 };
 
 struct ShellSettings {
   core::NodeRef          self;
-  std::string            listen;      // host:port of the RPC listener
+  std::string            listen;  // host:port of the RPC listener
   platform::Endpoint     log;
   platform::Endpoint     vm_list;
   platform::HttpSettings http;
-  core::Duration         tick = 50;              // ms
+  core::Duration         tick = 50;                // ms
   core::Duration         vm_list_interval = 1000;  // ms
 };
 
@@ -61,21 +61,21 @@
   core::StopCause Run(const std::function<void()>& on_ready);
 
   // From any other thread. Dropped once the loop has ended.
-  void Post(const core::Event& event);
+  void        Post(const core::Event& event);
   // The decider's status, read in the control thread; empty after the end.
   std::string Status();
 
  private:
   class Loop;
 
-  ShellSettings         m_settings;
-  Decider&              m_decider;
-  JsonLog&              m_log;
-  Metrics&              m_metrics;
-  CommandSink           m_on_command;
-  platform::LogClient   m_log_client;
+  ShellSettings          m_settings;
+  Decider&               m_decider;
+  JsonLog&               m_log;
+  Metrics&               m_metrics;
+  CommandSink            m_on_command;
+  platform::LogClient    m_log_client;
   platform::VmListClient m_vm_client;
-  std::unique_ptr<Loop> m_loop;
+  std::unique_ptr<Loop>  m_loop;
 };
 
 core::Time WallClock();  // ms since the epoch
--- a/src/yuccawick/daemon/settings.cc
+++ b/src/yuccawick/daemon/settings.cc
@@ -1,5 +1,6 @@
 #include "yuccawick/daemon/settings.h"
 
+#include <gflags/gflags.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 #include <charconv>
 #include <iostream>
 
-#include <gflags/gflags.h>
-
 #include "yuccawick/core/types.h"
 #include "yuccawick/platform/http.h"
 
@@ -22,9 +21,8 @@
 constexpr int              kExitBadSettings = 2;
 
 constexpr std::array<std::string_view, 7> kFaultNames{
-    "unknown_variable", "bad_value",       "missing",
-    "out_of_range",     "not_a_name",      "not_an_endpoint",
-    "contradiction"};
+    "unknown_variable", "bad_value",       "missing",      "out_of_range",
+    "not_a_name",       "not_an_endpoint", "contradiction"};
 
 std::string FlagOfVariable(std::string_view variable) {
   std::string flag(variable.substr(kPrefix.size()));
@@ -62,8 +60,7 @@
   std::int64_t number = 0;
   const auto [end, error] =
       std::from_chars(value.data(), value.data() + value.size(), number);
-  const bool whole =
-      error == std::errc() && end == value.data() + value.size();
+  const bool whole = error == std::errc() && end == value.data() + value.size();
   if (whole && number >= rule.low && number <= rule.high) return;
   errors->push_back({SettingFault::kOutOfRange, rule.flag,
                      "want " + std::to_string(rule.low) + " to " +
@@ -101,7 +98,7 @@
   for (const auto& entry : environment) {
     const auto equals = entry.find('=');
     if (!entry.starts_with(kPrefix) || equals == std::string::npos) continue;
-    const std::string         flag = FlagOfVariable(entry.substr(0, equals));
+    const std::string           flag = FlagOfVariable(entry.substr(0, equals));
     gflags::CommandLineFlagInfo info;
     if (!gflags::GetCommandLineFlagInfo(flag.c_str(), &info)) {
       errors.push_back({SettingFault::kUnknownVariable, entry.substr(0, equals),
--- a/src/yuccawick/daemon/settings.h
+++ b/src/yuccawick/daemon/settings.h
@@ -34,8 +34,8 @@
 struct SettingRule {
   std::string              flag;
   SettingKind              kind;
-  std::int64_t             low = 0;    // of a number
-  std::int64_t             high = 0;   // of a number
+  std::int64_t             low = 0;   // of a number
+  std::int64_t             high = 0;  // of a number
   bool                     required = true;
   std::vector<std::string> choices{};  // of a choice
 };
--- a/src/yuccawick/daemon/status_server.cc
+++ b/src/yuccawick/daemon/status_server.cc
@@ -1,7 +1,5 @@
 #include "yuccawick/daemon/status_server.h"
 
-#include <utility>
-
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -11,6 +9,8 @@
 #include <Poco/Timespan.h>
 #include <Poco/URI.h>
 
+#include <utility>
+
 namespace yuccawick::daemon {
 namespace {
 
@@ -90,9 +90,8 @@
   params->setTimeout(Poco::Timespan(
       static_cast<Poco::Timespan::TimeDiff>(settings.client_timeout_ms) *
       kMicrosPerMilli));
-  auto pool = new Poco::ThreadPool(kSpareThreads,
-                                   settings.threads + kSpareThreads,
-                                   kIdleSeconds);
+  auto pool = new Poco::ThreadPool(
+      kSpareThreads, settings.threads + kSpareThreads, kIdleSeconds);
   m_server = std::make_unique<Poco::Net::HTTPServer>(
       new Pages(metrics, std::move(status), std::move(factory)), *pool, socket,
       params);
--- a/src/yuccawick/daemon/status_server.h
+++ b/src/yuccawick/daemon/status_server.h
@@ -2,14 +2,14 @@
 // daemon serves beside them.
 #pragma once
 
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServer.h>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServer.h>
-
 #include "yuccawick/daemon/telemetry.h"
 
 namespace yuccawick::daemon {
@@ -17,7 +17,7 @@
 struct HttpServerSettings {
   std::string host;
   int         port = 0;
-  int         threads = 8;            // requests served at once
+  int         threads = 8;                // requests served at once
   int         client_timeout_ms = 10000;  // for a client to send or read on
 };
 
--- a/src/yuccawick/daemon/telemetry.cc
+++ b/src/yuccawick/daemon/telemetry.cc
@@ -1,19 +1,19 @@
 #include "yuccawick/daemon/telemetry.h"
 
-#include <chrono>
-#include <iostream>
-#include <sstream>
-
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Timestamp.h>
+#include <prometheus/text_serializer.h>
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
-#include <prometheus/text_serializer.h>
+#include <chrono>
+#include <iostream>
+#include <sstream>
 
 namespace yuccawick::daemon {
 namespace {
@@ -33,9 +33,9 @@
 
 std::string FormatLine(const core::LogLine& line, const core::NodeRef& self,
                        const std::string& zone, core::Time now) {
-  Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
-  const Poco::Timestamp time(
-      static_cast<Poco::Timestamp::TimeVal>(now) * kMicrosPerMilli);
+  Poco::JSON::Object    json(Poco::JSON_PRESERVE_KEY_ORDER);
+  const Poco::Timestamp time(static_cast<Poco::Timestamp::TimeVal>(now) *
+                             kMicrosPerMilli);
   json.set("time", Poco::DateTimeFormatter::format(
                        time, Poco::DateTimeFormat::ISO8601_FRAC_FORMAT));
   json.set("severity", std::string(core::Name(line.severity)));
@@ -56,10 +56,9 @@
     : m_self(std::move(self)), m_zone(std::move(zone)), m_least(least) {
   namespace expr = boost::log::expressions;
   boost::log::core::get()->remove_all_sinks();
-  boost::log::add_console_log(std::clog,
-                              boost::log::keywords::format =
-                                  expr::stream << expr::smessage,
-                              boost::log::keywords::auto_flush = true);
+  boost::log::add_console_log(
+      std::clog, boost::log::keywords::format = expr::stream << expr::smessage,
+      boost::log::keywords::auto_flush = true);
 }
 
 void JsonLog::Write(const core::LogLine& line) {
--- a/src/yuccawick/daemon/telemetry.h
+++ b/src/yuccawick/daemon/telemetry.h
@@ -5,16 +5,16 @@
 // the table of core/failure.h, so none can be forgotten.
 #pragma once
 
-#include <array>
-#include <memory>
-#include <string>
-#include <string_view>
-
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
+#include <memory>
+#include <string>
+#include <string_view>
+
 #include "yuccawick/core/messages.h"
 
 namespace yuccawick::daemon {
@@ -37,9 +37,9 @@
 class Metrics {
  public:
   Metrics();
-  void Add(const core::Count& count);
-  void ObserveCall(double seconds);
-  void ObserveFirstToken(double seconds);
+  void        Add(const core::Count& count);
+  void        ObserveCall(double seconds);
+  void        ObserveFirstToken(double seconds);
   // All of them in Prometheus' text format.
   std::string Text() const;
 
--- a/src/yuccawick/platform/http.cc
+++ b/src/yuccawick/platform/http.cc
@@ -1,8 +1,5 @@
 #include "yuccawick/platform/http.h"
 
-#include <charconv>
-#include <sstream>
-
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -11,6 +8,9 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
 
+#include <charconv>
+#include <sstream>
+
 namespace yuccawick::platform {
 namespace {
 
--- a/src/yuccawick/platform/http.h
+++ b/src/yuccawick/platform/http.h
@@ -4,12 +4,12 @@
 // did not run, one that was sent and not answered may have run.
 #pragma once
 
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPClientSession.h>
+
 #include <cstdint>
 #include <memory>
 #include <string>
-
-#include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <tl/expected.hpp>
 
 namespace yuccawick::platform {
--- a/src/yuccawick/platform/log_client.cc
+++ b/src/yuccawick/platform/log_client.cc
@@ -28,16 +28,15 @@
         rpc::RecordFromJson(item->getValue<std::string>("data"));
     // Records of others on our streams are passed over, but keep their offset.
     if (!record) continue;
-    done->records.push_back(
-        {item->getValue<core::Offset>("offset"), *record});
+    done->records.push_back({item->getValue<core::Offset>("offset"), *record});
   }
 }
 
 }  // namespace
 
 core::AppendDone LogClient::Append(const core::AppendRecords& command) const {
-  core::AppendDone        done{command.append, core::LogStatus::kUnknown, -1};
-  Poco::JSON::Array::Ptr  records = new Poco::JSON::Array;
+  core::AppendDone       done{command.append, core::LogStatus::kUnknown, -1};
+  Poco::JSON::Array::Ptr records = new Poco::JSON::Array;
   for (const auto& record : command.records) records->add(rpc::ToJson(record));
   Poco::JSON::Object body;
   body.set("records", records);
--- a/src/yuccawick/platform/log_client.h
+++ b/src/yuccawick/platform/log_client.h
@@ -2,7 +2,8 @@
 //
 //   POST /streams/S/records  {"records": ["...", ...]}  -> {"last": N}
 //   GET  /streams/S/records?from=N
-//        -> {"earliest": N, "end": N, "records": [{"offset": N, "data": "..."}]}
+//        -> {"earliest": N, "end": N, "records": [{"offset": N, "data":
+//        "..."}]}
 //
 // 503 means that nothing was appended. A missing answer means that nobody
 // knows.
--- a/src/yuccawick/rpc/convert.cc
+++ b/src/yuccawick/rpc/convert.cc
@@ -1,14 +1,14 @@
 #include "yuccawick/rpc/convert.h"
 
+#include <capnp/compat/json.h>
+#include <capnp/dynamic.h>
+#include <capnp/message.h>
+
 #include <cstddef>
 #include <type_traits>
 #include <utility>
 #include <vector>
 
-#include <capnp/compat/json.h>
-#include <capnp/dynamic.h>
-#include <capnp/message.h>
-
 namespace yuccawick::rpc {
 namespace {
 
@@ -105,7 +105,8 @@
 template <class Variant>
 void WriteUnion(const Variant& value, capnp::DynamicStruct::Builder builder) {
   const auto field =
-      builder.getSchema().getUnionFields()[static_cast<unsigned>(value.index())];
+      builder.getSchema()
+          .getUnionFields()[static_cast<unsigned>(value.index())];
   std::visit(
       [&](auto alternative) {
         Writer writer(builder.init(field).as<capnp::DynamicStruct>());
@@ -157,8 +158,8 @@
 }
 
 tl::expected<Envelope, CodecError> Read(wire::Envelope::Reader reader) {
-  Envelope envelope;
-  bool     read = false;
+  Envelope   envelope;
+  bool       read = false;
   // Bytes from the network may be anything: what does not decode is an error
   // value here, not an exception in the control thread.
   const auto failed = kj::runCatchingExceptions([&] {
@@ -188,8 +189,8 @@
   bool         read = false;
   const auto   failed = kj::runCatchingExceptions([&] {
     capnp::MallocMessageBuilder message;
-    auto             builder = message.initRoot<wire::Record>();
-    capnp::JsonCodec codec;
+    auto                        builder = message.initRoot<wire::Record>();
+    capnp::JsonCodec            codec;
     codec.decode(kj::ArrayPtr<const char>(json.data(), json.size()), builder);
     read = ReadUnion(capnp::toDynamic(builder.asReader()), &record);
   });
--- a/src/yuccawick/rpc/convert.h
+++ b/src/yuccawick/rpc/convert.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <string>
-
 #include <tl/expected.hpp>
 
 #include "yuccawick/core/messages.h"
@@ -23,8 +22,7 @@
 
 enum class CodecError : std::uint8_t { kBadRecord, kBadMessage };
 
-void                               Write(const Envelope&         envelope,
-                                         wire::Envelope::Builder builder);
+void Write(const Envelope& envelope, wire::Envelope::Builder builder);
 tl::expected<Envelope, CodecError> Read(wire::Envelope::Reader reader);
 
 // The record as one line of JSON.
--- a/src/yuccawick/testing/fakes.cc
+++ b/src/yuccawick/testing/fakes.cc
@@ -29,8 +29,8 @@
     stream.records.push_back(record);
   }
   done.last_offset = static_cast<core::Offset>(stream.records.size()) - 1;
-  done.status = m_mode == LogMode::kUp ? core::LogStatus::kOk
-                                       : core::LogStatus::kUnknown;
+  done.status =
+      m_mode == LogMode::kUp ? core::LogStatus::kOk : core::LogStatus::kUnknown;
   return done;
 }
 
@@ -49,8 +49,7 @@
   done.end = static_cast<core::Offset>(stream.records.size());
   const core::Offset from = std::max(command.from, stream.earliest);
   for (core::Offset i = from; i < done.end; ++i) {
-    done.records.push_back(
-        {i, stream.records[static_cast<std::size_t>(i)]});
+    done.records.push_back({i, stream.records[static_cast<std::size_t>(i)]});
   }
   return done;
 }
@@ -124,10 +123,10 @@
     result.answer.text = AnswerTo(call);
     if (call.kind == core::BackendKind::kModel) {
       core::Usage& usage = result.answer.usage;
-      usage.prompt = core::EstimateTokens(
-          core::FullPrompt(running.order.prompt, call));
-      usage.completion = std::min(
-          call.max_tokens, core::EstimateTokens(result.answer.text));
+      usage.prompt =
+          core::EstimateTokens(core::FullPrompt(running.order.prompt, call));
+      usage.completion =
+          std::min(call.max_tokens, core::EstimateTokens(result.answer.text));
       m_tokens += usage.prompt + usage.completion;
       m_tokens_of[call.customer] += usage.prompt + usage.completion;
     }
--- a/src/yuccawick/testing/fakes.h
+++ b/src/yuccawick/testing/fakes.h
@@ -17,8 +17,8 @@
 // How the log behaves.
 enum class LogMode : std::uint8_t {
   kUp,
-  kDown,         // refuses everything
-  kLosesReply,   // appends take effect, their replies are lost
+  kDown,        // refuses everything
+  kLosesReply,  // appends take effect, their replies are lost
 };
 
 class FakeLog {
@@ -26,12 +26,12 @@
   core::AppendDone Append(const core::AppendRecords& command);
   core::ReadDone   Read(const core::ReadRecords& command) const;
   // Drops what retention would: everything below `offset`.
-  void Trim(const std::string& stream, core::Offset offset);
+  void             Trim(const std::string& stream, core::Offset offset);
 
-  void         SetMode(LogMode mode) { m_mode = mode; }
-  std::int64_t append_count() const { return m_appends; }
-  std::int64_t append_bytes() const { return m_bytes; }
-  core::Offset EndOf(const std::string& stream) const;
+  void                             SetMode(LogMode mode) { m_mode = mode; }
+  std::int64_t                     append_count() const { return m_appends; }
+  std::int64_t                     append_bytes() const { return m_bytes; }
+  core::Offset                     EndOf(const std::string& stream) const;
   const std::vector<core::Record>& Records(const std::string& stream);
 
  private:
@@ -69,11 +69,11 @@
   using Key = std::pair<core::ProgramId, core::Sequence>;
   const std::map<Key, int>& effects() const { return m_effects; }
   // The order in which calls were run.
-  const std::vector<Key>& order() const { return m_order; }
-  int                     EffectsOf(const Key& key) const;
-  std::size_t             prefixes_held() const { return m_prefixes.size(); }
-  core::Tokens            tokens_served() const { return m_tokens; }
-  core::Tokens            TokensOf(const std::string& customer) const;
+  const std::vector<Key>&   order() const { return m_order; }
+  int                       EffectsOf(const Key& key) const;
+  std::size_t               prefixes_held() const { return m_prefixes.size(); }
+  core::Tokens              tokens_served() const { return m_tokens; }
+  core::Tokens              TokensOf(const std::string& customer) const;
 
   static std::string AnswerTo(const core::Call& call);
 
--- a/src/yuccawick/testing/group.cc
+++ b/src/yuccawick/testing/group.cc
@@ -77,8 +77,8 @@
   settings.executor.kind = node->kind;
   settings.executor.decode_tokens_per_ms = 0.64;
   if (node->kind == core::BackendKind::kService) settings.executor.slots = 1;
-  node->agent = std::make_unique<core::Agent>(
-      settings, m_settings.safeguards, m_queue_policy, m_route_policy);
+  node->agent = std::make_unique<core::Agent>(settings, m_settings.safeguards,
+                                              m_queue_policy, m_route_policy);
 }
 
 void Group::Kill(const std::string& vm) {
@@ -139,8 +139,8 @@
     m_events.pop();
     m_now = std::max(m_now, timed.at);
     Node&      node = m_nodes.at(timed.vm);
-    const bool same = timed.incarnation == 0 ||
-                      timed.incarnation == node.ref.incarnation;
+    const bool same =
+        timed.incarnation == 0 || timed.incarnation == node.ref.incarnation;
     if (same) Deliver(&node, timed.event);
   }
   m_now = std::max(m_now, time);
@@ -214,9 +214,9 @@
     node->held.push_back(event);
     return;
   }
-  std::vector<core::Command> commands =
-      node->agent != nullptr ? node->agent->Handle(m_now, event)
-                             : node->entry->Handle(m_now, event);
+  std::vector<core::Command> commands = node->agent != nullptr
+                                            ? node->agent->Handle(m_now, event)
+                                            : node->entry->Handle(m_now, event);
   for (const auto& command : commands) Carry(node, command);
 }
 
@@ -242,7 +242,8 @@
         } else if constexpr (std::is_same_v<C, core::RunCall>) {
           const bool model = c.call.kind == core::BackendKind::kModel;
           m_backends.at(vm).Run(
-              c, m_now, model ? m_settings.model_time : m_settings.service_time);
+              c, m_now,
+              model ? m_settings.model_time : m_settings.service_time);
         } else if constexpr (std::is_same_v<C, core::CancelRun>) {
           m_backends.at(vm).Cancel(c.run);
         } else if constexpr (std::is_same_v<C, core::ReleasePrefix>) {
@@ -311,16 +312,16 @@
   return request;
 }
 
-std::uint64_t Group::Start(const std::string& entry,
-                           const std::string& customer,
-                           const std::string& workspace,
-                           const std::string& model,
+std::uint64_t Group::Start(const std::string&     entry,
+                           const std::string&     customer,
+                           const std::string&     workspace,
+                           const std::string&     model,
                            const core::ProgramId& parent) {
   const auto request = ++m_requests;
-  return Give(entry,
-              core::StartProgram{request, customer, workspace, model, "",
-                                 parent},
-              request);
+  return Give(
+      entry,
+      core::StartProgram{request, customer, workspace, model, "", parent},
+      request);
 }
 
 std::uint64_t Group::Call(const std::string& entry, core::Call call) {
@@ -423,9 +424,7 @@
   return *m_nodes.at(vm).entry;
 }
 
-FakeBackend& Group::backend(const std::string& vm) {
-  return m_backends.at(vm);
-}
+FakeBackend& Group::backend(const std::string& vm) { return m_backends.at(vm); }
 
 bool Group::IsRunning(const std::string& vm) const {
   return m_nodes.at(vm).alive;
--- a/src/yuccawick/testing/group.h
+++ b/src/yuccawick/testing/group.h
@@ -54,21 +54,20 @@
   void          Heal();
   void          CutLog(const std::string& vm, bool cut);
   // The platform's list as every node is told it from now on.
-  void SetVmList(const std::vector<core::VmEntry>& vms);
+  void          SetVmList(const std::vector<core::VmEntry>& vms);
 
   // Time.
-  void       Advance(core::Duration ms);
+  void Advance(core::Duration ms);
   // Advances until `done` or the limit; false at the limit.
-  bool       AdvanceUntil(const std::function<bool()>& done,
-                          core::Duration               limit);
+  bool AdvanceUntil(const std::function<bool()>& done, core::Duration limit);
   core::Time now() const { return m_now; }
   // Decides the fate of each message as it is sent.
-  using Filter = std::function<Fate(const core::NodeRef& from,
+  using Filter = std::function<Fate(const core::NodeRef&     from,
                                     const core::SendMessage& send)>;
   void SetFilter(Filter filter) { m_filter = std::move(filter); }
 
   // Operators.
-  void Publish(const core::Contract& contract);
+  void                  Publish(const core::Contract& contract);
   static core::Contract DefaultContract(const std::string& customer);
 
   // Callers. Each returns the number of the request.
@@ -78,8 +77,8 @@
                       const core::ProgramId& parent = {});
   std::uint64_t Call(const std::string& entry, core::Call call);
   std::uint64_t Query(const std::string& entry, const core::ProgramId& program,
-                      const std::string& customer,
-                      const std::string& workspace, bool end);
+                      const std::string& customer, const std::string& workspace,
+                      bool end);
   // A model call of the program with sensible fields.
   core::Call ModelCall(const core::ProgramId& program, core::Sequence sequence,
                        const std::string& body);
@@ -95,7 +94,7 @@
   core::CallReply CallThrough(const std::vector<std::string>& entries,
                               core::Call call, core::Duration limit);
 
-  bool IsAnswered(std::uint64_t request) const;
+  bool                 IsAnswered(std::uint64_t request) const;
   const core::Message* AnswerTo(std::uint64_t request) const;
   std::size_t          AnswerCount(std::uint64_t request) const;
   core::Time           AnsweredAt(std::uint64_t request) const;
@@ -110,7 +109,7 @@
   std::int64_t CountOf(core::Counter counter, const std::string& label) const;
   int          TotalEffects(const FakeBackend::Key& key) const;
   // Waits until all agents have joined, have replicas and know the contracts.
-  bool Settle(core::Duration limit = 20000);
+  bool         Settle(core::Duration limit = 20000);
 
  private:
   struct Node {
@@ -131,44 +130,44 @@
     std::string   vm;
     std::uint64_t incarnation = 0;  // 0: whatever runs there
     core::Event   event;
-    bool operator>(const Timed& other) const {
-      return std::tie(at, order) > std::tie(other.at, other.order);
+    bool          operator>(const Timed& other) const {
+               return std::tie(at, order) > std::tie(other.at, other.order);
     }
   };
 
-  void Boot(Node* node);
-  void Deliver(Node* node, const core::Event& event);
-  void Carry(Node* node, const core::Command& command);
-  void CarryMessage(Node* node, const core::SendMessage& send);
-  void Post(const std::string& vm, std::uint64_t incarnation,
-            core::Duration after, core::Event event);
-  void StepTo(core::Time time);
-  void FinishRuns();
-  bool IsCut(const std::string& a, const std::string& b) const;
+  void           Boot(Node* node);
+  void           Deliver(Node* node, const core::Event& event);
+  void           Carry(Node* node, const core::Command& command);
+  void           CarryMessage(Node* node, const core::SendMessage& send);
+  void           Post(const std::string& vm, std::uint64_t incarnation,
+                      core::Duration after, core::Event event);
+  void           StepTo(core::Time time);
+  void           FinishRuns();
+  bool           IsCut(const std::string& a, const std::string& b) const;
   core::Duration Latency();
   std::uint64_t  Give(const std::string& entry, core::Message message,
                       std::uint64_t request);
 
-  GroupSettings                       m_settings;
-  std::mt19937_64                     m_random;
-  core::AttainedServiceQueue          m_queue_policy;
-  core::CacheAwareRoute               m_route_policy{10};
-  core::Time                          m_now = 1'000'000'000;
-  core::Time                          m_next_tick = 0;
-  std::uint64_t                       m_order = 0;
-  std::uint64_t                       m_incarnations = 0;
-  std::uint64_t                       m_requests = 0;
-  std::int64_t                        m_messages = 0;
-  FakeLog                             m_log;
-  std::map<std::string, Node>         m_nodes;
-  std::map<std::string, FakeBackend>  m_backends;
-  std::set<std::pair<std::string, std::string>>    m_cuts;
-  std::vector<core::VmEntry>                       m_vm_list;
-  bool                                             m_has_vm_list = false;
-  Filter                                           m_filter;
+  GroupSettings                                       m_settings;
+  std::mt19937_64                                     m_random;
+  core::AttainedServiceQueue                          m_queue_policy;
+  core::CacheAwareRoute                               m_route_policy{10};
+  core::Time                                          m_now = 1'000'000'000;
+  core::Time                                          m_next_tick = 0;
+  std::uint64_t                                       m_order = 0;
+  std::uint64_t                                       m_incarnations = 0;
+  std::uint64_t                                       m_requests = 0;
+  std::int64_t                                        m_messages = 0;
+  FakeLog                                             m_log;
+  std::map<std::string, Node>                         m_nodes;
+  std::map<std::string, FakeBackend>                  m_backends;
+  std::set<std::pair<std::string, std::string>>       m_cuts;
+  std::vector<core::VmEntry>                          m_vm_list;
+  bool                                                m_has_vm_list = false;
+  Filter                                              m_filter;
   std::map<std::uint64_t, std::vector<core::Message>> m_answers;
-  std::map<std::uint64_t, core::Time>              m_answered_at;
-  std::map<std::pair<core::Counter, std::string>, std::int64_t> m_counts;
+  std::map<std::uint64_t, core::Time>                 m_answered_at;
+  std::map<std::pair<core::Counter, std::string>, std::int64_t>  m_counts;
   std::priority_queue<Timed, std::vector<Timed>, std::greater<>> m_events;
 };
 
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -1,8 +1,8 @@
 #include "engine.h"
 
-#include <algorithm>
-
 #include <Poco/JSON/Array.h>
+
+#include <algorithm>
 #include <sstream>
 
 namespace standins {
@@ -35,8 +35,8 @@
   const auto last = content.rfind("user: ");
   const auto from = last == std::string::npos ? 0 : last + 6;
   const auto end = content.find('\n', from);
-  return "[" + std::to_string(content.size()) + "] heard: " +
-         content.substr(from, end - from);
+  return "[" + std::to_string(content.size()) +
+         "] heard: " + content.substr(from, end - from);
 }
 
 std::string Event(const std::string& content) {
@@ -165,8 +165,8 @@
     const std::lock_guard lock(m_mutex);
     ++m_completions[key];
   }
-  Linger(static_cast<int>((prompt - cached) /
-                          m_settings.prefill_tokens_per_ms));
+  Linger(
+      static_cast<int>((prompt - cached) / m_settings.prefill_tokens_per_ms));
   std::string answer = AnswerTo(content);
   answer.resize(std::min(answer.size(),
                          static_cast<std::size_t>(limit * kBytesPerToken)));
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -24,7 +24,7 @@
 struct EngineSettings {
   std::string  model;
   int          slots = 8;
-  int          decode_ms = 2;        // per token of the answer
+  int          decode_ms = 2;  // per token of the answer
   int          prefill_tokens_per_ms = 50;
   std::int64_t cache_tokens = 200000;
   int          event_lag_ms = 500;
@@ -53,11 +53,9 @@
 
   void Complete(const Request&                 request,
                 Poco::Net::HTTPServerResponse& response);
-  void Release(const Request&                 request,
-               Poco::Net::HTTPServerResponse& response);
+  void Release(const Request& request, Poco::Net::HTTPServerResponse& response);
   void Load(Poco::Net::HTTPServerResponse& response);
-  void Events(const Request&                 request,
-              Poco::Net::HTTPServerResponse& response);
+  void Events(const Request& request, Poco::Net::HTTPServerResponse& response);
   void Effects(Poco::Net::HTTPServerResponse& response);
   bool IsFenced(std::int64_t fence);
   void TakeSlot(std::int64_t priority);
--- a/standins/log_service.cc
+++ b/standins/log_service.cc
@@ -25,8 +25,8 @@
   const auto&       path = request.path;
   if (!path.starts_with(prefix) || !path.ends_with(suffix))
     return SendStatus(response, kNotFound);
-  const std::string name = path.substr(
-      prefix.size(), path.size() - prefix.size() - suffix.size());
+  const std::string name =
+      path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
   int  slow = 0;
   bool down = false;
   {
@@ -42,7 +42,7 @@
 
 void LogService::Control(const Request& request) {
   const std::lock_guard lock(m_mutex);
-  const auto mode = request.body->optValue<std::string>("mode", "");
+  const auto            mode = request.body->optValue<std::string>("mode", "");
   if (mode == "up") m_mode = Mode::kUp;
   if (mode == "down") m_mode = Mode::kDown;
   if (mode == "lose_replies") m_mode = Mode::kLoseReplies;
@@ -98,8 +98,8 @@
 
 void LogService::Read(const std::string& name, const Request& request,
                       Poco::Net::HTTPServerResponse& response) {
-  const auto         from = request.query.find("from");
-  Poco::JSON::Object json;
+  const auto             from = request.query.find("from");
+  Poco::JSON::Object     json;
   Poco::JSON::Array::Ptr list = new Poco::JSON::Array;
   {
     const std::lock_guard lock(m_mutex);
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -1,10 +1,10 @@
 // yw-standin: one stand-in of the platform, chosen by --kind. For tests and
 // demonstrations only.
+#include <gflags/gflags.h>
+
 #include <iostream>
 #include <memory>
 
-#include <gflags/gflags.h>
-
 #include "application.h"
 #include "engine.h"
 #include "log_service.h"
--- a/standins/server.cc
+++ b/standins/server.cc
@@ -1,12 +1,5 @@
 #include "server.h"
 
-#include <csignal>
-
-#include <chrono>
-#include <iostream>
-#include <sstream>
-#include <thread>
-
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -17,6 +10,12 @@
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
 namespace standins {
 namespace {
 
--- a/standins/server.h
+++ b/standins/server.h
@@ -1,17 +1,17 @@
 // The HTTP server that all stand-ins share.
 #pragma once
 
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
 #include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-#include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
-
 namespace standins {
 
 struct Request {
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -22,10 +22,9 @@
       s.group.CallNow("entry-b", s.group.ModelCall(s.program, 3, "receipt"));
   cr_assert(last.ok);
   cr_assert_eq(s.group.TotalEffects({s.program, 2}), 1);
-  const auto end =
-      s.group.Query("entry-a", s.program, "sakhli", "w1", true);
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(end); },
-                                 kLong));
+  const auto end = s.group.Query("entry-a", s.program, "sakhli", "w1", true);
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(end); }, kLong));
   const auto& reply = std::get<core::ProgramReply>(*s.group.AnswerTo(end));
   cr_assert(reply.ok);
   cr_assert_eq(reply.program.turns.size(), 3);
@@ -39,8 +38,8 @@
   // log, and serves the next call with the history whole.
   SmallGroup s;
   s.Start();
-  cr_assert(s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"))
-                .ok);
+  cr_assert(
+      s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one")).ok);
   const std::string replica = s.Replica();
   s.group.Kill(s.Home());
   const auto reply = s.group.CallThrough(
