--- a/src/yuccawick/core/agent.cc
+++ b/src/yuccawick/core/agent.cc
@@ -116,6 +116,9 @@
 
 void Agent::On(const SendFailed& event, Time now) {
   m_membership.OnSendFailed(event.to, now);
+  const auto* order =
+      event.unsent ? std::get_if<Dispatch>(&*event.unsent) : nullptr;
+  if (order != nullptr) return m_home.OnUnsent(*order, now);
   m_home.OnPeerLost(event.to, now);
 }
 
@@ -435,6 +438,11 @@
   if (hands_over) return AppendClaim(m_self, *m_durability.Replica(), now);
   const bool told = self == nullptr || self->leaving || self->IsClaimed();
   if (!told) return;
+  // Others read of the leave some time later. Until then their orders are
+  // refused as not run; sent to a stopped process, nobody could say that.
+  const bool waits = self != nullptr && m_left_at != 0 &&
+                     now - m_left_at < m_settings.leave_grace;
+  if (waits && m_safeguards.Has(Safeguard::kDrainInFlight)) return;
   m_executor.ReleaseAll();
   LogLine line;
   line.event = LogEvent::kStopped;
--- a/src/yuccawick/core/agent.h
+++ b/src/yuccawick/core/agent.h
@@ -30,6 +30,8 @@
   DurabilitySettings  durability;
   ExecutorSettings    executor;
   HomeSettings        home;
+  Duration            leave_grace = 5000;   // ms a leaving agent still refuses
+                                            // orders, for others to hear of it
   Duration            append_retry = 2000;  // ms until a record of ours that is
                                             // not seen is appended again
 };
--- a/src/yuccawick/core/control.cc
+++ b/src/yuccawick/core/control.cc
@@ -36,7 +36,8 @@
 }
 
 Effect Control::Apply(const SnapshotRecord& snapshot) {
-  if (snapshot.as_of <= m_version) return Effect::kOld;
+  const bool newer_only = m_safeguards.Has(Safeguard::kNewerControlOnly);
+  if (newer_only && snapshot.as_of <= m_version) return Effect::kOld;
   m_contracts.clear();
   m_members.clear();
   m_newest_on_vm.clear();
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -323,6 +323,8 @@
   }
   m_dispatches.erase(it);
   if (reply.ok) return Settle(program, reply.answer, nullptr, now);
+  if (reply.failure.reason == Reason::kDraining)
+    m_parts.membership.OnLeaving(from, now);
   Failed(program, reply.failure, now);
 }
 
@@ -447,6 +449,17 @@
   }
 }
 
+void Home::OnUnsent(const Dispatch& dispatch, Time now) {
+  const auto found = m_programs.find(dispatch.call.program);
+  if (found == m_programs.end()) return;
+  Program*   program = &found->second;
+  const bool matches = program->phase == ProgramPhase::kRunning &&
+                       program->active->dispatch == dispatch.dispatch;
+  if (!matches) return;
+  m_dispatches.erase(dispatch.dispatch);
+  Refused(program, Refuse(Reason::kBackendUnreachable), now);
+}
+
 void Home::OnPeerLost(const NodeRef& node, Time now) {
   for (auto& [id, program] : m_programs) {
     const bool waits = program.phase == ProgramPhase::kRunning &&
--- a/src/yuccawick/core/home.h
+++ b/src/yuccawick/core/home.h
@@ -67,6 +67,8 @@
   void OnDispatchReply(const NodeRef& from, const DispatchReply& reply,
                        Time now);
   void OnFenceReply(const NodeRef& from, const FenceReply& reply, Time now);
+  // An order that has certainly not left this node.
+  void OnUnsent(const Dispatch& dispatch, Time now);
   // The node no longer answers; what it was given may have run.
   void OnPeerLost(const NodeRef& node, Time now);
 
--- a/src/yuccawick/core/membership.cc
+++ b/src/yuccawick/core/membership.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawick::core {
 
@@ -47,11 +48,16 @@
 }
 
 void Membership::Watch(const std::set<NodeRef>& peers, Time now) {
-  m_watched = peers;
+  const std::set<NodeRef> before = std::exchange(m_watched, peers);
   for (const auto& node : PickPeers(m_self, m_control, m_settings.random_peers))
     m_watched.insert(node);
   m_watched.erase(m_self);
-  for (const auto& node : m_watched) PeerOf(node, now);
+  for (const auto& node : m_watched) {
+    Peer& peer = PeerOf(node, now);
+    // A peer that was not watched may not have been heard for long, though it
+    // is well. Judged by that, it would be claimed the moment it is watched.
+    if (!before.contains(node)) peer.heard = now;
+  }
 }
 
 void Membership::OnMessage(const NodeRef& from, Time now) {
@@ -73,6 +79,10 @@
   if (it != m_peers.end()) it->second.load = load;
 }
 
+void Membership::OnLeaving(const NodeRef& node, Time now) {
+  Fire(&PeerOf(node, now), PeerEvent::kLeave);
+}
+
 void Membership::OnSendFailed(const NodeRef& to, Time now) {
   Fire(&PeerOf(to, now), PeerEvent::kSilent);
 }
--- a/src/yuccawick/core/membership.h
+++ b/src/yuccawick/core/membership.h
@@ -43,6 +43,8 @@
   void OnMessage(const NodeRef& from, Time now);
   void OnProbeReply(const NodeRef& from, const ProbeReply& reply, Time now);
   void OnLoad(const NodeRef& from, Duration load);
+  // The node has refused work because it is leaving.
+  void OnLeaving(const NodeRef& node, Time now);
   void OnSendFailed(const NodeRef& to, Time now);
   void OnVmList(const VmListRead& list, Time now);
   void OnControl();
--- a/src/yuccawick/core/messages.h
+++ b/src/yuccawick/core/messages.h
@@ -8,6 +8,7 @@
 // that. Replies carry the number of their request.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -349,10 +350,12 @@
   Message message;
 };
 
-// The message may or may not have arrived; no reply will come from that node
-// until it is heard again.
+// A message may or may not have arrived; no reply will come from that node
+// until it is heard again. If no connection could be made at all, the message
+// certainly has not left: it is handed back in `unsent`.
 struct SendFailed {
-  NodeRef to;
+  NodeRef                to;
+  std::optional<Message> unsent;
 };
 
 enum class LogStatus : std::uint8_t {
--- a/src/yuccawick/core/retry.cc
+++ b/src/yuccawick/core/retry.cc
@@ -11,6 +11,7 @@
     case Reason::kNotReady:
     case Reason::kHomeUnreachable:
     case Reason::kFenced:
+    case Reason::kBackendUnreachable:
       return true;
     default:
       return false;
--- a/src/yuccawick/daemon/node_shell.cc
+++ b/src/yuccawick/daemon/node_shell.cc
@@ -31,7 +31,8 @@
 // once: a message is never sent again, so that a receiver sees no copies.
 class Link {
  public:
-  using OnFailed = std::function<void()>;
+  // The message is given if it has certainly not been sent.
+  using OnFailed = std::function<void(const core::Message* unsent)>;
 
   Link(kj::Network& network, std::string address, OnFailed on_failed)
       : m_address(std::move(address)),
@@ -50,9 +51,10 @@
           return request.send().ignoreResult();
         })
         .then([this]() { --m_unsent; },
-              [this](kj::Exception&&) {
+              [this, envelope](kj::Exception&&) {
                 --m_unsent;
-                Break();
+                m_broken = true;
+                m_on_failed(m_node ? nullptr : &envelope.message);
               });
   }
   bool IsFull() const { return m_unsent >= kMostUnsent; }
@@ -71,12 +73,6 @@
         });
   }
 
-  void Break() {
-    if (m_broken) return;
-    m_broken = true;
-    m_on_failed();
-  }
-
   std::string                            m_address;
   OnFailed                               m_on_failed;
   bool                                   m_broken = false;
@@ -267,7 +263,7 @@
 
   void Send(const core::SendMessage& send) {
     const std::string address = AddressOf(send.to);
-    if (address.empty()) return Failed(send.to);
+    if (address.empty()) return Failed(send.to, &send.message);
     auto&      link = m_links[send.to.vm];
     const bool stale = link.get() != nullptr &&
                        (link->IsBroken() || link->address() != address);
@@ -278,16 +274,20 @@
     }
     if (link.get() == nullptr) {
       link = kj::heap<Link>(m_io.provider->getNetwork(), address,
-                            [this, to = send.to] { Failed(to); });
+                            [this, to = send.to](const core::Message* unsent) {
+                              Failed(to, unsent);
+                            });
     }
-    if (link->IsFull()) return Failed(send.to);
+    if (link->IsFull()) return Failed(send.to, &send.message);
     m_tasks.add(link->Send({m_shell.m_settings.self, send.to,
                             m_shell.m_settings.listen, send.message}));
   }
 
   // Told to the core in a turn of its own: it may be in the middle of one now.
-  void Failed(const core::NodeRef& to) {
-    m_tasks.add(kj::evalLater([this, to] { Handle(core::SendFailed{to}); }));
+  void Failed(const core::NodeRef& to, const core::Message* unsent) {
+    core::SendFailed failed{to, {}};
+    if (unsent != nullptr) failed.unsent = *unsent;
+    m_tasks.add(kj::evalLater([this, failed] { Handle(failed); }));
   }
 
   void taskFailed(kj::Exception&& exception) override {
--- a/src/yuccawick/testing/group.cc
+++ b/src/yuccawick/testing/group.cc
@@ -272,13 +272,13 @@
   const Fate fate = m_filter ? m_filter(node->ref, send) : Fate::kDeliver;
   if (fate == Fate::kLose) return;
   if (!to->second.alive) {
-    Post(from, node->ref.incarnation, Latency(), core::SendFailed{send.to});
+    Post(from, node->ref.incarnation, Latency(),
+         core::SendFailed{send.to, send.message});
     return;
   }
   const core::Duration delay = fate == Fate::kDelay ? m_late : 0;
   Post(send.to.vm, 0, Latency() + delay, received);
-  if (fate == Fate::kRepeat)
-    Post(send.to.vm, 0, Latency() + m_late, received);
+  if (fate == Fate::kRepeat) Post(send.to.vm, 0, Latency() + m_late, received);
 }
 
 // ---- Callers
--- a/src/yuccawick/testing/group.h
+++ b/src/yuccawick/testing/group.h
@@ -175,7 +175,7 @@
   std::set<std::pair<std::string, std::string>>       m_cuts;
   std::vector<core::VmEntry>                          m_vm_list;
   bool                                                m_has_vm_list = false;
-  core::Duration m_late = 700;  // ms
+  core::Duration                                      m_late = 700;  // ms
   Filter                                              m_filter;
   std::map<std::uint64_t, std::vector<core::Message>> m_answers;
   std::map<std::uint64_t, core::Time>                 m_answered_at;
--- /dev/null
+++ b/tests/budget_test.cc
@@ -0,0 +1,221 @@
+// 3. No customer's program spends beyond the budget its contract grants.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Reason;
+using core::Resource;
+using core::Safeguard;
+using core::Safeguards;
+
+const std::string kLongBody(250, 'x');  // its answer fills max_tokens
+
+core::Tokens SpentAtEngines(SmallGroup& s) {
+  core::Tokens total = 0;
+  for (const auto& vm : {kHomeA, kHomeB, kHomeC})
+    total += s.group.backend(vm).TokensOf("sakhli");
+  return total;
+}
+
+void SetBudget(SmallGroup& s, core::Tokens program, core::Tokens total) {
+  auto contract = Group::DefaultContract("sakhli");
+  contract.program_budget = program;
+  contract.total_budget = total;
+  s.group.Publish(contract);
+  s.group.Advance(2000);
+}
+
+// Many programs over three homes, each calling until it is refused.
+core::Tokens SpendAll(SmallGroup& s, int programs, int rounds) {
+  std::vector<core::ProgramId> ids;
+  for (int i = 0; i < programs; ++i) {
+    const auto id =
+        s.group.StartNow(i % 2 == 0 ? "entry-a" : "entry-b", "sakhli", "w1");
+    if (id) ids.push_back(*id);
+  }
+  for (int round = 1; round <= rounds; ++round) {
+    for (const auto& id : ids) {
+      s.group.Call(
+          "entry-a",
+          s.group.ModelCall(id, static_cast<core::Sequence>(round), kLongBody));
+    }
+    s.group.Advance(3000);
+  }
+  return SpentAtEngines(s);
+}
+
+bool CustomerTotalHolds(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  SetBudget(s, 2000, 2000);
+  return SpendAll(s, 12, 4) <= 2000;
+}
+
+Test(Budget, ManyProgramsAtTheEdge_TotalIsNotExceeded) {
+  // Callers see customer_budget once the total is used up. Three homes go for
+  // the last of it at once; log order lets one have it. A node that spent its
+  // slice before reading back would spend what another was given.
+  cr_assert_not(
+      CustomerTotalHolds(Safeguards::Without(Safeguard::kGrantReadBack)));
+  cr_assert(CustomerTotalHolds(Safeguards::All()));
+}
+
+bool ProgramBudgetHolds(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  SetBudget(s, 300, 1'000'000);
+  s.Start();
+  for (core::Sequence i = 1; i <= 8; ++i)
+    s.group.CallNow("entry-a", s.group.ModelCall(s.program, i, kLongBody));
+  return SpentAtEngines(s) <= 300;
+}
+
+Test(Budget, OneProgramCallsOn_ItsOwnBudgetIsNotExceeded) {
+  // The caller sees program_budget before the call that could exceed it. Each
+  // call reserves its prompt and its longest answer first.
+  cr_assert_not(
+      ProgramBudgetHolds(Safeguards::Without(Safeguard::kWorstCaseReserve)));
+  cr_assert(ProgramBudgetHolds(Safeguards::All()));
+}
+
+Test(Budget, RefusedForBudget_DidNotRunAndSaysWhenToReturn) {
+  SmallGroup s;
+  SetBudget(s, 300, 1'000'000);
+  s.Start();
+  core::CallReply reply;
+  core::Sequence  sequence = 0;
+  do {
+    reply = s.group.CallNow(
+        "entry-a", s.group.ModelCall(s.program, ++sequence, kLongBody));
+  } while (reply.ok && sequence < 20);
+  cr_assert(reply.failure.reason == Reason::kProgramBudget);
+  cr_assert(reply.failure.ran == core::Ran::kNo);
+  cr_assert_eq(s.group.TotalEffects({s.program, sequence}), 0);
+}
+
+Test(Budget, HomeKilledAgainAndAgain_ProgramBudgetHolds) {
+  // The caller's program moves from home to home, each dying while the engine
+  // works. What such a call may have cost stays spent.
+  SmallGroup s;
+  SetBudget(s, 500, 1'000'000);
+  s.Start();
+  for (core::Sequence i = 1; i <= 3; ++i) {
+    s.group.Call("entry-a", s.group.ModelCall(s.program, i, kLongBody));
+    s.group.Advance(60);
+    const std::string home = s.HomeNow();
+    s.group.Kill(home);
+    s.group.Advance(6000);
+    s.group.Restart(home);
+    s.group.Advance(6000);
+  }
+  cr_assert_leq(SpentAtEngines(s), 500);
+}
+
+Test(Budget, AppendRepliesLost_TotalIsNotExceeded) {
+  // Callers see their calls served. Every reply of the log to an append is
+  // lost; each grant is found by reading and counted once.
+  SmallGroup s;
+  SetBudget(s, 3000, 3000);
+  s.group.log().SetMode(LogMode::kLosesReply);
+  const core::Tokens spent = SpendAll(s, 9, 4);
+  cr_assert_gt(spent, 0);
+  cr_assert_leq(spent, 3000);
+}
+
+Test(Budget, LoweredWhileAnAgentIsCutOff_NothingNewBeyondWhatWasGranted) {
+  // Callers at reachable homes are refused under the lowered total. One home
+  // is cut off with a slice granted under the old total; it may spend that
+  // slice, which log order had granted before the amendment, and no more.
+  SmallGroup s;
+  SetBudget(s, 100'000, 100'000);
+  SpendAll(s, 6, 1);
+  const std::string cut = kHomeA;
+  const auto        slice =
+      s.group.agent(cut).budget().AvailableOf("sakhli", Resource::kTokens);
+  for (const auto& vm : {kHomeB, kHomeC, kDesk1, kDesk2}) s.group.Cut(cut, vm);
+  s.group.CutLog(cut, true);
+  const core::Tokens before = SpentAtEngines(s);
+  SetBudget(s, 1000, 1000);
+  SpendAll(s, 6, 3);
+  const core::Tokens after = SpentAtEngines(s) - before;
+  cr_assert_leq(after, slice + std::max<core::Tokens>(0, 1000 - before));
+}
+
+Test(Budget, LoweredTotal_UnusedSlicesAreGivenBack) {
+  // Callers are served under the lowered total as soon as the unused slices
+  // are back. What stays stranded is nothing when every holder is up.
+  SmallGroup s;
+  SetBudget(s, 50'000, 64'000);
+  SpendAll(s, 6, 1);
+  const core::Tokens spent = SpentAtEngines(s);
+  SetBudget(s, 40'000, 50'000);
+  s.group.Advance(5000);
+  core::GrantLedger ledger;
+  const auto read = s.group.log().Read({0, core::GrantStream("sakhli"), 0});
+  for (const auto& logged : read.records) ledger.Apply(logged, 0);
+  cr_assert_eq(ledger.state(Resource::kTokens).granted, spent);
+  cr_assert_eq(ledger.state(Resource::kTokens).total, 50'000);
+}
+
+Test(Budget, LogDownWithSliceUsedUp_TypedRefusalWithWhenToReturn) {
+  // The caller is served from the slice, then refused with log_unavailable and
+  // a time to come back; never charged to a total nobody can check.
+  SmallGroup s;
+  SetBudget(s, 60'000, 64'000);
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, kLongBody));
+  s.group.log().SetMode(LogMode::kDown);
+  core::CallReply reply;
+  core::Sequence  sequence = 1;
+  do {
+    reply = s.group.CallNow(
+        "entry-a", s.group.ModelCall(s.program, ++sequence, kLongBody));
+  } while (reply.ok && sequence < 60);
+  cr_assert_gt(sequence, 2);
+  cr_assert(reply.failure.reason == Reason::kLogUnavailable);
+  cr_assert_gt(reply.failure.retry_after, 0);
+}
+
+Test(Budget, ProgramSlots_AreNotExceededAndComeBack) {
+  SmallGroup s;
+  auto       contract = Group::DefaultContract("sakhli");
+  contract.max_programs = 10;
+  s.group.Publish(contract);
+  s.group.Advance(2000);
+  std::vector<core::ProgramId> programs;
+  for (int i = 0; i < 30; ++i) {
+    const auto id = s.group.StartNow("entry-a", "sakhli", "w1");
+    if (id) programs.push_back(*id);
+  }
+  cr_assert_leq(programs.size(), 10);
+  cr_assert_geq(programs.size(), 1);
+  for (const auto& id : programs) {
+    s.group.Query("entry-a", id, "sakhli", "w1", true);
+    s.group.Advance(100);
+  }
+  s.group.Advance(3000);
+  cr_assert(s.group.StartNow("entry-b", "sakhli", "w1").has_value());
+}
+
+// A ledger read from its beginning and one read from a later record agree.
+Test(GrantLedger, EarlyRecordsDropped_SumsAreKnownFromACheckpoint) {
+  SmallGroup s;
+  SpendAll(s, 9, 2);
+  const std::string stream = core::GrantStream("sakhli");
+  const auto        read = s.group.log().Read({0, stream, 0});
+  cr_assert_gt(read.records.size(), 3);
+  core::GrantLedger whole;
+  for (const auto& logged : read.records) whole.Apply(logged, 0);
+  for (std::size_t cut = 1; cut < read.records.size(); ++cut) {
+    core::GrantLedger part;
+    for (std::size_t i = cut; i < read.records.size(); ++i)
+      part.Apply(read.records[i], static_cast<core::Offset>(cut));
+    if (!part.IsKnown(Resource::kTokens)) continue;
+    cr_assert_eq(part.state(Resource::kTokens).granted,
+                 whole.state(Resource::kTokens).granted);
+  }
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/configuration_test.cc
@@ -0,0 +1,205 @@
+// 10. An accepted configuration is in force everywhere within seconds and never
+// reverts.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+#include "yuccawick/cli/operator.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Reason;
+using core::Safeguard;
+using core::Safeguards;
+
+const std::vector<std::string> kAgents{kHomeA, kHomeB, kHomeC, kDesk1, kDesk2};
+
+std::int64_t TurnsAt(SmallGroup& s, const std::string& agent) {
+  const auto* contract = s.group.agent(agent).control().FindContract("sakhli");
+  return contract == nullptr ? 0 : contract->contract.max_turns;
+}
+
+core::Contract WithTurns(std::int64_t turns) {
+  auto contract = Group::DefaultContract("sakhli");
+  contract.max_turns = turns;
+  return contract;
+}
+
+bool LateRecordChangesNothing(Safeguards safeguards) {
+  SmallGroup              s(safeguards);
+  const core::ControlPush late{s.group.agent(kHomeB).control().Snapshot()};
+  s.group.Publish(WithTurns(77));
+  s.group.Advance(2000);
+  if (TurnsAt(s, kHomeA) != 77) return false;
+  // A peer's state of long ago arrives now, for the first or for the third
+  // time.
+  for (int i = 0; i < 3; ++i) {
+    s.group.Inject(kHomeA,
+                   core::MessageReceived{s.group.agent(kHomeB).self(),
+                                         s.group.agent(kHomeA).self(), late});
+  }
+  return TurnsAt(s, kHomeA) == 77;
+}
+
+Test(Configuration, OlderRecordsComeLateAndAgain_DoesNotRevert) {
+  // Callers go on under the amended contract. A peer's older state comes after
+  // the amendment; it lies below the version held.
+  cr_assert_not(LateRecordChangesNothing(
+      Safeguards::Without(Safeguard::kNewerControlOnly)));
+  cr_assert(LateRecordChangesNothing(Safeguards::All()));
+}
+
+class GroupLog : public cli::LogAccess {
+ public:
+  explicit GroupLog(testing::FakeLog& log) : m_log(log) {}
+  core::AppendDone Append(const core::AppendRecords& command) override {
+    if (m_before_append) m_before_append();
+    m_before_append = {};
+    return m_log.Append(command);
+  }
+  core::ReadDone Read(const core::ReadRecords& command) override {
+    return m_log.Read(command);
+  }
+  // Runs once, just before the next append.
+  void BeforeAppend(std::function<void()> action) {
+    m_before_append = std::move(action);
+  }
+
+ private:
+  testing::FakeLog&     m_log;
+  std::function<void()> m_before_append;
+};
+
+// Two operators amend the same version; the second appends while the first is
+// between its read and its append.
+bool ExactlyOneWins(Safeguards safeguards) {
+  SmallGroup    s(safeguards);
+  GroupLog      first_log(s.group.log());
+  GroupLog      second_log(s.group.log());
+  cli::Operator first(first_log, "first");
+  cli::Operator second(second_log, "second");
+  first_log.BeforeAppend([&] { (void)second.Publish(WithTurns(22), nullptr); });
+  const auto lost = first.Publish(WithTurns(11), nullptr);
+  s.group.Advance(2000);
+  const bool told = !lost && lost.error().reason == Reason::kConflict &&
+                    lost.error().ran == core::Ran::kNo;
+  return told && TurnsAt(s, kHomeA) == 22 && TurnsAt(s, kHomeB) == 22;
+}
+
+Test(Configuration, TwoOperatorsAmendAtOnce_OneGetsAConflict) {
+  // One operator sees its version in force, the other a typed conflict, and
+  // every node holds the winner's. Log order decides; without the check of the
+  // amended version the loser's record would silently replace the winner's.
+  cr_assert_not(ExactlyOneWins(Safeguards::Without(Safeguard::kAmendsVersion)));
+  cr_assert(ExactlyOneWins(Safeguards::All()));
+}
+
+Test(Configuration, AppendReplyLost_OperatorLearnsThatItTookEffect) {
+  SmallGroup    s;
+  GroupLog      log(s.group.log());
+  cli::Operator op(log, "op");
+  s.group.log().SetMode(LogMode::kLosesReply);
+  const auto published = op.Publish(WithTurns(33), nullptr);
+  cr_assert(published.has_value());
+  s.group.Advance(2000);
+  cr_assert_eq(TurnsAt(s, kHomeA), 33);
+}
+
+Test(Configuration, LogDown_OperatorIsToldThatNothingHappened) {
+  SmallGroup    s;
+  GroupLog      log(s.group.log());
+  cli::Operator op(log, "op");
+  s.group.log().SetMode(LogMode::kDown);
+  const auto published = op.Publish(WithTurns(33), nullptr);
+  cr_assert(published.error().reason == Reason::kLogUnavailable);
+  cr_assert(published.error().ran == core::Ran::kNo);
+}
+
+Test(Configuration, PublishedWithDefaultPolling_IsInForceWithinEightSeconds) {
+  // Every node holds it within 8 s, though some reads of each are refused.
+  GroupSettings settings;
+  settings.control_poll = 2000;
+  Group group(settings);
+  group.AddEntry("entry-a", "saburtalo");
+  for (int i = 0; i < 12; ++i) {
+    group.AddAgent("model-" + std::to_string(i), i % 2 == 0 ? "x" : "y",
+                   core::BackendKind::kModel, "m");
+  }
+  cr_assert(group.Settle(60'000));
+  group.Publish(WithTurns(55));
+  for (int i = 0; i < 12; ++i) group.CutLog("model-" + std::to_string(i), true);
+  group.Advance(2500);
+  for (int i = 0; i < 12; ++i)
+    group.CutLog("model-" + std::to_string(i), false);
+  group.Advance(8000 - 2500);
+  for (int i = 0; i < 12; ++i) {
+    const auto* contract = group.agent("model-" + std::to_string(i))
+                               .control()
+                               .FindContract("sakhli");
+    cr_assert_eq(contract->contract.max_turns, 55);
+  }
+}
+
+Test(Configuration, NodeStartsInOutage_TakesItsPeersState) {
+  // The operators see the new node serve under the contract in force. It finds
+  // the log down, knows its peers from the platform's list, and asks them.
+  SmallGroup s;
+  s.group.Publish(WithTurns(66));
+  s.group.Advance(2000);
+  for (int i = 0; i < 9; ++i) s.Start();  // the homes have slots to give
+  std::vector<core::VmEntry> list;
+  for (const auto& vm : kAgents) list.push_back({vm, "", false});
+  s.group.SetVmList(list);
+  s.group.log().SetMode(LogMode::kDown);
+  s.group.AddEntry("entry-c", "isani");
+  s.group.Advance(10'000);
+  const auto* contract =
+      s.group.entry("entry-c").control().FindContract("sakhli");
+  cr_assert_not_null(contract);
+  cr_assert_eq(contract->contract.max_turns, 66);
+  cr_assert(s.group.StartNow("entry-c", "sakhli", "w1").has_value());
+}
+
+Test(Configuration, RetentionDropsOldRecords_SnapshotStandsForThem) {
+  // A node that starts after retention has dropped the contract's record still
+  // learns the contract: an agent wrote a snapshot in time.
+  GroupSettings settings;
+  settings.tune = [](core::AgentSettings* agent) {
+    agent->control.snapshot_interval = 5000;
+  };
+  Group group(settings);
+  group.AddEntry("entry-a", "saburtalo");
+  group.AddAgent("model-a", "saburtalo", core::BackendKind::kModel, "m");
+  group.AddAgent("model-b", "gldani", core::BackendKind::kModel, "m");
+  group.Publish(WithTurns(44));
+  cr_assert(group.Settle());
+  group.Advance(15'000);
+  const std::string control(core::kControlStream);
+  core::Offset      snapshot = core::kNoOffset;
+  for (core::Offset i = 0; i < group.log().EndOf(control); ++i) {
+    const auto& record =
+        group.log().Records(control)[static_cast<std::size_t>(i)];
+    if (std::holds_alternative<core::SnapshotRecord>(record)) snapshot = i;
+  }
+  cr_assert_neq(snapshot, core::kNoOffset);
+  group.log().Trim(control, snapshot);
+  group.AddEntry("entry-b", "gldani");
+  group.Advance(3000);
+  const auto* contract =
+      group.entry("entry-b").control().FindContract("sakhli");
+  cr_assert_not_null(contract);
+  cr_assert_eq(contract->contract.max_turns, 44);
+  cr_assert(group.StartNow("entry-b", "sakhli", "w1").has_value());
+}
+
+Test(Configuration, OldRecordsDroppedWithoutSnapshot_NothingIsGuessed) {
+  core::Control control(Safeguards::All());
+  SmallGroup    s;
+  s.group.log().Trim(std::string(core::kControlStream), 3);
+  s.group.AddEntry("entry-c", "isani");
+  s.group.Advance(3000);
+  cr_assert_eq(s.group.entry("entry-c").control().version(), core::kNoOffset);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- a/tests/history_test.cc
+++ b/tests/history_test.cc
@@ -74,8 +74,8 @@
       s.group.Call("entry-a", s.group.ModelCall(s.program, 2, "two"));
   s.group.Advance(30);
   s.group.Kill(s.Home());
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); },
-                                 kLong));
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong));
   cr_assert(std::get<core::CallReply>(*s.group.AnswerTo(request)).ok);
   const auto history = ReadHistory(s, "entry-b", "w1");
   cr_assert(history.has_value());
@@ -139,8 +139,8 @@
       s.group.Call("entry-a", s.group.ModelCall(s.program, 2, "two"));
   s.group.AdvanceUntil([&] { return s.IsBusy(s.Home()); }, 1000);
   s.group.Kill(s.Replica());
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); },
-                                 kLong));
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong));
   const auto& reply = std::get<core::CallReply>(*s.group.AnswerTo(request));
   cr_assert(reply.failure.reason == core::Reason::kNotDurable);
   cr_assert(reply.failure.ran == core::Ran::kYes);
@@ -215,8 +215,8 @@
       s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "one"));
   s.group.AdvanceUntil([&] { return s.IsBusy(s.Home()); }, 1000);
   s.group.Freeze(s.Home());
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); },
-                                 kLong));
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong));
   s.group.Thaw(s.Home());
   s.group.Advance(10'000);
   cr_assert_not(s.group.IsRunning(s.Home()));
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,105 @@
+// Membership: suspicion, pauses, claims.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Safeguard;
+using core::Safeguards;
+
+bool PausedNodeClaimsNobody(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  const std::string replica = s.Replica();
+  // The log is down meanwhile, so that nobody claims the paused node either.
+  s.group.log().SetMode(LogMode::kDown);
+  s.group.Freeze(replica);
+  s.group.Advance(10'000);
+  s.group.log().SetMode(LogMode::kUp);
+  s.group.Thaw(replica);
+  s.group.Advance(10'000);
+  return s.group.IsRunning(s.Home());
+}
+
+Test(Membership, NodeWakesFromAPause_ClaimsNoHealthyHome) {
+  // Callers see nothing. To a node that was paused all its peers look silent;
+  // it gives them a fresh chance instead of taking their programs over.
+  cr_assert_not(
+      PausedNodeClaimsNobody(Safeguards::Without(Safeguard::kPauseDetection)));
+  cr_assert(PausedNodeClaimsNobody(Safeguards::All()));
+}
+
+Test(Membership, PeerIsWatchedAfterALongQuiet_IsGivenAFreshChance) {
+  // Callers see nothing. Twelve agents start at once and poll every 2 s; some
+  // become replicas of homes they have not heard for that long. Claiming those
+  // at once ended a healthy home.
+  GroupSettings settings;
+  settings.control_poll = 2000;
+  Group group(settings);
+  for (int i = 0; i < 12; ++i) {
+    group.AddAgent("model-" + std::to_string(i), i % 2 == 0 ? "x" : "y",
+                   core::BackendKind::kModel, "m");
+  }
+  group.Advance(30'000);
+  for (int i = 0; i < 12; ++i)
+    cr_assert(group.IsRunning("model-" + std::to_string(i)));
+}
+
+Test(Membership, OneConnectionBreaks_HomeIsNotClaimed) {
+  SmallGroup s;
+  s.Start();
+  s.group.Inject(s.Replica(), core::SendFailed{s.program.origin, {}});
+  s.group.Advance(5000);
+  cr_assert(s.group.IsRunning(s.Home()));
+  cr_assert_eq(s.HomeNow(), s.Home());
+}
+
+Test(Membership, HomeAndReplicaCutFromEachOther_OneOwnerRemains) {
+  // The caller sees its calls answered by one owner. Home and replica cannot
+  // reach each other but both reach the log; the claim there ends the old home.
+  SmallGroup s;
+  s.Start();
+  const std::string home = s.Home();
+  const std::string replica = s.Replica();
+  s.group.Cut(home, replica);
+  s.group.Advance(8000);
+  const auto reply = s.group.CallThrough(
+      {"entry-a", "entry-b"}, s.group.ModelCall(s.program, 1, "one"), kLong);
+  cr_assert(reply.ok, "%s", core::Name(reply.failure.reason).data());
+  const bool claimed = s.HomeNow() != home;
+  cr_assert_eq(s.group.IsRunning(home), !claimed);
+}
+
+Test(Membership, ReplicaDies_AnotherIsAssigned) {
+  SmallGroup s;
+  s.Start();
+  const std::string first = s.Replica();
+  s.group.Kill(first);
+  cr_assert(s.group.AdvanceUntil([&] { return s.Replica() != first; }, kLong));
+  cr_assert_neq(s.Replica(), s.Home());
+}
+
+Test(Membership, TwoAgentsClaimAtOnce_FirstInLogOrderOwns) {
+  core::Control control(Safeguards::All());
+  const auto    join = [](const std::string& vm) {
+    core::JoinRecord record;
+    record.node = {vm, 1};
+    return record;
+  };
+  core::Offset offset = 0;
+  for (const auto* vm : {"a", "b", "c"}) control.Apply({offset++, join(vm)});
+  const core::NodeRef a{"a", 1};
+  const core::NodeRef b{"b", 1};
+  const core::NodeRef c{"c", 1};
+  cr_assert(control.Apply({offset++, core::ClaimRecord{a, b}}) ==
+            core::Effect::kApplied);
+  cr_assert(control.Apply({offset++, core::ClaimRecord{a, c}}) ==
+            core::Effect::kVoid);
+  cr_assert(control.Resolve(a).node == b);
+  cr_assert_eq(control.Resolve(a).fence, 3);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/memory_test.cc
@@ -0,0 +1,146 @@
+// 4. No engine memory stays held for programs that have ended or vanished.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Safeguard;
+using core::Safeguards;
+
+std::size_t Held(SmallGroup& s) {
+  std::size_t held = 0;
+  for (const auto& vm : {kHomeA, kHomeB, kHomeC})
+    held += s.group.backend(vm).prefixes_held();
+  return held;
+}
+
+void End(SmallGroup& s) {
+  const auto query = s.group.Query("entry-a", s.program, "sakhli", "w1", true);
+  s.group.AdvanceUntil([&] { return s.group.IsAnswered(query); }, kLong);
+  s.group.Advance(2000);
+}
+
+bool EndedProgramHoldsNothing(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  if (Held(s) == 0) return false;
+  End(s);
+  return Held(s) == 0;
+}
+
+Test(EngineMemory, ProgramEnds_IsReleased) {
+  cr_assert_not(
+      EndedProgramHoldsNothing(Safeguards::Without(Safeguard::kPrefixRelease)));
+  cr_assert(EndedProgramHoldsNothing(Safeguards::All()));
+}
+
+Test(EngineMemory, CallerVanishes_IsReleasedAfterIdleTimeout) {
+  // Nobody sees anything. The caller never calls again; the contract's idle
+  // timeout ends the program, which releases its prefix and its slot.
+  SmallGroup s;
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.Advance(70'000);
+  cr_assert_eq(Held(s), 0);
+  const auto reply =
+      s.group.CallNow("entry-b", s.group.ModelCall(s.program, 2, "two"));
+  cr_assert(reply.failure.reason == core::Reason::kProgramEnded);
+}
+
+Test(EngineMemory, ReleaseIsLost_LeaseRunsOut) {
+  // The order to release goes to another engine's agent and is lost; the
+  // prefix's lease there is not renewed and runs out.
+  SmallGroup s;
+  s.Start();
+  const std::string home = s.Home();
+  s.group.backend(home).Hold(true);
+  for (int i = 0; i < 8; ++i) {
+    // Fill the home's engine so that the program's call runs elsewhere.
+    const auto other = s.group.StartNow("entry-a", "sakhli", "w1");
+    if (other) s.group.Call("entry-a", s.group.ModelCall(*other, 1, "fill"));
+  }
+  s.group.Advance(100);
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.backend(home).Hold(false);
+  s.group.Advance(1000);
+  s.group.SetFilter([](const core::NodeRef&, const core::SendMessage& send) {
+    const bool release =
+        std::holds_alternative<core::ReleaseCache>(send.message);
+    return release ? Fate::kLose : Fate::kDeliver;
+  });
+  End(s);
+  s.group.Advance(200'000);
+  cr_assert_eq(Held(s), 0);
+}
+
+Test(EngineMemory, AgentRestarted_DropsWhatItsPredecessorHeld) {
+  // The caller goes on at the new home. The killed agent's engine still holds
+  // the prefix; the next incarnation begins by releasing all of it.
+  SmallGroup s;
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  const std::string home = s.Home();
+  s.group.Kill(home);
+  cr_assert_eq(s.group.backend(home).prefixes_held(), 1);
+  s.group.Restart(home);
+  s.group.Advance(5000);
+  cr_assert_eq(s.group.backend(home).prefixes_held(), 0);
+}
+
+Test(EngineMemory, LoopingProgram_IsStoppedByItsTurnLimit) {
+  // The caller's loop is refused with turn_limit once its contract's calls are
+  // used up, and released when it goes idle.
+  SmallGroup s;
+  auto       contract = Group::DefaultContract("sakhli");
+  contract.max_turns = 5;
+  s.group.Publish(contract);
+  s.group.Advance(2000);
+  s.Start();
+  core::CallReply reply;
+  core::Sequence  sequence = 0;
+  do {
+    reply = s.group.CallNow("entry-a",
+                            s.group.ModelCall(s.program, ++sequence, "again"));
+  } while (reply.ok && sequence < 20);
+  cr_assert_eq(sequence, 6);
+  cr_assert(reply.failure.reason == core::Reason::kTurnLimit);
+  s.group.Advance(70'000);
+  cr_assert_eq(Held(s), 0);
+}
+
+Test(EngineMemory, ToolHangs_CallEndsAtItsDeadlineAndProgramGoesIdle) {
+  // The caller is told `unknown` after its deadline. The desk never answers;
+  // its order is not repeated, and the program's prefix is released when the
+  // program goes idle.
+  SmallGroup s;
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  const auto reply =
+      s.group.CallNow("entry-a", s.group.ServiceCall(s.program, 2, "hang"));
+  cr_assert(reply.failure.ran == core::Ran::kUnknown);
+  s.group.Advance(70'000);
+  cr_assert_eq(Held(s), 0);
+  cr_assert_eq(s.group.TotalEffects({s.program, 2}), 1);
+}
+
+Test(EngineMemory, EngineThatChecksFences_RefusesThePredecessor) {
+  // Nobody sees anything. An agent frozen while its successor joined wakes and
+  // orders a release; the engine refuses the older number.
+  FakeBackend engine;
+  engine.CheckFence(true);
+  core::RunCall order;
+  order.run = 1;
+  order.fence = 7;
+  order.call.program = {{"vm", 1}, 1};
+  order.call.sequence = 1;
+  engine.Run(order, 0, 10);
+  engine.Release({core::ProgramId{}, 3});
+  cr_assert_eq(engine.prefixes_held(), 1);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- a/tests/order_test.cc
+++ b/tests/order_test.cc
@@ -1,8 +1,8 @@
 // 1. The calls of one program run in the order the program issued them.
-#include <algorithm>
-
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "fixture.h"
 
 namespace yuccawick::tests {
@@ -12,7 +12,7 @@
 using core::Safeguards;
 
 // The sequence numbers of a program's calls as its engines ran them.
-std::vector<core::Sequence> RunOrder(SmallGroup& s,
+std::vector<core::Sequence> RunOrder(SmallGroup&            s,
                                      const core::ProgramId& program) {
   std::vector<core::Sequence> order;
   for (const auto& vm : {kHomeA, kHomeB, kHomeC}) {
@@ -26,7 +26,7 @@
 bool CrossedCallsRunInOrder(Safeguards safeguards) {
   SmallGroup s(safeguards);
   s.Start();
-  std::vector<std::uint64_t> requests;
+  std::vector<std::uint64_t>     requests;
   const std::vector<std::string> entries{"entry-a", "entry-b"};
   for (const core::Sequence sequence : {3, 1, 4, 2}) {
     requests.push_back(s.group.Call(
@@ -35,9 +35,8 @@
   }
   s.group.AdvanceUntil(
       [&] {
-        return std::all_of(requests.begin(), requests.end(), [&](auto r) {
-          return s.group.IsAnswered(r);
-        });
+        return std::all_of(requests.begin(), requests.end(),
+                           [&](auto r) { return s.group.IsAnswered(r); });
       },
       kLong);
   return RunOrder(s, s.program) == std::vector<core::Sequence>{1, 2, 3, 4};
@@ -58,15 +57,15 @@
   // where it waits again until call 1 comes.
   SmallGroup s;
   s.Start();
-  const auto second = s.group.Call(
-      "entry-a", s.group.ModelCall(s.program, 2, "second"));
+  const auto second =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 2, "second"));
   s.group.Advance(20);
   s.group.Kill(s.Home());
   const auto first = s.group.CallThrough(
       {"entry-b"}, s.group.ModelCall(s.program, 1, "first"), kLong);
   cr_assert(first.ok);
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(second); },
-                                 kLong));
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(second); }, kLong));
   const auto& reply = std::get<core::CallReply>(*s.group.AnswerTo(second));
   cr_assert(reply.ok, "%s", core::Name(reply.failure.reason).data());
   const std::vector<core::Sequence> order{1, 2};
@@ -76,10 +75,9 @@
 Test(CallOrder, SubAgentBesideItsParent_HasAnOrderOfItsOwn) {
   SmallGroup s;
   s.Start();
-  const auto started =
-      s.group.Start("entry-b", "sakhli", "w1", "m", s.program);
-  cr_assert(s.group.AdvanceUntil([&] { return s.group.IsAnswered(started); },
-                                 kLong));
+  const auto started = s.group.Start("entry-b", "sakhli", "w1", "m", s.program);
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(started); }, kLong));
   const auto child =
       std::get<core::StartReply>(*s.group.AnswerTo(started)).program;
   cr_assert_eq(child.origin, s.program.origin);
--- /dev/null
+++ b/tests/stop_test.cc
@@ -0,0 +1,155 @@
+// 8. A backend server that is leaving receives no new work after a few seconds.
+// 9. Every planned stop is graceful: it cuts off no request in flight.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Safeguard;
+using core::Safeguards;
+
+constexpr core::Duration kFewSeconds = 3000;
+
+std::vector<core::VmEntry> ListWithLeaving(const std::string& leaving) {
+  std::vector<core::VmEntry> list;
+  for (const auto& vm : {kHomeA, kHomeB, kHomeC, kDesk1, kDesk2})
+    list.push_back({vm, "", vm == leaving});
+  return list;
+}
+
+bool LeavingDeskGetsNothing(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.group.SetVmList(ListWithLeaving(kDesk1));
+  s.group.Advance(kFewSeconds);
+  const auto before = s.group.backend(kDesk1).order().size();
+  for (int i = 0; i < 20; ++i) {
+    s.Start();
+    s.group.CallNow("entry-a", s.group.ServiceCall(s.program, 1, "x"));
+  }
+  return s.group.backend(kDesk1).order().size() == before;
+}
+
+Test(Leaving, ServerListedAsLeaving_GetsNothingNew) {
+  // Callers see their calls served by the other server. The platform's list
+  // says that one is leaving; after a few seconds nobody sends it work.
+  cr_assert_not(LeavingDeskGetsNothing(
+      Safeguards::Without(Safeguard::kLeavingStopsWork)));
+  cr_assert(LeavingDeskGetsNothing(Safeguards::All()));
+}
+
+Test(Leaving, ListLagsAndEntryIsCutFromHalfItsPeers_GetsNothingNew) {
+  // Callers see their programs started elsewhere. The list has not heard of the
+  // drain and the entry cannot reach the leaving node; the control stream tells
+  // it all the same.
+  SmallGroup s;
+  s.group.SetVmList(ListWithLeaving(""));
+  s.group.Cut("entry-a", kHomeA);
+  s.group.Cut("entry-a", kDesk1);
+  s.group.log().Append({0,
+                        std::string(core::kControlStream),
+                        {core::LeaveRecord{s.group.agent(kHomeA).self()}}});
+  s.group.Advance(kFewSeconds);
+  for (int i = 0; i < 20; ++i) cr_assert_neq(s.Start().origin.vm, kHomeA);
+}
+
+bool StoppedDeskFinishesItsCall(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  const auto request =
+      s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return !s.DeskOf(1).empty(); }, kFewSeconds);
+  s.group.Stop(s.DeskOf(1));
+  s.group.Advance(1000);
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(false);
+  s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong);
+  return std::get<core::CallReply>(*s.group.AnswerTo(request)).ok;
+}
+
+Test(PlannedStop, DeskAgentWithCallInFlight_FinishesIt) {
+  // The caller sees its booking confirmed. The desk's agent is told to stop
+  // while the desk works; it waits for the answer and passes it on first.
+  cr_assert_not(StoppedDeskFinishesItsCall(
+      Safeguards::Without(Safeguard::kDrainInFlight)));
+  cr_assert(StoppedDeskFinishesItsCall(Safeguards::All()));
+}
+
+Test(PlannedStop, HomeWithCallInFlight_AnswersThenHandsOver) {
+  // The caller sees its answer, and its next call served by the new home within
+  // a second or two. The home answers what it has accepted, then gives its
+  // programs to the replica by a claim it appends itself.
+  SmallGroup s;
+  s.Start();
+  const auto request =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.Advance(20);
+  s.group.Stop(s.Home());
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong));
+  cr_assert(std::get<core::CallReply>(*s.group.AnswerTo(request)).ok);
+  const auto next = s.group.CallThrough(
+      {"entry-b"}, s.group.ModelCall(s.program, 2, "two"), kLong);
+  cr_assert(next.ok, "%s", core::Name(next.failure.reason).data());
+  s.group.Advance(5000);
+  cr_assert_not(s.group.IsRunning(s.Home()));
+  cr_assert_eq(s.group.TotalEffects({s.program, 1}), 1);
+}
+
+Test(PlannedStop, EntryWithRequestInFlight_AnswersFirst) {
+  SmallGroup s;
+  s.Start();
+  const auto request =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.Stop("entry-a");
+  cr_assert(s.group.IsRunning("entry-a"));
+  s.group.Advance(1000);
+  cr_assert(std::get<core::CallReply>(*s.group.AnswerTo(request)).ok);
+  cr_assert_not(s.group.IsRunning("entry-a"));
+}
+
+Test(PlannedStop, EntryAndHomeAtOnce_CutOffNothing) {
+  SmallGroup s;
+  s.Start();
+  const auto request =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.Advance(20);
+  s.group.Stop("entry-a");
+  s.group.Stop(s.Home());
+  s.group.Advance(5000);
+  cr_assert(std::get<core::CallReply>(*s.group.AnswerTo(request)).ok);
+}
+
+Test(PlannedStop, EveryProcessReplacedInTurn_NoProgramIsLost) {
+  // Callers see every call answered in order and every booking made once, while
+  // each process is stopped and started again, one after the other.
+  SmallGroup                   s;
+  std::vector<core::ProgramId> programs;
+  for (int i = 0; i < 12; ++i) programs.push_back(s.Start());
+  core::Sequence                 sequence = 0;
+  const std::vector<std::string> nodes{kHomeA, kDesk1,    kHomeB,   kDesk2,
+                                       kHomeC, "entry-a", "entry-b"};
+  for (const auto& vm : nodes) {
+    ++sequence;
+    const std::string entry = vm == "entry-a" ? "entry-b" : "entry-a";
+    s.group.Stop(vm);
+    for (const auto& program : programs) {
+      const auto call = sequence % 2 == 0
+                            ? s.group.ServiceCall(program, sequence, "book")
+                            : s.group.ModelCall(program, sequence, "say");
+      const auto reply = s.group.CallThrough({entry}, call, kLong);
+      cr_assert(reply.ok, "%s at %s: %s", core::ToString(program).c_str(),
+                vm.c_str(), core::Name(reply.failure.reason).data());
+      cr_assert_eq(s.group.TotalEffects({program, sequence}), 1);
+    }
+    cr_assert(
+        s.group.AdvanceUntil([&] { return !s.group.IsRunning(vm); }, kLong),
+        "%s stops", vm.c_str());
+    s.group.Restart(vm);
+    cr_assert(s.group.Settle(), "%s is back", vm.c_str());
+  }
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/unrepeatable_test.cc
@@ -0,0 +1,263 @@
+// 7. A request marked unrepeatable runs at most once. Where nobody can know
+// whether it ran, the caller is told `unknown`, and it is never run again.
+#include <criterion/criterion.h>
+
+#include "fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using core::Ran;
+using core::Reason;
+using core::Safeguard;
+using core::Safeguards;
+
+bool IsDispatch(const core::SendMessage& send) {
+  return std::holds_alternative<core::Dispatch>(send.message);
+}
+
+// Calls as a stubborn caller: again and again with the same sequence, whatever
+// the answer, through both entries.
+void InsistOn(SmallGroup& s, core::Sequence sequence) {
+  for (int i = 0; i < 6; ++i) {
+    s.group.CallNow(i % 2 == 0 ? "entry-a" : "entry-b",
+                    s.group.ServiceCall(s.program, sequence, "friday 9"));
+    s.group.Advance(1000);
+  }
+}
+
+int Effects(const SmallGroup& s, core::Sequence sequence) {
+  return s.group.TotalEffects({s.program, sequence});
+}
+
+Test(Unrepeatable, CallerAsksAgainThroughAnotherEntry_RunsOnce) {
+  // The caller hears nothing, asks again through the other entry while the
+  // first request still runs, and gets one answer on each; the slot is recorded
+  // once.
+  SmallGroup s;
+  s.Start();
+  s.group.backend(kDesk1).Hold(true);
+  s.group.backend(kDesk2).Hold(true);
+  const auto first =
+      s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.Advance(500);
+  const auto second =
+      s.group.Call("entry-b", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.Advance(500);
+  s.group.backend(kDesk1).Hold(false);
+  s.group.backend(kDesk2).Hold(false);
+  s.group.Advance(1000);
+  for (const auto request : {first, second})
+    cr_assert(std::get<core::CallReply>(*s.group.AnswerTo(request)).ok);
+  cr_assert_eq(Effects(s, 1), 1);
+}
+
+bool OnceThoughDispatchIsRepeated(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  s.group.SetFilter([](const core::NodeRef&, const core::SendMessage& send) {
+    return IsDispatch(send) ? Fate::kRepeat : Fate::kDeliver;
+  });
+  s.group.CallNow("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.Advance(5000);
+  return Effects(s, 1) == 1;
+}
+
+Test(Unrepeatable, DispatchArrivesTwice_RunsOnce) {
+  // The caller sees one booking. The order reaches the desk's agent again after
+  // it has been carried out; the agent remembers it.
+  cr_assert_not(OnceThoughDispatchIsRepeated(
+      Safeguards::Without(Safeguard::kExecutorDedup)));
+  cr_assert(OnceThoughDispatchIsRepeated(Safeguards::All()));
+}
+
+bool OnceThoughHomeAndDeskDie(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  // The copy that names the desk is lost the first time.
+  bool lost = false;
+  s.group.SetFilter(
+      [&lost](const core::NodeRef&, const core::SendMessage& send) {
+        const auto* copy = std::get_if<core::Replicate>(&send.message);
+        const bool  names_desk =
+            copy != nullptr && copy->deltas[0].meta.intent.IsSet();
+        if (!names_desk || lost) return Fate::kDeliver;
+        lost = true;
+        return Fate::kLose;
+      });
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return !s.DeskOf(1).empty(); }, 3000);
+  s.group.Kill(s.Home());
+  s.group.Kill(s.DeskOf(1));
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(false);
+  s.group.Advance(6000);
+  InsistOn(s, 1);
+  return Effects(s, 1) == 1;
+}
+
+Test(Unrepeatable, HomeAndDeskAgentDieAfterDispatch_RunsOnce) {
+  // The caller is told `unknown` however often it asks. The order is under way
+  // when home and desk agent die. The new home knows from its copy where the
+  // call may have run; a home that sent before that copy was held would leave a
+  // successor that runs it at the other desk.
+  cr_assert_not(
+      OnceThoughHomeAndDeskDie(Safeguards::Without(Safeguard::kIntentFirst)));
+  cr_assert(OnceThoughHomeAndDeskDie(Safeguards::All()));
+}
+
+Test(Unrepeatable, HomeKilledBetweenDispatchAndAnswer_AnswerIsFound) {
+  // The caller sees a late but true answer. The home dies while the desk works;
+  // the new home fences the desk's agent, reads that the call is running, and
+  // waits for its result.
+  SmallGroup s;
+  s.Start();
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return !s.DeskOf(1).empty(); }, 3000);
+  s.group.Kill(s.Home());
+  s.group.Advance(4000);
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(false);
+  const auto reply = s.group.CallThrough(
+      {"entry-b"}, s.group.ServiceCall(s.program, 1, "friday 9"), kLong);
+  cr_assert(reply.ok, "%s", core::Name(reply.failure.reason).data());
+  cr_assert_eq(Effects(s, 1), 1);
+}
+
+bool OnceThoughOldOrderComesLate(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  const std::string home = s.Home();
+  const std::string replica = s.Replica();
+  // The home's order leaves it 20 s late, as from a paused VM.
+  s.group.SetLateness(20'000);
+  bool sent = false;
+  s.group.SetFilter(
+      [&](const core::NodeRef& from, const core::SendMessage& send) {
+        if (!IsDispatch(send) || from.vm != home) return Fate::kDeliver;
+        sent = true;
+        return Fate::kDelay;
+      });
+  s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return sent; }, 3000);
+  s.group.Freeze(home);
+  s.group.Kill("entry-a");
+  // The successor fences the desk named, then loses touch with it and runs the
+  // call at the other one.
+  std::string fenced;
+  s.group.SetFilter(
+      [&](const core::NodeRef& from, const core::SendMessage& send) {
+        if (std::holds_alternative<core::FenceReply>(send.message))
+          fenced = from.vm;
+        return Fate::kDeliver;
+      });
+  s.group.AdvanceUntil([&] { return !fenced.empty(); }, 10'000);
+  s.group.Advance(5);
+  s.group.Cut(replica, fenced);
+  s.group.Advance(4000);
+  s.group.CallThrough({"entry-b"},
+                      s.group.ServiceCall(s.program, 1, "friday 9"), 5000);
+  if (Effects(s, 1) != 1) return false;
+  s.group.Advance(20'000);
+  return Effects(s, 1) == 1;
+}
+
+Test(Unrepeatable, OldHomesOrderComesAfterTakeover_RunsOnce) {
+  // The caller has its answer from the new home. The old one was paused with
+  // its order on the way; the desk does not check who gives it orders, so its
+  // agent must: it was given the higher fencing number first.
+  cr_assert_not(OnceThoughOldOrderComesLate(
+      Safeguards::Without(Safeguard::kExecutorFence)));
+  cr_assert(OnceThoughOldOrderComesLate(Safeguards::All()));
+}
+
+Test(Unrepeatable, FrozenOldHomeWakesAfterTakeover_RunsOnce) {
+  // The caller has its answer from the new home. The old one wakes cut off from
+  // the log, still believing that it owns the program, and is asked again.
+  SmallGroup s;
+  s.Start();
+  const std::string home = s.Home();
+  s.group.Freeze(home);
+  const auto reply = s.group.CallThrough(
+      {"entry-b"}, s.group.ServiceCall(s.program, 1, "friday 9"), kLong);
+  cr_assert(reply.ok);
+  s.group.CutLog(home, true);
+  s.group.Thaw(home);
+  s.group.Inject(
+      home,
+      core::MessageReceived{
+          s.group.entry("entry-a").self(), s.program.origin,
+          core::CallRequest{1, s.group.ServiceCall(s.program, 1, "friday 9")}});
+  s.group.Advance(20'000);
+  cr_assert_eq(Effects(s, 1), 1);
+}
+
+bool OnceThoughDeskAgentIsReplaced(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  s.group.SetLateness(4000);
+  std::string desk;
+  s.group.SetFilter([&](const core::NodeRef&, const core::SendMessage& send) {
+    if (!IsDispatch(send)) return Fate::kDeliver;
+    desk = send.to.vm;
+    return Fate::kRepeat;
+  });
+  s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return Effects(s, 1) > 0; }, 3000);
+  s.group.Kill(desk);
+  s.group.Restart(desk);
+  s.group.Advance(10'000);
+  InsistOn(s, 1);
+  return Effects(s, 1) == 1;
+}
+
+Test(Unrepeatable, LateCopyReachesReplacedDeskAgent_RunsOnce) {
+  // The caller is told `unknown`. The order was carried out by an agent that
+  // died with its memory; a late copy reaches the next incarnation, which says
+  // that it is not the one meant.
+  cr_assert_not(OnceThoughDeskAgentIsReplaced(
+      Safeguards::Without(Safeguard::kIncarnationCheck)));
+  cr_assert(OnceThoughDeskAgentIsReplaced(Safeguards::All()));
+}
+
+bool OnceThoughCallerInsists(Safeguards safeguards) {
+  SmallGroup s(safeguards);
+  s.Start();
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return Effects(s, 1) > 0; }, 3000);
+  s.group.Kill(s.DeskOf(1));
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(false);
+  s.group.Advance(6000);
+  InsistOn(s, 1);
+  return Effects(s, 1) == 1;
+}
+
+Test(Unrepeatable, DeskAgentDiesAndCallerInsists_RunsOnce) {
+  // The caller is told `unknown` each time it asks. The desk's agent dies while
+  // the desk works. That outcome becomes the call's turn; forgetting it would
+  // let the next request run at the other desk.
+  cr_assert_not(
+      OnceThoughCallerInsists(Safeguards::Without(Safeguard::kUnknownIsFinal)));
+  cr_assert(OnceThoughCallerInsists(Safeguards::All()));
+}
+
+Test(Unrepeatable, NobodyCanKnow_CallerIsToldUnknown) {
+  // The caller sees outcome_unknown, ran unknown, and no time to come back.
+  SmallGroup s;
+  s.Start();
+  for (const auto& desk : {kDesk1, kDesk2}) s.group.backend(desk).Hold(true);
+  const auto request =
+      s.group.Call("entry-a", s.group.ServiceCall(s.program, 1, "friday 9"));
+  s.group.AdvanceUntil([&] { return Effects(s, 1) > 0; }, 3000);
+  s.group.Kill(s.DeskOf(1));
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(request); }, kLong));
+  const auto& reply = std::get<core::CallReply>(*s.group.AnswerTo(request));
+  cr_assert(reply.failure.reason == Reason::kOutcomeUnknown);
+  cr_assert(reply.failure.ran == Ran::kUnknown);
+  cr_assert_eq(reply.failure.retry_after, 0);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
