Prove the shells as processes; mend lost replies, stops, and silence

Cause, found by the process proofs and longer random runs: 1. SIGTERM ended agents at once (exit by signal): a worker thread started before the control thread had captured signals took it. 2. A request that reached an entry just stopped waited 76 s for a reply that could not come (107.8 s for the rolling replacement). 3. A reply sent into a connection whose other end had been replaced was lost; the caller heard 'deadline' after 66 s. 4. A call to a desk cut off from its home hung until its deadline, since the home did not probe it; engine memory stayed held longer than planned. 5. A client still sending a body too large never saw the refusal. Ruled out for 3: a lost claim or a wrong owner (the home had ended the program and logged it). Change: signals blocked before any thread starts; a closed loop says so and the caller is told draining; links notice a disconnect; the entry sends a request again after 5 s without a word, and homes know starts again; executors of calls under way are probed; an unrepeatable call's executor is given 10 s of silence before its outcome counts as unknown; large bodies are read on and dropped.

--- a/demo/main.cc
+++ b/demo/main.cc
@@ -54,8 +54,10 @@
   for (const auto& vm : kModelAgents) {
     if (!group.WaitUntilReady(vm)) return false;
   }
-  for (const auto& vm : kServiceAgents) {
-    if (!group.WaitUntilReady(vm)) return false;
+  for (const auto* vms : {&kServiceAgents, &kEntries}) {
+    for (const auto& vm : *vms) {
+      if (!group.WaitUntilReady(vm)) return false;
+    }
   }
   return true;
 }
--- a/demo/process_group.cc
+++ b/demo/process_group.cc
@@ -221,9 +221,8 @@
 
 bool ProcessGroup::WaitUntilReady(const std::string& vm) {
   const NodeSpec& node = m_specs.at(vm);
-  if (node.is_entry) return node.is_entry;
   if (!m_nodes.at(vm)->WaitForLine("\"event\":\"joined\"")) return false;
-  if (node.spec.kind != "model") return true;
+  if (node.is_entry || node.spec.kind != "model") return true;
   return m_nodes.at(vm)->WaitForLine("\"event\":\"replica_assigned\"");
 }
 
--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -17,6 +17,11 @@
       m_control(safeguards),
       m_tail(m_settings.self, m_settings.control, m_control, m_outbox,
              [this](Time now) {
+               if (!std::exchange(m_ready, true)) {
+                 LogLine line;
+                 line.event = LogEvent::kJoined;
+                 m_outbox.Push(line);
+               }
                m_membership.OnControl();
                m_membership.Watch({}, now);
              }),
@@ -25,8 +30,11 @@
       m_retries(m_settings.retry, m_settings.seed) {}
 
 std::vector<Command> Entry::Handle(Time now, const Event& event) {
-  if (m_stopped) return {};
+  // A caller may reach a daemon that has just stopped; it is told so at once.
+  const bool caller = std::holds_alternative<CallerMessage>(event);
+  if (m_stopped && !caller) return {};
   std::visit([&](const auto& e) { On(e, now); }, event);
+  if (m_stopped) return m_outbox.Take();
   if (m_draining && m_pending.empty()) {
     m_outbox.Push(Stop{StopCause::kDrained});
     m_stopped = true;
@@ -45,15 +53,21 @@
   }
   std::vector<std::uint64_t> due;
   std::vector<std::uint64_t> late;
+  std::vector<std::uint64_t> silent;
   for (auto& [request, pending] : m_pending) {
     if (now > pending.deadline + m_settings.reply_margin) {
       late.push_back(request);
     } else if (pending.retry_at != 0 && now >= pending.retry_at) {
       due.push_back(request);
+    } else if (pending.retry_at == 0 &&
+               now - pending.sent_at > m_settings.resend_after) {
+      silent.push_back(request);
     }
   }
   for (const auto request : late) GiveUp(request, Refuse(Reason::kDeadline));
   for (const auto request : due) TrySend(request, now);
+  // Homes know a request again by its entry and number, and answer it once.
+  for (const auto request : silent) Transmit(request, now);
   std::vector<NodeRef> lost;
   for (const auto& [node, peer] : m_membership.peers()) {
     if (m_membership.IsSuspect(node)) lost.push_back(node);
@@ -113,7 +127,7 @@
                       std::is_same_v<M, ProgramReply>) {
           OnReply(event.from, m.request, m.ok, m.failure, m, now);
         } else if constexpr (std::is_same_v<M, CallChunk>) {
-          OnChunk(event.from, m);
+          OnChunk(event.from, m, now);
         } else if constexpr (std::is_same_v<M, Probe>) {
           m_outbox.Send(event.from,
                         ProbeReply{m_control.version(), m_draining, 0});
@@ -195,16 +209,21 @@
   pending.retry_at = 0;
   pending.parked_at = 0;
   pending.sent_to = *target;
-  pending.sent_at = now;
   pending.may_have_run = true;
   ++pending.attempts;
+  Transmit(request, now);
+}
+
+void Entry::Transmit(std::uint64_t request, Time now) {
+  Pending& pending = m_pending.at(request);
+  pending.sent_at = now;
   std::visit(
       [&](const auto& m) {
         using M = std::decay_t<decltype(m)>;
         if constexpr (std::is_same_v<M, StartProgram> ||
                       std::is_same_v<M, CallRequest> ||
                       std::is_same_v<M, ProgramQuery>) {
-          m_outbox.Send(*target, m);
+          m_outbox.Send(pending.sent_to, m);
         }
       },
       pending.message);
@@ -259,11 +278,12 @@
   return nullptr;
 }
 
-void Entry::OnChunk(const NodeRef& from, const CallChunk& chunk) {
+void Entry::OnChunk(const NodeRef& from, const CallChunk& chunk, Time now) {
   Pending* pending = FindFrom(from, chunk.request);
   if (pending == nullptr) return;
   // A lost or crossed chunk ends streaming; the reply brings the rest.
   if (chunk.position != pending->streamed.size()) return;
+  pending->sent_at = now;
   pending->streamed += chunk.text;
   m_outbox.Push(ReplyToCaller{chunk.request, chunk});
 }
--- a/src/yuccawick/core/entry.h
+++ b/src/yuccawick/core/entry.h
@@ -26,6 +26,8 @@
   Duration most_parked = 8000;        // ms to wait for a lost home's successor
   Duration reply_margin = 6000;       // ms past the deadline for the reply
   Duration default_deadline = 60000;  // ms, for starts and queries
+  Duration resend_after = 5000;  // ms without a word until a request is sent
+                                 // once more, in case it or its reply was lost
 };
 
 class Entry {
@@ -76,10 +78,11 @@
   tl::expected<NodeRef, Failure> Target(const Pending& pending) const;
   tl::expected<NodeRef, Failure> ChooseHome(const std::string& model,
                                             std::uint64_t      request) const;
+  void                           Transmit(std::uint64_t request, Time now);
   void                           Park(std::uint64_t request, Time now);
   void                           GiveUp(std::uint64_t request, Failure failure);
   void     OnFailure(std::uint64_t request, const Failure& failure, Time now);
-  void     OnChunk(const NodeRef& from, const CallChunk& chunk);
+  void     OnChunk(const NodeRef& from, const CallChunk& chunk, Time now);
   void     OnReply(const NodeRef& from, std::uint64_t request, bool ok,
                    const Failure& failure, const Message& reply, Time now);
   void     LostHome(const NodeRef& node, Time now);
@@ -95,6 +98,7 @@
   Membership    m_membership;
   RetryBudget   m_retries;
   Requests      m_pending;
+  bool          m_ready = false;  // holds a control state
   bool          m_draining = false;
   bool          m_stopped = false;
 };
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -49,6 +49,10 @@
 
 void Home::OnStart(const NodeRef& from, const StartProgram& start, Time now) {
   const Caller caller{from, start.request};
+  // A start that comes again must not leave a second program behind.
+  if (const auto minted = m_minted_for.find(caller);
+      minted != m_minted_for.end())
+    return RepeatStart(caller, minted->second);
   const auto known = [&](const Start& other) { return other.caller == caller; };
   if (std::any_of(m_starts.begin(), m_starts.end(), known)) return;
   if (auto ok = CheckStart(start); !ok)
@@ -56,6 +60,12 @@
   TryStart({caller, start, now}, now);
 }
 
+void Home::RepeatStart(const Caller& caller, const ProgramId& id) {
+  const auto waits = [&](const auto& entry) { return entry.second == id; };
+  if (std::any_of(m_started_as.begin(), m_started_as.end(), waits)) return;
+  ReplyStart(caller, id);
+}
+
 void Home::TryStart(const Start& start, Time now) {
   // Sub-agents share their parent's slot; a slot of their own could leave every
   // parent waiting for a child that gets none.
@@ -97,6 +107,7 @@
   const Ticket ticket = HoldMeta(&program, now);
   m_started[ticket] = {start.caller, start.start, now};
   m_started_as[ticket] = id;
+  m_minted_for[start.caller] = id;
 }
 
 void Home::RetryStarts(const std::string& customer, Time now) {
@@ -465,6 +476,10 @@
     const bool waits = program.phase == ProgramPhase::kRunning &&
                        program.active->executor == node;
     if (!waits) continue;
+    // A call that may be repeated is given back at once. One that may not is
+    // worth waiting for: its answer may still come, and a person would have to
+    // look into an unknown outcome.
+    if (program.active->call.unrepeatable && !IsGivenUp(node, now)) continue;
     m_dispatches.erase(program.active->dispatch);
     Failed(&program,
            {Reason::kBackendUnreachable, Ran::kUnknown,
@@ -473,6 +488,11 @@
   }
 }
 
+bool Home::IsGivenUp(const NodeRef& node, Time now) const {
+  return m_parts.membership.IsReplaced(node) ||
+         m_parts.membership.SilentFor(node, now) > m_settings.unknown_after;
+}
+
 void Home::OnTimeouts(Program* program, Time now) {
   if (!program->active) return;
   Active&        active = *program->active;
@@ -543,6 +563,9 @@
 void Home::OnTick(Time now) {
   for (auto& [id, program] : m_programs) {
     DropLateWaiting(&program, now);
+    if (program.phase == ProgramPhase::kRunning &&
+        program.active->executor != m_self)
+      m_parts.membership.KeepWatched(program.active->executor, now);
     if (program.phase == ProgramPhase::kRecovering) {
       ResolveIntent(&program, now);
     } else {
@@ -561,6 +584,7 @@
     HoldMeta(program, now);
     m_started.erase(ticket);
     m_started_as.erase(ticket);
+    m_minted_for.erase(caller);
     ReplyStart(caller, tl::make_unexpected(Refuse(Reason::kNotDurable)));
   }
   ExpireIdle(now);
@@ -636,6 +660,9 @@
     HoldMeta(&program, now);
   }
   for (const auto& id : forgotten) m_programs.erase(id);
+  std::erase_if(m_minted_for, [this](const auto& entry) {
+    return !m_programs.contains(entry.second);
+  });
 }
 
 // ---- Recovery
@@ -708,7 +735,9 @@
     program->active = std::move(active);
   }
   Active& active = *program->active;
-  if (now - active.since > m_settings.recovery_timeout) {
+  m_parts.membership.KeepWatched(active.executor, now);
+  const bool silent = now - active.since > m_settings.unknown_after;
+  if (silent || m_parts.membership.IsReplaced(active.executor)) {
     // No answer from the one place where it may have run: nobody can know.
     const Failure unknown{Reason::kOutcomeUnknown, Ran::kUnknown, 0};
     return Settle(program, {}, &unknown, now);
--- a/src/yuccawick/core/home.h
+++ b/src/yuccawick/core/home.h
@@ -31,14 +31,15 @@
 namespace yuccawick::core {
 
 struct HomeSettings {
-  Sequence window = 16;              // calls that may arrive ahead of order
-  Duration durable_timeout = 3000;   // ms until an answer is refused as not
-                                     // durable
-  Duration funding_timeout = 3000;   // ms a call waits for a slice
-  Duration reply_margin = 2000;      // ms past the deadline for a late reply
-  Duration recovery_timeout = 2000;  // ms for a fenced executor to answer
-  Duration fence_resend = 300;       // ms between questions to it
-  Duration keep_ended = 60000;       // ms an ended program is still known
+  Sequence window = 16;             // calls that may arrive ahead of order
+  Duration durable_timeout = 3000;  // ms until an answer is refused as not
+                                    // durable
+  Duration funding_timeout = 3000;  // ms a call waits for a slice
+  Duration reply_margin = 2000;     // ms past the deadline for a late reply
+  Duration unknown_after = 10000;   // ms of an executor's silence until an
+                                    // unrepeatable call counts as unknown
+  Duration fence_resend = 300;      // ms between questions to it
+  Duration keep_ended = 60000;      // ms an ended program is still known
 };
 
 class Home {
@@ -97,7 +98,7 @@
   struct Caller {
     NodeRef       entry;
     std::uint64_t request = 0;
-    bool          operator==(const Caller&) const = default;
+    auto          operator<=>(const Caller&) const = default;
   };
   struct Waiting {
     Call                call;
@@ -137,6 +138,7 @@
   // Starting and ending.
   tl::expected<void, Failure> CheckStart(const StartProgram& start) const;
   void                        TryStart(const Start& start, Time now);
+  void RepeatStart(const Caller& caller, const ProgramId& id);
   void Mint(const Start& start, bool holds_slot, Time now);
   void Finish(Program* program, Time now);
   void ReleasePrefixes(Program* program);
@@ -157,6 +159,7 @@
   void Failed(Program* program, Failure failure, Time now);
   void Settle(Program* program, const Answer& answer, const Failure* failure,
               Time now);
+  bool IsGivenUp(const NodeRef& node, Time now) const;
   void Answered(Program* program, Time now);
   void OnTimeouts(Program* program, Time now);
   void DropLateWaiting(Program* program, Time now);
@@ -195,8 +198,9 @@
   std::vector<Start>                 m_starts;   // wait for a slot
   std::map<Ticket, Start>            m_started;  // wait to be held
   std::map<Ticket, ProgramId>        m_started_as;
-  std::map<Ticket, Ending>           m_ending;   // wait to be held
-  std::map<Ticket, ProgramId>        m_tickets;  // of active calls
+  std::map<Caller, ProgramId>        m_minted_for;  // of programs still kept
+  std::map<Ticket, Ending>           m_ending;      // wait to be held
+  std::map<Ticket, ProgramId>        m_tickets;     // of active calls
   std::map<std::uint64_t, ProgramId> m_dispatches;
 };
 
--- a/src/yuccawick/core/membership.cc
+++ b/src/yuccawick/core/membership.cc
@@ -124,24 +124,36 @@
   // would claim programs of healthy homes; give each a fresh chance instead.
   const bool paused = m_safeguards.Has(Safeguard::kPauseDetection) &&
                       pause > m_settings.suspect_after / 2;
-  for (const auto& node : m_watched) {
-    Peer& peer = PeerOf(node, now);
-    if (peer.phase == PeerPhase::kGone) continue;
-    if (paused) peer.heard = std::max(peer.heard, now);
-    if (now - peer.heard > m_settings.suspect_after)
-      Fire(&peer, PeerEvent::kSilent);
-    if (now - peer.probed < m_settings.probe_interval) continue;
-    peer.probed = now;
-    m_outbox.Send(node, Probe{m_control.version()});
+  std::erase_if(m_waited_for,
+                [now](const auto& entry) { return entry.second < now; });
+  for (const auto& node : m_watched) Probe(node, paused, now);
+  for (const auto& [node, until] : m_waited_for) {
+    if (!m_watched.contains(node)) Probe(node, paused, now);
   }
 }
 
+void Membership::Probe(const NodeRef& node, bool paused, Time now) {
+  Peer& peer = PeerOf(node, now);
+  if (peer.phase == PeerPhase::kGone) return;
+  if (paused) peer.heard = std::max(peer.heard, now);
+  if (now - peer.heard > m_settings.suspect_after)
+    Fire(&peer, PeerEvent::kSilent);
+  if (now - peer.probed < m_settings.probe_interval) return;
+  peer.probed = now;
+  m_outbox.Send(node, core::Probe{m_control.version()});
+}
+
+void Membership::KeepWatched(const NodeRef& node, Time now) {
+  const bool fresh = !m_waited_for.contains(node) && !m_watched.contains(node);
+  Peer&      peer = PeerOf(node, now);
+  if (fresh) peer.heard = now;
+  m_waited_for[node] = now + m_settings.probe_interval;
+}
+
 bool Membership::IsUsable(const NodeRef& node) const {
   const Member* member = m_control.FindMember(node);
   if (member == nullptr || member->IsClaimed()) return false;
-  if (m_unlisted.contains(node.vm)) return false;
-  const Member* newest = m_control.FindVm(node.vm);
-  if (newest != nullptr && newest->join.node != node) return false;
+  if (IsReplaced(node)) return false;
   const auto      it = m_peers.find(node);
   const PeerPhase phase =
       it == m_peers.end() ? PeerPhase::kUnknown : it->second.phase;
@@ -153,24 +165,30 @@
 }
 
 bool Membership::IsSuspect(const NodeRef& node) const {
-  const Member* newest = m_control.FindVm(node.vm);
-  if (newest != nullptr && newest->join.node != node) return true;
-  if (m_unlisted.contains(node.vm)) return true;
+  if (IsReplaced(node)) return true;
   const auto it = m_peers.find(node);
   if (it == m_peers.end()) return false;
   return it->second.phase == PeerPhase::kSuspect ||
          it->second.phase == PeerPhase::kGone;
 }
 
-bool Membership::IsLost(const NodeRef& node, Time now) const {
+bool Membership::IsReplaced(const NodeRef& node) const {
   const Member* newest = m_control.FindVm(node.vm);
   if (newest != nullptr && newest->join.node != node) return true;
-  if (m_unlisted.contains(node.vm)) return true;
+  return m_unlisted.contains(node.vm);
+}
+
+Duration Membership::SilentFor(const NodeRef& node, Time now) const {
+  const auto it = m_peers.find(node);
+  const bool suspect =
+      it != m_peers.end() && it->second.phase == PeerPhase::kSuspect;
+  return suspect ? now - it->second.heard : 0;
+}
+
+bool Membership::IsLost(const NodeRef& node, Time now) const {
   // One broken connection makes a peer suspect; only lasting silence, watched
   // from here, is reason enough to take its programs over.
-  const auto it = m_peers.find(node);
-  return it != m_peers.end() && it->second.phase == PeerPhase::kSuspect &&
-         now - it->second.heard > m_settings.suspect_after;
+  return IsReplaced(node) || SilentFor(node, now) > m_settings.suspect_after;
 }
 
 Duration Membership::LoadOf(const NodeRef& node) const {
--- a/src/yuccawick/core/membership.h
+++ b/src/yuccawick/core/membership.h
@@ -40,6 +40,9 @@
   // Peers this node depends on; probed besides a few random ones.
   void Watch(const std::set<NodeRef>& peers, Time now);
 
+  // Probes the node for a short while, since something here waits for it.
+  void KeepWatched(const NodeRef& node, Time now);
+
   void OnMessage(const NodeRef& from, Time now);
   void OnProbeReply(const NodeRef& from, const ProbeReply& reply, Time now);
   void OnLoad(const NodeRef& from, Duration load);
@@ -53,6 +56,10 @@
   // May be given new work: not suspect, leaving, gone or claimed.
   bool                           IsUsable(const NodeRef& node) const;
   bool                           IsSuspect(const NodeRef& node) const;
+  // Its VM has gone or runs a later incarnation.
+  bool                           IsReplaced(const NodeRef& node) const;
+  // How long it has been silent, ms; 0 unless it is suspect.
+  Duration                       SilentFor(const NodeRef& node, Time now) const;
   // Certainly replaced, or silent for long enough to be claimed.
   bool                           IsLost(const NodeRef& node, Time now) const;
   Duration                       LoadOf(const NodeRef& node) const;
@@ -62,6 +69,7 @@
 
  private:
   void  Fire(Peer* peer, PeerEvent event);
+  void  Probe(const NodeRef& node, bool paused, Time now);
   Peer& PeerOf(const NodeRef& node, Time now);
 
   NodeRef                     m_self;
@@ -71,8 +79,9 @@
   Outbox&                     m_outbox;
   std::map<NodeRef, Peer>     m_peers;
   std::set<NodeRef>           m_watched;
-  std::map<std::string, bool> m_listed;    // VM to leaving, as last listed
-  std::set<std::string>       m_unlisted;  // were listed, are no more
+  std::map<NodeRef, Time>     m_waited_for;  // until when they are probed
+  std::map<std::string, bool> m_listed;      // VM to leaving, as last listed
+  std::set<std::string>       m_unlisted;    // were listed, are no more
   Time                        m_last_tick = 0;
 };
 
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -234,6 +234,7 @@
 }
 
 int Run() {
+  BlockStopSignals();
   const core::NodeRef              self{FLAGS_vm, MintIncarnation()};
   JsonLog                          log(self, FLAGS_zone, LeastSeverity());
   Metrics                          metrics;
--- a/src/yuccawick/daemon/caller_api.cc
+++ b/src/yuccawick/daemon/caller_api.cc
@@ -36,6 +36,7 @@
 constexpr core::Duration kMsPerSecond = 1000;
 constexpr double         kSecondsPerMs = 0.001;
 constexpr core::Tokens   kDefaultMaxTokens = 256;
+constexpr std::size_t    kMostDiscarded = 64U << 20U;  // bytes
 constexpr core::Tokens   kMostTokens = 1'000'000;
 
 tl::unexpected<Failure> Malformed() {
@@ -108,17 +109,19 @@
 
 tl::expected<std::string, Failure> ReadBody(HTTPServerRequest& request,
                                             std::size_t        most) {
-  if (request.hasContentLength() &&
-      request.getContentLength64() > static_cast<Poco::Int64>(most))
-    return tl::make_unexpected(Refuse(Reason::kTooLarge));
   std::string body;
+  std::size_t read = 0;
   char        buffer[4096];
   auto&       in = request.stream();
   while (in.read(buffer, sizeof(buffer)) || in.gcount() > 0) {
-    body.append(buffer, static_cast<std::size_t>(in.gcount()));
-    if (body.size() > most)
-      return tl::make_unexpected(Refuse(Reason::kTooLarge));
+    read += static_cast<std::size_t>(in.gcount());
+    // A client that is still sending would not see the refusal: what is too
+    // much is read on and dropped, up to a point.
+    if (read > kMostDiscarded) break;
+    if (read <= most)
+      body.append(buffer, static_cast<std::size_t>(in.gcount()));
   }
+  if (read > most) return tl::make_unexpected(Refuse(Reason::kTooLarge));
   const bool whole =
       !request.hasContentLength() ||
       body.size() == static_cast<std::size_t>(request.getContentLength64());
@@ -327,7 +330,9 @@
             core::Info(Reason::kHomeUnreachable).retry_after};
   }
 
-  void Abandon() { m_api.Post(core::CancelRequest{m_request, m_program}); }
+  void Abandon() {
+    m_api.Post(m_request, core::CancelRequest{m_request, m_program});
+  }
 
   CallerApi&               m_api;
   std::uint64_t            m_request;
@@ -344,7 +349,7 @@
              HTTPServerResponse& response) override {
     const auto start = ReadStart(request);
     if (!start) return Refused(response, start.error());
-    m_api.Post(*start);
+    m_api.Post(m_request, *start);
     core::Message message;
     if (!Wait(&message, m_api.settings().default_deadline))
       return SendFailure(response, NoReply());
@@ -415,7 +420,7 @@
 
   void Begin(const core::Call& call) {
     m_began = std::chrono::steady_clock::now();
-    m_api.Post(core::CallRequest{m_request, call});
+    m_api.Post(m_request, core::CallRequest{m_request, call});
   }
   double SecondsSinceBegin() const {
     const std::chrono::duration<double> elapsed =
@@ -574,7 +579,8 @@
     const auto program = core::ParseProgramId(m_id);
     if (!program) return Refused(response, Refuse(Reason::kMalformed));
     const bool end = request.getMethod() == Poco::Net::HTTPRequest::HTTP_DELETE;
-    m_api.Post(core::ProgramQuery{m_request, *program, headers->customer,
+    m_api.Post(m_request,
+               core::ProgramQuery{m_request, *program, headers->customer,
                                   headers->workspace, end});
     core::Message message;
     if (!Wait(&message, headers->deadline))
@@ -670,8 +676,17 @@
   m_boxes.erase(request);
 }
 
-void CallerApi::Post(core::Message message) {
-  m_shell.Post(core::CallerMessage{std::move(message)});
+void CallerApi::Post(std::uint64_t request, const core::Message& message) {
+  if (m_shell.Post(core::CallerMessage{message})) return;
+  // The daemon has stopped; the request went nowhere, and the caller is told so
+  // now instead of waiting for a reply that cannot come.
+  const auto failure = Refuse(Reason::kDraining);
+  if (std::holds_alternative<core::StartProgram>(message))
+    Deliver({request, core::StartReply{request, false, {}, failure}});
+  if (std::holds_alternative<core::CallRequest>(message))
+    Deliver({request, core::CallReply{request, false, {}, failure}});
+  if (std::holds_alternative<core::ProgramQuery>(message))
+    Deliver({request, core::ProgramReply{request, false, {}, failure}});
 }
 
 }  // namespace yuccawick::daemon
--- a/src/yuccawick/daemon/caller_api.h
+++ b/src/yuccawick/daemon/caller_api.h
@@ -54,7 +54,7 @@
   std::uint64_t            NextRequest() { return ++m_requests; }
   std::shared_ptr<Mailbox> Open(std::uint64_t request);
   void                     Close(std::uint64_t request);
-  void                     Post(core::Message message);
+  void Post(std::uint64_t request, const core::Message& message);
   const CallerApiSettings& settings() const { return m_settings; }
   Metrics&                 metrics() { return m_metrics; }
 
--- a/src/yuccawick/daemon/entry_main.cc
+++ b/src/yuccawick/daemon/entry_main.cc
@@ -120,6 +120,7 @@
 }
 
 void Run() {
+  BlockStopSignals();
   const core::NodeRef self{FLAGS_vm, MintIncarnation()};
   JsonLog             log(self, FLAGS_zone, LeastSeverity());
   Metrics             metrics;
--- a/src/yuccawick/daemon/node_shell.cc
+++ b/src/yuccawick/daemon/node_shell.cc
@@ -70,6 +70,11 @@
           m_stream = kj::mv(stream);
           m_client = kj::heap<capnp::TwoPartyClient>(*m_stream);
           m_node = m_client->bootstrap().castAs<rpc::wire::Node>();
+          // Noticed at once: a message sent into a connection whose other end
+          // has gone would be lost.
+          m_disconnected = m_client->onDisconnect()
+                               .then([this] { m_broken = true; })
+                               .eagerlyEvaluate(nullptr);
         });
   }
 
@@ -81,6 +86,7 @@
   kj::Own<kj::AsyncIoStream>             m_stream;
   kj::Own<capnp::TwoPartyClient>         m_client;
   std::optional<rpc::wire::Node::Client> m_node;
+  kj::Promise<void>                      m_disconnected = nullptr;
   kj::ForkedPromise<void>                m_connected;
 };
 
@@ -132,21 +138,20 @@
     // Let the last messages out before the links go.
     const auto grace = kGraceMs * kj::MILLISECONDS;
     m_io.provider->getTimer().afterDelay(grace).wait(m_io.waitScope);
-    const std::lock_guard lock(m_jobs_mutex);
-    m_closed = true;
-    m_jobs.clear();
+    Close();
     return m_cause;
   }
 
-  // From any thread: has the job run in the control thread soon. Dropped once
-  // the loop has ended.
-  void Add(Job job) {
+  // From any thread: has the job run in the control thread soon. False once the
+  // loop has ended: the job will not run.
+  bool Add(Job job) {
     const std::lock_guard lock(m_jobs_mutex);
-    if (m_closed) return;
+    if (m_closed) return false;
     m_jobs.push_back(std::move(job));
-    if (m_wake.get() == nullptr) return;
+    if (m_wake.get() == nullptr) return true;
     m_wake->fulfill();
     m_wake = nullptr;
+    return true;
   }
 
   void Handle(const core::Event& event) {
@@ -155,6 +160,17 @@
   }
 
  private:
+  // Takes no more jobs, and runs those already taken.
+  void Close() {
+    std::deque<Job> jobs;
+    {
+      const std::lock_guard lock(m_jobs_mutex);
+      m_closed = true;
+      jobs.swap(m_jobs);
+    }
+    for (const auto& job : jobs) job();
+  }
+
   static constexpr int kGraceMs = 100;
 
   // Signals are captured before any other thread is there to take them.
@@ -333,20 +349,31 @@
   return m_loop->Run(on_ready);
 }
 
-void NodeShell::Post(const core::Event& event) {
-  m_loop->Add([this, event] { m_loop->Handle(event); });
+bool NodeShell::Post(const core::Event& event) {
+  return m_loop->Add([this, event] { m_loop->Handle(event); });
 }
 
 std::string NodeShell::Status() {
   const auto status = std::make_shared<std::promise<std::string>>();
   auto       told = status->get_future();
-  m_loop->Add([this, status] { status->set_value(m_decider.Status()); });
+  const bool added =
+      m_loop->Add([this, status] { status->set_value(m_decider.Status()); });
+  if (!added) return {};
   const auto limit =
       std::chrono::milliseconds(m_settings.http.answer_timeout_ms);
   if (told.wait_for(limit) != std::future_status::ready) return {};
   return told.get();
 }
 
+void BlockStopSignals() {
+  sigset_t stop;
+  sigemptyset(&stop);
+  sigaddset(&stop, SIGTERM);
+  sigaddset(&stop, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 core::Time WallClock() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/src/yuccawick/daemon/node_shell.h
+++ b/src/yuccawick/daemon/node_shell.h
@@ -60,8 +60,9 @@
   // control thread. Returns why it stopped. `on_ready` runs once it listens.
   core::StopCause Run(const std::function<void()>& on_ready);
 
-  // From any other thread. Dropped once the loop has ended.
-  void        Post(const core::Event& event);
+  // From any other thread. False once the loop has ended: the core will not see
+  // the event.
+  bool        Post(const core::Event& event);
   // The decider's status, read in the control thread; empty after the end.
   std::string Status();
 
@@ -78,6 +79,11 @@
   std::unique_ptr<Loop>  m_loop;
 };
 
+// Leaves SIGTERM and SIGINT to the control thread. Call it before any thread is
+// started: one started earlier would take the signal, and the process would end
+// in the middle of its work.
+void BlockStopSignals();
+
 core::Time WallClock();  // ms since the epoch
 
 // A number for a new incarnation; unique in time and by chance.
--- /dev/null
+++ b/tests/process_test.cc
@@ -0,0 +1,258 @@
+// Proofs against the real daemons as processes on loopback. They wait for what
+// processes write and for callers' answers, never by time.
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "caller.h"
+
+namespace demo {
+namespace {
+
+const std::string              kModel = "laundry-7b";
+const std::vector<std::string> kEntries{"entry-1", "entry-2"};
+
+std::string Programs() {
+  const char* folder = std::getenv("YUCCAWICK_PROGRAMS");
+  return folder == nullptr ? "build" : folder;
+}
+
+std::string Contract() { return Programs() + "/../contracts/sakhli.json"; }
+
+// Three model agents in three zones, two desk agents, two entries.
+struct Running {
+  Running() : group(Programs()) {
+    group.StartPlatform();
+    group.AddAgent({"model-1", "saburtalo", "model", kModel, true});
+    group.AddAgent({"model-2", "gldani", "model", kModel, false});
+    group.AddAgent({"model-3", "isani", "model", kModel, true});
+    group.AddAgent({"desk-1", "gldani", "service", "booking", true});
+    group.AddAgent({"desk-2", "isani", "service", "booking", true});
+    for (const auto& entry : kEntries) group.AddEntry(entry, "saburtalo");
+    ready = true;
+    for (const auto* vm : {"model-1", "model-2", "model-3", "desk-1", "desk-2"})
+      ready = ready && group.WaitUntilReady(vm);
+    std::string output;
+    ready = ready &&
+            group.Operate({"contract", "publish", Contract()}, &output) == 0;
+    for (const auto* vm : {"model-1", "model-2", "model-3"})
+      ready = ready && group.WaitForContract(vm, "sakhli");
+    for (const auto& entry : kEntries)
+      ready = ready && group.WaitUntilReady(entry);
+  }
+
+  int Bookings(const std::string& program, int sequence) {
+    int total = 0;
+    for (const auto* desk : {"desk-1", "desk-2"}) {
+      const auto calls = group.Effects(desk).json->getObject("calls");
+      total +=
+          calls->optValue<int>(program + "/" + std::to_string(sequence), 0);
+    }
+    return total;
+  }
+
+  ProcessGroup group;
+  bool         ready = false;
+};
+
+std::string HomeOf(const std::string& program) {
+  return program.substr(0, program.find('.'));
+}
+
+Test(Processes, HomeKilledThenBookingAskedAgain_IsBookedOnce) {
+  // The caller sees its booking confirmed once. The home is killed by SIGKILL;
+  // a replica claims it on the log and serves the program with its history.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-1");
+  cr_assert(caller.Start(kModel));
+  cr_assert_eq(caller.Model(kModel, "a slot").status, 200);
+  r.group.node(HomeOf(caller.program())).Signal(SIGKILL);
+  const Answer booked = caller.Service("booking", "friday 9");
+  cr_assert_eq(booked.status, 200, "%s", booked.body.c_str());
+  cr_assert_eq(r.Bookings(caller.program(), 2), 1);
+  const Answer history = caller.History();
+  cr_assert_eq(history.json->getArray("turns")->size(), 2);
+}
+
+Test(Processes, FrozenHomeWakesAfterTakeover_EndsItself) {
+  // The caller sees every call answered once. The home is stopped by SIGSTOP
+  // past every timeout; when it wakes it finds itself claimed and ends.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-2");
+  cr_assert(caller.Start(kModel));
+  cr_assert_eq(caller.Model(kModel, "a slot").status, 200);
+  auto& home = r.group.node(HomeOf(caller.program()));
+  home.Signal(SIGSTOP);
+  cr_assert_eq(caller.Service("booking", "friday 9").status, 200);
+  home.Signal(SIGCONT);
+  cr_assert_eq(home.Wait(), 3);
+  cr_assert_eq(r.Bookings(caller.program(), 2), 1);
+  cr_assert_eq(caller.Model(kModel, "confirm").status, 200);
+}
+
+Test(Processes, LogOutage_ProgramsGoOnAndOperatorIsRefused) {
+  // The caller is answered through the outage; the operator is told that its
+  // amendment did not happen, and succeeds afterwards.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-3");
+  cr_assert(caller.Start(kModel));
+  cr_assert_eq(caller.Model(kModel, "a slot").status, 200);
+  r.group.ControlLog(R"({"mode": "down"})");
+  cr_assert_eq(caller.Service("booking", "friday 9").status, 200);
+  cr_assert_eq(caller.Model(kModel, "confirm").status, 200);
+  std::string output;
+  cr_assert_eq(r.group.Operate({"contract", "publish", Contract()}, &output),
+               1);
+  cr_assert_neq(output.find("log_unavailable, ran: no"), std::string::npos);
+  r.group.ControlLog(R"({"mode": "up"})");
+  cr_assert_eq(r.group.Operate({"contract", "publish", Contract()}, &output),
+               0);
+  cr_assert_eq(caller.End().status, 200);
+}
+
+Test(Processes, SigtermOfEveryProcessInTurn_LosesNothing) {
+  // The caller sees all its calls answered while each process is stopped by
+  // SIGTERM and started again. Each ends with code 0.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-4");
+  cr_assert(caller.Start(kModel));
+  int bookings = 0;
+  for (const auto* vm :
+       {"model-1", "desk-1", "model-2", "desk-2", "model-3", "entry-1"}) {
+    r.group.node(vm).Signal(SIGTERM);
+    const Answer booked = caller.Service("booking", "slot");
+    cr_assert_eq(booked.status, 200, "%s: %s", vm, booked.body.c_str());
+    cr_assert_eq(r.Bookings(caller.program(), ++bookings), 1);
+    cr_assert_eq(r.group.node(vm).Wait(), 0, "%s", vm);
+    r.group.Restart(vm);
+    cr_assert(r.group.WaitUntilReady(vm), "%s", vm);
+  }
+  cr_assert_eq(caller.End().status, 200);
+}
+
+Headers ProgramHeaders(const Caller& caller, const std::string& workspace,
+                       const std::string& sequence) {
+  return {{"X-Yuccawick-Customer", "sakhli"},
+          {"X-Yuccawick-Workspace", workspace},
+          {"X-Yuccawick-Program", caller.program()},
+          {"X-Yuccawick-Sequence", sequence}};
+}
+
+Test(Processes, BadInput_IsATypedErrorEachAndNothingIsLost) {
+  // The callers of bad requests see a typed error each; the program goes on,
+  // and no process ends.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-5");
+  cr_assert(caller.Start(kModel));
+  cr_assert_eq(caller.Model(kModel, "a slot").status, 200);
+  const std::string entry = r.group.HttpOf("entry-1");
+  const std::string path = "/v1/chat/completions";
+  const std::string good =
+      R"({"model": "laundry-7b", "messages": [{"role": "user", "content": "x"}]})";
+  const auto reason = [&](const Headers& headers, const std::string& body) {
+    const Answer answer = r.group.Post(entry, path, headers, body);
+    cr_assert_eq(answer.Ran(), "no");
+    return answer.Reason();
+  };
+  const Headers fine = ProgramHeaders(caller, "household-5", "2");
+  cr_assert_eq(reason(fine, "{not json"), "malformed");
+  cr_assert_eq(reason(fine, R"({"model": 7, "messages": []})"), "malformed");
+  cr_assert_eq(reason(fine, "{\"model\": \"\xff\"}"), "malformed");
+  cr_assert_eq(reason(fine, std::string(2 << 20, 'x')), "too_large");
+  cr_assert_eq(reason(ProgramHeaders(caller, "household-6", "2"), good),
+               "wrong_workspace");
+  cr_assert_eq(reason(ProgramHeaders(caller, "household-5", "50"), good),
+               "sequence_gap");
+  cr_assert_eq(reason(ProgramHeaders(caller, "household-5", "0"), good),
+               "malformed");
+  cr_assert_eq(reason(ProgramHeaders(caller, "household-5", "1"), good),
+               "sequence_reused");
+  Headers unknown = fine;
+  unknown["X-Yuccawick-Program"] = "model-1.abc.5";
+  cr_assert_eq(reason(unknown, good), "unknown_program");
+  const Answer no_contract = r.group.Post(
+      entry, "/v1/programs",
+      {{"X-Yuccawick-Customer", "nobody"}, {"X-Yuccawick-Workspace", "w"}},
+      R"({"model": "laundry-7b"})");
+  cr_assert_eq(no_contract.Reason(), "no_contract");
+  cr_assert_eq(caller.Model(kModel, "go on").status, 200);
+  cr_assert_eq(r.group.Get(entry, "/healthz").status, 200);
+}
+
+// Sends raw bytes, closes the sending half, and returns what comes back.
+std::string SendAndHalfClose(const std::string& address,
+                             const std::string& bytes) {
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  socket.shutdownSend();
+  std::string answer;
+  char        buffer[1024];
+  int         got = 0;
+  while ((got = socket.receiveBytes(buffer, sizeof(buffer))) > 0)
+    answer.append(buffer, static_cast<std::size_t>(got));
+  return answer;
+}
+
+Test(Processes, ClientClosesHalfway_TypedErrorAndNothingRuns) {
+  // The client that stops in the middle of its body gets slow_client; one that
+  // closes its sending half after a whole request gets its answer.
+  Running r;
+  cr_assert(r.ready);
+  const std::string entry = r.group.HttpOf("entry-1");
+  const std::string head =
+      "POST /v1/programs HTTP/1.1\r\nHost: x\r\nContent-Length: 23\r\n"
+      "X-Yuccawick-Customer: sakhli\r\nX-Yuccawick-Workspace: w\r\n\r\n";
+  const std::string half = SendAndHalfClose(entry, head + "{\"model\"");
+  cr_assert_neq(half.find("slow_client"), std::string::npos, "%s",
+                half.c_str());
+  const std::string whole =
+      SendAndHalfClose(entry, head + "{\"model\":\"laundry-7b\"} ");
+  cr_assert_neq(whole.find("201"), std::string::npos, "%s", whole.c_str());
+}
+
+Test(Processes, StreamedAnswer_IsWholeAndMetricsCountIt) {
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-7");
+  cr_assert(caller.Start(kModel));
+  const Answer streamed = caller.Model(kModel, "stream it", true);
+  std::string  text;
+  for (std::size_t at = 0;
+       (at = streamed.body.find("\"content\":\"", at)) != std::string::npos;) {
+    at += 11;
+    text += streamed.body.substr(at, streamed.body.find('"', at) - at);
+  }
+  const Answer history = caller.History();
+  cr_assert_eq(
+      text,
+      history.json->getArray("turns")->getObject(0)->getValue<std::string>(
+          "answer"));
+  const Answer metrics = r.group.Get(r.group.HttpOf("entry-1"), "/metrics");
+  for (const auto* name :
+       {"yuccawick_refusals_total{label=\"overloaded\"}",
+        "yuccawick_retries_total{label=\"home_unreachable\"}",
+        "yuccawick_refusals_total{label=\"slow_client\"}"})
+    cr_assert_neq(metrics.body.find(name), std::string::npos, "%s", name);
+}
+
+Test(Processes, BadSettings_AreAllListedAndNothingStarts) {
+  Process agent(Programs() + "/yw-agent", {"--vm=Bad_Name", "--suspect_ms=200",
+                                           "--kind=tool", "--listen=nowhere"});
+  cr_assert_eq(agent.Wait(), 2);
+  for (const auto* setting :
+       {"vm: not_a_name", "zone: missing", "listen: not_an_endpoint",
+        "kind: bad_value", "suspect_ms: contradiction"})
+    cr_assert(agent.WaitForLine(setting), "%s", setting);
+}
+
+}  // namespace
+}  // namespace demo
--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -2,6 +2,8 @@
 // 6. When the system says that a request did not run, it did not run.
 #include <criterion/criterion.h>
 
+#include <memory>
+
 #include "fixture.h"
 
 namespace yuccawick::tests {
@@ -68,6 +70,41 @@
   }
 }
 
+// Loses the first message of the given type.
+template <class Lost>
+void LoseFirst(SmallGroup& s) {
+  const auto lost = std::make_shared<bool>(false);
+  s.group.SetFilter(
+      [lost](const core::NodeRef&, const core::SendMessage& send) {
+        if (*lost || !std::holds_alternative<Lost>(send.message))
+          return Fate::kDeliver;
+        *lost = true;
+        return Fate::kLose;
+      });
+}
+
+Test(Answers, ReplyLostOnTheWay_ComesWhenAskedAgain) {
+  // The caller waits some seconds longer and sees one answer. The reply goes
+  // into a connection whose other end has gone; the entry, hearing nothing,
+  // sends the request once more, and the home answers it from its turn.
+  SmallGroup s;
+  LoseFirst<core::StartReply>(s);
+  s.Start();
+  cr_assert(s.program.IsSet());
+  LoseFirst<core::CallReply>(s);
+  const auto called = s.group.now();
+  cr_assert(
+      s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one")).ok);
+  cr_assert_lt(s.group.now() - called, 10'000);
+  cr_assert_eq(s.group.TotalEffects({s.program, 1}), 1);
+  LoseFirst<core::ProgramReply>(s);
+  const auto end = s.group.Query("entry-b", s.program, "sakhli", "w1", true);
+  cr_assert(
+      s.group.AdvanceUntil([&] { return s.group.IsAnswered(end); }, 10'000));
+  // The start that was sent twice made one program.
+  cr_assert_eq(s.group.CountOf(core::Counter::kPrograms, "started"), 1);
+}
+
 // Loses the n-th message sent after the call is made. True if an answer that
 // says `ran: no` was given only where the call had no effect.
 bool TrueWhenMessageIsLost(int n, bool* lost_one) {
