--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -22,11 +22,11 @@
 
 struct EngineParameters {
   double       prefill_tokens_per_ms = 10;
-  double       step_ms = 25;           // one token for a batch of one
-  double       step_ms_per_call = 0.6; // more for each further call
+  double       step_ms = 25;            // one token for a batch of one
+  double       step_ms_per_call = 0.6;  // more for each further call
   std::size_t  batch = 16;
-  core::Tokens cache_tokens = 120'000;
-  double       slowdown = 1;  // of everything, for a slow engine
+  core::Tokens cache_tokens = 300'000;  // beside the calls under way
+  double       slowdown = 1;            // of everything, for a slow engine
 };
 
 class EngineModel {
--- /dev/null
+++ b/bench/policy_run.cc
@@ -0,0 +1,312 @@
+#include "policy_run.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+
+#include "yuccawick/core/executor.h"
+
+namespace yuccawick::bench {
+namespace {
+
+constexpr core::Time     kStart = 1'000'000;  // arbitrary
+constexpr core::Duration kStep = 5;           // ms
+constexpr core::Duration kTick = 50;
+constexpr core::Duration kTroubleAt = 30'000;  // into the run
+constexpr core::Duration kNoticed = 2500;      // ms until a loss is acted upon
+constexpr double         kSlow = 4;
+constexpr double         kMsPerSecond = 1000;
+constexpr double         kMsPerMinute = 60'000;
+
+struct Server {
+  core::NodeRef                   node;
+  core::Outbox                    outbox;
+  std::unique_ptr<core::Executor> executor;
+  std::unique_ptr<EngineModel>    engine;
+  core::Duration                  known_load = 0;
+  bool                            alive = true;
+};
+
+struct Program {
+  const PlannedProgram*               plan = nullptr;
+  core::ProgramId                     id;
+  std::size_t                         next = 0;  // call
+  core::Tokens                        history = 0;
+  core::Tokens                        attained = 0;
+  std::size_t                         home = 0;
+  std::map<std::size_t, core::Tokens> prefixes;
+  bool                                has_home = false;
+  bool                                done = false;
+  bool                                in_time = false;
+  std::size_t                         server = 0;  // of the call under way
+  std::uint64_t  dispatch = 0;  // of the call under way; 0: none
+  core::Duration latency = 0;
+};
+
+class Simulation {
+ public:
+  Simulation(const Scenario& scenario, const Policy& policy,
+             const RunSettings& settings)
+      : m_scenario(scenario), m_policy(policy), m_settings(settings) {
+    for (int i = 0; i < scenario.servers; ++i) AddServer(i);
+    for (std::size_t i = 0; i < scenario.programs.size(); ++i) {
+      Program program;
+      program.plan = &scenario.programs[i];
+      program.id = {{"bench", 1}, i + 1};
+      program.history = program.plan->history;
+      m_programs.push_back(program);
+      ++m_open;
+      At(kStart + program.plan->arrives, i);
+    }
+  }
+
+  RunResult Run() {
+    const core::Time end = kStart + m_settings.limit;
+    for (m_now = kStart; m_now < end && m_open > 0; m_now += kStep) {
+      MakeTrouble();
+      while (!m_due.empty() && m_due.top().first <= m_now) {
+        const std::size_t index = m_due.top().second;
+        m_due.pop();
+        Issue(index);
+      }
+      for (std::size_t i = 0; i < m_servers.size(); ++i) Work(i);
+    }
+    return Result();
+  }
+
+ private:
+  void AddServer(int number) {
+    auto server = std::make_unique<Server>();
+    server->node = {"server-" + std::to_string(number), 1};
+    core::ExecutorSettings settings;
+    settings.slots = EngineParameters{}.batch;
+    settings.decode_tokens_per_ms = 1 / 34.0;
+    settings.prefix_hold = 20 * 60'000;
+    if (m_policy.holds)
+      settings.prefix_tokens = EngineParameters{}.cache_tokens;
+    server->executor = std::make_unique<core::Executor>(
+        server->node, settings, core::Safeguards::All(), m_policy.queue,
+        server->outbox);
+    server->executor->OnJoined(0);
+    server->engine = std::make_unique<EngineModel>(EngineParameters{});
+    m_servers.push_back(std::move(server));
+  }
+
+  void At(core::Time time, std::size_t program) { m_due.push({time, program}); }
+
+  void MakeTrouble() {
+    if (m_settings.trouble == Trouble::kNone || m_troubled) return;
+    if (m_now < kStart + kTroubleAt) return;
+    m_troubled = true;
+    Server& first = *m_servers.front();
+    if (m_settings.trouble == Trouble::kEngineSlow) {
+      first.engine->SetSlowdown(kSlow);
+      return;
+    }
+    first.alive = false;
+    first.engine->Reset();
+    for (std::size_t i = 0; i < m_programs.size(); ++i) {
+      Program& program = m_programs[i];
+      program.prefixes.erase(0);
+      if (program.home == 0) program.has_home = false;
+      if (program.dispatch == 0 || program.server != 0) continue;
+      // Its call was there; it comes back once the loss is noticed.
+      program.dispatch = 0;
+      At(m_now + kNoticed, i);
+    }
+  }
+
+  std::vector<core::RouteCandidate> Candidates(const Program& program) {
+    std::vector<core::RouteCandidate> candidates;
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+      core::RouteCandidate candidate;
+      candidate.usable = m_servers[i]->alive;
+      candidate.is_home = program.has_home && program.home == i;
+      // The home knows its own load now, others' as of its last look.
+      candidate.wait = candidate.is_home ? m_servers[i]->executor->LoadMs()
+                                         : m_servers[i]->known_load;
+      const auto prefix = program.prefixes.find(i);
+      if (prefix != program.prefixes.end()) candidate.cached = prefix->second;
+      candidates.push_back(candidate);
+    }
+    return candidates;
+  }
+
+  void Issue(std::size_t index) {
+    Program& program = m_programs[index];
+    if (program.done) return;
+    const PlannedProgram& plan = *program.plan;
+    const core::Time      gives_up = kStart + plan.arrives + plan.patience;
+    if (m_now >= gives_up) return Finish(index, false);
+    core::RouteRequest request;
+    request.prompt = program.history;
+    request.cache_weight = m_scenario.contract.cache_weight;
+    const int  chosen = m_policy.route.Choose(request, Candidates(program));
+    const auto at = static_cast<std::size_t>(chosen);
+    if (!program.has_home) {
+      program.home = at;
+      program.has_home = true;
+    }
+    program.server = at;
+    const PlannedCall& call = plan.calls[program.next];
+    const auto&    service = m_scenario.contract.classes[plan.service_class];
+    core::Dispatch dispatch;
+    dispatch.dispatch = ++m_dispatches;
+    dispatch.executor = m_servers[at]->node;
+    dispatch.call.program = program.id;
+    dispatch.call.sequence = static_cast<core::Sequence>(program.next + 1);
+    dispatch.call.body.assign(
+        static_cast<std::size_t>(call.input * core::kBytesPerToken), 'u');
+    dispatch.call.max_tokens = call.output;
+    dispatch.call.deadline = gives_up;
+    dispatch.prompt.assign(
+        static_cast<std::size_t>(program.history * core::kBytesPerToken), 'h');
+    dispatch.priority = service.priority;
+    dispatch.max_wait = service.max_wait;
+    dispatch.attained = program.attained;
+    dispatch.cache_weight = m_scenario.contract.cache_weight;
+    dispatch.started = kStart + plan.arrives;
+    m_program_of[dispatch.dispatch] = index;
+    program.dispatch = dispatch.dispatch;
+    m_servers[at]->executor->OnDispatch({"home", 1}, dispatch, m_now);
+    Carry(at);
+  }
+
+  void Work(std::size_t i) {
+    Server& server = *m_servers[i];
+    if (!server.alive) return;
+    for (const auto run : server.engine->Advance(static_cast<double>(m_now))) {
+      core::RunDone done;
+      done.run = run;
+      done.ok = true;
+      server.executor->OnRunDone(done, m_now);
+    }
+    if (m_now % kTick == 0) server.executor->OnTick(m_now);
+    if (m_now % m_settings.load_lag == 0)
+      server.known_load = server.executor->LoadMs();
+    Carry(i);
+  }
+
+  void Carry(std::size_t at) {
+    Server& server = *m_servers[at];
+    for (const auto& command : server.outbox.Take()) {
+      if (const auto* run = std::get_if<core::RunCall>(&command)) {
+        const core::Tokens prompt = core::EstimateTokens(run->prompt) +
+                                    core::EstimateTokens(run->call.body);
+        server.engine->Start(run->run, run->call.program, prompt,
+                             run->call.max_tokens);
+      }
+      if (const auto* release = std::get_if<core::ReleasePrefix>(&command)) {
+        if (release->program.IsSet()) server.engine->Release(release->program);
+      }
+      const auto* send = std::get_if<core::SendMessage>(&command);
+      if (send == nullptr) continue;
+      if (const auto* reply = std::get_if<core::DispatchReply>(&send->message))
+        OnReply(at, *reply);
+    }
+  }
+
+  void OnReply(std::size_t at, const core::DispatchReply& reply) {
+    const auto found = m_program_of.find(reply.dispatch);
+    if (found == m_program_of.end()) return;
+    const std::size_t index = found->second;
+    m_program_of.erase(found);
+    Program& program = m_programs[index];
+    if (program.dispatch != reply.dispatch) return;
+    program.dispatch = 0;
+    if (!reply.ok) {
+      ++m_refusals[std::string(core::Name(reply.failure.reason))];
+      // The caller comes back when it is told to.
+      return At(
+          m_now + std::max<core::Duration>(100, reply.failure.retry_after),
+          index);
+    }
+    const PlannedCall& call = program.plan->calls[program.next];
+    program.history += call.input + call.output;
+    program.attained += call.input + call.output;
+    program.prefixes[at] = program.history;
+    ++program.next;
+    if (program.next == program.plan->calls.size()) return Finish(index, true);
+    At(m_now + call.pause, index);
+  }
+
+  void Finish(std::size_t index, bool whole) {
+    Program&             program = m_programs[index];
+    const core::Duration took = m_now - kStart - program.plan->arrives;
+    program.done = true;
+    program.in_time = whole && took <= program.plan->patience;
+    program.latency = program.in_time ? took : program.plan->patience;
+    --m_open;
+    for (auto& server : m_servers) {
+      server->executor->OnRelease(program.id);
+      server->engine->Release(program.id);
+    }
+  }
+
+  static double Quantile(const std::vector<core::Duration>& sorted, double q) {
+    const auto last = static_cast<double>(sorted.size() - 1);
+    return static_cast<double>(
+               sorted[static_cast<std::size_t>(std::floor(q * last))]) /
+           kMsPerSecond;
+  }
+
+  RunResult Result() {
+    RunResult                   result;
+    std::vector<core::Duration> latencies;
+    core::Tokens                needed = 0;
+    core::Time                  last = kStart;
+    result.policy = m_policy.name;
+    result.programs = m_programs.size();
+    for (const auto& program : m_programs) {
+      result.finished += program.in_time ? 1 : 0;
+      latencies.push_back(program.done ? program.latency
+                                       : program.plan->patience);
+      if (program.done)
+        last = std::max(last, kStart + program.plan->arrives + program.latency);
+      // What any policy must compute: the history it began with and the inputs
+      // of the calls that ran.
+      core::Tokens inputs = program.next > 0 ? program.plan->history : 0;
+      for (std::size_t i = 0; i < program.next; ++i)
+        inputs += program.plan->calls[i].input;
+      needed += inputs;
+    }
+    for (const auto& server : m_servers)
+      result.computed += server->engine->computed();
+    result.wasted = std::max<core::Tokens>(0, result.computed - needed);
+    std::sort(latencies.begin(), latencies.end());
+    result.p50 = Quantile(latencies, 0.50);
+    result.p95 = Quantile(latencies, 0.95);
+    result.p99 = Quantile(latencies, 0.99);
+    result.goodput = static_cast<double>(result.finished) * kMsPerMinute /
+                     static_cast<double>(last - kStart);
+    result.refusals = m_refusals;
+    return result;
+  }
+
+  const Scenario&                      m_scenario;
+  const Policy&                        m_policy;
+  RunSettings                          m_settings;
+  core::Time                           m_now = kStart;
+  std::vector<std::unique_ptr<Server>> m_servers;
+  std::vector<Program>                 m_programs;
+  std::size_t                          m_open = 0;
+  std::uint64_t                        m_dispatches = 0;
+  bool                                 m_troubled = false;
+  std::map<std::uint64_t, std::size_t> m_program_of;  // by dispatch
+  std::map<std::string, int>           m_refusals;
+  using Due = std::pair<core::Time, std::size_t>;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
+};
+
+}  // namespace
+
+RunResult RunPolicy(const Scenario& scenario, const Policy& policy,
+                    const RunSettings& settings) {
+  return Simulation(scenario, policy, settings).Run();
+}
+
+}  // namespace yuccawick::bench
--- a/src/yuccawick/core/control_tail.cc
+++ b/src/yuccawick/core/control_tail.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccawick/core/hash.h"
 #include "yuccawick/core/membership.h"
 
 namespace yuccawick::core {
--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -4,6 +4,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "yuccawick/core/hash.h"
+
 namespace yuccawick::core {
 
 // Index
--- a/src/yuccawick/core/executor.cc
+++ b/src/yuccawick/core/executor.cc
@@ -4,7 +4,15 @@
 #include <cassert>
 #include <tuple>
 
+#include "yuccawick/core/hash.h"
+
 namespace yuccawick::core {
+namespace {
+
+constexpr Duration kLeastReturn = 1000;   // ms
+constexpr Duration kReturnSpread = 1000;  // ms
+
+}  // namespace
 
 // Index
 //   Orders       taking, refusing and finding calls again
@@ -117,13 +125,24 @@
   if (wait > allowed) {
     // It could not start in time: the caller is told now, with when to return.
     return Refuse(from, dispatch,
-                  core::Refuse(Reason::kOverloaded, wait - allowed + 1));
+                  core::Refuse(Reason::kOverloaded,
+                               ReturnAfter(dispatch, wait - allowed)));
   }
   m_entries[key] = std::move(entry);
   m_queue.insert(key);
   StartNext(now);
 }
 
+Duration Executor::ReturnAfter(const Dispatch& dispatch, Duration least) {
+  // Callers that are all told the same moment would all be back at it; and one
+  // told "in a millisecond" would only ask for ever.
+  const auto spread =
+      static_cast<Duration>(PairHash(ToString(dispatch.call.program),
+                                     std::to_string(dispatch.dispatch)) %
+                            static_cast<std::uint64_t>(kReturnSpread));
+  return std::max(least, kLeastReturn) + spread;
+}
+
 void Executor::OnCancel(const NodeRef& from, const CancelDispatch& cancel,
                         Time now) {
   for (auto& [key, entry] : m_entries) {
@@ -198,6 +217,8 @@
   Prefix& prefix = m_prefixes[key.first];
   prefix.tokens = EstimateTokens(entry.order.prompt);
   prefix.used = now;
+  prefix.started = entry.order.started;
+  ++prefix.running;
 }
 
 void Executor::OnRunChunk(const RunChunk& chunk) {
@@ -226,10 +247,12 @@
   const auto prefix = m_prefixes.find(key.first);
   if (prefix != m_prefixes.end()) {
     prefix->second.used = now;
+    prefix->second.running = std::max(0, prefix->second.running - 1);
     prefix->second.tokens += EstimateTokens(entry.order.call.body) +
                              EstimateTokens(done.answer.text);
   }
   Finish(key, reply, now);
+  TrimPrefixes();
   StartNext(now);
 }
 
@@ -251,6 +274,7 @@
 QueuedCall Executor::Describe(const Entry& entry) const {
   QueuedCall call;
   call.priority = entry.order.priority;
+  call.started = entry.order.started;
   call.attained = entry.order.attained;
   call.prompt = EstimateTokens(entry.order.prompt);
   call.cached = std::min(call.prompt, CachedTokens(entry.order.call.program));
@@ -320,7 +344,7 @@
     reply.failure = past_deadline
                         ? core::Refuse(Reason::kDeadline)
                         : core::Refuse(Reason::kOverloaded,
-                                       std::max<Duration>(1, LoadMs()));
+                                       ReturnAfter(entry.order, LoadMs()));
     m_outbox.Refused(reply.failure.reason);
     Finish(key, reply, now);
   }
@@ -353,6 +377,27 @@
   m_outbox.Push(ReleasePrefix{ProgramId{}, m_joined});
 }
 
+// Decides which paused programs' prefixes are worth holding. When they do not
+// all fit, an engine that drops the least recently used one drops each shortly
+// before its program returns, and every call is recomputed. Dropping those of
+// the youngest programs instead keeps the others' whole.
+void Executor::TrimPrefixes() {
+  if (m_settings.prefix_tokens == 0) return;
+  Tokens held = 0;
+  for (const auto& [program, prefix] : m_prefixes) held += prefix.tokens;
+  while (held > m_settings.prefix_tokens) {
+    const std::pair<const ProgramId, Prefix>* youngest = nullptr;
+    for (const auto& item : m_prefixes) {
+      if (item.second.running > 0) continue;
+      if (youngest == nullptr || item.second.started > youngest->second.started)
+        youngest = &item;
+    }
+    if (youngest == nullptr) return;
+    held -= youngest->second.tokens;
+    OnRelease(ProgramId(youngest->first));
+  }
+}
+
 void Executor::ForgetOld(Time now) {
   std::erase_if(m_entries, [&](const auto& item) {
     const Entry& entry = item.second;
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "yuccawick/core/hash.h"
+
 namespace yuccawick::core {
 
 // Index
@@ -100,6 +102,7 @@
   meta.model = start.start.model;
   meta.service_class = start.start.service_class;
   meta.parent = start.start.parent;
+  meta.started = now;
   meta.last_active = now;
   program.holds_slot = holds_slot;
   m_parts.outbox.Push(Count{Counter::kPrograms, "started", 1});
@@ -282,6 +285,7 @@
   dispatch.fence = program->fence;
   dispatch.executor = active.executor;
   dispatch.call = active.call;
+  dispatch.started = RootOf(program)->state.meta.started;
   dispatch.attained = RootOf(program)->attained;
   const bool model = active.call.kind == BackendKind::kModel;
   if (model) {
--- a/src/yuccawick/core/membership.cc
+++ b/src/yuccawick/core/membership.cc
@@ -1,16 +1,11 @@
 #include "yuccawick/core/membership.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
-namespace yuccawick::core {
+#include "yuccawick/core/hash.h"
 
-std::uint64_t PairHash(std::string_view a, std::string_view b) {
-  return XXH3_64bits_withSeed(b.data(), b.size(),
-                              XXH3_64bits(a.data(), a.size()));
-}
+namespace yuccawick::core {
 
 std::vector<NodeRef> PickPeers(const NodeRef& self, const Control& control,
                                std::size_t count) {
--- a/src/yuccawick/core/membership.h
+++ b/src/yuccawick/core/membership.h
@@ -90,7 +90,4 @@
 std::vector<NodeRef> PickPeers(const NodeRef& self, const Control& control,
                                std::size_t count);
 
-// A well-mixed hash of two names, the same everywhere.
-std::uint64_t PairHash(std::string_view a, std::string_view b);
-
 }  // namespace yuccawick::core
--- a/src/yuccawick/core/messages.h
+++ b/src/yuccawick/core/messages.h
@@ -152,6 +152,7 @@
   std::string   prompt;  // history before the call; empty for services
   std::int64_t  priority = 5;
   Duration      max_wait = 0;  // ms it may wait for the backend server
+  Time          started = 0;   // when the whole program started
   Tokens        attained = 0;  // service the whole program has had
   std::int64_t  cache_weight = 50;
 
@@ -164,6 +165,7 @@
     v("prompt", prompt);
     v("priority", priority);
     v("maxWait", max_wait);
+    v("started", started);
     v("attained", attained);
     v("cacheWeight", cache_weight);
   }
--- a/src/yuccawick/core/program.h
+++ b/src/yuccawick/core/program.h
@@ -121,6 +121,7 @@
   std::uint64_t revision = 0;       // grows with every change of one owner
   Tokens        spent = 0;          // own spending, reservations included
   bool          ended = false;
+  Time          started = 0;
   Time          last_active = 0;
   Intent        intent;  // open unrepeatable call
 
@@ -136,6 +137,7 @@
     v("revision", revision);
     v("spent", spent);
     v("ended", ended);
+    v("started", started);
     v("lastActive", last_active);
     v("intent", intent);
   }
--- a/src/yuccawick/core/scheduling.cc
+++ b/src/yuccawick/core/scheduling.cc
@@ -14,6 +14,17 @@
 constexpr double kCacheEmphasis = 8.0;
 constexpr double kFullWeight = 100.0;
 
+// A program that has been under way this long, ms, gains one class.
+constexpr double kAgeUnit = 60'000;
+
+// Classes gained by waiting: all of them by the end of the allowed time.
+double Aging(const QueuedCall& call, Time now) {
+  const double waited = static_cast<double>(now - call.arrived);
+  const double allowed =
+      static_cast<double>(std::max<Duration>(1, call.max_wait));
+  return kAgingClasses * waited / allowed;
+}
+
 template <class Cost>
 int Cheapest(const std::vector<RouteCandidate>& candidates, Cost cost) {
   int    best = -1;
@@ -37,14 +48,17 @@
 double AttainedServiceQueue::Rank(const QueuedCall& call, Time now) const {
   const double attained =
       std::log2(1.0 + static_cast<double>(std::max<Tokens>(0, call.attained)));
-  const double waited = static_cast<double>(now - call.arrived);
-  const double allowed =
-      static_cast<double>(std::max<Duration>(1, call.max_wait));
-  const double aging = kAgingClasses * waited / allowed;
-  return kPriorityStep * (static_cast<double>(call.priority) - aging) +
+  return kPriorityStep *
+             (static_cast<double>(call.priority) - Aging(call, now)) +
          attained;
 }
 
+double OldestProgramQueue::Rank(const QueuedCall& call, Time now) const {
+  const double aging = Aging(call, now);
+  const double age = static_cast<double>(now - call.started) / kAgeUnit;
+  return static_cast<double>(call.priority) - aging - age;
+}
+
 int LeastLoadedRoute::Choose(
     const RouteRequest& /*request*/,
     const std::vector<RouteCandidate>& candidates) const {
@@ -69,7 +83,8 @@
   return Cheapest(candidates, [&](const RouteCandidate& c) {
     const auto missing =
         static_cast<double>(std::max<Tokens>(0, request.prompt - c.cached));
-    return static_cast<double>(c.wait) +
+    const Duration reluctance = c.is_home ? 0 : m_reluctance;
+    return static_cast<double>(c.wait + reluctance) +
            weight * missing / m_prefill_tokens_per_ms;
   });
 }
--- a/src/yuccawick/core/scheduling.h
+++ b/src/yuccawick/core/scheduling.h
@@ -20,6 +20,7 @@
 
 struct QueuedCall {
   std::int64_t priority = 5;       // 0 first, 9 last
+  Time         started = 0;        // when its program started
   Tokens       attained = 0;       // service its program has had, tokens
   Tokens       prompt = 0;         // tokens of the prompt
   Tokens       cached = 0;         // of these, likely in the prefix cache
@@ -52,6 +53,15 @@
   double           Rank(const QueuedCall& call, Time now) const override;
 };
 
+// Class first, then the program that started first; waiting lowers the rank
+// steadily, so that nothing starves. A program that has begun is finished
+// before later ones, whatever its graph turns out to be.
+class OldestProgramQueue : public QueuePolicy {
+ public:
+  std::string_view Name() const override { return "oldest_program"; }
+  double           Rank(const QueuedCall& call, Time now) const override;
+};
+
 struct RouteCandidate {
   bool     usable = true;    // alive and not leaving
   Duration wait = 0;         // ms a new call would wait there
@@ -93,14 +103,18 @@
 // weighted up for customers who mind wasted cache.
 class CacheAwareRoute : public RoutePolicy {
  public:
-  explicit CacheAwareRoute(double prefill_tokens_per_ms)
-      : m_prefill_tokens_per_ms(prefill_tokens_per_ms) {}
+  // `reluctance`: ms by which another server must be better than the home's,
+  // since what is known of its load is old and others act on it too.
+  CacheAwareRoute(double prefill_tokens_per_ms, Duration reluctance)
+      : m_prefill_tokens_per_ms(prefill_tokens_per_ms),
+        m_reluctance(reluctance) {}
   std::string_view Name() const override { return "cache_aware"; }
   int              Choose(const RouteRequest&                request,
                           const std::vector<RouteCandidate>& candidates) const override;
 
  private:
-  double m_prefill_tokens_per_ms;
+  double   m_prefill_tokens_per_ms;
+  Duration m_reluctance;
 };
 
 }  // namespace yuccawick::core
--- a/src/yuccawick/rpc/node.capnp
+++ b/src/yuccawick/rpc/node.capnp
@@ -72,6 +72,7 @@
   ended        @9 :Bool;
   lastActive   @10 :Int64;
   intent       @11 :Intent;
+  started      @12 :Int64;
 }
 
 struct ProgramDelta {
@@ -251,6 +252,7 @@
   maxWait     @6 :Int64;
   attained    @7 :Int64;
   cacheWeight @8 :Int64;
+  started     @9 :Int64;
 }
 
 struct DispatchChunk {
--- a/src/yuccawick/rpc/node.capnp.h
+++ b/src/yuccawick/rpc/node.capnp.h
@@ -205,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bda6485cdcde6628, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(bda6485cdcde6628, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -575,7 +575,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a9fe85fd16967d0c, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a9fe85fd16967d0c, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1705,6 +1705,8 @@
   inline bool hasIntent() const;
   inline  ::yuccawick::rpc::wire::Intent::Reader getIntent() const;
 
+  inline  ::int64_t getStarted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1797,6 +1799,9 @@
   inline void adoptIntent(::capnp::Orphan< ::yuccawick::rpc::wire::Intent>&& value);
   inline ::capnp::Orphan< ::yuccawick::rpc::wire::Intent> disownIntent();
 
+  inline  ::int64_t getStarted();
+  inline void setStarted( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4263,6 +4268,8 @@
 
   inline  ::int64_t getCacheWeight() const;
 
+  inline  ::int64_t getStarted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4330,6 +4337,9 @@
   inline  ::int64_t getCacheWeight();
   inline void setCacheWeight( ::int64_t value);
 
+  inline  ::int64_t getStarted();
+  inline void setStarted( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7120,6 +7130,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t ProgramMeta::Reader::getStarted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ProgramMeta::Builder::getStarted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ProgramMeta::Builder::setStarted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ProgramDelta::Reader::hasMeta() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9948,6 +9972,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Dispatch::Reader::getStarted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Dispatch::Builder::getStarted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setStarted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t DispatchChunk::Reader::getDispatch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
