--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -96,12 +96,7 @@
         {"fifo+least_loaded", fifo, least_loaded},
         {"fifo+sticky", fifo, sticky},
         {"attained+cache_aware", attained, cache_aware},
-        {"oldest+aware2s", oldest, aware2},
-        {"oldest+aware2s+hold", oldest, aware2, true},
-        {"oldest+aware5s+hold", oldest, aware5, true},
-        {"oldest+sticky+hold", oldest, sticky, true},
-        {"fifo+sticky+hold", fifo, sticky, true},
-        {"attained+aware2s+hold", attained, aware2, true}};
+        {"oldest+aware2s", oldest, aware2}};
     std::cout << "customer  load trouble     policy                     p50 s"
                  "   p95 s   p99 s  whole in time    wasted refused  per min\n";
     for (const auto* name : {"sakhli", "mandacaru"}) {
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -15,7 +15,6 @@
   std::string              name;
   const core::QueuePolicy& queue;
   const core::RoutePolicy& route;
-  bool                     holds = false;  // chooses the prefixes to hold
 };
 
 enum class Trouble : std::uint8_t { kNone, kEngineLost, kEngineSlow };
--- a/src/yuccawick/core/executor.cc
+++ b/src/yuccawick/core/executor.cc
@@ -217,8 +217,6 @@
   Prefix& prefix = m_prefixes[key.first];
   prefix.tokens = EstimateTokens(entry.order.prompt);
   prefix.used = now;
-  prefix.started = entry.order.started;
-  ++prefix.running;
 }
 
 void Executor::OnRunChunk(const RunChunk& chunk) {
@@ -247,12 +245,10 @@
   const auto prefix = m_prefixes.find(key.first);
   if (prefix != m_prefixes.end()) {
     prefix->second.used = now;
-    prefix->second.running = std::max(0, prefix->second.running - 1);
     prefix->second.tokens += EstimateTokens(entry.order.call.body) +
                              EstimateTokens(done.answer.text);
   }
   Finish(key, reply, now);
-  TrimPrefixes();
   StartNext(now);
 }
 
@@ -377,27 +373,6 @@
   m_outbox.Push(ReleasePrefix{ProgramId{}, m_joined});
 }
 
-// Decides which paused programs' prefixes are worth holding. When they do not
-// all fit, an engine that drops the least recently used one drops each shortly
-// before its program returns, and every call is recomputed. Dropping those of
-// the youngest programs instead keeps the others' whole.
-void Executor::TrimPrefixes() {
-  if (m_settings.prefix_tokens == 0) return;
-  Tokens held = 0;
-  for (const auto& [program, prefix] : m_prefixes) held += prefix.tokens;
-  while (held > m_settings.prefix_tokens) {
-    const std::pair<const ProgramId, Prefix>* youngest = nullptr;
-    for (const auto& item : m_prefixes) {
-      if (item.second.running > 0) continue;
-      if (youngest == nullptr || item.second.started > youngest->second.started)
-        youngest = &item;
-    }
-    if (youngest == nullptr) return;
-    held -= youngest->second.tokens;
-    OnRelease(ProgramId(youngest->first));
-  }
-}
-
 void Executor::ForgetOld(Time now) {
   std::erase_if(m_entries, [&](const auto& item) {
     const Entry& entry = item.second;
--- a/src/yuccawick/core/executor.h
+++ b/src/yuccawick/core/executor.h
@@ -26,8 +26,6 @@
   std::size_t slots = 8;                    // calls at the server at once
   double      prefill_tokens_per_ms = 10;   // to estimate waits
   double      decode_tokens_per_ms = 0.05;  // per call
-  Tokens      prefix_tokens = 0;  // engine memory for prefixes; 0: not known,
-                                  // left to the engine
   Duration    prefix_hold = 120000;  // ms an unused prefix is kept
   Duration    clock_margin = 2000;   // ms a finished call is remembered past
                                      // its deadline
@@ -80,8 +78,6 @@
   struct Prefix {
     Tokens tokens = 0;
     Time   used = 0;
-    Time   started = 0;  // when its program started
-    int    running = 0;  // calls of the program at the server
   };
 
   void Refuse(const NodeRef& home, const Dispatch& dispatch, Failure failure);
@@ -95,7 +91,6 @@
   void StartRun(const CallKey& key, Time now);
   void GiveUpLate(Time now);
   void ForgetOld(Time now);
-  void TrimPrefixes();
   // When to come back, at least `least` ms from now.
   static Duration ReturnAfter(const Dispatch& dispatch, Duration least);
   Duration        Estimate(const Entry& entry) const;
