Let a program onto an engine only when its memory has room

Change: a call whose program has no prefix on the engine starts only if the resident tokens and its prompt fit (small prompts always); it waits or is refused by its contract's time as before, and what waits for room does not count against calls that have room.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -97,7 +97,8 @@
         {"fifo+least_loaded", fifo, least_loaded},
         {"fifo+sticky", fifo, sticky},
         {"attained+cache_aware", attained, cache_aware},
-        {"oldest+crowding", oldest, crowding}};
+        {"oldest+crowding", oldest, crowding},
+        {"oldest+crowding+room", oldest, crowding, true}};
     std::cout << "customer  load trouble     policy                     p50 s"
                  "   p95 s   p99 s  whole in time    wasted refused  per min  1st class p95\n";
     for (const auto* name : {"sakhli", "mandacaru"}) {
@@ -149,7 +150,7 @@
     std::cout << (ok ? "bound holds:  " : "BOUND BROKEN: ") << what << "\n";
     held = held && ok;
   };
-  const std::string ours = "oldest+crowding";
+  const std::string ours = "oldest+crowding+room";
   for (const double load : {1.0, 2.0, 3.0}) {
     const auto  at = " at " + std::to_string(static_cast<int>(load)) + "x";
     const auto& s = Find(rows, "sakhli", load, ours);
--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -87,6 +87,8 @@
     settings.slots = EngineParameters{}.batch;
     settings.decode_tokens_per_ms = 1 / 34.0;
     settings.prefix_hold = 20 * 60'000;
+    if (m_policy.limits)
+      settings.prefix_tokens = EngineParameters{}.cache_tokens;
     server->executor = std::make_unique<core::Executor>(
         server->node, settings, core::Safeguards::All(), m_policy.queue,
         server->outbox);
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -15,6 +15,7 @@
   std::string              name;
   const core::QueuePolicy& queue;
   const core::RoutePolicy& route;
+  bool                     limits = false;  // programs by the engine's memory
 };
 
 enum class Trouble : std::uint8_t { kNone, kEngineLost, kEngineSlow };
--- a/src/yuccawick/core/executor.cc
+++ b/src/yuccawick/core/executor.cc
@@ -9,6 +9,8 @@
 namespace yuccawick::core {
 namespace {
 
+// A prompt below this part of the engine's memory is small.
+constexpr Tokens   kSmallPart = 50;
 constexpr Duration kLeastReturn = 1000;   // ms
 constexpr Duration kReturnSpread = 1000;  // ms
 
@@ -291,11 +293,14 @@
 }
 
 Duration Executor::WaitAhead(const Entry& entry, Time now) const {
-  if (m_runs.size() + m_queue.size() < m_settings.slots) return 0;
+  const bool has_room = HasRoom(entry);
+  if (has_room && m_runs.size() < m_settings.slots) return 0;
   const double rank = m_policy.Rank(Describe(entry), now);
   Duration     work = 0;
   for (const auto& key : m_queue) {
     const Entry& other = m_entries.at(key);
+    // What waits for room does not keep a call that has room from starting.
+    if (has_room && !HasRoom(other)) continue;
     if (m_policy.Rank(Describe(other), now) <= rank) work += Estimate(other);
   }
   // Calls at the server are on average halfway through.
@@ -312,17 +317,34 @@
 }
 
 void Executor::StartNext(Time now) {
-  while (m_runs.size() < m_settings.slots && !m_queue.empty()) {
-    const auto best = std::min_element(
-        m_queue.begin(), m_queue.end(),
-        [&](const CallKey& a, const CallKey& b) {
-          return m_policy.Rank(Describe(m_entries.at(a)), now) <
-                 m_policy.Rank(Describe(m_entries.at(b)), now);
-        });
+  while (m_runs.size() < m_settings.slots) {
+    const CallKey* best = nullptr;
+    double         best_rank = 0;
+    for (const auto& key : m_queue) {
+      const Entry& entry = m_entries.at(key);
+      if (!HasRoom(entry)) continue;
+      const double rank = m_policy.Rank(Describe(entry), now);
+      if (best != nullptr && rank >= best_rank) continue;
+      best = &key;
+      best_rank = rank;
+    }
+    if (best == nullptr) return;
     StartRun(CallKey(*best), now);
   }
 }
 
+bool Executor::HasRoom(const Entry& entry) const {
+  const Tokens prompt = EstimateTokens(entry.order.prompt);
+  const Tokens limit = m_settings.prefix_tokens;
+  // More programs than fit drive each other's prefixes out, and the engine
+  // computes prompts instead of answers. A new one waits until one has ended;
+  // small ones are let in, since they hardly crowd and may be urgent.
+  if (limit == 0 || prompt * kSmallPart < limit) return true;
+  if (m_runs.empty() || m_prefixes.contains(entry.order.call.program))
+    return true;
+  return ResidentTokens() + prompt <= limit;
+}
+
 void Executor::GiveUpLate(Time now) {
   std::vector<CallKey> late;
   for (const auto& key : m_queue) {
--- a/src/yuccawick/core/executor.h
+++ b/src/yuccawick/core/executor.h
@@ -26,7 +26,8 @@
   std::size_t slots = 8;                    // calls at the server at once
   double      prefill_tokens_per_ms = 10;   // to estimate waits
   double      decode_tokens_per_ms = 0.05;  // per call
-  Duration    prefix_hold = 120000;  // ms an unused prefix is kept
+  Tokens      prefix_tokens = 0;  // engine memory for prefixes; 0: not known
+  Duration prefix_hold = 120000;  // ms an unused prefix is kept
   Duration    clock_margin = 2000;   // ms a finished call is remembered past
                                      // its deadline
 };
@@ -92,6 +93,8 @@
   void StartRun(const CallKey& key, Time now);
   void GiveUpLate(Time now);
   void ForgetOld(Time now);
+  // True if the engine has room for the call's program beside the others.
+  bool HasRoom(const Entry& entry) const;
   // When to come back, at least `least` ms from now.
   static Duration ReturnAfter(const Dispatch& dispatch, Duration least);
   Duration        Estimate(const Entry& entry) const;
