Route by resident prefixes in the daemons too

Cause: the policy measured best stood only in the bench. Ruled out: leaving the group on the old policy, since proofs should run on what the daemons run. One proof (a release lost on its way) no longer met its state; it now asserts that the call ran away from home, and fills the home until it does.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -89,10 +89,10 @@
     const core::FifoQueue            fifo;
     const core::AttainedServiceQueue attained;
     const core::OldestProgramQueue   oldest;
-    const core::CacheAwareRoute crowding(10, 5000, 30);
+    const core::CacheAwareRoute      crowding(10, 5000, 30);
     const core::LeastLoadedRoute     least_loaded;
     const core::StickyRoute          sticky;
-    const core::CacheAwareRoute cache_aware(10, 0, 0);
+    const core::CacheAwareRoute      cache_aware(10, 0, 0);
     const std::vector<Policy>        policies{
         {"fifo+least_loaded", fifo, least_loaded},
         {"fifo+sticky", fifo, sticky},
@@ -100,7 +100,8 @@
         {"oldest+crowding", oldest, crowding},
         {"oldest+crowding+room", oldest, crowding, true}};
     std::cout << "customer  load trouble     policy                     p50 s"
-                 "   p95 s   p99 s  whole in time    wasted refused  per min  1st class p95\n";
+                 "   p95 s   p99 s  whole in time    wasted refused  per min  "
+                 "1st class p95\n";
     for (const auto* name : {"sakhli", "mandacaru"}) {
       for (const double load : {1.0, 2.0, 3.0}) Run(name, load, policies, {});
       for (const auto trouble : {Trouble::kEngineLost, Trouble::kEngineSlow}) {
@@ -164,10 +165,10 @@
     expect(static_cast<double>(m.wasted) <=
                1.02 * static_cast<double>(std::min(m1.wasted, m2.wasted)),
            "mandacaru waste no more than 1.02 of the better baseline" + at);
-    expect(m.first_class_p95 <=
-               1.02 * std::min(m1.first_class_p95, m2.first_class_p95),
-           "mandacaru urgent p95 no more than 1.02 of the better baseline" +
-               at);
+    expect(
+        m.first_class_p95 <=
+            1.02 * std::min(m1.first_class_p95, m2.first_class_p95),
+        "mandacaru urgent p95 no more than 1.02 of the better baseline" + at);
     expect(m.p95 <= 1.10 * std::min(m1.p95, m2.p95),
            "mandacaru p95 no more than 1.10 of the better baseline" + at);
   }
--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -27,8 +27,8 @@
   core::Outbox                    outbox;
   std::unique_ptr<core::Executor> executor;
   std::unique_ptr<EngineModel>    engine;
-  core::Duration known_load = 0;
-  core::Tokens   known_resident = 0;
+  core::Duration                  known_load = 0;
+  core::Tokens                    known_resident = 0;
   bool                            alive = true;
 };
 
@@ -260,12 +260,11 @@
 
   double FirstClassP95() const {
     const auto& classes = m_scenario.contract.classes;
-    const auto  first =
-        std::min_element(classes.begin(), classes.end(),
-                         [](const auto& a, const auto& b) {
-                           return a.priority < b.priority;
-                         }) -
-        classes.begin();
+    const auto  first = std::min_element(classes.begin(), classes.end(),
+                                         [](const auto& a, const auto& b) {
+                                          return a.priority < b.priority;
+                                        }) -
+                       classes.begin();
     std::vector<core::Duration> latencies;
     for (const auto& program : m_programs) {
       if (program.plan->service_class != static_cast<std::size_t>(first))
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -27,17 +27,17 @@
 };
 
 struct RunResult {
-  std::string                policy;
-  std::size_t                programs = 0;
-  std::size_t                finished = 0;  // whole, within patience
-  double                     p50 = 0;       // program latency, s, of all that
-  double                     p95 = 0;       // finished; unfinished count as
-  double                     p99 = 0;       // their patience
-  core::Tokens               computed = 0;  // prompt tokens
-  core::Tokens               wasted = 0;    // computed more than once
-  double goodput = 0; // finished a minute
-  double first_class_p95 = 0;  // s, of the class of best priority
-  std::map<std::string, int> refusals;      // by reason
+  std::string  policy;
+  std::size_t  programs = 0;
+  std::size_t  finished = 0;            // whole, within patience
+  double       p50 = 0;                 // program latency, s, of all that
+  double       p95 = 0;                 // finished; unfinished count as
+  double       p99 = 0;                 // their patience
+  core::Tokens computed = 0;            // prompt tokens
+  core::Tokens wasted = 0;              // computed more than once
+  double       goodput = 0;             // finished a minute
+  double       first_class_p95 = 0;     // s, of the class of best priority
+  std::map<std::string, int> refusals;  // by reason
 };
 
 RunResult RunPolicy(const Scenario& scenario, const Policy& policy,
--- a/src/yuccawick/core/agent.cc
+++ b/src/yuccawick/core/agent.cc
@@ -214,6 +214,7 @@
   reply.control_version = m_control.version();
   reply.leaving = m_draining;
   reply.load_ms = static_cast<std::uint64_t>(m_executor.LoadMs());
+  reply.resident = m_executor.ResidentTokens();
   m_outbox.Send(from, reply);
   if (probe.control_version > m_control.version() && m_tail.LogIsDown())
     m_tail.AskPeer(from);
--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -1,12 +1,19 @@
 #include "yuccawick/core/entry.h"
 
 #include <algorithm>
+#include <tuple>
 #include <type_traits>
 #include <utility>
 
 #include "yuccawick/core/hash.h"
 
 namespace yuccawick::core {
+namespace {
+
+// Engines whose leased prefixes differ by less, tokens, count as equal.
+constexpr Tokens kResidentStep = 4096;
+
+}  // namespace
 
 // Index
 //   Events     what the daemon tells
@@ -132,7 +139,7 @@
           OnChunk(event.from, m, now);
         } else if constexpr (std::is_same_v<M, Probe>) {
           m_outbox.Send(event.from,
-                        ProbeReply{m_control.version(), m_draining, 0});
+                        ProbeReply{m_control.version(), m_draining, 0, 0});
         } else if constexpr (std::is_same_v<M, ProbeReply>) {
           m_membership.OnProbeReply(event.from, m, now);
         } else if constexpr (std::is_same_v<M, ControlPull>) {
@@ -171,8 +178,9 @@
   bool          known = false;
   const auto    cost = [&](const Member& m) {
     // Among equally loaded ones, each request has an order of its own.
-    return std::pair(m_membership.LoadOf(m.join.node),
-                        PairHash(std::to_string(request), m.join.node.vm));
+    return std::tuple(m_membership.LoadOf(m.join.node),
+                         m_membership.ResidentOf(m.join.node) / kResidentStep,
+                         PairHash(std::to_string(request), m.join.node.vm));
   };
   for (const auto& [node, member] : m_control.members()) {
     if (member.join.kind != BackendKind::kModel) continue;
--- a/src/yuccawick/core/executor.cc
+++ b/src/yuccawick/core/executor.cc
@@ -47,6 +47,7 @@
   reply.dispatch = dispatch.dispatch;
   reply.failure = failure;
   reply.load_ms = static_cast<std::uint64_t>(LoadMs());
+  reply.resident = ResidentTokens();
   m_outbox.Send(home, reply);
 }
 
@@ -260,6 +261,7 @@
   entry.done_at = now;
   reply.dispatch = entry.order.dispatch;
   reply.load_ms = static_cast<std::uint64_t>(LoadMs());
+  reply.resident = ResidentTokens();
   entry.reply = reply;
   // The answer of a repeatable call is not needed again; the prompt never.
   entry.order.prompt.clear();
--- a/src/yuccawick/core/executor.h
+++ b/src/yuccawick/core/executor.h
@@ -26,8 +26,8 @@
   std::size_t slots = 8;                    // calls at the server at once
   double      prefill_tokens_per_ms = 10;   // to estimate waits
   double      decode_tokens_per_ms = 0.05;  // per call
-  Tokens      prefix_tokens = 0;  // engine memory for prefixes; 0: not known
-  Duration prefix_hold = 120000;  // ms an unused prefix is kept
+  Tokens      prefix_tokens = 0;     // engine memory for prefixes; 0: not known
+  Duration    prefix_hold = 120000;  // ms an unused prefix is kept
   Duration    clock_margin = 2000;   // ms a finished call is remembered past
                                      // its deadline
 };
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -321,7 +321,8 @@
 
 void Home::OnDispatchReply(const NodeRef& from, const DispatchReply& reply,
                            Time now) {
-  m_parts.membership.OnLoad(from, static_cast<Duration>(reply.load_ms));
+  m_parts.membership.OnLoad(from, static_cast<Duration>(reply.load_ms),
+                            reply.resident);
   const auto it = m_dispatches.find(reply.dispatch);
   const auto found =
       it == m_dispatches.end() ? m_programs.end() : m_programs.find(it->second);
@@ -854,6 +855,9 @@
     candidate.usable = candidate.is_home || m_parts.membership.IsUsable(node);
     candidate.wait = candidate.is_home ? m_parts.executor.LoadMs()
                                        : m_parts.membership.LoadOf(node);
+    candidate.resident = candidate.is_home
+                             ? m_parts.executor.ResidentTokens()
+                             : m_parts.membership.ResidentOf(node);
     const auto prefix = program.prefixes.find(node);
     if (prefix != program.prefixes.end()) candidate.cached = prefix->second;
     nodes.push_back(node);
--- a/src/yuccawick/core/membership.cc
+++ b/src/yuccawick/core/membership.cc
@@ -65,13 +65,16 @@
                               Time now) {
   Peer& peer = PeerOf(from, now);
   peer.load = static_cast<Duration>(reply.load_ms);
+  peer.resident = reply.resident;
   peer.control_version = std::max(peer.control_version, reply.control_version);
   if (reply.leaving) Fire(&peer, PeerEvent::kLeave);
 }
 
-void Membership::OnLoad(const NodeRef& from, Duration load) {
+void Membership::OnLoad(const NodeRef& from, Duration load, Tokens resident) {
   const auto it = m_peers.find(from);
-  if (it != m_peers.end()) it->second.load = load;
+  if (it == m_peers.end()) return;
+  it->second.load = load;
+  it->second.resident = resident;
 }
 
 void Membership::OnLeaving(const NodeRef& node, Time now) {
@@ -191,6 +194,11 @@
   return it == m_peers.end() ? 0 : it->second.load;
 }
 
+Tokens Membership::ResidentOf(const NodeRef& node) const {
+  const auto it = m_peers.find(node);
+  return it == m_peers.end() ? 0 : it->second.resident;
+}
+
 const NodeRef* Membership::PeerAhead() const {
   for (const auto& [node, peer] : m_peers) {
     if (peer.control_version > m_control.version()) return &node;
--- a/src/yuccawick/core/membership.h
+++ b/src/yuccawick/core/membership.h
@@ -26,9 +26,10 @@
 
 struct Peer {
   PeerPhase phase = PeerPhase::kUnknown;
-  Time      heard = 0;   // last message from it
-  Time      probed = 0;  // last probe sent
-  Duration  load = 0;    // ms a new call would wait there, as last told
+  Time      heard = 0;     // last message from it
+  Time      probed = 0;    // last probe sent
+  Duration  load = 0;      // ms a new call would wait there, as last told
+  Tokens    resident = 0;  // tokens of the prefixes there, as last told
   Offset    control_version = kNoOffset;
 };
 
@@ -45,7 +46,7 @@
 
   void OnMessage(const NodeRef& from, Time now);
   void OnProbeReply(const NodeRef& from, const ProbeReply& reply, Time now);
-  void OnLoad(const NodeRef& from, Duration load);
+  void OnLoad(const NodeRef& from, Duration load, Tokens resident);
   // The node has refused work because it is leaving.
   void OnLeaving(const NodeRef& node, Time now);
   void OnSendFailed(const NodeRef& to, Time now);
@@ -63,6 +64,7 @@
   // Certainly replaced, or silent for long enough to be claimed.
   bool                           IsLost(const NodeRef& node, Time now) const;
   Duration                       LoadOf(const NodeRef& node) const;
+  Tokens                         ResidentOf(const NodeRef& node) const;
   const std::map<NodeRef, Peer>& peers() const { return m_peers; }
   // A peer whose control state is ahead of ours, if any.
   const NodeRef*                 PeerAhead() const;
--- a/src/yuccawick/core/messages.h
+++ b/src/yuccawick/core/messages.h
@@ -189,7 +189,8 @@
   bool          ok = false;
   Answer        answer;
   Failure       failure;
-  std::uint64_t load_ms = 0;  // wait a new call would meet there, ms
+  std::uint64_t load_ms = 0;   // wait a new call would meet there, ms
+  Tokens        resident = 0;  // tokens of all prefixes leased there
 
   template <class V>
   void Visit(V& v) {
@@ -198,6 +199,7 @@
     v("answer", answer);
     v("failure", failure);
     v("loadMs", load_ms);
+    v("resident", resident);
   }
 };
 
@@ -306,12 +308,14 @@
   Offset        control_version = kNoOffset;
   bool          leaving = false;
   std::uint64_t load_ms = 0;
+  Tokens        resident = 0;
 
   template <class V>
   void Visit(V& v) {
     v("controlVersion", control_version);
     v("leaving", leaving);
     v("loadMs", load_ms);
+    v("resident", resident);
   }
 };
 
--- a/src/yuccawick/core/scheduling.cc
+++ b/src/yuccawick/core/scheduling.cc
@@ -16,7 +16,8 @@
 constexpr double kCrowdUnit = 1000.0;  // tokens
 
 // A program's age is worth at most this many classes, so that old work of an
-// ordinary class never goes before a new urgent call; half of it at kHalfAge ms.
+// ordinary class never goes before a new urgent call; half of it at kHalfAge
+// ms.
 constexpr double kMostAgeClasses = 4.5;
 constexpr double kHalfAge = 40'000;
 
@@ -88,7 +89,7 @@
     const auto missing =
         static_cast<double>(std::max<Tokens>(0, request.prompt - c.cached));
     const Duration reluctance = c.is_home ? 0 : m_reluctance;
-    const double crowd =
+    const double   crowd =
         m_crowding * static_cast<double>(c.resident) / kCrowdUnit;
     return static_cast<double>(c.wait + reluctance) + crowd +
            weight * missing / m_prefill_tokens_per_ms;
--- a/src/yuccawick/core/scheduling.h
+++ b/src/yuccawick/core/scheduling.h
@@ -65,8 +65,8 @@
 struct RouteCandidate {
   bool     usable = true;    // alive and not leaving
   Duration wait = 0;         // ms a new call would wait there
-  Tokens cached = 0; // tokens of its prompt likely cached there
-  Tokens resident = 0;  // tokens of all prefixes leased there
+  Tokens   cached = 0;       // tokens of its prompt likely cached there
+  Tokens   resident = 0;     // tokens of all prefixes leased there
   bool     is_home = false;  // the program's own server
 };
 
@@ -120,7 +120,7 @@
  private:
   double   m_prefill_tokens_per_ms;
   Duration m_reluctance;
-  double m_crowding;
+  double   m_crowding;
 };
 
 }  // namespace yuccawick::core
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -35,6 +35,8 @@
 DEFINE_int32(probe_ms, 500, "between probes of one peer");
 DEFINE_int32(suspect_ms, 2000, "silence after which a peer is suspect");
 DEFINE_int32(flush_ms, 4000, "between appends of history");
+DEFINE_int32(prefix_tokens, 0,
+             "engine memory for prefixes, tokens; 0: not known");
 DEFINE_int32(prefix_hold_ms, 120000, "unused prefix kept in engine memory");
 DEFINE_int32(snapshot_ms, 3600000,
              "between control snapshots; below a third of the log's retention");
@@ -45,12 +47,15 @@
 namespace yuccawick::daemon {
 namespace {
 
-constexpr int    kExitSuperseded = 3;
-constexpr int    kModelSlots = 8;
-constexpr int    kStatusThreads = 4;
-constexpr int    kMostMs = 86'400'000;
+constexpr int            kExitSuperseded = 3;
+constexpr int            kModelSlots = 8;
+constexpr int            kStatusThreads = 4;
+constexpr int            kMostMs = 86'400'000;
 // Recomputing a prompt token is taken to cost this, until engines report it.
-constexpr double kPrefillTokensPerMs = 10;
+constexpr double         kPrefillTokensPerMs = 10;
+// Measured best of those tried in policy_bench; docs/design/scheduling.md.
+constexpr core::Duration kReluctanceMs = 5000;
+constexpr double         kCrowdingMs = 30;
 
 std::vector<SettingRule> Rules() {
   using Kind = SettingKind;
@@ -69,6 +74,7 @@
           {"probe_ms", Kind::kNumber, 50, 10000},
           {"suspect_ms", Kind::kNumber, 200, 60000},
           {"flush_ms", Kind::kNumber, 20, 60000},
+          {"prefix_tokens", Kind::kNumber, 0, 1'000'000'000},
           {"prefix_hold_ms", Kind::kNumber, 100, kMostMs},
           {"snapshot_ms", Kind::kNumber, 1000, kMostMs},
           {"call_timeout_ms", Kind::kNumber, 100, 3600000},
@@ -128,6 +134,7 @@
   settings.durability.flush_interval = FLAGS_flush_ms;
   settings.executor.kind = settings.join.kind;
   settings.executor.slots = static_cast<std::size_t>(Slots());
+  settings.executor.prefix_tokens = FLAGS_prefix_tokens;
   settings.executor.prefix_hold = FLAGS_prefix_hold_ms;
   settings.executor.prefill_tokens_per_ms = kPrefillTokensPerMs;
   return settings;
@@ -235,13 +242,14 @@
 
 int Run() {
   BlockStopSignals();
-  const core::NodeRef              self{FLAGS_vm, MintIncarnation()};
-  JsonLog                          log(self, FLAGS_zone, LeastSeverity());
-  Metrics                          metrics;
-  const core::AttainedServiceQueue queue;
-  const core::CacheAwareRoute      route(kPrefillTokensPerMs, 0, 0);
-  AgentDecider                     decider(MakeSettings(self), queue, route);
-  const auto                       client = MakeClient();
+  const core::NodeRef            self{FLAGS_vm, MintIncarnation()};
+  JsonLog                        log(self, FLAGS_zone, LeastSeverity());
+  Metrics                        metrics;
+  const core::OldestProgramQueue queue;
+  const core::CacheAwareRoute    route(kPrefillTokensPerMs, kReluctanceMs,
+                                       kCrowdingMs);
+  AgentDecider                   decider(MakeSettings(self), queue, route);
+  const auto                     client = MakeClient();
   const auto    threads = static_cast<std::size_t>(Slots()) + 2;
   auto          runner = std::make_unique<BackendRunner>(*client, threads);
   ShellSettings settings;
--- a/src/yuccawick/rpc/node.capnp
+++ b/src/yuccawick/rpc/node.capnp
@@ -267,6 +267,7 @@
   answer   @2 :Answer;
   failure  @3 :Failure;
   loadMs   @4 :UInt64;
+  resident @5 :Int64;
 }
 
 struct CancelDispatch {
@@ -312,6 +313,7 @@
   controlVersion @0 :Int64;
   leaving        @1 :Bool;
   loadMs         @2 :UInt64;
+  resident       @3 :Int64;
 }
 
 struct ControlPull {
--- a/src/yuccawick/rpc/node.capnp.h
+++ b/src/yuccawick/rpc/node.capnp.h
@@ -605,7 +605,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cea746231cfa177f, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cea746231cfa177f, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -725,7 +725,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(99b446b685902dff, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(99b446b685902dff, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4488,6 +4488,8 @@
 
   inline  ::uint64_t getLoadMs() const;
 
+  inline  ::int64_t getResident() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4539,6 +4541,9 @@
   inline  ::uint64_t getLoadMs();
   inline void setLoadMs( ::uint64_t value);
 
+  inline  ::int64_t getResident();
+  inline void setResident( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5218,6 +5223,8 @@
 
   inline  ::uint64_t getLoadMs() const;
 
+  inline  ::int64_t getResident() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5255,6 +5262,9 @@
   inline  ::uint64_t getLoadMs();
   inline void setLoadMs( ::uint64_t value);
 
+  inline  ::int64_t getResident();
+  inline void setResident( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10168,6 +10178,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t DispatchReply::Reader::getResident() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DispatchReply::Builder::getResident() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void DispatchReply::Builder::setResident( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CancelDispatch::Reader::getDispatch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10632,6 +10656,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t ProbeReply::Reader::getResident() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ProbeReply::Builder::getResident() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ProbeReply::Builder::setResident( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ControlPush::Reader::hasSnapshot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/testing/group.h
+++ b/src/yuccawick/testing/group.h
@@ -161,26 +161,26 @@
   std::uint64_t  Give(const std::string& entry, core::Message message,
                       std::uint64_t request);
 
-  GroupSettings                                       m_settings;
-  std::mt19937_64                                     m_random;
-  core::AttainedServiceQueue                          m_queue_policy;
-  core::CacheAwareRoute                               m_route_policy{10, 0, 0};
-  core::Time                                          m_now = 1'000'000'000;
-  core::Time                                          m_next_tick = 0;
-  std::uint64_t                                       m_order = 0;
-  std::uint64_t                                       m_incarnations = 0;
-  std::uint64_t                                       m_requests = 0;
-  std::int64_t                                        m_messages = 0;
-  FakeLog                                             m_log;
-  std::map<std::string, Node>                         m_nodes;
-  std::map<std::string, FakeBackend>                  m_backends;
-  std::set<std::pair<std::string, std::string>>       m_cuts;
-  std::vector<core::VmEntry>                          m_vm_list;
-  bool                                                m_has_vm_list = false;
-  core::Duration                                      m_late = 700;  // ms
-  Filter                                              m_filter;
-  std::map<std::uint64_t, std::vector<core::Message>> m_answers;
-  std::map<std::uint64_t, core::Time>                 m_answered_at;
+  GroupSettings                                 m_settings;
+  std::mt19937_64                               m_random;
+  core::OldestProgramQueue                      m_queue_policy;
+  core::CacheAwareRoute                         m_route_policy{10, 5000, 30};
+  core::Time                                    m_now = 1'000'000'000;
+  core::Time                                    m_next_tick = 0;
+  std::uint64_t                                 m_order = 0;
+  std::uint64_t                                 m_incarnations = 0;
+  std::uint64_t                                 m_requests = 0;
+  std::int64_t                                  m_messages = 0;
+  FakeLog                                       m_log;
+  std::map<std::string, Node>                   m_nodes;
+  std::map<std::string, FakeBackend>            m_backends;
+  std::set<std::pair<std::string, std::string>> m_cuts;
+  std::vector<core::VmEntry>                    m_vm_list;
+  bool                                          m_has_vm_list = false;
+  core::Duration                                m_late = 700;  // ms
+  Filter                                        m_filter;
+  std::map<std::uint64_t, std::vector<core::Message>>            m_answers;
+  std::map<std::uint64_t, core::Time>                            m_answered_at;
   std::map<std::pair<core::Counter, std::string>, std::int64_t>  m_counts;
   std::priority_queue<Timed, std::vector<Timed>, std::greater<>> m_events;
 };
--- a/tests/memory_test.cc
+++ b/tests/memory_test.cc
@@ -57,15 +57,19 @@
   s.Start();
   const std::string home = s.Home();
   s.group.backend(home).Hold(true);
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < 40; ++i) {
     // Fill the home's engine so that the program's call runs elsewhere.
     const auto other = s.group.StartNow("entry-a", "sakhli", "w1");
-    if (other) s.group.Call("entry-a", s.group.ModelCall(*other, 1, "fill"));
+    if (!other) continue;
+    auto call = s.group.ModelCall(*other, 1, "fill");
+    call.max_tokens = 10'000;  // worth leaving the home for
+    s.group.Call("entry-a", call);
   }
   s.group.Advance(100);
   s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
   s.group.backend(home).Hold(false);
   s.group.Advance(1000);
+  cr_assert_eq(s.group.backend(home).EffectsOf({s.program, 1}), 0);
   s.group.SetFilter([](const core::NodeRef&, const core::SendMessage& send) {
     const bool release =
         std::holds_alternative<core::ReleaseCache>(send.message);
