Log a backlog at once; children of the process proofs end with them

A failed process proof left its daemons running (121 of them by now), which disturbed every timing since. Change: a full batch is followed by the next at once; children are ended by the kernel when their starter ends. The bench's agent has no other server of its model, since calls routed away were never answered there.

--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -1,9 +1,12 @@
 // Processor time and memory of the core's decisions, at several sizes.
 #include <benchmark/benchmark.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <malloc.h>
 
 #include "yuccawick/core/agent.h"
 #include "yuccawick/core/entry.h"
+#include "yuccawick/rpc/convert.h"
 #include "yuccawick/testing/group.h"
 
 namespace yuccawick::bench {
@@ -28,7 +31,8 @@
     core::JoinRecord join;
     join.node = {"vm-" + std::to_string(i), 1};
     join.zone = "zone-" + std::to_string(i % 6);
-    join.target = "model-" + std::to_string(i % 18);
+    // The agent measured has no other server of its model to turn to.
+    join.target = i == 0 ? "solo" : "model-" + std::to_string(i % 18);
     join.address = "127.0.0.1:1";
     add(join);
   }
@@ -53,7 +57,7 @@
     core::AgentSettings settings;
     settings.join.node = {"vm-0", 1};
     settings.join.zone = "zone-0";
-    settings.join.target = "model-0";
+    settings.join.target = "solo";
     m_agent = std::make_unique<core::Agent>(settings, core::Safeguards::All(),
                                             m_queue, m_route);
     for (int i = 0; i < 400; ++i) Tick();
@@ -70,7 +74,7 @@
   }
 
   core::ProgramId Start() {
-    core::StartProgram start{++m_request, "sakhli", "w1", "model-0", "", {}};
+    core::StartProgram start{++m_request, "sakhli", "w1", "solo", "", {}};
     Feed(core::MessageReceived{{"entry", 1}, m_agent->self(), start});
     for (int i = 0; i < 40 && m_started < m_request; ++i) Tick();
     return m_program;
@@ -82,7 +86,7 @@
     call.customer = "sakhli";
     call.workspace = "w1";
     call.sequence = sequence;
-    call.target = "model-0";
+    call.target = "solo";
     call.body = std::string(400, 'x');
     call.max_tokens = 64;
     call.deadline = m_now + 60'000;
@@ -90,9 +94,11 @@
         {"entry", 1}, m_agent->self(), core::CallRequest{++m_request, call}});
   }
 
-  core::Agent& agent() { return *m_agent; }
-  std::int64_t messages() const { return m_messages; }
-  std::int64_t answered() const { return m_answered; }
+  core::Agent&     agent() { return *m_agent; }
+  std::int64_t     messages() const { return m_messages; }
+  std::int64_t     answered() const { return m_answered; }
+  // Reason of the last refusal; empty if nothing was refused.
+  std::string_view refusal() const { return m_refusal; }
 
  private:
   void Feed(const core::Event& event) {
@@ -160,7 +166,10 @@
       m_program = reply->program;
       m_started = reply->request;
     }
-    if (std::holds_alternative<core::CallReply>(send.message)) ++m_answered;
+    if (const auto* reply = std::get_if<core::CallReply>(&send.message)) {
+      ++m_answered;
+      if (!reply->ok) m_refusal = core::Name(reply->failure.reason);
+    }
   }
 
   core::OldestProgramQueue        m_queue;
@@ -174,6 +183,7 @@
   std::int64_t                    m_messages = 0;
   std::int64_t                    m_answered = 0;
   core::ProgramId                 m_program;
+  std::string_view                m_refusal;
 };
 
 // One tick of an agent: members, programs.
@@ -224,6 +234,8 @@
     loop.Settle();
     state.ResumeTiming();
   }
+  if (!loop.refusal().empty())
+    state.SkipWithError(std::string(loop.refusal()).c_str());
   const auto calls = static_cast<double>(loop.answered() - answered);
   state.counters["messages_per_call"] =
       static_cast<double>(loop.messages() - before) / calls;
@@ -321,6 +333,38 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+// Writing and reading one message; its size on the wire without TCP's headers.
+void Wire(benchmark::State& state, const core::Message& message) {
+  const rpc::Envelope envelope{
+      {"vm-123", 77}, {"vm-45", 78}, "127.10.20.30:7000", message};
+  std::size_t bytes = 0;
+  for (auto _ : state) {
+    capnp::MallocMessageBuilder builder;
+    auto                        root = builder.initRoot<rpc::wire::Envelope>();
+    rpc::Write(envelope, root);
+    bytes = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+    benchmark::DoNotOptimize(rpc::Read(root.asReader()));
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+
+core::Replicate TurnCopy() {
+  core::ProgramDelta delta;
+  delta.meta.id = {{"vm-123", 77}, 5};
+  delta.meta.customer = "sakhli";
+  delta.meta.workspace = "w1";
+  core::Turn turn;
+  turn.call.program = delta.meta.id;
+  turn.call.body = std::string(400, 'x');
+  turn.answer.text = std::string(240, 'y');
+  delta.turns.push_back(turn);
+  return {1, {delta}};
+}
+
+BENCHMARK_CAPTURE(Wire, probe, core::Probe{12});
+BENCHMARK_CAPTURE(Wire, probe_reply, core::ProbeReply{12, false, 3, 4});
+BENCHMARK_CAPTURE(Wire, replicate_640_bytes, TurnCopy());
+
 }  // namespace
 }  // namespace yuccawick::bench
 
--- a/demo/process_group.cc
+++ b/demo/process_group.cc
@@ -8,7 +8,7 @@
 #include <Poco/StreamCopier.h>
 #include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +23,7 @@
 constexpr int kLogNumber = 250;  // last part of the platform's addresses
 constexpr int kVmsNumber = 251;
 constexpr int kByte = 256;
+constexpr int kCannotRun = 127;
 constexpr int kHttpSeconds = 120;
 
 std::string At(const std::string& host, int port) {
@@ -37,21 +38,26 @@
                  const std::vector<std::string>& arguments) {
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) return;
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
   std::vector<std::string> words{program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (auto& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
-  const int failed = posix_spawn(&m_pid, program.c_str(), &actions, nullptr,
-                                 argv.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
+  const pid_t parent = getpid();
+  m_pid = fork();
+  if (m_pid == 0) {
+    // A failed check may end the parent without running any destructor; its
+    // children go with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(kCannotRun);
+    dup2(ends[1], STDOUT_FILENO);
+    dup2(ends[1], STDERR_FILENO);
+    execv(program.c_str(), argv.data());
+    _exit(kCannotRun);
+  }
   close(ends[1]);
   m_output = ends[0];
-  if (failed != 0) m_pid = -1;
   m_reader = std::thread([this] { ReadLines(); });
 }
 
--- a/src/yuccawick/core/durability.cc
+++ b/src/yuccawick/core/durability.cc
@@ -169,6 +169,7 @@
     m_appending.push_back(std::move(item));
     m_unlogged.pop_front();
   }
+  m_batch_was_full = !m_unlogged.empty();
   m_append = m_outbox.Append(HistoryStream(m_self.vm), {std::move(record)});
 }
 
@@ -181,6 +182,9 @@
       if (m_waiting.contains(item.ticket)) m_unconfirmed.insert(item.ticket);
     }
     m_appending.clear();
+    // A backlog, as after an outage, is not left to the next interval: it would
+    // grow faster than it is written.
+    if (m_batch_was_full) FlushNow(now);
     return;
   }
   // Refused, or nobody knows: appended again, since reading a delta twice
--- a/src/yuccawick/core/durability.h
+++ b/src/yuccawick/core/durability.h
@@ -118,8 +118,9 @@
   std::set<Ticket>     m_unconfirmed;  // logged, control not read since
   std::set<Ticket>     m_confirming;   // covered by m_control_read
   std::uint64_t        m_control_read = 0;
-  Time                 m_last_flush = 0;
-  Time                 m_retry_at = 0;
+  bool m_batch_was_full = false;  // more was waiting than one append takes
+  Time m_last_flush = 0;
+  Time m_retry_at = 0;
 };
 
 // Copies of other homes' programs, by home. Answers truthfully whether a delta
--- a/tests/history_test.cc
+++ b/tests/history_test.cc
@@ -209,6 +209,25 @@
   cr_assert(HasTurn(history, 3, three.answer.text));
 }
 
+Test(History, BacklogOfALongOutage_IsLoggedSoonAfterIt) {
+  // Callers are served all along. What an agent kept for the log through an
+  // outage is written batch after batch once the log is back, not one batch an
+  // interval, which a busy agent would outrun.
+  SmallGroup s;
+  s.Start();
+  s.group.CallNow("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.log().SetMode(LogMode::kDown);
+  const std::string long_text(300'000, 'x');
+  for (core::Sequence i = 2; i <= 12; ++i) {
+    auto call = s.group.ServiceCall(s.program, i, long_text);
+    cr_assert(s.group.CallNow("entry-a", call).ok);
+  }
+  cr_assert_gt(s.group.agent(s.Home()).durability().UnloggedBytes(), 3U << 20U);
+  s.group.log().SetMode(LogMode::kUp);
+  s.group.Advance(7000);
+  cr_assert_eq(s.group.agent(s.Home()).durability().UnloggedBytes(), 0);
+}
+
 bool WorkspacesStayApart(Safeguards safeguards) {
   SmallGroup s(safeguards);
   s.Start();
