Split the home, share the daemons' flags, mend the test command

Cause: the test command failed in a fresh clone, 87 passed, 7 failed: it told the process proofs where the programs are by YUCCAWICK_PROGRAMS, and the daemons refuse variables of that prefix that name no setting. Besides, home.cc had grown to 973 lines, and ten flags with their rules stood in both daemons. Ruled out: collisions of addresses and load (the same proofs passed without the variable, and failed alone with it). Change: the variable is TEST_PROGRAMS; home.cc, home_calls.cc, home_recovery.cc; daemon/node_flags.

--- a/src/yuccawick/core/home.h
+++ b/src/yuccawick/core/home.h
@@ -178,13 +178,16 @@
   NodeRef  Route(const Program& program, const Call& call) const;
   bool     HasBackend(const Call& call) const;
   void     ReplyAll(const std::vector<Caller>& callers, const Outcome& outcome);
-  void     Reply(const Caller& caller, const Outcome& outcome);
-  void     ReplyStart(const Caller&                           caller,
-                      const tl::expected<ProgramId, Failure>& result);
-  void     ReplyQuery(const Caller&                              caller,
-                      const tl::expected<ProgramDelta, Failure>& result);
-  void     Log(LogEvent event, const Program& program, Sequence call,
-               std::string_view reason);
+  template <class R, class T>
+  void SendReply(const Caller& caller, const tl::expected<T, Failure>& result,
+                 T R::*value);
+  void Reply(const Caller& caller, const Outcome& outcome);
+  void ReplyStart(const Caller&                           caller,
+                  const tl::expected<ProgramId, Failure>& result);
+  void ReplyQuery(const Caller&                              caller,
+                  const tl::expected<ProgramDelta, Failure>& result);
+  void Log(LogEvent event, const Program& program, Sequence call,
+           std::string_view reason);
 
   NodeRef      m_self;
   std::string  m_model;
--- /dev/null
+++ b/src/yuccawick/core/home_calls.cc
@@ -0,0 +1,485 @@
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "yuccawick/core/home.h"
+
+namespace yuccawick::core {
+
+// Index
+//   Calls        checks, order, funding, recording, sending
+//   Outcomes     answers, refusals, timeouts
+
+// ---- Calls
+
+tl::expected<Home::Program*, Failure> Home::FindFor(
+    const ProgramId& id, const std::string& customer,
+    const std::string& workspace) {
+  const auto it = m_programs.find(id);
+  if (it == m_programs.end()) {
+    const auto home = m_parts.control.Resolve(id.origin);
+    const bool elsewhere = home.node != m_self;
+    return tl::make_unexpected(
+        Refuse(elsewhere ? Reason::kFenced : Reason::kUnknownProgram));
+  }
+  const ProgramMeta& meta = it->second.state.meta;
+  const bool own = meta.workspace == workspace && meta.customer == customer;
+  if (!own && m_safeguards.Has(Safeguard::kWorkspaceCheck))
+    return tl::make_unexpected(Refuse(Reason::kWrongWorkspace));
+  return &it->second;
+}
+
+void Home::OnCall(const NodeRef& from, const CallRequest& request, Time now) {
+  const Caller caller{from, request.request};
+  const Call&  call = request.call;
+  const auto   found = FindFor(call.program, call.customer, call.workspace);
+  if (!found) return Reply(caller, tl::make_unexpected(found.error()));
+  Program* program = *found;
+  if (AnswerKnown(program, caller, call)) return;
+  if (auto ok = CheckNew(*program, call, now); !ok)
+    return Reply(caller, tl::make_unexpected(ok.error()));
+  program->state.meta.last_active = now;
+  RootOf(program)->state.meta.last_active = now;
+  program->waiting[call.sequence] = {call, {caller}};
+  Advance(program, now);
+}
+
+bool Home::AnswerKnown(Program* program, const Caller& caller,
+                       const Call& call) {
+  const auto attach = [&](const Call& known, std::vector<Caller>* callers) {
+    if (!SameRequest(known, call)) {
+      Reply(caller, tl::make_unexpected(Refuse(Reason::kSequenceReused)));
+      return;
+    }
+    if (std::find(callers->begin(), callers->end(), caller) == callers->end())
+      callers->push_back(caller);
+  };
+  if (!m_safeguards.Has(Safeguard::kHomeDedup)) return false;
+  if (program->active && program->active->call.sequence == call.sequence) {
+    attach(program->active->call, &program->active->callers);
+    return true;
+  }
+  const auto waiting = program->waiting.find(call.sequence);
+  if (waiting != program->waiting.end()) {
+    attach(waiting->second.call, &waiting->second.callers);
+    return true;
+  }
+  const auto turn = program->state.turns.find(call.sequence);
+  if (turn == program->state.turns.end()) return false;
+  if (SameRequest(turn->second.call, call)) {
+    Reply(caller, turn->second.ToOutcome());
+  } else {
+    Reply(caller, tl::make_unexpected(Refuse(Reason::kSequenceReused)));
+  }
+  return true;
+}
+
+tl::expected<void, Failure> Home::CheckNew(const Program& program,
+                                           const Call& call, Time now) const {
+  const auto refuse = [](Reason reason) {
+    return tl::make_unexpected(Refuse(reason));
+  };
+  const ProgramMeta& meta = program.state.meta;
+  if (meta.ended) return refuse(Reason::kProgramEnded);
+  if (m_draining) return refuse(Reason::kDraining);
+  if (m_parts.durability.IsFull()) return refuse(Reason::kLogUnavailable);
+  const ContractInForce* contract = m_parts.control.FindContract(meta.customer);
+  if (contract == nullptr) return refuse(Reason::kNoContract);
+  if (call.sequence == 0) return refuse(Reason::kMalformed);
+  if (call.sequence > contract->contract.max_turns)
+    return refuse(Reason::kTurnLimit);
+  if (call.sequence >= program.state.NextSequence() + m_settings.window)
+    return refuse(Reason::kSequenceGap);
+  if (now >= call.deadline) return refuse(Reason::kDeadline);
+  if (!HasBackend(call)) return refuse(Reason::kUnknownBackend);
+  return {};
+}
+
+void Home::Advance(Program* program, Time now) {
+  if (program->phase != ProgramPhase::kIdle || program->waiting.empty()) return;
+  auto       next = program->waiting.begin();
+  const bool in_order = next->first == program->state.NextSequence();
+  // Running a later call first would act on a state its program has not reached
+  // yet, e.g. publish a notice before its draft is approved.
+  if (!in_order && m_safeguards.Has(Safeguard::kCallOrder)) return;
+  Active active;
+  active.call = next->second.call;
+  active.callers = std::move(next->second.callers);
+  active.since = now;
+  program->waiting.erase(next);
+  program->active = std::move(active);
+  Fire(program, ProgramEvent::kCallReady);
+  Fund(program, now);
+}
+
+void Home::Fund(Program* program, Time now) {
+  Active&                active = *program->active;
+  const std::string&     customer = program->state.meta.customer;
+  const ContractInForce* contract = m_parts.control.FindContract(customer);
+  if (contract == nullptr)
+    return Refused(program, Refuse(Reason::kNoContract), now);
+  const Tokens worst = WorstCase(*program, active.call);
+  Tokens&      spent = RootOf(program)->state.meta.spent;
+  if (spent + worst > contract->contract.program_budget)
+    return Refused(program, Refuse(Reason::kProgramBudget), now);
+  const Funding funding =
+      m_parts.budget.Reserve(customer, Resource::kTokens, worst, now);
+  switch (funding) {
+    case Funding::kFunded:
+      active.reserved = worst;
+      spent += worst;
+      Fire(program, ProgramEvent::kFunded);
+      return Record(program, now);
+    case Funding::kWaiting:
+      return;
+    case Funding::kRefused:
+      return Refused(program, Refuse(Reason::kCustomerBudget), now);
+    case Funding::kLogDown:
+      return Refused(program, Refuse(Reason::kLogUnavailable), now);
+  }
+}
+
+void Home::Record(Program* program, Time now) {
+  Active& active = *program->active;
+  active.since = now;
+  active.executor = Route(*program, active.call);
+  if (active.executor.vm.empty())
+    return Refused(program, Refuse(Reason::kBackendUnreachable), now);
+  // Where the call is about to be sent is held before it is sent. Otherwise a
+  // new owner would not know that it may have run, and would run it again.
+  if (active.call.unrepeatable)
+    program->state.meta.intent = {active.call, active.executor};
+  Program* root = RootOf(program);
+  active.tickets.insert(HoldMeta(program, now));
+  if (root != program) active.tickets.insert(HoldMeta(root, now));
+  for (const Ticket ticket : active.tickets)
+    m_tickets[ticket] = program->state.meta.id;
+  if (!m_safeguards.Has(Safeguard::kIntentFirst)) {
+    active.tickets.clear();
+    Fire(program, ProgramEvent::kRecorded);
+    Send(program, now);
+  }
+}
+
+void Home::Send(Program* program, Time now) {
+  Active&            active = *program->active;
+  const ProgramMeta& meta = program->state.meta;
+  active.since = now;
+  active.dispatch = m_parts.outbox.NextNumber();
+  m_dispatches[active.dispatch] = meta.id;
+  Dispatch dispatch;
+  dispatch.dispatch = active.dispatch;
+  dispatch.fence = program->fence;
+  dispatch.executor = active.executor;
+  dispatch.call = active.call;
+  dispatch.started = RootOf(program)->state.meta.started;
+  dispatch.attained = RootOf(program)->attained;
+  const bool model = active.call.kind == BackendKind::kModel;
+  if (model) {
+    dispatch.prompt = program->state.Prompt();
+    program->prefixes[active.executor] = EstimateTokens(dispatch.prompt);
+  }
+  const ContractInForce* contract = m_parts.control.FindContract(meta.customer);
+  if (contract != nullptr) {
+    const ServiceClass* service =
+        FindClass(contract->contract, meta.service_class);
+    if (service == nullptr) service = FindClass(contract->contract, "");
+    dispatch.priority = service->priority;
+    dispatch.max_wait = service->max_wait;
+    dispatch.cache_weight = contract->contract.cache_weight;
+  }
+  m_parts.outbox.Send(active.executor, dispatch);
+}
+
+// ---- Outcomes
+
+void Home::OnDispatchChunk(const NodeRef& from, const DispatchChunk& chunk) {
+  const auto it = m_dispatches.find(chunk.dispatch);
+  if (it == m_dispatches.end()) return;
+  const auto program = m_programs.find(it->second);
+  if (program == m_programs.end() || !program->second.active) return;
+  const Active& active = *program->second.active;
+  if (active.dispatch != chunk.dispatch || active.executor != from) return;
+  for (const auto& caller : active.callers) {
+    m_parts.outbox.Send(caller.entry,
+                        CallChunk{caller.request, chunk.position, chunk.text});
+  }
+}
+
+void Home::OnDispatchReply(const NodeRef& from, const DispatchReply& reply,
+                           Time now) {
+  m_parts.membership.OnLoad(from, static_cast<Duration>(reply.load_ms),
+                            reply.resident);
+  const auto it = m_dispatches.find(reply.dispatch);
+  const auto found =
+      it == m_dispatches.end() ? m_programs.end() : m_programs.find(it->second);
+  Program*   program = found == m_programs.end() ? nullptr : &found->second;
+  // Answers may be late, repeated or crossed: only the one to the dispatch now
+  // running, from the node it went to, is this call's answer.
+  const bool matches = program != nullptr && program->active &&
+                       program->phase == ProgramPhase::kRunning &&
+                       program->active->dispatch == reply.dispatch &&
+                       program->active->executor == from;
+  if (!matches) {
+    m_parts.outbox.Push(Count{Counter::kStaleMessages, "dispatch_reply", 1});
+    return;
+  }
+  m_dispatches.erase(it);
+  if (reply.ok) return Settle(program, reply.answer, nullptr, now);
+  if (reply.failure.reason == Reason::kDraining)
+    m_parts.membership.OnLeaving(from, now);
+  Failed(program, reply.failure, now);
+}
+
+// The call did not run: everything reserved comes back.
+void Home::Refused(Program* program, Failure failure, Time now) {
+  Active active = std::move(*program->active);
+  program->active.reset();
+  for (const Ticket ticket : active.tickets) m_tickets.erase(ticket);
+  if (active.reserved > 0) {
+    RootOf(program)->state.meta.spent -= active.reserved;
+    m_parts.budget.Release(program->state.meta.customer, Resource::kTokens,
+                           active.reserved, now);
+  }
+  program->state.meta.intent = {};
+  Fire(program, ProgramEvent::kRefused);
+  Log(LogEvent::kCallRefused, *program, active.call.sequence,
+      Name(failure.reason));
+  ReplyAll(active.callers, tl::make_unexpected(failure));
+  Advance(program, now);
+}
+
+void Home::Failed(Program* program, Failure failure, Time now) {
+  if (failure.ran == Ran::kNo) return Refused(program, failure, now);
+  const bool unrepeatable = program->active->call.unrepeatable;
+  if (unrepeatable && m_safeguards.Has(Safeguard::kUnknownIsFinal)) {
+    if (failure.ran == Ran::kUnknown)
+      failure = {Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+    // Becomes a turn like any other: the same sequence is answered with it for
+    // ever, and never runs again.
+    return Settle(program, {}, &failure, now);
+  }
+  // May be repeated: the caller issues the same sequence again. What it may
+  // have cost stays spent.
+  program->active->reserved = 0;
+  Refused(program, failure, now);
+}
+
+void Home::Settle(Program* program, const Answer& answer,
+                  const Failure* failure, Time now) {
+  Active&      active = *program->active;
+  ProgramMeta& meta = program->state.meta;
+  Program*     root = RootOf(program);
+  const Tokens actual = answer.usage.prompt + answer.usage.completion;
+  const Tokens unused =
+      failure != nullptr ? 0 : std::max<Tokens>(0, active.reserved - actual);
+  if (active.call.kind == BackendKind::kModel && unused > 0) {
+    root->state.meta.spent -= unused;
+    m_parts.budget.Release(meta.customer, Resource::kTokens, unused, now);
+  }
+  root->attained += actual;
+  Turn turn;
+  turn.call = active.call;
+  turn.answer = answer;
+  turn.failed = failure != nullptr;
+  if (failure != nullptr) turn.failure = *failure;
+  turn.fence = program->fence;
+  program->state.turns[active.call.sequence] = turn;
+  meta.intent = {};
+  meta.last_active = now;
+  active.since = now;
+  active.tickets = {HoldTurn(program, turn, now)};
+  if (root != program) HoldMeta(root, now);
+  m_tickets[*active.tickets.begin()] = meta.id;
+  Fire(program, ProgramEvent::kAnswered);
+  if (m_safeguards.Has(Safeguard::kDurableAnswer)) return;
+  m_tickets.erase(*active.tickets.begin());
+  Answered(program, now);
+}
+
+void Home::Answered(Program* program, Time now) {
+  Active active = std::move(*program->active);
+  program->active.reset();
+  Fire(program, ProgramEvent::kDurable);
+  const Turn& turn = program->state.turns.at(active.call.sequence);
+  m_parts.outbox.Push(Count{Counter::kCalls, turn.failed ? "failed" : "ok", 1});
+  const bool unknown = turn.failed && turn.failure.ran == Ran::kUnknown;
+  Log(unknown ? LogEvent::kOutcomeUnknown : LogEvent::kCallFinished, *program,
+      active.call.sequence, turn.failed ? Name(turn.failure.reason) : "");
+  ReplyAll(active.callers, turn.ToOutcome());
+  Advance(program, now);
+}
+
+void Home::OnHeld(Ticket ticket, Time now) {
+  if (const auto it = m_started.find(ticket); it != m_started.end()) {
+    const Start start = it->second;
+    const auto  id = m_started_as.at(ticket);
+    m_started.erase(it);
+    m_started_as.erase(ticket);
+    return ReplyStart(start.caller, id);
+  }
+  if (const auto it = m_ending.find(ticket); it != m_ending.end()) {
+    const Ending ending = it->second;
+    m_ending.erase(it);
+    const auto program = m_programs.find(ending.program);
+    if (program != m_programs.end())
+      ReplyQuery(ending.caller, program->second.state.Whole());
+    return;
+  }
+  const auto it = m_tickets.find(ticket);
+  if (it == m_tickets.end()) return;
+  const ProgramId id = it->second;
+  m_tickets.erase(it);
+  const auto found = m_programs.find(id);
+  if (found == m_programs.end() || !found->second.active) return;
+  Program* program = &found->second;
+  auto&    tickets = program->active->tickets;
+  tickets.erase(ticket);
+  if (!tickets.empty()) return;
+  if (program->phase == ProgramPhase::kRecording) {
+    Fire(program, ProgramEvent::kRecorded);
+    return Send(program, now);
+  }
+  if (program->phase == ProgramPhase::kSettling) Answered(program, now);
+}
+
+void Home::OnFunding(const std::string& customer, Time now) {
+  RetryStarts(customer, now);
+  for (auto& [id, program] : m_programs) {
+    const bool waits = program.phase == ProgramPhase::kFunding &&
+                       program.state.meta.customer == customer;
+    if (waits) Fund(&program, now);
+  }
+}
+
+void Home::OnUnsent(const Dispatch& dispatch, Time now) {
+  const auto found = m_programs.find(dispatch.call.program);
+  if (found == m_programs.end()) return;
+  Program*   program = &found->second;
+  const bool matches = program->phase == ProgramPhase::kRunning &&
+                       program->active->dispatch == dispatch.dispatch;
+  if (!matches) return;
+  m_dispatches.erase(dispatch.dispatch);
+  Refused(program, Refuse(Reason::kBackendUnreachable), now);
+}
+
+void Home::OnPeerLost(const NodeRef& node, Time now) {
+  for (auto& [id, program] : m_programs) {
+    const bool waits = program.phase == ProgramPhase::kRunning &&
+                       program.active->executor == node;
+    if (!waits) continue;
+    // A call that may be repeated is given back at once. One that may not is
+    // worth waiting for: its answer may still come, and a person would have to
+    // look into an unknown outcome.
+    if (program.active->call.unrepeatable && !IsGivenUp(node, now)) continue;
+    m_dispatches.erase(program.active->dispatch);
+    Failed(&program,
+           {Reason::kBackendUnreachable, Ran::kUnknown,
+            Info(Reason::kBackendUnreachable).retry_after},
+           now);
+  }
+}
+
+bool Home::IsGivenUp(const NodeRef& node, Time now) const {
+  return m_parts.membership.IsReplaced(node) ||
+         m_parts.membership.SilentFor(node, now) > m_settings.unknown_after;
+}
+
+void Home::OnTimeouts(Program* program, Time now) {
+  if (!program->active) return;
+  Active&        active = *program->active;
+  const Duration waited = now - active.since;
+  switch (program->phase) {
+    case ProgramPhase::kFunding:
+      if (waited > m_settings.funding_timeout || now > active.call.deadline)
+        return Refused(program, Refuse(Reason::kLogUnavailable), now);
+      return Fund(program, now);
+    case ProgramPhase::kRecording:
+      if (waited > m_settings.durable_timeout || now > active.call.deadline)
+        return Refused(program, Refuse(Reason::kNotDurable), now);
+      return;
+    case ProgramPhase::kRunning:
+      if (now <= active.call.deadline + m_settings.reply_margin) return;
+      m_parts.outbox.Send(active.executor, CancelDispatch{active.dispatch});
+      m_dispatches.erase(active.dispatch);
+      return Failed(program,
+                    {Reason::kDeadline, Ran::kUnknown,
+                     Info(Reason::kDeadline).retry_after},
+                    now);
+    case ProgramPhase::kSettling: {
+      if (waited <= m_settings.durable_timeout) return;
+      // The answer exists but could still be lost: the callers are told so at
+      // once and get it when they ask again.
+      const Failure failure{Reason::kNotDurable, Ran::kYes,
+                            Info(Reason::kNotDurable).retry_after};
+      ReplyAll(std::exchange(active.callers, {}), tl::make_unexpected(failure));
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+void Home::DropLateWaiting(Program* program, Time now) {
+  std::vector<Waiting> late;
+  std::erase_if(program->waiting, [&](auto& entry) {
+    if (now <= entry.second.call.deadline) return false;
+    late.push_back(std::move(entry.second));
+    return true;
+  });
+  for (const auto& waiting : late) {
+    ReplyAll(waiting.callers, tl::make_unexpected(Refuse(Reason::kDeadline)));
+  }
+}
+
+void Home::OnCancel(const NodeRef& from, const CancelRequest& cancel,
+                    Time /*now*/) {
+  const auto found = m_programs.find(cancel.program);
+  if (found == m_programs.end()) return;
+  Program&     program = found->second;
+  const Caller caller{from, cancel.request};
+  for (auto& [sequence, waiting] : program.waiting)
+    std::erase(waiting.callers, caller);
+  std::erase_if(program.waiting,
+                [](const auto& entry) { return entry.second.callers.empty(); });
+  if (!program.active) return;
+  std::erase(program.active->callers, caller);
+  const bool stop = program.active->callers.empty() &&
+                    program.phase == ProgramPhase::kRunning &&
+                    !program.active->call.unrepeatable;
+  if (!stop) return;
+  m_parts.outbox.Send(program.active->executor,
+                      CancelDispatch{program.active->dispatch});
+}
+
+void Home::OnTick(Time now) {
+  for (auto& [id, program] : m_programs) {
+    DropLateWaiting(&program, now);
+    if (program.phase == ProgramPhase::kRunning &&
+        program.active->executor != m_self)
+      m_parts.membership.KeepWatched(program.active->executor, now);
+    if (program.phase == ProgramPhase::kRecovering) {
+      ResolveIntent(&program, now);
+    } else {
+      OnTimeouts(&program, now);
+    }
+  }
+  for (const auto& start : std::exchange(m_starts, {})) TryStart(start, now);
+  std::vector<Ticket> late;
+  for (const auto& [ticket, start] : m_started) {
+    if (now - start.since > m_settings.durable_timeout) late.push_back(ticket);
+  }
+  for (const Ticket ticket : late) {
+    const Caller caller = m_started.at(ticket).caller;
+    Program*     program = &m_programs.at(m_started_as.at(ticket));
+    Finish(program, now);
+    HoldMeta(program, now);
+    m_started.erase(ticket);
+    m_started_as.erase(ticket);
+    m_minted_for.erase(caller);
+    ReplyStart(caller, tl::make_unexpected(Refuse(Reason::kNotDurable)));
+  }
+  ExpireIdle(now);
+}
+
+}  // namespace yuccawick::core
--- /dev/null
+++ b/src/yuccawick/core/home_recovery.cc
@@ -0,0 +1,133 @@
+#include <utility>
+
+#include "yuccawick/core/home.h"
+
+namespace yuccawick::core {
+
+// Programs taken over from another home.
+
+void Home::Adopt(const NodeRef& target, Offset fence,
+                 const std::vector<ProgramDelta>& deltas, Time now) {
+  for (const auto& delta : deltas) {
+    Program& program = m_programs[delta.meta.id];
+    program.state.Apply(delta);
+    program.fence = fence;
+    program.adopted_from = target;
+    program.holds_slot = !delta.meta.parent.IsSet() && !delta.meta.ended;
+    program.attained = delta.meta.spent;
+    if (delta.meta.ended) {
+      Fire(&program, ProgramEvent::kEnd);
+      continue;
+    }
+    // Others may have waited for the caller's next call; it starts afresh.
+    program.state.meta.last_active = now;
+    Fire(&program, ProgramEvent::kAdopted);
+    m_parts.outbox.Push(Count{Counter::kPrograms, "adopted", 1});
+  }
+}
+
+void Home::OnHistory(const HistoryRecord& record, Time now) {
+  const auto owner = m_parts.control.Resolve(record.home);
+  if (owner.node != m_self || record.home == m_self) return;
+  for (const auto& delta : record.deltas) {
+    const auto found = m_programs.find(delta.meta.id);
+    if (found == m_programs.end()) {
+      Adopt(record.home, owner.fence, {delta}, now);
+      continue;
+    }
+    Program& program = found->second;
+    if (program.phase != ProgramPhase::kRecovering) continue;
+    program.state.Apply(delta);
+    if (!program.state.meta.ended) continue;
+    Fire(&program, ProgramEvent::kEnd);
+    program.holds_slot = false;
+  }
+}
+
+void Home::OnHistoryComplete(const NodeRef& target, Time now) {
+  for (auto& [id, program] : m_programs) {
+    if (program.adopted_from != target) continue;
+    program.adopted_from = {};
+    program.state.meta.fence = program.fence;
+    m_parts.durability.Hold(program.state.Whole(), now);
+    if (program.phase == ProgramPhase::kRecovering)
+      ResolveIntent(&program, now);
+  }
+}
+
+void Home::ResolveIntent(Program* program, Time now) {
+  if (!program->adopted_from.vm.empty()) return;  // history not read yet
+  const Intent& intent = program->state.meta.intent;
+  const bool    settled =
+      !intent.IsSet() || program->state.turns.contains(intent.call.sequence);
+  if (settled) return Recovered(program, now);
+  if (!program->active) {
+    Active active;
+    active.call = intent.call;
+    active.executor = intent.executor;
+    active.since = now;
+    const auto waiting = program->waiting.find(intent.call.sequence);
+    if (waiting != program->waiting.end()) {
+      active.callers = std::move(waiting->second.callers);
+      program->waiting.erase(waiting);
+    }
+    program->active = std::move(active);
+  }
+  Active& active = *program->active;
+  m_parts.membership.KeepWatched(active.executor, now);
+  const bool silent = now - active.since > m_settings.unknown_after;
+  if (silent || m_parts.membership.IsReplaced(active.executor)) {
+    // No answer from the one place where it may have run: nobody can know.
+    const Failure unknown{Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+    return Settle(program, {}, &unknown, now);
+  }
+  if (active.fence_sent != 0 &&
+      now - active.fence_sent < m_settings.fence_resend)
+    return;
+  active.fence_sent = now;
+  m_parts.outbox.Send(active.executor,
+                      FenceCall{program->state.meta.id, active.call.sequence,
+                                program->fence, active.executor});
+}
+
+void Home::OnFenceReply(const NodeRef& from, const FenceReply& reply,
+                        Time now) {
+  const auto found = m_programs.find(reply.program);
+  if (found == m_programs.end()) return;
+  Program*   program = &found->second;
+  const bool matches = program->phase == ProgramPhase::kRecovering &&
+                       program->active && program->active->executor == from &&
+                       program->active->call.sequence == reply.sequence &&
+                       program->fence == reply.fence;
+  if (!matches) return;
+  switch (reply.state) {
+    case FencedState::kNeverSeen:
+      // Fenced, so that it never will run there: free to run it afresh.
+      if (!program->active->callers.empty()) {
+        program->waiting[reply.sequence] = {
+            program->active->call, std::move(program->active->callers)};
+      }
+      program->active.reset();
+      program->state.meta.intent = {};
+      return Recovered(program, now);
+    case FencedState::kRunning:
+      program->active->since = now;  // alive: ask again
+      return;
+    case FencedState::kFinished:
+    case FencedState::kNotMe:
+      break;
+  }
+  Failure failure = reply.failure;
+  if (reply.state == FencedState::kNotMe)
+    failure = {Reason::kOutcomeUnknown, Ran::kUnknown, 0};
+  const bool ok = reply.state == FencedState::kFinished && reply.ok;
+  Settle(program, reply.answer, ok ? nullptr : &failure, now);
+}
+
+void Home::Recovered(Program* program, Time now) {
+  program->active.reset();
+  Fire(program, ProgramEvent::kRecovered);
+  Advance(program, now);
+}
+
+}  // namespace yuccawick::core
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -14,26 +14,18 @@
 #include <sstream>
 
 #include "yuccawick/core/agent.h"
+#include "yuccawick/daemon/node_flags.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
 #include "yuccawick/daemon/status_server.h"
 #include "yuccawick/platform/backend_client.h"
 
-DEFINE_string(vm, "", "name of this VM");
-DEFINE_string(zone, "", "availability zone of this VM");
-DEFINE_string(listen, "", "host:port for other nodes (RPC)");
-DEFINE_string(http, "", "host:port for /healthz, /status and /metrics");
-DEFINE_string(log_service, "", "host:port of the platform's log");
-DEFINE_string(vm_list, "", "host:port of the platform's list of VMs");
 DEFINE_string(backend, "", "host:port of the backend server beside this agent");
 DEFINE_string(kind, "model", "kind of backend server: model or service");
 DEFINE_string(target, "", "name of the model or service it serves");
 DEFINE_int32(slots, 0,
              "calls given to it at once; 0: 8 for models, 1 for services");
 DEFINE_int32(replicas, 2, "copies of its programs in other zones");
-DEFINE_int32(control_poll_ms, 2000, "between reads of the control stream");
-DEFINE_int32(probe_ms, 500, "between probes of one peer");
-DEFINE_int32(suspect_ms, 2000, "silence after which a peer is suspect");
 DEFINE_int32(flush_ms, 4000, "between appends of history");
 DEFINE_int32(prefix_tokens, 0,
              "engine memory for prefixes, tokens; 0: not known");
@@ -42,7 +34,6 @@
              "between control snapshots; below a third of the log's retention");
 DEFINE_int32(call_timeout_ms, 120000,
              "silence of the backend server in a call");
-DEFINE_string(log_level, "info", "least severity logged");
 
 namespace yuccawick::daemon {
 namespace {
@@ -59,55 +50,25 @@
 
 std::vector<SettingRule> Rules() {
   using Kind = SettingKind;
-  return {{"vm", Kind::kName},
-          {"zone", Kind::kName},
-          {"listen", Kind::kEndpoint},
-          {"http", Kind::kEndpoint},
-          {"log_service", Kind::kEndpoint},
-          {"vm_list", Kind::kEndpoint},
-          {"backend", Kind::kEndpoint},
-          {"kind", Kind::kChoice, 0, 0, true, {"model", "service"}},
-          {"target", Kind::kName},
-          {"slots", Kind::kNumber, 0, 1024},
-          {"replicas", Kind::kNumber, 0, 3},
-          {"control_poll_ms", Kind::kNumber, 50, 7000},
-          {"probe_ms", Kind::kNumber, 50, 10000},
-          {"suspect_ms", Kind::kNumber, 200, 60000},
-          {"flush_ms", Kind::kNumber, 20, 60000},
-          {"prefix_tokens", Kind::kNumber, 0, 1'000'000'000},
-          {"prefix_hold_ms", Kind::kNumber, 100, kMostMs},
-          {"snapshot_ms", Kind::kNumber, 1000, kMostMs},
-          {"call_timeout_ms", Kind::kNumber, 100, 3600000},
-          {"log_level",
-           Kind::kChoice,
-           0,
-           0,
-           true,
-           {"debug", "info", "warning", "error"}}};
+  return NodeRules({{"backend", Kind::kEndpoint},
+                    {"kind", Kind::kChoice, 0, 0, true, {"model", "service"}},
+                    {"target", Kind::kName},
+                    {"slots", Kind::kNumber, 0, 1024},
+                    {"replicas", Kind::kNumber, 0, 3},
+                    {"flush_ms", Kind::kNumber, 20, 60000},
+                    {"prefix_tokens", Kind::kNumber, 0, 1'000'000'000},
+                    {"prefix_hold_ms", Kind::kNumber, 100, kMostMs},
+                    {"snapshot_ms", Kind::kNumber, 1000, kMostMs},
+                    {"call_timeout_ms", Kind::kNumber, 100, 3600000}});
 }
 
 std::vector<SettingError> Contradictions() {
-  std::vector<SettingError> errors;
-  const auto contradict = [&errors](bool wrong, const char* setting,
-                                    const char* detail) {
-    if (wrong)
-      errors.push_back({SettingFault::kContradiction, setting, detail});
-  };
-  contradict(!FLAGS_listen.empty() && FLAGS_listen == FLAGS_http, "http",
-             "must differ from listen");
-  contradict(FLAGS_suspect_ms < 2 * FLAGS_probe_ms, "suspect_ms",
-             "must allow for two probes (probe_ms)");
-  contradict(FLAGS_kind == "service" && FLAGS_slots > 1, "slots",
-             "a service gets its calls one at a time");
-  return errors;
-}
-
-core::Severity LeastSeverity() {
-  for (const auto s : {core::Severity::kDebug, core::Severity::kWarning,
-                       core::Severity::kError}) {
-    if (core::Name(s) == FLAGS_log_level) return s;
+  auto errors = NodeContradictions();
+  if (FLAGS_kind == "service" && FLAGS_slots > 1) {
+    errors.push_back({SettingFault::kContradiction, "slots",
+                      "a service gets its calls one at a time"});
   }
-  return core::Severity::kInfo;
+  return errors;
 }
 
 bool IsService() { return FLAGS_kind == "service"; }
@@ -127,10 +88,9 @@
   settings.join.address = FLAGS_listen;
   settings.join.server = FLAGS_backend;
   settings.replicas = static_cast<std::size_t>(FLAGS_replicas);
-  settings.control.poll_interval = FLAGS_control_poll_ms;
+  settings.control = MakeControlSettings();
   settings.control.snapshot_interval = FLAGS_snapshot_ms;
-  settings.membership.probe_interval = FLAGS_probe_ms;
-  settings.membership.suspect_after = FLAGS_suspect_ms;
+  settings.membership = MakeMembershipSettings();
   settings.durability.flush_interval = FLAGS_flush_ms;
   settings.executor.kind = settings.join.kind;
   settings.executor.slots = static_cast<std::size_t>(Slots());
@@ -250,16 +210,11 @@
                                        kCrowdingMs);
   AgentDecider                   decider(MakeSettings(self), queue, route);
   const auto                     client = MakeClient();
-  const auto    threads = static_cast<std::size_t>(Slots()) + 2;
-  auto          runner = std::make_unique<BackendRunner>(*client, threads);
-  ShellSettings settings;
-  settings.self = self;
-  settings.listen = FLAGS_listen;
-  settings.log = *platform::ParseEndpoint(FLAGS_log_service);
-  settings.vm_list = *platform::ParseEndpoint(FLAGS_vm_list);
-  NodeShell shell(
-      settings, decider, log, metrics,
-      [&](const core::Command& command) { runner->Carry(command); });
+  const auto threads = static_cast<std::size_t>(Slots()) + 2;
+  auto       runner = std::make_unique<BackendRunner>(*client, threads);
+  NodeShell  shell(
+       MakeShellSettings(self), decider, log, metrics,
+       [&](const core::Command& command) { runner->Carry(command); });
   runner->SetShell(&shell);
   const auto   http = *platform::ParseEndpoint(FLAGS_http);
   StatusServer server(
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -17,7 +17,7 @@
 const std::vector<std::string> kEntries{"entry-1", "entry-2"};
 
 std::string Programs() {
-  const char* folder = std::getenv("YUCCAWICK_PROGRAMS");
+  const char* folder = std::getenv("TEST_PROGRAMS");
   return folder == nullptr ? "build" : folder;
 }
 
