Serve adopted programs of another model; split the callers' interface

Cause: an adopter beside another model's engine knew no agent of the program's model unless it happened to probe one, and refused its calls as backend_unreachable. Programs read from an earlier incarnation's history could wait for a read that nobody makes. Ruled out: the claim and the history (the program was whole at its new home).

--- a/src/yuccawick/core/agent.cc
+++ b/src/yuccawick/core/agent.cc
@@ -447,7 +447,7 @@
   for (const auto& logged : done.records) {
     next = logged.offset + 1;
     const auto* history = std::get_if<HistoryRecord>(&logged.record);
-    if (history != nullptr) m_home.OnHistory(*history, now);
+    if (history != nullptr) m_home.OnHistory(target, *history, now);
   }
   if (next < done.end) return ReadHistory(target, next);
   m_home.OnHistoryComplete(target, now);
--- a/src/yuccawick/core/home.cc
+++ b/src/yuccawick/core/home.cc
@@ -252,8 +252,11 @@
     candidate.is_home = node == m_self;
     const auto& peers = m_parts.membership.peers();
     const bool  heard = candidate.is_home || peers.contains(node);
-    // An engine whose load is not known would look idle: leave it out.
-    if (!heard && call.kind == BackendKind::kModel) continue;
+    // An engine whose load is not known would look idle: leave it out, unless
+    // this home came to the program from another model and knows none of its.
+    const bool  own_model =
+        call.kind == BackendKind::kModel && call.target == m_model;
+    if (!heard && own_model) continue;
     candidate.usable = candidate.is_home || m_parts.membership.IsUsable(node);
     candidate.wait = candidate.is_home ? m_parts.executor.LoadMs()
                                        : m_parts.membership.LoadOf(node);
--- a/src/yuccawick/core/home.h
+++ b/src/yuccawick/core/home.h
@@ -82,7 +82,7 @@
   // then what the log holds, then recovery.
   void Adopt(const NodeRef& target, Offset fence,
              const std::vector<ProgramDelta>& deltas, Time now);
-  void OnHistory(const HistoryRecord& record, Time now);
+  void OnHistory(const NodeRef& target, const HistoryRecord& record, Time now);
   void OnHistoryComplete(const NodeRef& target, Time now);
 
   void                        StartDraining() { m_draining = true; }
--- a/src/yuccawick/core/home_recovery.cc
+++ b/src/yuccawick/core/home_recovery.cc
@@ -26,13 +26,16 @@
   }
 }
 
-void Home::OnHistory(const HistoryRecord& record, Time now) {
+void Home::OnHistory(const NodeRef& target, const HistoryRecord& record,
+                     Time now) {
   const auto owner = m_parts.control.Resolve(record.home);
   if (owner.node != m_self || record.home == m_self) return;
   for (const auto& delta : record.deltas) {
     const auto found = m_programs.find(delta.meta.id);
     if (found == m_programs.end()) {
-      Adopt(record.home, owner.fence, {delta}, now);
+      // Of an earlier incarnation on that VM, perhaps; its recovery goes on
+      // when this read is complete, like the others'.
+      Adopt(target, owner.fence, {delta}, now);
       continue;
     }
     Program& program = found->second;
--- a/src/yuccawick/daemon/caller_api.h
+++ b/src/yuccawick/daemon/caller_api.h
@@ -15,18 +15,12 @@
 #include <mutex>
 
 #include "yuccawick/core/messages.h"
+#include "yuccawick/daemon/caller_json.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/telemetry.h"
 
 namespace yuccawick::daemon {
 
-struct CallerApiSettings {
-  std::size_t    max_body_bytes = 1 << 20;
-  core::Duration default_deadline = 60000;    // ms
-  core::Duration longest_deadline = 3600000;  // ms
-  core::Duration answer_margin = 15000;  // ms past the deadline for an answer
-};
-
 // Replies to one request, as they come.
 class Mailbox {
  public:
--- a/tests/history_test.cc
+++ b/tests/history_test.cc
@@ -209,6 +209,37 @@
   cr_assert(HasTurn(history, 3, three.answer.text));
 }
 
+Test(History, AdopterServesAnotherModel_CallsRunAtTheProgramsModel) {
+  // The caller's next call is answered late, by an engine of its own model. The
+  // home's replicas stand beside engines of another one; the new home sends the
+  // call to an agent it has never heard from.
+  GroupSettings settings;
+  Group         group(settings);
+  group.AddEntry("entry-a", "saburtalo");
+  group.AddAgent("x-1", "saburtalo", core::BackendKind::kModel, "x");
+  group.AddAgent("x-2", "saburtalo", core::BackendKind::kModel, "x");
+  for (int i = 0; i < 40; ++i) {
+    group.AddAgent("m-" + std::to_string(i), i % 2 == 0 ? "gldani" : "isani",
+                   core::BackendKind::kModel, "m");
+  }
+  group.Publish(Group::DefaultContract("sakhli"));
+  cr_assert(group.Settle());
+  const auto start = group.Start("entry-a", "sakhli", "w1", "x");
+  group.AdvanceUntil([&] { return group.IsAnswered(start); }, kLong);
+  const auto program =
+      std::get<core::StartReply>(*group.AnswerTo(start)).program;
+  auto call = group.ModelCall(program, 1, "one");
+  call.target = "x";
+  cr_assert(group.CallNow("entry-a", call).ok);
+  group.Kill(program.origin.vm);
+  call = group.ModelCall(program, 2, "two");
+  call.target = "x";
+  const auto reply = group.CallThrough({"entry-a"}, call, kLong);
+  cr_assert(reply.ok, "%s", core::Name(reply.failure.reason).data());
+  const std::string other = program.origin.vm == "x-1" ? "x-2" : "x-1";
+  cr_assert_eq(group.backend(other).EffectsOf({program, 2}), 1);
+}
+
 Test(History, BacklogOfALongOutage_IsLoggedSoonAfterIt) {
   // Callers are served all along. What an agent kept for the log through an
   // outage is written batch after batch once the log is back, not one batch an
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -219,6 +219,26 @@
   cr_assert_neq(whole.find("201"), std::string::npos, "%s", whole.c_str());
 }
 
+Test(Processes, ClientStallsHalfway_TypedErrorAfterItsTimeout) {
+  // The client that stops sending without closing gets slow_client once the
+  // entry's client timeout has passed; another caller is served meanwhile.
+  Running r;
+  cr_assert(r.ready);
+  Poco::Net::StreamSocket stalled{
+      Poco::Net::SocketAddress(r.group.HttpOf("entry-1"))};
+  const std::string half =
+      "POST /v1/programs HTTP/1.1\r\nHost: x\r\nContent-Length: 23\r\n"
+      "X-Yuccawick-Customer: sakhli\r\nX-Yuccawick-Workspace: w\r\n\r\n{";
+  stalled.sendBytes(half.data(), static_cast<int>(half.size()));
+  Caller caller(r.group, {"entry-1"}, "sakhli", "household-8");
+  cr_assert(caller.Start(kModel));
+  char      buffer[1024];
+  const int got = stalled.receiveBytes(buffer, sizeof(buffer));
+  cr_assert_gt(got, 0);
+  const std::string answer(buffer, static_cast<std::size_t>(got));
+  cr_assert_neq(answer.find("408"), std::string::npos, "%s", answer.c_str());
+}
+
 Test(Processes, StreamedAnswer_IsWholeAndMetricsCountIt) {
   Running r;
   cr_assert(r.ready);
