Mend the last lint findings

Cause: the fresh clone's lint found three: settings copied in the group's constructor, an unreserved list in a test, and KJ_REQUIRE read as a stray semicolon. Change: moved, reserved, thrown by hand with the same condition. Ruled out: leaving checks out of the lint.

--- a/src/yuccawick/rpc/convert.cc
+++ b/src/yuccawick/rpc/convert.cc
@@ -76,7 +76,9 @@
       static_assert(kValueCount<T> > 0, "add the enum to kValueCount");
       const auto number = field.as<std::uint16_t>();
       // Name tables are indexed by these: one out of range must not get in.
-      KJ_REQUIRE(number < kValueCount<T>, "no such value", name, number);
+      if (number >= kValueCount<T>)
+        kj::throwFatalException(
+            KJ_EXCEPTION(FAILED, "no such value", name, number));
       value = static_cast<T>(number);
     } else if constexpr (std::is_integral_v<T>) {
       value = field.as<T>();
--- a/src/yuccawick/testing/group.cc
+++ b/src/yuccawick/testing/group.cc
@@ -20,7 +20,7 @@
 //   Callers    requests and answers
 
 Group::Group(GroupSettings settings)
-    : m_settings(settings), m_random(settings.seed) {
+    : m_settings(std::move(settings)), m_random(m_settings.seed) {
   m_next_tick = m_now;
 }
 
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -148,6 +148,7 @@
   s.group.Advance(2000);
   for (int i = 0; i < 9; ++i) s.Start();  // the homes have slots to give
   std::vector<core::VmEntry> list;
+  list.reserve(kAgents.size());
   for (const auto& vm : kAgents) list.push_back({vm, "", false});
   s.group.SetVmList(list);
   s.group.log().SetMode(LogMode::kDown);
