Serve a caller that comes back during its cancel; lagging load reports

Cause: a caller whose connection broke and who asked again at once was told 'cancelled', the outcome of its first request's cancel. The engine stand-in reported its load without the lag that the platform's engines have. Ruled out: cancelling only when nobody waits (that is done; the second request comes while the cancel is on its way).

--- a/src/yuccawick/core/home_calls.cc
+++ b/src/yuccawick/core/home_calls.cc
@@ -259,6 +259,15 @@
     // ever, and never runs again.
     return Settle(program, {}, &failure, now);
   }
+  if (failure.reason == Reason::kCancelled) {
+    // Somebody has asked again while the call was being cancelled for a caller
+    // that went away: for them it starts over.
+    Active& active = *program->active;
+    if (!active.callers.empty()) {
+      program->waiting[active.call.sequence] = {
+          active.call, std::exchange(active.callers, {})};
+    }
+  }
   // May be repeated: the caller issues the same sequence again. What it may
   // have cost stays spent.
   program->active->reserved = 0;
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -104,12 +104,14 @@
   });
   m_waiting.erase(m_waiting.find(priority));
   ++m_running;
+  NoteLoad();
 }
 
 void Engine::GiveSlot() {
   {
     const std::lock_guard lock(m_mutex);
     --m_running;
+    NoteLoad();
   }
   m_changed.notify_all();
 }
@@ -205,12 +207,24 @@
 void Engine::Load(Poco::Net::HTTPServerResponse& response) {
   Poco::JSON::Object    json;
   const std::lock_guard lock(m_mutex);
-  json.set("running", m_running);
-  json.set("waiting", m_waiting.size());
-  json.set("cached_tokens", m_cached);
+  const auto            as_of =
+      Clock::now() - std::chrono::milliseconds(m_settings.event_lag_ms);
+  LoadReport shown;
+  for (const auto& report : m_loads) {
+    if (report.at <= as_of) shown = report;
+  }
+  json.set("running", shown.running);
+  json.set("waiting", shown.waiting);
+  json.set("cached_tokens", shown.cached);
   SendJson(response, kOk, json);
 }
 
+void Engine::NoteLoad() {
+  constexpr std::size_t kKept = 4096;
+  m_loads.push_back({Clock::now(), m_running, m_waiting.size(), m_cached});
+  if (m_loads.size() > kKept) m_loads.erase(m_loads.begin());
+}
+
 void Engine::Events(const Request&                 request,
                     Poco::Net::HTTPServerResponse& response) {
   const auto         from = request.query.find("from");
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -45,6 +45,12 @@
     std::int64_t                     tokens = 0;
     std::list<std::string>::iterator age;
   };
+  struct LoadReport {
+    Clock::time_point at;
+    int               running = 0;
+    std::size_t       waiting = 0;
+    std::int64_t      cached = 0;
+  };
   struct CacheEvent {
     std::int64_t      number = 0;
     Clock::time_point at;
@@ -56,6 +62,7 @@
                 Poco::Net::HTTPServerResponse& response);
   void Release(const Request& request, Poco::Net::HTTPServerResponse& response);
   void Load(Poco::Net::HTTPServerResponse& response);
+  void NoteLoad();
   void Events(const Request& request, Poco::Net::HTTPServerResponse& response);
   void Effects(Poco::Net::HTTPServerResponse& response);
   bool IsFenced(std::int64_t fence);
@@ -69,6 +76,7 @@
   EngineSettings                m_settings;
   std::mutex                    m_mutex;
   std::condition_variable       m_changed;
+  std::vector<LoadReport>       m_loads;  // oldest first
   int                           m_running = 0;
   std::multiset<std::int64_t>   m_waiting;  // priorities
   bool                          m_hold = false;
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -239,6 +239,35 @@
   cr_assert_neq(answer.find("408"), std::string::npos, "%s", answer.c_str());
 }
 
+Test(Processes, CallerCutsItsStreamAndAsksAgain_GetsTheWholeAnswer) {
+  // The caller's connection is cut after the first text. It asks again through
+  // the other entry and gets the whole answer; the history has one turn.
+  Running r;
+  cr_assert(r.ready);
+  Caller caller(r.group, kEntries, "sakhli", "household-9");
+  cr_assert(caller.Start(kModel));
+  const std::string body =
+      R"({"model": "laundry-7b", "stream": true, "max_tokens": 64,)"
+      R"( "messages": [{"role": "user", "content": "a slot"}]})";
+  {
+    Poco::Net::StreamSocket cut{
+        Poco::Net::SocketAddress(r.group.HttpOf("entry-1"))};
+    const std::string request =
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+        std::to_string(body.size()) +
+        "\r\nX-Yuccawick-Customer: sakhli\r\n"
+        "X-Yuccawick-Workspace: household-9\r\nX-Yuccawick-Program: " +
+        caller.program() + "\r\nX-Yuccawick-Sequence: 1\r\n\r\n" + body;
+    cut.sendBytes(request.data(), static_cast<int>(request.size()));
+    char buffer[64];
+    cr_assert_gt(cut.receiveBytes(buffer, sizeof(buffer)), 0);
+  }
+  const Answer whole = caller.Model(kModel, "a slot", true);
+  cr_assert_neq(whole.body.find("[DONE]"), std::string::npos, "%s",
+                whole.body.c_str());
+  cr_assert_eq(caller.History().json->getArray("turns")->size(), 1);
+}
+
 Test(Processes, StreamedAnswer_IsWholeAndMetricsCountIt) {
   Running r;
   cr_assert(r.ready);
--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -89,6 +89,23 @@
   cr_assert(SameAnswerWhenAskedAgain(Safeguards::All()));
 }
 
+Test(Answers, CallerGoesAndComesBackDuringCancel_GetsItsAnswer) {
+  // The caller's connection breaks, and it asks again at once through the other
+  // entry. Its first request is being cancelled at the engine meanwhile; the
+  // second must not be told of that, but served.
+  SmallGroup s;
+  s.Start();
+  const auto first =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "one"));
+  s.group.Advance(20);
+  s.group.Inject("entry-a",
+                 core::CallerMessage{core::CancelRequest{first, s.program}});
+  const auto again =
+      s.group.CallNow("entry-b", s.group.ModelCall(s.program, 1, "one"));
+  cr_assert(again.ok, "%s", core::Name(again.failure.reason).data());
+  cr_assert_eq(s.group.AnswerCount(first), 0);
+}
+
 // Loses the first message of the given type.
 template <class Lost>
 void LoseFirst(SmallGroup& s) {
