--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -234,6 +234,7 @@
   s.group.Publish(contract);
   s.group.Advance(2000);
   std::vector<core::ProgramId> programs;
+  programs.reserve(120);
   for (int i = 0; i < 120; ++i)
     programs.push_back(*s.group.StartNow("entry-a", "sakhli", "w1"));
   for (const auto& vm : {kHomeA, kHomeB, kHomeC})
--- a/tests/schedule_test.cc
+++ b/tests/schedule_test.cc
@@ -15,8 +15,6 @@
 namespace yuccawick::tests {
 namespace {
 
-using core::Ran;
-
 enum class Kind : std::uint8_t {
   kCall,
   kBook,
@@ -52,6 +50,7 @@
 const std::vector<std::string> kNodes{kHomeA, kHomeB, kHomeC, kDesk1, kDesk2};
 const std::vector<std::string> kEntries{"entry-a", "entry-b"};
 constexpr int                  kPrograms = 3;
+constexpr core::Duration       kWaitUnit = 100;  // ms
 
 // One schedule under way.
 class Run {
@@ -95,7 +94,7 @@
       case Kind::kCalm:
         return group.SetFilter({});
       case Kind::kWait:
-        return group.Advance(100 * (step.a + 1));
+        return group.Advance(kWaitUnit * (step.a + 1));
       case Kind::kStop:
         CountLoss(node);
         if (group.IsRunning(node) && !m_frozen.contains(node)) group.Stop(node);
--- a/tests/stop_test.cc
+++ b/tests/stop_test.cc
@@ -126,6 +126,7 @@
   // each process is stopped and started again, one after the other.
   SmallGroup                   s;
   std::vector<core::ProgramId> programs;
+  programs.reserve(12);
   for (int i = 0; i < 12; ++i) programs.push_back(s.Start());
   core::Sequence                 sequence = 0;
   const std::vector<std::string> nodes{kHomeA, kDesk1,    kHomeB,   kDesk2,
