--- /dev/null
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -0,0 +1,137 @@
+// yw-gateway: a node of the users' platform that takes clients' traffic.
+//
+// Two threads: the main one serves traffic, the other follows the manifest and
+// the list of backend servers. Signals: SIGTERM stops in order, SIGHUP reads
+// the settings file again.
+#include <gflags/gflags.h>
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <iostream>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include "platform/settings.h"
+#include "yuccawick/gateway/follower.h"
+#include "yuccawick/gateway/gateway.h"
+
+DEFINE_bool(check, false, "check the settings file and leave");
+DEFINE_string(settings, "", "settings file; by default where the platform "
+                            "puts it");
+
+namespace yuccawick::daemon {
+namespace {
+
+// Reads signals as bytes, so that they are handled between two events.
+class Signals final : public net::SocketHandler {
+ public:
+  Signals(net::EventLoop* loop, std::function<void(int)> take)
+      : m_loop(loop), m_take(std::move(take)) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    // Blocked in all threads that start later too.
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    m_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (m_fd >= 0) m_loop->Watch(m_fd, this, true, false);
+  }
+  ~Signals() override {
+    if (m_fd < 0) return;
+    m_loop->Forget(m_fd);
+    close(m_fd);
+  }
+  void OnReadable() override {
+    signalfd_siginfo info{};
+    while (read(m_fd, &info, sizeof info) ==
+           static_cast<ssize_t>(sizeof info)) {
+      m_take(static_cast<int>(info.ssi_signo));
+    }
+  }
+  void OnWritable() override {}
+  void OnHangup() override {}
+
+ private:
+  net::EventLoop*          m_loop;
+  std::function<void(int)> m_take;
+  int                      m_fd = -1;
+};
+
+// Names this start of this node; another start gets another.
+std::string NewIncarnation(const std::string& node) {
+  std::random_device random;
+  return node + "/" + std::to_string(random()) + std::to_string(random());
+}
+
+void ReloadSettings(const std::string& path, gateway::Log* log) {
+  const auto settings = platform::ReadSettings(path);
+  if (settings) {
+    log->Write(gateway::LogEvent::kSettings, {{"outcome", "read"}});
+  } else {
+    log->Write(gateway::LogEvent::kSettings,
+               {{"outcome", Name(settings.error().fault)},
+                {"field", settings.error().field}});
+  }
+}
+
+int Serve(const platform::Settings& settings, const std::string& path) {
+  const std::string incarnation = NewIncarnation(settings.node);
+  net::EventLoop    traffic;
+  net::EventLoop    control;
+  gateway::Log      log(settings.node, settings.zone);
+  gateway::Metrics  metrics;
+  log.Write(gateway::LogEvent::kStarted, {{"incarnation", incarnation},
+                                          {"settings", path}});
+  gateway::Gateway gateway(&traffic, settings, &log, &metrics, incarnation);
+  const Signals signals(&traffic, [&](int signal) {
+    if (signal == SIGHUP) {
+      ReloadSettings(path, &log);
+    } else {
+      gateway.Stop();
+    }
+  });
+  if (!gateway.Listen()) {
+    log.Write(gateway::LogEvent::kFault, {{"what", "cannot listen"}});
+    return 1;
+  }
+  platform::Store   store(&control, settings.store);
+  gateway::Follower follower(
+      &control, &store, &log,
+      {[&](traffic::ManifestPtr manifest) {
+         traffic.Post([&gateway, manifest = std::move(manifest)] {
+           gateway.TakeManifest(manifest);
+         });
+       },
+       [&](traffic::ServerListPtr servers) {
+         traffic.Post([&gateway, servers = std::move(servers)] {
+           gateway.TakeServers(servers);
+         });
+       }});
+  control.Post([&] { follower.Start(); });
+  std::thread control_thread([&] { control.Run(); });
+  traffic.Run();
+  control.Post([&] { control.Stop(); });
+  control_thread.join();
+  return 0;
+}
+
+}  // namespace
+}  // namespace yuccawick::daemon
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("takes clients' traffic on the users' platform");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::string path =
+      FLAGS_settings.empty() ? platform::SettingsPath() : FLAGS_settings;
+  const auto settings = platform::ReadSettings(path);
+  if (!settings) {
+    std::cerr << path << ": " << Name(settings.error().fault) << " "
+              << settings.error().field << "\n";
+    return 2;
+  }
+  if (FLAGS_check) return 0;
+  return yuccawick::daemon::Serve(*settings, path);
+}
--- /dev/null
+++ b/src/yuccawick/gateway/backends.cc
@@ -0,0 +1,366 @@
+#include "yuccawick/gateway/backends.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace yuccawick::gateway {
+namespace {
+
+// How long bytes may stay unacknowledged, in ms. A server that lost power or
+// was cut off sends no reset; with this bound a request on a kept connection to
+// it fails within the shortest route timeout.
+constexpr int             kSilence = 1000;
+constexpr Duration        kConnectTimeout = 400;  // ms; a round trip is below 30
+constexpr net::HttpLimits kAnswerLimits{64UL * 1024, 64UL << 20};
+// How long a connection may rest and be used again, in ms, where the server
+// does not say when it closes idle ones; and the share of it where it does.
+constexpr Duration kDefaultIdle = 600;
+constexpr double   kIdleShare = 0.6;
+constexpr Duration kMillisPerSecond = 1000;
+// A failed server is avoided for this long, in ms, then tried again.
+constexpr Duration kFailureMemory = 1500;
+constexpr Duration kLineMemory = 20'000;   // ms; a cached prompt lasts less
+constexpr Duration kPeerLoadMemory = 700;  // ms; older news is worth nothing
+constexpr std::size_t kMaxIdlePerServer = 16;
+
+Duration IdleLimit(const net::Headers& headers) {
+  const std::string* keep = headers.Find("Keep-Alive");
+  if (keep == nullptr) return kDefaultIdle;
+  constexpr std::string_view kField = "timeout=";
+  const auto                 at = keep->find(kField);
+  if (at == std::string::npos) return kDefaultIdle;
+  Duration    seconds = 0;
+  const char* digits = keep->data() + at + kField.size();
+  std::from_chars(digits, keep->data() + keep->size(), seconds);
+  return static_cast<Duration>(kIdleShare *
+                               static_cast<double>(seconds * kMillisPerSecond));
+}
+
+bool Contains(const std::vector<std::string>& list, const std::string& id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(
+    net::EventLoop* loop, int fd, std::string server_id,
+    std::function<void(BackendConnection*)> on_idle_lost)
+    : m_loop(loop),
+      m_server_id(std::move(server_id)),
+      m_on_idle_lost(std::move(on_idle_lost)),
+      m_stream(loop, this, fd, true),
+      m_reader(net::HttpRole::kResponses, kAnswerLimits, this) {
+  m_connect_timer = loop->After(kConnectTimeout, [this] {
+    m_connect_timer = 0;
+    m_stream.Close();
+    OnClosed(net::CloseCause::kReset);
+  });
+}
+
+BackendConnection::~BackendConnection() { m_loop->Cancel(&m_connect_timer); }
+
+void BackendConnection::Send(BackendUser* user, std::string request) {
+  m_user = user;
+  m_ended = false;
+  m_in_step = true;
+  m_stream.Write(request);
+}
+
+void BackendConnection::HoldReading(bool hold) {
+  m_stream.SetReading(hold ? net::Reading::kOff : net::Reading::kOn);
+}
+
+bool BackendConnection::usable_again() const {
+  // An answer that came before the request was out leaves the rest of the
+  // request to be read as the next one.
+  return m_ended && m_keep_alive && m_in_step && m_stream.is_open() &&
+         m_stream.pending() == 0 && m_max_idle > 0;
+}
+
+void BackendConnection::Detach(Time now) {
+  m_user = nullptr;
+  m_idle_since = now;
+}
+
+void BackendConnection::Close() {
+  m_loop->Cancel(&m_connect_timer);
+  m_stream.Close();
+}
+
+bool BackendConnection::FreshAt(Time now) const {
+  return m_stream.is_open() && now - m_idle_since < m_max_idle;
+}
+
+void BackendConnection::OnConnected() {
+  m_connected = true;
+  m_loop->Cancel(&m_connect_timer);
+  if (m_user != nullptr) m_user->OnBackendConnected();
+}
+
+void BackendConnection::OnBytes(std::string_view bytes) {
+  while (!bytes.empty()) {
+    if (m_user == nullptr || m_ended) {
+      // Bytes that no request asked for: nothing after them can be trusted.
+      m_in_step = false;
+      if (m_user == nullptr) {
+        m_stream.Close();
+        m_on_idle_lost(this);
+      }
+      return;
+    }
+    const std::size_t taken = m_reader.Feed(bytes);
+    bytes.remove_prefix(taken);
+    // The user may have let go of the connection while it read.
+    if (m_user == nullptr) return;
+    if (m_reader.fault()) {
+      Lose(traffic::LossCause::kBadAnswer);
+      return;
+    }
+    if (m_ended) {
+      m_in_step = bytes.empty();
+      m_user->OnBackendEnd();
+      return;
+    }
+  }
+}
+
+void BackendConnection::OnClosed(net::CloseCause cause) {
+  if (m_user == nullptr) {
+    m_on_idle_lost(this);
+    return;
+  }
+  if (m_ended) return;
+  if (cause == net::CloseCause::kEnd && m_reader.FeedEnd() && m_ended) {
+    m_keep_alive = false;
+    m_user->OnBackendEnd();
+    return;
+  }
+  Lose(m_connected ? traffic::LossCause::kBroken
+                   : traffic::LossCause::kNotConnected);
+}
+
+void BackendConnection::Lose(traffic::LossCause cause) {
+  m_stream.Close();
+  if (m_user != nullptr) m_user->OnBackendLost(cause);
+}
+
+void BackendConnection::OnHead(net::Head head) {
+  constexpr int kFirstFinalStatus = 200;
+  m_skipping = head.status < kFirstFinalStatus ||
+               (m_user != nullptr && !m_user->OnBackendHead(head));
+  m_keep_alive = head.keep_alive && !head.ends_with_connection;
+  m_max_idle = IdleLimit(head.headers);
+}
+
+void BackendConnection::OnBody(std::string_view bytes) {
+  if (!m_skipping && m_user != nullptr) m_user->OnBackendBody(bytes);
+}
+
+void BackendConnection::OnMessageEnd() { m_ended = !m_skipping; }
+
+Backends::Backends(net::EventLoop* loop, std::string zone,
+                   std::unique_ptr<traffic::Placement> placement)
+    : m_loop(loop),
+      m_zone(std::move(zone)),
+      m_placement(std::move(placement)),
+      m_random(std::random_device{}()) {}
+
+Backends::~Backends() = default;
+
+void Backends::Update(const traffic::ServerListPtr& servers) {
+  for (auto& [id, state] : m_servers) state.listed = false;
+  for (const traffic::BackendServer& server : *servers) {
+    State& state = m_servers[server.id];
+    state.server = server;
+    state.listed = true;
+  }
+  for (auto& [id, state] : m_servers) {
+    if (!state.listed) DropIdle(&state);
+  }
+  std::erase_if(m_servers, [](const auto& entry) {
+    return !entry.second.listed && entry.second.load == 0;
+  });
+}
+
+void Backends::DropIdle(State* state) {
+  const auto idle = std::exchange(state->idle, {});
+  for (BackendConnection* connection : idle) Destroy(connection);
+}
+
+int Backends::OthersLoad(const std::string& id) const {
+  int load = 0;
+  for (const auto& [peer, news] : m_peers) {
+    if (m_loop->now() - news.heard > kPeerLoadMemory) continue;
+    const auto found = news.loads.find(id);
+    if (found != news.loads.end()) load += found->second;
+  }
+  return load;
+}
+
+std::optional<traffic::BackendServer> Backends::Choose(
+    const std::string& service, const std::string& line,
+    const std::vector<std::string>& avoid) {
+  const auto        home = m_lines.find(line);
+  const std::string warm =
+      line.empty() || home == m_lines.end() ? "" : home->second.server;
+  std::vector<traffic::Candidate> candidates;
+  for (const auto& [id, state] : m_servers) {
+    if (!state.listed || state.server.draining ||
+        state.server.service != service || Contains(avoid, id)) {
+      continue;
+    }
+    const bool failing = m_loop->now() - state.failed_at < kFailureMemory;
+    candidates.push_back({&state.server, state.load, OthersLoad(id),
+                          state.server.zone == m_zone, id == warm,
+                          failing ? state.failures : 0});
+  }
+  if (candidates.empty()) return std::nullopt;
+  const double draw =
+      std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+  return *candidates[m_placement->Choose(candidates, draw)].server;
+}
+
+const traffic::BackendServer* Backends::Find(const std::string& id) const {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end() || !found->second.listed) return nullptr;
+  return &found->second.server;
+}
+
+bool Backends::AnyIn(const std::string&              service,
+                     const std::vector<std::string>& avoid) const {
+  return std::any_of(
+      m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+        const State& state = entry.second;
+        return state.listed && !state.server.draining &&
+               state.server.service == service &&
+               !Contains(avoid, entry.first);
+      });
+}
+
+BackendConnection* Backends::Acquire(const std::string& id, bool fresh) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return nullptr;
+  State& state = found->second;
+  while (!fresh && !state.idle.empty()) {
+    BackendConnection* kept = state.idle.back();
+    state.idle.pop_back();
+    if (kept->FreshAt(m_loop->now())) {
+      ++state.load;
+      return kept;
+    }
+    Destroy(kept);
+  }
+  const int fd = net::Connect(state.server.endpoint, kSilence);
+  if (fd < 0) return nullptr;
+  auto connection = std::make_unique<BackendConnection>(
+      m_loop, fd, id, [this](BackendConnection* lost) {
+        const auto owner = m_servers.find(lost->server_id());
+        if (owner != m_servers.end()) std::erase(owner->second.idle, lost);
+        Destroy(lost);
+      });
+  BackendConnection* raw = connection.get();
+  m_connections.emplace(raw, std::move(connection));
+  ++state.load;
+  return raw;
+}
+
+void Backends::Release(BackendConnection* connection) {
+  const auto found = m_servers.find(connection->server_id());
+  connection->Detach(m_loop->now());
+  if (found == m_servers.end()) {
+    Destroy(connection);
+    return;
+  }
+  State& state = found->second;
+  --state.load;
+  const bool keep = connection->usable_again() && state.listed &&
+                    state.idle.size() < kMaxIdlePerServer;
+  if (keep) {
+    state.idle.push_back(connection);
+  } else {
+    Destroy(connection);
+  }
+}
+
+void Backends::Discard(BackendConnection* connection) {
+  const auto found = m_servers.find(connection->server_id());
+  connection->Detach(m_loop->now());
+  if (found != m_servers.end()) --found->second.load;
+  Destroy(connection);
+}
+
+void Backends::Destroy(BackendConnection* connection) {
+  const auto found = m_connections.find(connection);
+  if (found == m_connections.end()) return;
+  connection->Close();
+  // Destroyed later: the connection may be on the call stack.
+  const std::shared_ptr<BackendConnection> dying = std::move(found->second);
+  m_connections.erase(found);
+  m_loop->Defer([dying] {});
+}
+
+void Backends::RememberLine(const std::string& line, const std::string& id) {
+  if (!line.empty()) m_lines[line] = {id, m_loop->now()};
+}
+
+void Backends::NoteSuccess(const std::string& id) {
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end()) found->second.failures = 0;
+}
+
+void Backends::NoteFailure(const std::string& id) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  ++found->second.failures;
+  found->second.failed_at = m_loop->now();
+}
+
+void Backends::Sweep() {
+  const Time now = m_loop->now();
+  std::erase_if(m_lines, [now](const auto& entry) {
+    return now - entry.second.used > kLineMemory;
+  });
+  std::erase_if(m_peers, [now](const auto& entry) {
+    return now - entry.second.heard > kPeerLoadMemory;
+  });
+  for (auto& [id, state] : m_servers) {
+    std::vector<BackendConnection*> stale;
+    for (BackendConnection* connection : state.idle) {
+      if (!connection->FreshAt(now)) stale.push_back(connection);
+    }
+    for (BackendConnection* connection : stale) {
+      std::erase(state.idle, connection);
+      Destroy(connection);
+    }
+  }
+  std::erase_if(m_servers, [](const auto& entry) {
+    return !entry.second.listed && entry.second.load == 0;
+  });
+}
+
+void Backends::SetPeerLoads(
+    const std::string& peer, const std::unordered_map<std::string, int>& loads) {
+  m_peers[peer] = {loads, m_loop->now()};
+}
+
+std::vector<std::pair<std::string, int>> Backends::OwnLoads() const {
+  std::vector<std::pair<std::string, int>> loads;
+  for (const auto& [id, state] : m_servers) {
+    if (state.load > 0) loads.emplace_back(id, state.load);
+  }
+  return loads;
+}
+
+double Backends::LoadOf(const std::string& service) const {
+  int load = 0;
+  int slots = 0;
+  for (const auto& [id, state] : m_servers) {
+    if (!state.listed || state.server.service != service) continue;
+    load += state.load + OthersLoad(id);
+    slots += state.server.slots;
+  }
+  return slots == 0 ? 0.0 : static_cast<double>(load) / slots;
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/backends.h
@@ -0,0 +1,152 @@
+// Connections to backend servers, and what this node knows of their load.
+//
+// One Backends serves the traffic loop. Acquire() a connection for one request,
+// Release() it when its answer is whole; anything else closes it. Loads are
+// exact for this node and as last heard for others.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "yuccawick/net/http.h"
+#include "yuccawick/net/stream.h"
+#include "yuccawick/traffic/attempt.h"
+#include "yuccawick/traffic/directory.h"
+#include "yuccawick/traffic/placement.h"
+
+namespace yuccawick::gateway {
+
+using net::Duration;
+using net::Time;
+
+// Who sent a request over a connection hears what becomes of it.
+class BackendUser {
+ public:
+  virtual ~BackendUser() = default;
+  virtual void OnBackendConnected() = 0;
+  // False: this answer belongs to another request and is to be skipped.
+  virtual bool OnBackendHead(const net::Head& head) = 0;
+  virtual void OnBackendBody(std::string_view bytes) = 0;
+  virtual void OnBackendEnd() = 0;
+  virtual void OnBackendLost(traffic::LossCause cause) = 0;
+};
+
+class BackendConnection final : public net::StreamOwner, public net::HttpSink {
+ public:
+  BackendConnection(net::EventLoop* loop, int fd, std::string server_id,
+                    std::function<void(BackendConnection*)> on_idle_lost);
+  ~BackendConnection() override;
+
+  // Sends a request; `user` hears the rest until Release() or Close().
+  void Send(BackendUser* user, std::string request);
+  void HoldReading(bool hold);
+  bool connected() const { return m_connected; }
+  bool usable_again() const;
+  // Ends the use of the connection by its user.
+  void Detach(Time now);
+  void Close();
+  const std::string& server_id() const { return m_server_id; }
+  bool               FreshAt(Time now) const;
+
+  void OnConnected() override;
+  void OnBytes(std::string_view bytes) override;
+  void OnClosed(net::CloseCause cause) override;
+  void OnHead(net::Head head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnMessageEnd() override;
+
+ private:
+  void Lose(traffic::LossCause cause);
+
+  net::EventLoop*                         m_loop;
+  std::string                             m_server_id;
+  std::function<void(BackendConnection*)> m_on_idle_lost;
+  net::Stream                             m_stream;
+  net::HttpReader                         m_reader;
+  BackendUser*                            m_user = nullptr;
+  net::TimerId                            m_connect_timer = 0;
+  bool                                    m_connected = false;
+  bool                                    m_skipping = false;
+  bool                                    m_ended = false;     // answer whole
+  bool                                    m_keep_alive = false;
+  bool                                    m_in_step = true;    // no bytes over
+  Duration                                m_max_idle = 0;
+  Time                                    m_idle_since = 0;
+};
+
+class Backends {
+ public:
+  Backends(net::EventLoop* loop, std::string zone,
+           std::unique_ptr<traffic::Placement> placement);
+  ~Backends();
+
+  void Update(const traffic::ServerListPtr& servers);
+  // The server for a request, or nothing. `line`: requests of one line share a
+  // cached prompt; empty: none. `avoid`: ids of servers that were tried.
+  std::optional<traffic::BackendServer> Choose(
+      const std::string& service, const std::string& line,
+      const std::vector<std::string>& avoid);
+  const traffic::BackendServer* Find(const std::string& id) const;
+  bool                          AnyIn(const std::string& service,
+                                      const std::vector<std::string>& avoid) const;
+
+  // A connection to the server, kept or new; nullptr if none can be made.
+  // `fresh`: a new one.
+  BackendConnection* Acquire(const std::string& id, bool fresh);
+  void               Release(BackendConnection* connection);
+  void               Discard(BackendConnection* connection);
+
+  void RememberLine(const std::string& line, const std::string& id);
+  void NoteSuccess(const std::string& id);
+  void NoteFailure(const std::string& id);
+  void Sweep();  // forgets what is old; call about once a second
+
+  // What other nodes say they have under way at each server.
+  void SetPeerLoads(const std::string&                          peer,
+                    const std::unordered_map<std::string, int>& loads);
+  std::vector<std::pair<std::string, int>> OwnLoads() const;
+  std::size_t connections() const { return m_connections.size(); }
+  std::size_t servers() const { return m_servers.size(); }
+  // Requests here and elsewhere per slot of a service.
+  double      LoadOf(const std::string& service) const;
+
+ private:
+  struct State {
+    traffic::BackendServer           server;
+    bool                             listed = true;
+    int                              load = 0;
+    int                              failures = 0;
+    Time                             failed_at = 0;
+    std::vector<BackendConnection*>  idle;
+  };
+  struct LineHome {
+    std::string server;
+    Time        used = 0;
+  };
+  struct PeerLoads {
+    std::unordered_map<std::string, int> loads;
+    Time                                 heard = 0;
+  };
+  int  OthersLoad(const std::string& id) const;
+  void Destroy(BackendConnection* connection);
+  void DropIdle(State* state);
+
+  net::EventLoop*                     m_loop;
+  std::string                         m_zone;
+  std::unique_ptr<traffic::Placement> m_placement;
+  std::mt19937_64                     m_random;
+  std::unordered_map<std::string, State>     m_servers;  // by id
+  std::unordered_map<std::string, LineHome>  m_lines;
+  std::unordered_map<std::string, PeerLoads> m_peers;
+  std::unordered_map<BackendConnection*, std::unique_ptr<BackendConnection>>
+      m_connections;
+};
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -0,0 +1,202 @@
+#include "yuccawick/gateway/client_connection.h"
+
+#include <utility>
+
+namespace yuccawick::gateway {
+namespace {
+
+// How long bytes to a client may stay unacknowledged, in ms; a client that went
+// silent gives up on its own well before.
+constexpr int kSilence = 5000;
+// After an answer that ends the connection, what the client still sends is read
+// and dropped for this long, in ms. Closing with unread bytes would reset the
+// connection, and the reset can overtake the answer.
+constexpr Duration kLinger = 1000;
+// A body may take this many times as long as a head.
+constexpr Duration kBodyPatience = 3;
+
+net::HttpLimits LimitsOf(const traffic::ClientLimits& limits) {
+  return {limits.max_head_bytes, limits.max_body_bytes};
+}
+
+traffic::Refusal RefusalOf(net::HttpFault fault) {
+  switch (fault) {
+    case net::HttpFault::kHeadTooLarge:
+      return traffic::Refusal::kHeadTooLarge;
+    case net::HttpFault::kBodyTooLarge:
+      return traffic::Refusal::kBodyTooLarge;
+    case net::HttpFault::kMalformed:
+      break;
+  }
+  return traffic::Refusal::kMalformed;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(const GatewayParts& parts, ClientHost* host,
+                                   int fd)
+    : m_parts(parts),
+      m_host(host),
+      m_stream(parts.loop, this, fd, false),
+      m_reader(net::HttpRole::kRequests, LimitsOf(host->Limits()), this) {
+  WatchTime();
+}
+
+ClientConnection::~ClientConnection() { m_parts.loop->Cancel(&m_timer); }
+
+void ClientConnection::OnBytes(std::string_view bytes) {
+  if (m_lingering) return;
+  m_input.append(bytes);
+  ReadOn();
+}
+
+void ClientConnection::ReadOn() {
+  // An exchange may end while it is started; the loop goes on with the next
+  // request then, so that no call is nested in another.
+  if (m_reading) return;
+  m_reading = true;
+  while (!m_exchange && !m_lingering && m_stream.is_open() &&
+         !m_input.empty()) {
+    if (!m_reader.in_message()) {
+      m_request_began = m_parts.loop->now();
+      WatchTime();
+    }
+    const std::size_t taken = m_reader.Feed(m_input);
+    m_input.erase(0, taken);
+    if (m_reader.fault()) {
+      RefuseBytes(*m_reader.fault());
+    } else if (std::exchange(m_whole, false)) {
+      StartExchange();
+    }
+  }
+  m_reading = false;
+}
+
+void ClientConnection::OnHead(net::Head head) {
+  m_head = std::move(head);
+  m_body.clear();
+  WatchTime();
+  const std::string* expect = m_head.headers.Find("Expect");
+  if (expect != nullptr && net::SameName(*expect, "100-continue")) {
+    m_stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ClientConnection::OnBody(std::string_view bytes) { m_body += bytes; }
+
+void ClientConnection::OnMessageEnd() { m_whole = true; }
+
+void ClientConnection::StartExchange() {
+  m_parts.loop->Cancel(&m_timer);
+  m_close_after = !m_head.keep_alive;
+  m_stream.SetReading(net::Reading::kWatchEnd);
+  m_exchange = std::make_shared<Exchange>(
+      m_parts, this, m_host->Routes(), std::move(m_head), std::move(m_body));
+  const auto exchange = m_exchange;
+  exchange->Start();
+}
+
+void ClientConnection::RefuseBytes(net::HttpFault fault) {
+  const traffic::Refusal refusal = RefusalOf(fault);
+  m_parts.metrics->CountRefusal(refusal);
+  m_parts.log->Write(LogEvent::kRefused, {{"reason", Name(refusal)},
+                                          {"status", Status(refusal)}});
+  m_stream.Write(platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {},
+                                           -1, true));
+  Linger();
+}
+
+bool ClientConnection::ClosesAfterAnswer() const {
+  return m_close_after || m_host->Closing();
+}
+
+void ClientConnection::WriteToClient(std::string_view bytes) {
+  m_stream.Write(bytes);
+}
+
+void ClientConnection::AnswerDone() {
+  const bool close = ClosesAfterAnswer();
+  m_parts.loop->Defer([exchange = std::move(m_exchange)] {});
+  m_exchange = nullptr;
+  if (!m_stream.is_open()) return;
+  m_stream.SetReading(net::Reading::kOn);
+  if (close) {
+    Linger();
+    return;
+  }
+  WatchTime();
+  ReadOn();
+}
+
+void ClientConnection::AnswerBroken() {
+  m_parts.loop->Defer([exchange = std::move(m_exchange)] {});
+  m_exchange = nullptr;
+  // The missing end of the chunked body already tells that the answer is not
+  // whole; the reset tells it at once.
+  m_stream.Reset();
+  Drop();
+}
+
+void ClientConnection::OnDrained() {
+  if (m_exchange) m_exchange->ClientDrained();
+}
+
+void ClientConnection::OnClosed(net::CloseCause /*cause*/) {
+  const auto exchange = std::exchange(m_exchange, nullptr);
+  if (exchange) exchange->ClientLeft();
+  Drop();
+}
+
+void ClientConnection::CloseIfIdle() {
+  if (m_exchange || m_lingering || m_reader.in_message() || !m_input.empty()) {
+    return;
+  }
+  m_stream.Close();
+  Drop();
+}
+
+void ClientConnection::WatchTime() {
+  m_parts.loop->Cancel(&m_timer);
+  const traffic::ClientLimits limits = m_host->Limits();
+  Duration                    limit = limits.idle_timeout;
+  if (m_reader.in_body()) {
+    limit = limits.head_timeout * kBodyPatience;
+  } else if (m_request_began == m_parts.loop->now()) {
+    limit = limits.head_timeout;
+  }
+  m_timer = m_parts.loop->After(limit, [this] {
+    m_timer = 0;
+    TimeUp();
+  });
+}
+
+void ClientConnection::TimeUp() {
+  if (!m_reader.in_message()) {
+    m_stream.Close();
+    Drop();
+    return;
+  }
+  const auto refusal = traffic::Refusal::kTooSlow;
+  m_parts.metrics->CountRefusal(refusal);
+  m_parts.log->Write(LogEvent::kRefused, {{"reason", Name(refusal)},
+                                          {"status", Status(refusal)}});
+  m_stream.Write(platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {},
+                                           -1, true));
+  Linger();
+}
+
+void ClientConnection::Linger() {
+  m_lingering = true;
+  m_input.clear();
+  m_stream.EndWriting();
+  m_parts.loop->Cancel(&m_timer);
+  m_timer = m_parts.loop->After(kLinger, [this] {
+    m_timer = 0;
+    m_stream.Close();
+    Drop();
+  });
+}
+
+void ClientConnection::Drop() { m_host->Forget(this); }
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/exchange.cc
@@ -0,0 +1,568 @@
+#include "yuccawick/gateway/exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+// Index: Preparing, Sending, Answering, Ending.
+
+namespace yuccawick::gateway {
+namespace {
+
+using traffic::AttemptEvent;
+using traffic::AttemptPhase;
+using traffic::LossCause;
+using traffic::NextStep;
+using traffic::Refusal;
+using traffic::RequestKind;
+
+constexpr int kOk = 200;
+constexpr int kMostAccepted = 299;
+// Statuses by which a server could seem to promise that it did not run a
+// request; only its explicit word does.
+constexpr std::array<int, 4> kPromises{408, 421, 429, 503};
+// A client that takes bytes slower than they come may keep this many waiting
+// here before its server is read no further.
+constexpr std::size_t kMaxBacklog = 256UL * 1024;
+// Plain answers up to this size are passed on whole, so that one that breaks
+// off is still an honest failure or can be fetched again.
+constexpr std::size_t kMaxWhole = 256UL * 1024;
+// Given up this long before the client stops listening, in ms, so that the
+// answer still reaches it.
+constexpr Duration kAnswerWay = 5;
+// How long the end of an answer waits for the log, in ms, before it goes out
+// with the turn held in memory only. The log takes some 6 ms; a client's own
+// patience with a silent stream is above a second.
+constexpr Duration kRecordPatience = 250;
+// Clients come back after this many ms on average: a turn's length, the time
+// in which a place at a server comes free.
+constexpr Duration kReturnDelay = 150;
+constexpr Duration kNotReadyDelay = 300;
+constexpr double   kMillisPerSecond = 1000.0;
+// Urgencies that servers know: 0 is first, 9 last.
+constexpr int kLeastUrgent = 9;
+
+double Draw() {
+  static thread_local std::mt19937_64 random(std::random_device{}());
+  return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
+bool IsPromise(int status) {
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
+}  // namespace
+
+Exchange::Exchange(const GatewayParts& parts, ClientSide* client,
+                   std::shared_ptr<const traffic::RouteTable> routes,
+                   net::Head head, std::string body)
+    : m_parts(parts),
+      m_client(client),
+      m_routes(std::move(routes)),
+      m_head(std::move(head)),
+      m_body(std::move(body)),
+      m_phase(traffic::GetAttemptChart().Start()),
+      m_began(parts.loop->now()) {}
+
+Exchange::~Exchange() { m_parts.loop->Cancel(&m_timer); }
+
+bool Exchange::Fire(AttemptEvent event) {
+  const bool moved = traffic::GetAttemptChart().Fire(&m_phase, event);
+  if (!moved) {
+    m_parts.log->Write(LogEvent::kFault, {{"request", m_info.attempt},
+                                          {"phase", Name(m_phase)},
+                                          {"event", static_cast<int>(event)}});
+  }
+  return moved;
+}
+
+Duration Exchange::Left() const { return m_due - m_parts.loop->now(); }
+
+std::string Exchange::LineKey() const {
+  if (!m_route->prefix_affinity) return {};
+  return m_info.program + "/" + m_info.line;
+}
+
+// Preparing ------------------------------------------------------------------
+
+void Exchange::Start() {
+  if (!CheckRequest()) return;
+  StartTimer();
+  m_parts.log->Write(
+      LogEvent::kAccepted,
+      {{"request", m_info.attempt},
+       {"program", m_info.program},
+       {"previous", m_info.previous_turn},
+       {"route", m_route->name},
+       {"service", m_service},
+       {"manifest", m_routes->manifest()->version},
+       {"left_ms", Left()}});
+  FindHistory();
+}
+
+bool Exchange::CheckRequest() {
+  if (!platform::DecodeRequest(m_head, &m_info) || m_info.attempt.empty()) {
+    Refuse(Refusal::kMalformed);
+    return false;
+  }
+  if (m_routes == nullptr) {
+    Refuse(Refusal::kNotReady);
+    return false;
+  }
+  m_route = m_routes->Find(m_info.host, m_head.target);
+  if (m_route == nullptr) {
+    Refuse(Refusal::kNoRoute);
+    return false;
+  }
+  m_service = traffic::PickService(*m_route, Draw());
+  return true;
+}
+
+void Exchange::StartTimer() {
+  Duration limit = m_route->timeout;
+  if (m_info.deadline) limit = std::min(limit, *m_info.deadline - kAnswerWay);
+  m_due = m_began + limit;
+  m_timer = m_parts.loop->After(limit, [this] {
+    m_timer = 0;
+    OutOfTime();
+  });
+}
+
+void Exchange::FindHistory() {
+  if (!m_route->keeps_turns) {
+    m_chain = std::move(m_body);
+    ReserveTokens();
+    return;
+  }
+  if (m_info.previous_turn.empty()) {
+    m_chain = m_body;
+    ReserveTokens();
+    return;
+  }
+  m_parts.turns->Find(
+      m_info.previous_turn, [self = shared_from_this()](FindOutcome outcome) {
+        if (self->m_client == nullptr) return;
+        if (outcome == FindOutcome::kUnknown) {
+          self->Refuse(Refusal::kUnknownTurn);
+        } else if (outcome == FindOutcome::kUnsure) {
+          self->Refuse(Refusal::kHistoryUnsure);
+        } else {
+          self->m_chain =
+              self->m_parts.turns->history()
+                  .Build(self->m_info.previous_turn, self->m_body,
+                         self->m_parts.loop->now(), self->m_route->retention)
+                  .body;
+          self->ReserveTokens();
+        }
+      });
+}
+
+void Exchange::ReserveTokens() {
+  if (!m_info.budget || m_info.program.empty()) {
+    Prepared();
+    return;
+  }
+  m_parts.turns->Reserve(
+      m_info.program, *m_info.budget, m_info.most_tokens,
+      [self = shared_from_this()](
+          std::optional<programs::TokenAnswer> answer) {
+        const bool reserved = answer == programs::TokenAnswer::kStart;
+        if (self->m_client == nullptr) {
+          if (reserved) {
+            self->m_parts.turns->EndTurn(self->m_info.program,
+                                         self->m_info.most_tokens);
+          }
+          return;
+        }
+        self->m_reserved = reserved;
+        if (reserved) {
+          self->Prepared();
+        } else {
+          self->Refuse(answer ? Refusal::kBudgetSpent : Refusal::kBudgetUnsure);
+        }
+      });
+}
+
+void Exchange::Prepared() {
+  if (Fire(AttemptEvent::kPrepared)) Dispatch();
+}
+
+// Sending --------------------------------------------------------------------
+
+void Exchange::Dispatch() {
+  const auto server =
+      m_parts.backends->Choose(m_service, LineKey(), m_tried);
+  if (!server) {
+    Refuse(m_in_doubt ? Refusal::kServerFailed : Refusal::kNoServer);
+    return;
+  }
+  SendTo(*server, m_repeats > 0);
+}
+
+void Exchange::SendTo(const traffic::BackendServer& server, bool fresh) {
+  m_server_id = server.id;
+  m_has_answer = false;
+  m_events = {};
+  m_plain.clear();
+  m_connection = m_parts.backends->Acquire(server.id, fresh);
+  if (m_connection == nullptr) {
+    Lost(LossCause::kNotConnected);
+    return;
+  }
+  platform::Forwarding forwarding;
+  forwarding.server = &server;
+  forwarding.left = std::max<Duration>(1, Left());
+  const bool is_model = m_route->kind == RequestKind::kStreaming;
+  forwarding.urgency =
+      is_model ? std::clamp(m_route->priority, 0, kLeastUrgent) : -1;
+  forwarding.last_event =
+      m_last_event.empty() ? m_info.last_event : m_last_event;
+  forwarding.body_bytes = m_chain.size();
+  m_parts.log->Write(
+      LogEvent::kSent,
+      {{"request", m_info.attempt},
+       {"server", server.id},
+       {"server_zone", server.zone},
+       {"load_per_slot_pct",
+        static_cast<int>(m_parts.backends->LoadOf(m_service) * 100)},
+       {"repeats", m_repeats},
+       {"after_event", forwarding.last_event},
+       {"left_ms", forwarding.left}});
+  const bool connected = m_connection->connected();
+  m_connection->Send(this,
+                     platform::EncodeRequest(m_head, forwarding) + m_chain);
+  if (connected) OnBackendConnected();
+}
+
+void Exchange::OnBackendConnected() {
+  if (std::find(m_sent_to.begin(), m_sent_to.end(), m_server_id) ==
+      m_sent_to.end()) {
+    m_sent_to.push_back(m_server_id);
+  }
+  Fire(AttemptEvent::kConnected);
+}
+
+void Exchange::LeaveServer(bool keep) {
+  BackendConnection* connection = std::exchange(m_connection, nullptr);
+  if (connection == nullptr) return;
+  if (keep) {
+    m_parts.backends->Release(connection);
+  } else {
+    m_parts.backends->Discard(connection);
+  }
+}
+
+void Exchange::OnBackendLost(LossCause cause) {
+  LeaveServer(false);
+  m_parts.backends->NoteFailure(m_server_id);
+  Lost(cause);
+}
+
+void Exchange::Lost(LossCause cause) {
+  const auto self = shared_from_this();
+  m_parts.metrics->CountLoss(cause);
+  m_tried.push_back(m_server_id);
+  if (cause == LossCause::kBroken || cause == LossCause::kBadAnswer) {
+    m_in_doubt = true;
+  }
+  traffic::Loss loss;
+  loss.cause = cause;
+  loss.servers_sent = static_cast<int>(m_sent_to.size());
+  loss.repeats = m_repeats;
+  loss.in_doubt = m_in_doubt;
+  loss.answering = m_passed_head;
+  loss.other_server = m_parts.backends->AnyIn(m_service, m_tried);
+  loss.left = Left();
+  const NextStep step = traffic::AfterLoss(*m_route, loss);
+  m_parts.log->Write(LogEvent::kLoss, {{"request", m_info.attempt},
+                                       {"server", m_server_id},
+                                       {"cause", Name(cause)},
+                                       {"events_passed", m_event_count},
+                                       {"in_doubt", m_in_doubt ? "yes" : "no"},
+                                       {"left_ms", loss.left},
+                                       {"next", Name(step)}});
+  switch (step) {
+    case NextStep::kOtherServer:
+    case NextStep::kSameServer:
+      m_parts.metrics->CountRepeat(cause);
+      SendAgain(step);
+      break;
+    case NextStep::kRefuse:
+      Refuse(cause == LossCause::kNotRun ? Refusal::kOverloaded
+                                         : Refusal::kNoServer);
+      break;
+    case NextStep::kFail:
+      Refuse(Refusal::kServerFailed);
+      break;
+    case NextStep::kCutOff:
+      CutOff(Name(cause));
+      break;
+  }
+}
+
+void Exchange::SendAgain(NextStep step) {
+  ++m_repeats;
+  if (!Fire(AttemptEvent::kSendAgain)) return;
+  if (step == NextStep::kOtherServer) {
+    Dispatch();
+    return;
+  }
+  const traffic::BackendServer* server = m_parts.backends->Find(m_server_id);
+  if (server == nullptr) {
+    // It has ended meanwhile, so another one costs the route nothing.
+    Dispatch();
+    return;
+  }
+  const traffic::BackendServer same = *server;
+  SendTo(same, true);
+}
+
+// Answering ------------------------------------------------------------------
+
+bool Exchange::OnBackendHead(const net::Head& head) {
+  const traffic::AnswerInfo info = platform::DecodeAnswer(head);
+  if (!info.attempt.empty() && info.attempt != m_info.attempt) return false;
+  m_answer = head;
+  m_answer_info = info;
+  m_has_answer = true;
+  m_is_stream = info.event_stream && head.status == kOk &&
+                m_route->kind == RequestKind::kStreaming;
+  return true;
+}
+
+void Exchange::OnBackendBody(std::string_view bytes) {
+  if (!m_has_answer) return;
+  if (m_is_stream) {
+    if (m_answer_info.stamped && !m_answer_info.encoded) PassEvents(bytes);
+    return;
+  }
+  m_plain += bytes;
+  const bool may_pass = m_answer_info.stamped && !m_answer_info.encoded &&
+                        m_answer_info.attempt == m_info.attempt &&
+                        !IsPromise(m_answer.status);
+  if (!may_pass || m_plain.size() <= kMaxWhole) return;
+  if (!m_passed_head) BeginAnswer(-1);
+  std::string out;
+  net::AppendChunk(&out, std::exchange(m_plain, {}));
+  WriteAnswer(out);
+}
+
+void Exchange::WriteAnswer(std::string_view bytes) {
+  m_client->WriteToClient(bytes);
+  if (m_client->ClientBacklog() > kMaxBacklog) m_connection->HoldReading(true);
+}
+
+void Exchange::PassEvents(std::string_view bytes) {
+  if (!m_events.Add(bytes)) {
+    OnBackendLost(LossCause::kBadAnswer);
+    return;
+  }
+  if (!m_passed_head) BeginAnswer(-1);
+  const auto tokens_per_event = [&]() -> programs::Tokens {
+    const auto* service = m_routes->manifest()->FindService(m_service);
+    return service != nullptr && service->engine
+               ? service->engine->tokens_per_event
+               : 1;
+  }();
+  std::string          out;
+  traffic::StreamEvent event;
+  while (m_events.Next(&event)) {
+    net::AppendChunk(&out, event.bytes);
+    if (!event.id.empty()) m_last_event = event.id;
+    if (m_route->keeps_turns) m_output.append(event.data).append("\n");
+    if (m_event_count++ == 0) {
+      m_first_event = m_parts.loop->now();
+      m_parts.metrics->ObserveFirstEvent(
+          static_cast<double>(m_first_event - m_began) / kMillisPerSecond);
+    }
+    if (m_reserved) m_parts.turns->Use(m_info.program, tokens_per_event);
+  }
+  if (!out.empty()) WriteAnswer(out);
+}
+
+void Exchange::ClientDrained() {
+  if (m_connection != nullptr) m_connection->HoldReading(false);
+}
+
+void Exchange::BeginAnswer(std::int64_t length) {
+  m_passed_head = true;
+  if (m_phase == AttemptPhase::kSent) Fire(AttemptEvent::kAnswerBegan);
+  m_client->WriteToClient(platform::EncodeAnswerHead(
+      m_answer, length, m_client->ClosesAfterAnswer()));
+}
+
+void Exchange::OnBackendEnd() {
+  const auto self = shared_from_this();
+  if (m_client == nullptr) return;
+  if (m_answer_info.not_run) {
+    LeaveServer(true);
+    Lost(LossCause::kNotRun);
+    return;
+  }
+  const bool success =
+      m_answer.status >= kOk && m_answer.status <= kMostAccepted;
+  const bool sound =
+      m_answer_info.attempt == m_info.attempt && !m_answer_info.encoded &&
+      (m_answer_info.stamped || !success) &&
+      !(m_is_stream && m_events.has_partial());
+  if (!sound) {
+    OnBackendLost(LossCause::kBadAnswer);
+    return;
+  }
+  LeaveServer(true);
+  if (success) m_parts.backends->NoteSuccess(m_server_id);
+  if (m_is_stream) {
+    EndStream();
+  } else {
+    EndPlain();
+  }
+}
+
+void Exchange::EndPlain() {
+  // These would promise the client that its request did not run, and the server
+  // did not say so.
+  if (IsPromise(m_answer.status)) {
+    Refuse(Refusal::kServerFailed);
+    return;
+  }
+  Fire(AttemptEvent::kAnswerEnded);
+  if (!m_passed_head) {
+    BeginAnswer(static_cast<std::int64_t>(m_plain.size()));
+    FinishAnswer(m_plain);
+    return;
+  }
+  std::string rest;
+  net::AppendChunk(&rest, m_plain);
+  FinishAnswer(rest.append(net::kLastChunk));
+}
+
+void Exchange::EndStream() {
+  if (!m_passed_head) BeginAnswer(-1);
+  m_parts.backends->RememberLine(LineKey(), m_server_id);
+  if (!Fire(AttemptEvent::kAnswerEnded)) return;
+  if (m_route->keeps_turns) {
+    RecordTurn();
+  } else {
+    FinishAnswer(net::kLastChunk);
+  }
+}
+
+void Exchange::RecordTurn() {
+  programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
+                      std::move(m_body), std::move(m_output)};
+  m_parts.loop->Cancel(&m_timer);
+  m_timer = m_parts.loop->After(kRecordPatience, [self = shared_from_this()] {
+    self->m_timer = 0;
+    if (self->m_client == nullptr) return;
+    self->m_parts.log->Write(LogEvent::kTurnAtRisk,
+                             {{"request", self->m_info.attempt}});
+    self->FinishAnswer(net::kLastChunk);
+  });
+  m_parts.turns->Keep(std::move(turn), m_route->retention,
+                      [self = shared_from_this()] {
+                        if (self->m_client == nullptr) return;
+                        self->FinishAnswer(net::kLastChunk);
+                      });
+}
+
+void Exchange::FinishAnswer(std::string_view last_bytes) {
+  m_client->WriteToClient(last_bytes);
+  m_parts.metrics->CountAnswer(m_route->kind);
+  const Duration took = m_parts.loop->now() - m_began;
+  m_parts.metrics->ObserveAnswer(static_cast<double>(took) / kMillisPerSecond);
+  m_parts.log->Write(
+      LogEvent::kAnswered,
+      {{"request", m_info.attempt},
+       {"server", m_server_id},
+       {"status", m_answer.status},
+       {"events", m_event_count},
+       {"first_event_ms", m_first_event == 0 ? 0 : m_first_event - m_began},
+       {"took_ms", took}});
+  ClientSide* client = m_client;
+  End();
+  client->AnswerDone();
+}
+
+// Ending ---------------------------------------------------------------------
+
+void Exchange::OutOfTime() {
+  const auto self = shared_from_this();
+  if (m_client == nullptr) return;
+  const bool sent = m_in_doubt || m_phase == AttemptPhase::kSent ||
+                    m_phase == AttemptPhase::kAnswering;
+  LeaveServer(false);
+  if (m_passed_head) {
+    CutOff("out_of_time");
+  } else {
+    Refuse(sent ? Refusal::kLateSent : Refusal::kLateUnsent);
+  }
+}
+
+Duration Exchange::RetryAfter(Refusal refusal) const {
+  if (!traffic::InvitesReturn(refusal)) return -1;
+  const Duration mean =
+      refusal == Refusal::kNotReady ? kNotReadyDelay : kReturnDelay;
+  // Spread over half to one and a half of the mean: clients refused together
+  // would otherwise come back together.
+  return static_cast<Duration>(static_cast<double>(mean) * (0.5 + Draw()));
+}
+
+void Exchange::Refuse(Refusal refusal) {
+  const auto self = shared_from_this();
+  LeaveServer(false);
+  m_parts.metrics->CountRefusal(refusal);
+  const Duration again = RetryAfter(refusal);
+  m_parts.log->Write(LogEvent::kRefused,
+                     {{"request", m_info.attempt},
+                      {"program", m_info.program},
+                      {"reason", Name(refusal)},
+                      {"status", Status(refusal)},
+                      {"phase", Name(m_phase)},
+                      {"retry_after_ms", again},
+                      {"took_ms", m_parts.loop->now() - m_began}});
+  const bool close =
+      refusal == Refusal::kMalformed || m_client->ClosesAfterAnswer();
+  m_client->WriteToClient(platform::EncodeOwnAnswer(
+      Status(refusal), Name(refusal), m_info.attempt, again, close));
+  ClientSide* client = m_client;
+  End();
+  client->AnswerDone();
+}
+
+void Exchange::CutOff(std::string_view why) {
+  const auto self = shared_from_this();
+  LeaveServer(false);
+  m_parts.log->Write(LogEvent::kCutOff,
+                     {{"request", m_info.attempt},
+                      {"why", why},
+                      {"events", m_event_count},
+                      {"took_ms", m_parts.loop->now() - m_began}});
+  ClientSide* client = m_client;
+  End();
+  client->AnswerBroken();
+}
+
+void Exchange::ClientLeft() {
+  const auto self = shared_from_this();
+  m_parts.log->Write(LogEvent::kClientLeft,
+                     {{"request", m_info.attempt},
+                      {"phase", Name(m_phase)},
+                      {"server", m_server_id},
+                      {"took_ms", m_parts.loop->now() - m_began}});
+  // Closing the connection is how a server learns that nobody waits any more.
+  LeaveServer(false);
+  End();
+}
+
+void Exchange::End() {
+  m_client = nullptr;
+  m_parts.loop->Cancel(&m_timer);
+  if (m_phase != AttemptPhase::kDone) Fire(AttemptEvent::kFinish);
+  if (std::exchange(m_reserved, false)) {
+    m_parts.turns->EndTurn(m_info.program, m_info.most_tokens);
+  }
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/exchange.h
@@ -0,0 +1,138 @@
+// One client attempt, from its whole request to the end of its answer.
+//
+//   preparing   history is looked up, tokens are reserved
+//   connecting  a backend server is chosen
+//   sent        the request is out
+//   answering   the answer flows to the client
+//   recording   the answer is whole but its last bytes wait until the turn is
+//               durable: a client that saw the end may name the turn at once
+//
+// An Exchange carries out what traffic/attempt.h decides. It ends exactly once,
+// by telling its client how.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/requests.h"
+#include "yuccawick/gateway/backends.h"
+#include "yuccawick/gateway/log.h"
+#include "yuccawick/gateway/metrics.h"
+#include "yuccawick/gateway/turn_keeper.h"
+#include "yuccawick/traffic/event_stream.h"
+#include "yuccawick/traffic/manifest.h"
+#include "yuccawick/traffic/refusal.h"
+
+namespace yuccawick::gateway {
+
+// The connection to the client, as an exchange sees it.
+class ClientSide {
+ public:
+  virtual ~ClientSide() = default;
+  virtual void        WriteToClient(std::string_view bytes) = 0;
+  virtual std::size_t ClientBacklog() const = 0;  // bytes not yet taken
+  // The answer is complete; the connection may carry another request.
+  virtual void        AnswerDone() = 0;
+  // The answer cannot be completed; the client must see that.
+  virtual void        AnswerBroken() = 0;
+  virtual bool        ClosesAfterAnswer() const = 0;
+};
+
+// What all exchanges of a node share.
+struct GatewayParts {
+  net::EventLoop* loop = nullptr;
+  Backends*       backends = nullptr;
+  TurnKeeper*     turns = nullptr;
+  Log*            log = nullptr;
+  Metrics*        metrics = nullptr;
+};
+
+class Exchange final : public BackendUser,
+                       public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(const GatewayParts& parts, ClientSide* client,
+           std::shared_ptr<const traffic::RouteTable> routes, net::Head head,
+           std::string body);
+  ~Exchange() override;
+
+  void Start();
+  void ClientLeft();
+  void ClientDrained();
+
+  void OnBackendConnected() override;
+  bool OnBackendHead(const net::Head& head) override;
+  void OnBackendBody(std::string_view bytes) override;
+  void OnBackendEnd() override;
+  void OnBackendLost(traffic::LossCause cause) override;
+
+ private:
+  // Preparing
+  bool CheckRequest();
+  void StartTimer();
+  void FindHistory();
+  void ReserveTokens();
+  void Prepared();
+  // Sending
+  void Dispatch();
+  void SendTo(const traffic::BackendServer& server, bool fresh);
+  void LeaveServer(bool keep);
+  void Lost(traffic::LossCause cause);
+  void SendAgain(traffic::NextStep step);
+  // Answering
+  void PassEvents(std::string_view bytes);
+  void WriteAnswer(std::string_view bytes);
+  void BeginAnswer(std::int64_t length);
+  void EndStream();
+  void EndPlain();
+  void RecordTurn();
+  void FinishAnswer(std::string_view last_bytes);
+  // Ending
+  void OutOfTime();
+  void Refuse(traffic::Refusal refusal);
+  void CutOff(std::string_view why);
+  void End();
+
+  Duration          Left() const;
+  Duration          RetryAfter(traffic::Refusal refusal) const;
+  std::string       LineKey() const;
+  bool              Fire(traffic::AttemptEvent event);
+
+  GatewayParts                               m_parts;
+  ClientSide*                                m_client;  // nullptr: ended
+  std::shared_ptr<const traffic::RouteTable> m_routes;
+  net::Head                                  m_head;
+  std::string                                m_body;
+  traffic::RequestInfo                       m_info;
+  const traffic::Route*                      m_route = nullptr;
+  std::string                                m_service;
+  traffic::AttemptPhase                      m_phase;
+  Time                                       m_began = 0;
+  Time                                       m_due = 0;  // given up then
+  net::TimerId                               m_timer = 0;
+  bool                                       m_reserved = false;
+  std::string                                m_chain;  // body for the server
+
+  // The server at hand, and those before it.
+  BackendConnection*       m_connection = nullptr;
+  std::string              m_server_id;
+  std::vector<std::string> m_tried;
+  std::vector<std::string> m_sent_to;
+  int                      m_repeats = 0;
+  bool                     m_in_doubt = false;
+
+  // The answer.
+  net::Head              m_answer;
+  traffic::AnswerInfo    m_answer_info;
+  bool                   m_has_answer = false;  // a head of this send came
+  bool                   m_passed_head = false;
+  bool                   m_is_stream = false;
+  std::string            m_plain;  // body of an answer that is passed whole
+  traffic::EventSplitter m_events;
+  std::string            m_last_event;  // id of the last event passed on
+  std::string            m_output;      // for the turn's record
+  std::int64_t           m_event_count = 0;
+  Time                   m_first_event = 0;
+};
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/follower.cc
@@ -0,0 +1,200 @@
+#include "yuccawick/gateway/follower.h"
+
+#include <utility>
+
+#include "platform/manifest_codec.h"
+
+namespace yuccawick::gateway {
+namespace {
+
+using platform::LogRecord;
+using platform::NewestPage;
+using platform::ReadPage;
+using platform::StoreFailure;
+using platform::StoreResult;
+using platform::Topic;
+
+// A change must be in force within 2 s of its acknowledgement. A read waits for
+// the next record for up to a second, so that a connection that went silent is
+// noticed in time; with the pause the whole stays below that bound.
+constexpr Duration kWait = 800;           // ms, for the first record
+constexpr Duration kCallTimeout = 1300;   // ms; above kWait and a slow answer
+constexpr Duration kListTimeout = 1000;   // ms
+constexpr Duration kRetryDelay = 120;     // ms after a failure
+constexpr Duration kManifestPause = 20;   // ms; manifests are rare
+// Servers renew their entries all the time; reading a few renewals at once
+// costs fewer calls, and 300 ms is small against the 2 s in which a leaving
+// server must get no more work.
+constexpr Duration kServersPause = 300;
+constexpr Duration kTick = 100;           // ms; for removals that come due
+
+}  // namespace
+
+TopicFollower::TopicFollower(net::EventLoop* loop, platform::Store* store,
+                             Topic topic, Duration pause, Callbacks callbacks)
+    : m_loop(loop),
+      m_store(store),
+      m_topic(topic),
+      m_pause(pause),
+      m_callbacks(std::move(callbacks)) {}
+
+void TopicFollower::Start() { Restart(); }
+
+void TopicFollower::Restart() {
+  m_first_page = true;
+  List({});
+}
+
+void TopicFollower::Again(Duration delay, void (TopicFollower::*step)()) {
+  m_loop->After(delay, [this, step] { (this->*step)(); });
+}
+
+void TopicFollower::NoteReachable(bool reachable) {
+  m_callbacks.on_reachable(reachable);
+}
+
+void TopicFollower::List(const std::string& after) {
+  m_store->Newest(m_topic, after, kListTimeout,
+                  [this](const StoreResult<NewestPage>& result) {
+                    NoteReachable(result.has_value());
+                    if (!result) {
+                      Again(kRetryDelay, &TopicFollower::Restart);
+                      return;
+                    }
+                    // Pages are no snapshot: following from the end of the
+                    // first one repeats what changed between them.
+                    if (std::exchange(m_first_page, false)) {
+                      m_next = result->end;
+                      m_callbacks.on_listing_began();
+                    }
+                    for (const LogRecord& record : result->records) {
+                      m_callbacks.on_record(record);
+                    }
+                    if (result->more && !result->records.empty()) {
+                      List(result->records.back().key);
+                      return;
+                    }
+                    m_callbacks.on_listing_ended();
+                    Follow();
+                  });
+}
+
+void TopicFollower::Follow() {
+  m_store->Read(
+      m_topic, 0, m_next, kWait, kCallTimeout,
+      [this](const StoreResult<ReadPage>& result) {
+        if (!result && result.error().failure == StoreFailure::kExpired) {
+          Restart();
+          return;
+        }
+        NoteReachable(result.has_value());
+        if (!result) {
+          Again(kRetryDelay, &TopicFollower::Follow);
+          return;
+        }
+        for (const LogRecord& record : result->records) {
+          m_callbacks.on_record(record);
+        }
+        m_next = result->next;
+        if (result->end < m_next) {
+          // The log is shorter than what was read of it: read it whole again.
+          Restart();
+          return;
+        }
+        Again(result->records.empty() ? 0 : m_pause, &TopicFollower::Follow);
+      });
+}
+
+Follower::Follower(net::EventLoop* loop, platform::Store* store, Log* log,
+                   Outputs outputs)
+    : m_loop(loop),
+      m_log(log),
+      m_outputs(std::move(outputs)),
+      m_operator(loop, store, Topic::kOperator, kManifestPause,
+                 {[this](const LogRecord& record) { TakeManifest(record); },
+                  [] {}, [] {}, [](bool) {}}),
+      m_servers(loop, store, Topic::kServers, kServersPause,
+                {[this](const LogRecord& record) { TakeServer(record); },
+                 [this] {
+                   m_listing_servers = true;
+                   m_listing.clear();
+                 },
+                 [this] { EndServerListing(); },
+                 [this](bool reachable) {
+                   m_directory.SetReachable(reachable, m_loop->now());
+                 }}) {}
+
+void Follower::Start() {
+  m_operator.Start();
+  m_servers.Start();
+  Tick();
+}
+
+void Follower::Tick() {
+  m_directory.Expire(m_loop->now());
+  PublishServers();
+  m_log->Flush();
+  m_loop->After(kTick, [this] { Tick(); });
+}
+
+void Follower::TakeManifest(const LogRecord& record) {
+  if (!platform::IsManifest(record) || record.removed) return;
+  const auto manifest = platform::DecodeManifest(record.value);
+  if (!manifest) {
+    m_log->Write(LogEvent::kFault, {{"what", "undecodable manifest"},
+                                    {"detail", manifest.error().detail}});
+    return;
+  }
+  // A late or repeated record must not bring back an older version: clients
+  // have seen the effects of the newer one.
+  if ((*manifest)->version <= m_version) return;
+  m_version = (*manifest)->version;
+  m_log->Write(LogEvent::kManifest,
+               {{"version", m_version},
+                {"routes", (*manifest)->routes.size()},
+                {"offset", record.offset}});
+  m_outputs.manifest(*manifest);
+}
+
+void Follower::TakeServer(const LogRecord& record) {
+  if (record.removed) {
+    m_log->Write(LogEvent::kServers, {{"server", record.key},
+                                      {"state", "removed"},
+                                      {"offset", record.offset}});
+    m_directory.Remove(record.key, m_loop->now());
+    if (!m_listing_servers) PublishServers();
+    return;
+  }
+  const auto server = platform::DecodeServer(record.key, record.value);
+  if (!server) {
+    m_log->Write(LogEvent::kFault, {{"what", "undecodable server"},
+                                    {"server", record.key},
+                                    {"detail", server.error().detail}});
+    return;
+  }
+  if (m_listing_servers) {
+    m_listing.push_back(*server);
+    return;
+  }
+  m_directory.Put(*server);
+  PublishServers();
+}
+
+void Follower::EndServerListing() {
+  m_listing_servers = false;
+  m_directory.ReplaceAll(m_listing, m_loop->now());
+  m_servers_known = true;
+  PublishServers();
+}
+
+void Follower::PublishServers() {
+  if (!m_servers_known || !m_directory.TakeChange()) return;
+  const auto list = m_directory.List();
+  int        draining = 0;
+  for (const auto& server : *list) draining += server.draining ? 1 : 0;
+  m_log->Write(LogEvent::kServers,
+               {{"count", list->size()}, {"draining", draining}});
+  m_outputs.servers(list);
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/follower.h
@@ -0,0 +1,84 @@
+// Follows what the operator and the backend servers publish, on the control
+// thread: the manifest and the list of servers.
+//
+// Each topic is read whole once, then its log is followed from there. A topic
+// whose records are gone is read whole again. The manifest never goes back to
+// an older version while the process lives.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "platform/store.h"
+#include "yuccawick/gateway/log.h"
+#include "yuccawick/traffic/directory.h"
+#include "yuccawick/traffic/manifest.h"
+
+namespace yuccawick::gateway {
+
+using net::Duration;
+using net::Time;
+
+// Follows one keyed topic. `on_record` sees every record in order, `on_listing`
+// the end of each whole reading with the keys it saw.
+class TopicFollower {
+ public:
+  struct Callbacks {
+    std::function<void(const platform::LogRecord&)> on_record;
+    std::function<void()>                           on_listing_began;
+    std::function<void()>                           on_listing_ended;
+    std::function<void(bool)>                       on_reachable;
+  };
+  // `pause`: ms between two readings that brought something.
+  TopicFollower(net::EventLoop* loop, platform::Store* store,
+                platform::Topic topic, Duration pause, Callbacks callbacks);
+  void Start();
+
+ private:
+  void List(const std::string& after);
+  void Follow();
+  void Again(Duration delay, void (TopicFollower::*step)());
+  void Restart();
+  void NoteReachable(bool reachable);
+
+  net::EventLoop*  m_loop;
+  platform::Store* m_store;
+  platform::Topic  m_topic;
+  Duration         m_pause;
+  Callbacks        m_callbacks;
+  std::int64_t     m_next = 0;
+  bool             m_first_page = true;
+};
+
+// Publishes manifests and server lists to whoever serves traffic.
+class Follower {
+ public:
+  struct Outputs {
+    std::function<void(traffic::ManifestPtr)>   manifest;
+    std::function<void(traffic::ServerListPtr)> servers;
+  };
+  Follower(net::EventLoop* loop, platform::Store* store, Log* log,
+           Outputs outputs);
+  void Start();
+
+ private:
+  void TakeManifest(const platform::LogRecord& record);
+  void TakeServer(const platform::LogRecord& record);
+  void EndServerListing();
+  void PublishServers();
+  void Tick();
+
+  net::EventLoop*      m_loop;
+  Log*                 m_log;
+  Outputs              m_outputs;
+  traffic::Directory   m_directory;
+  traffic::ServerList  m_listing;
+  bool                 m_listing_servers = false;
+  bool                 m_servers_known = false;
+  std::int64_t         m_version = -1;  // of the manifest in force
+  TopicFollower        m_operator;
+  TopicFollower        m_servers;
+};
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/gateway.cc
@@ -0,0 +1,143 @@
+#include "yuccawick/gateway/gateway.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccawick::gateway {
+namespace {
+
+constexpr int      kClientSilence = 5000;  // ms of unacknowledged bytes
+constexpr Duration kTick = 500;            // ms between sweeps
+// The balancer asks once a second and turns away after two misses.
+constexpr Duration kBalancerLag = 2600;    // ms
+constexpr Duration kStopMargin = 700;      // ms before the kill after SIGTERM
+constexpr Duration kStopCheck = 50;        // ms
+constexpr std::uint16_t kMetricsPort = 9464;  // the usual one of exporters
+// What clients may send until a manifest says.
+constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
+                                             15'000};
+
+}  // namespace
+
+Gateway::Gateway(net::EventLoop* loop, const platform::Settings& settings,
+                 Log* log, Metrics* metrics, std::string incarnation)
+    : m_loop(loop),
+      m_settings(settings),
+      m_log(log),
+      m_metrics(metrics),
+      m_store(loop, settings.store),
+      m_backends(loop, settings.zone,
+                 traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
+      m_turns(loop, &m_store, log, metrics, std::move(incarnation)),
+      m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
+      m_metrics_server(loop, [metrics](std::string_view) {
+        return SmallAnswer{200, metrics->Text()};
+      }) {}
+
+Gateway::~Gateway() {
+  if (m_listener < 0) return;
+  m_loop->Forget(m_listener);
+  close(m_listener);
+}
+
+bool Gateway::Listen() {
+  m_listener = net::Listen(m_settings.clients);
+  if (m_listener < 0) return false;
+  m_loop->Watch(m_listener, this, true, false);
+  if (!m_readiness.Listen(m_settings.readiness)) return false;
+  if (!m_metrics_server.Listen({m_settings.address, kMetricsPort})) {
+    m_log->Write(LogEvent::kFault, {{"what", "no address for metrics"}});
+  }
+  Tick();
+  return true;
+}
+
+void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
+  m_routes = std::make_shared<traffic::RouteTable>(manifest);
+  Duration longest = 0;
+  for (const traffic::Route& route : manifest->routes) {
+    if (route.keeps_turns) longest = std::max(longest, route.retention);
+  }
+  if (longest > 0) m_turns.SetRetention(longest);
+}
+
+void Gateway::TakeServers(const traffic::ServerListPtr& servers) {
+  m_servers_known = true;
+  m_backends.Update(servers);
+}
+
+traffic::ClientLimits Gateway::Limits() const {
+  return m_routes == nullptr ? kFirstLimits : m_routes->manifest()->limits;
+}
+
+bool Gateway::Ready() const {
+  return m_routes != nullptr && m_servers_known && !m_stopping;
+}
+
+SmallAnswer Gateway::AnswerReadiness() const {
+  return {Ready() ? 200 : 503, Ready() ? "ready\n" : "not ready\n"};
+}
+
+void Gateway::OnReadable() {
+  for (int fd = net::Accept(m_listener, kClientSilence); fd >= 0;
+       fd = net::Accept(m_listener, kClientSilence)) {
+    GatewayParts parts{m_loop, &m_backends, &m_turns, m_log, m_metrics};
+    auto connection = std::make_unique<ClientConnection>(parts, this, fd);
+    ClientConnection* raw = connection.get();
+    m_clients.emplace(raw, std::move(connection));
+  }
+}
+
+void Gateway::Forget(ClientConnection* connection) {
+  auto node = m_clients.extract(connection);
+  if (node.empty()) return;
+  // Destroyed later: the connection is on the call stack.
+  const std::shared_ptr<ClientConnection> dying = std::move(node.mapped());
+  m_loop->Defer([dying] {});
+}
+
+void Gateway::Tick() {
+  m_backends.Sweep();
+  m_turns.Sweep();
+  m_metrics->Set(Gauge::kConnections, static_cast<double>(m_clients.size()));
+  m_metrics->Set(Gauge::kTurns,
+                 static_cast<double>(m_turns.history().size()));
+  m_metrics->Set(Gauge::kServers, static_cast<double>(m_backends.servers()));
+  m_log->Flush();
+  m_loop->After(kTick, [this] { Tick(); });
+}
+
+void Gateway::Stop() {
+  if (m_stopping) return;
+  m_stopping = true;
+  m_stop_due = m_loop->now() + m_settings.stop_limit - kStopMargin;
+  m_log->Write(LogEvent::kStopping, {{"connections", m_clients.size()}});
+  m_loop->After(kBalancerLag, [this] {
+    m_closing = true;
+    CloseIdle();
+    FinishWhenIdle();
+  });
+}
+
+void Gateway::CloseIdle() {
+  std::vector<ClientConnection*> all;
+  for (const auto& [raw, owned] : m_clients) all.push_back(raw);
+  for (ClientConnection* connection : all) connection->CloseIfIdle();
+}
+
+void Gateway::FinishWhenIdle() {
+  CloseIdle();
+  const bool served = m_clients.empty() && m_turns.unkept() == 0;
+  if (served || m_loop->now() >= m_stop_due) {
+    m_log->Write(LogEvent::kStopped,
+                 {{"connections_cut", m_clients.size()},
+                  {"turns_not_durable", m_turns.unkept()}});
+    m_loop->Stop();
+    return;
+  }
+  m_loop->After(kStopCheck, [this] { FinishWhenIdle(); });
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/gateway.h
@@ -0,0 +1,67 @@
+// The traffic side of a node: takes clients' connections and serves them.
+//
+// Everything here runs on the traffic loop. Manifests and server lists come
+// from the control thread through Take...(), posted to the loop.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "yuccawick/gateway/client_connection.h"
+#include "yuccawick/gateway/small_server.h"
+
+namespace yuccawick::gateway {
+
+class Gateway final : public ClientHost, public net::SocketHandler {
+ public:
+  Gateway(net::EventLoop* loop, const platform::Settings& settings, Log* log,
+          Metrics* metrics, std::string incarnation);
+  ~Gateway() override;
+
+  bool Listen();  // false: an address is not to be had
+  void TakeManifest(const traffic::ManifestPtr& manifest);
+  void TakeServers(const traffic::ServerListPtr& servers);
+  // Serves on while the balancer turns clients away, then stops the loop.
+  void Stop();
+
+  std::shared_ptr<const traffic::RouteTable> Routes() const override {
+    return m_routes;
+  }
+  traffic::ClientLimits Limits() const override;
+  bool                  Closing() const override { return m_closing; }
+  void                  Forget(ClientConnection* connection) override;
+
+  void OnReadable() override;
+  void OnWritable() override {}
+  void OnHangup() override {}
+
+ private:
+  SmallAnswer AnswerReadiness() const;
+  void        Tick();
+  void        CloseIdle();
+  void        FinishWhenIdle();
+  bool        Ready() const;
+
+  net::EventLoop*    m_loop;
+  platform::Settings m_settings;
+  Log*               m_log;
+  Metrics*           m_metrics;
+  platform::Store    m_store;
+  Backends           m_backends;
+  TurnKeeper         m_turns;
+  SmallServer        m_readiness;
+  SmallServer        m_metrics_server;
+  int                m_listener = -1;
+  bool               m_servers_known = false;
+  bool               m_stopping = false;
+  bool               m_closing = false;
+  Time               m_stop_due = 0;
+  std::shared_ptr<const traffic::RouteTable> m_routes;
+  std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
+      m_clients;
+};
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/metrics.cc
@@ -0,0 +1,118 @@
+#include "yuccawick/gateway/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace yuccawick::gateway {
+namespace {
+
+using Labels = std::array<std::string_view, 4>;
+
+// Bounds in seconds: from a hop inside a zone to the longest route timeout.
+const prometheus::Histogram::BucketBoundaries kSeconds{
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+prometheus::Family<prometheus::Counter>& CounterFamily(
+    prometheus::Registry* registry, const char* name, const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(*registry);
+}
+
+prometheus::Histogram* AddHistogram(prometheus::Registry* registry,
+                                    const char* name, const char* help) {
+  return &prometheus::BuildHistogram()
+              .Name(name)
+              .Help(help)
+              .Register(*registry)
+              .Add({}, kSeconds);
+}
+
+}  // namespace
+
+Metrics::Metrics() : m_registry(std::make_shared<prometheus::Registry>()) {
+  auto* registry = m_registry.get();
+  auto& refusals =
+      CounterFamily(registry, "yuccawick_refusals_total",
+                    "Requests that got an answer of our own, by reason");
+  for (std::size_t i = 0; i < m_refusals.size(); ++i) {
+    const std::string name(Name(static_cast<traffic::Refusal>(i)));
+    m_refusals[i] = &refusals.Add({{"reason", name}});
+  }
+  auto& losses = CounterFamily(registry, "yuccawick_losses_total",
+                               "Sends that came to nothing, by cause");
+  auto& repeats = CounterFamily(registry, "yuccawick_retries_total",
+                                "Requests sent again, by cause");
+  for (std::size_t i = 0; i < m_losses.size(); ++i) {
+    const std::string name(Name(static_cast<traffic::LossCause>(i)));
+    m_losses[i] = &losses.Add({{"cause", name}});
+    m_repeats[i] = &repeats.Add({{"cause", name}});
+  }
+  auto& answers = CounterFamily(registry, "yuccawick_answers_total",
+                                "Servers' answers passed on whole, by kind");
+  for (std::size_t i = 0; i < m_answers.size(); ++i) {
+    const std::string name(Name(static_cast<traffic::RequestKind>(i)));
+    m_answers[i] = &answers.Add({{"kind", name}});
+  }
+  auto& calls = CounterFamily(registry, "yuccawick_log_calls_total",
+                              "Calls to the platform's log, by outcome");
+  m_store_calls = {&calls.Add({{"outcome", "failed"}}),
+                   &calls.Add({{"outcome", "succeeded"}})};
+  constexpr std::array<const char*, kGaugeCount> kGauges{
+      "requests", "connections", "turns", "servers"};
+  auto& gauges = prometheus::BuildGauge()
+                     .Name("yuccawick_held")
+                     .Help("What this node holds at the moment")
+                     .Register(*m_registry);
+  for (std::size_t i = 0; i < kGaugeCount; ++i) {
+    m_gauges[i] = &gauges.Add({{"what", kGauges[i]}});
+  }
+  m_answer_seconds =
+      AddHistogram(registry, "yuccawick_answer_seconds",
+                   "From a whole request to the end of its answer");
+  m_first_event_seconds =
+      AddHistogram(registry, "yuccawick_first_event_seconds",
+                   "From a whole request to the first event of its stream");
+  m_turn_kept_seconds =
+      AddHistogram(registry, "yuccawick_turn_kept_seconds",
+                   "From the end of a stream to its turn being durable");
+}
+
+void Metrics::CountRefusal(traffic::Refusal refusal) {
+  m_refusals[static_cast<std::size_t>(refusal)]->Increment();
+}
+
+void Metrics::CountLoss(traffic::LossCause cause) {
+  m_losses[static_cast<std::size_t>(cause)]->Increment();
+}
+
+void Metrics::CountRepeat(traffic::LossCause cause) {
+  m_repeats[static_cast<std::size_t>(cause)]->Increment();
+}
+
+void Metrics::CountAnswer(traffic::RequestKind kind) {
+  m_answers[static_cast<std::size_t>(kind)]->Increment();
+}
+
+void Metrics::CountStoreCall(bool succeeded) {
+  m_store_calls[succeeded ? 1 : 0]->Increment();
+}
+
+void Metrics::ObserveAnswer(double seconds) {
+  m_answer_seconds->Observe(seconds);
+}
+
+void Metrics::ObserveFirstEvent(double seconds) {
+  m_first_event_seconds->Observe(seconds);
+}
+
+void Metrics::ObserveTurnKept(double seconds) {
+  m_turn_kept_seconds->Observe(seconds);
+}
+
+void Metrics::Set(Gauge gauge, double value) {
+  m_gauges[static_cast<std::size_t>(gauge)]->Set(value);
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/net/http_client.cc
@@ -0,0 +1,175 @@
+#include "yuccawick/net/http_client.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace yuccawick::net {
+namespace {
+
+// How long bytes may stay unacknowledged, in ms. Calls have their own, usually
+// longer, limit; this one frees connections that went silent for good.
+constexpr int         kSilence = 2000;
+constexpr HttpLimits  kAnswerLimits{16UL * 1024, 16UL << 20};
+// A kept connection that rested longer may have been dropped by the other side
+// without a word; a new one costs one round trip.
+constexpr Duration    kMaxIdle = 10'000;
+
+}  // namespace
+
+std::string_view Name(CallFailure failure) {
+  constexpr std::array<std::string_view, 2> kNames{"not_sent", "unknown"};
+  return kNames[static_cast<std::size_t>(failure)];
+}
+
+class HttpClient::Connection final : public StreamOwner, public HttpSink {
+ public:
+  Connection(HttpClient* client, int fd)
+      : m_client(client),
+        m_stream(client->m_loop, this, fd, true),
+        m_reader(HttpRole::kResponses, kAnswerLimits, this) {}
+  ~Connection() override { m_client->m_loop->Cancel(&m_timer); }
+
+  bool idle() const { return !m_done && m_stream.is_open(); }
+  Time idle_since() const { return m_idle_since; }
+
+  void Start(Call call, CallDone done) {
+    m_done = std::move(done);
+    m_answer = {};
+    m_sent = m_connected;
+    std::string request =
+        call.method + " " + call.target + " HTTP/1.1\r\n";
+    AppendHeader(&request, "Host", m_client->m_server.Text());
+    if (!call.content_type.empty()) {
+      AppendHeader(&request, "Content-Type", call.content_type);
+    }
+    if (call.method != "GET") {
+      AppendHeader(&request, "Content-Length",
+                   std::to_string(call.body.size()));
+    }
+    request += "\r\n";
+    request += call.body;
+    m_timer = m_client->m_loop->After(call.timeout, [this] {
+      m_timer = 0;
+      m_stream.Close();
+      Fail();
+    });
+    m_stream.Write(request);
+  }
+
+  void OnConnected() override {
+    m_connected = true;
+    m_sent = true;
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    if (!m_done) {  // bytes nobody asked for: the connection is out of step
+      m_stream.Close();
+      m_client->Release(this, false);
+      return;
+    }
+    m_complete = false;
+    const std::size_t taken = m_reader.Feed(bytes);
+    if (m_reader.fault()) {
+      m_stream.Close();
+      Fail();
+    } else if (m_complete) {
+      Succeed(taken == bytes.size());
+    }
+  }
+
+  void OnClosed(CloseCause cause) override {
+    if (!m_done) {
+      m_client->Release(this, false);
+      return;
+    }
+    m_complete = false;
+    if (cause == CloseCause::kEnd && m_reader.FeedEnd() && m_complete) {
+      Succeed(false);
+    } else {
+      Fail();
+    }
+  }
+
+  void OnHead(Head head) override {
+    m_answer.status = head.status;
+    m_keep = head.keep_alive;
+  }
+  void OnBody(std::string_view bytes) override { m_answer.body += bytes; }
+  void OnMessageEnd() override { m_complete = true; }
+
+ private:
+  void Succeed(bool in_step) {
+    if (m_answer.status < 200) return;  // interim; the answer follows
+    End(std::move(m_answer), m_keep && in_step && m_stream.is_open());
+  }
+  void Fail() {
+    End(tl::unexpected(m_sent ? CallFailure::kUnknown : CallFailure::kNotSent),
+        false);
+  }
+  void End(CallResult result, bool usable) {
+    m_client->m_loop->Cancel(&m_timer);
+    m_idle_since = m_client->m_loop->now();
+    const CallDone done = std::exchange(m_done, nullptr);
+    m_client->Release(this, usable);
+    done(std::move(result));
+  }
+
+  HttpClient* m_client;
+  Stream      m_stream;
+  HttpReader  m_reader;
+  CallDone    m_done;
+  CallAnswer  m_answer;
+  TimerId     m_timer = 0;
+  Time        m_idle_since = 0;
+  bool        m_connected = false;
+  bool        m_sent = false;
+  bool        m_keep = false;
+  bool        m_complete = false;
+};
+
+HttpClient::HttpClient(EventLoop* loop, Endpoint server)
+    : m_loop(loop), m_server(server) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Connection* HttpClient::Idle() {
+  const Time oldest = m_loop->now() - kMaxIdle;
+  std::erase_if(m_connections, [&](const auto& connection) {
+    return connection->idle() && connection->idle_since() < oldest;
+  });
+  for (const auto& connection : m_connections) {
+    if (connection->idle()) return connection.get();
+  }
+  return nullptr;
+}
+
+void HttpClient::Send(Call call, CallDone done) {
+  Connection* connection = Idle();
+  if (connection == nullptr) {
+    const int fd = Connect(m_server, kSilence);
+    if (fd < 0) {
+      m_loop->Defer([done = std::move(done)] {
+        done(tl::unexpected(CallFailure::kNotSent));
+      });
+      return;
+    }
+    m_connections.push_back(std::make_unique<Connection>(this, fd));
+    connection = m_connections.back().get();
+  }
+  connection->Start(std::move(call), std::move(done));
+}
+
+void HttpClient::Release(Connection* connection, bool usable) {
+  if (usable) return;
+  const auto found = std::find_if(
+      m_connections.begin(), m_connections.end(),
+      [&](const auto& owned) { return owned.get() == connection; });
+  if (found == m_connections.end()) return;
+  // Destroyed later: the connection is still on the call stack.
+  const std::shared_ptr<Connection> dying = std::move(*found);
+  m_connections.erase(found);
+  m_loop->Defer([dying] {});
+}
+
+}  // namespace yuccawick::net
--- /dev/null
+++ b/src/yuccawick/net/stream.cc
@@ -0,0 +1,135 @@
+#include "yuccawick/net/stream.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace yuccawick::net {
+namespace {
+
+constexpr std::size_t kReadBytes = 64UL * 1024;  // one read of the kernel
+
+bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
+}  // namespace
+
+Stream::Stream(EventLoop* loop, StreamOwner* owner, int fd, bool connecting)
+    : m_loop(loop), m_owner(owner), m_fd(fd), m_connecting(connecting) {
+  m_loop->Watch(m_fd, this, !connecting, connecting);
+}
+
+Stream::~Stream() { Close(); }
+
+void Stream::Write(std::string_view bytes) {
+  if (m_fd < 0) return;
+  const bool was_empty = pending() == 0;
+  m_out.append(bytes);
+  if (was_empty && !m_connecting) Flush();
+}
+
+void Stream::Flush() {
+  while (pending() > 0) {
+    const auto sent =
+        send(m_fd, m_out.data() + m_out_start, pending(), MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      // Other failures show as a hangup; answering here would call the owner
+      // back in the middle of its own Write().
+      break;
+    }
+    m_out_start += static_cast<std::size_t>(sent);
+  }
+  if (pending() == 0) {
+    m_out.clear();
+    m_out_start = 0;
+    if (m_end_after_flush) shutdown(m_fd, SHUT_WR);
+  }
+  Update();
+}
+
+void Stream::Update() {
+  if (m_fd < 0) return;
+  const bool read = m_reading == Reading::kOn && !m_connecting;
+  m_loop->Change(m_fd, read, m_connecting || pending() > 0,
+                 m_reading != Reading::kOff);
+}
+
+void Stream::SetReading(Reading reading) {
+  m_reading = reading;
+  Update();
+}
+
+void Stream::EndWriting() {
+  m_end_after_flush = true;
+  if (m_fd >= 0 && pending() == 0) shutdown(m_fd, SHUT_WR);
+}
+
+void Stream::Close() {
+  if (m_fd < 0) return;
+  m_loop->Forget(m_fd);
+  close(m_fd);
+  m_fd = -1;
+}
+
+void Stream::Reset() {
+  if (m_fd < 0) return;
+  const linger at_once{1, 0};
+  setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  Close();
+}
+
+void Stream::Fail(CloseCause cause) {
+  if (m_fd < 0) return;
+  Close();
+  m_owner->OnClosed(cause);
+}
+
+void Stream::OnReadable() {
+  std::array<char, kReadBytes> buffer;  // NOLINT: filled by recv
+  const auto got = recv(m_fd, buffer.data(), buffer.size(), 0);
+  if (got > 0) {
+    m_owner->OnBytes({buffer.data(), static_cast<std::size_t>(got)});
+  } else if (got == 0) {
+    Fail(CloseCause::kEnd);
+  } else if (!WouldBlock() && errno != EINTR) {
+    Fail(CloseCause::kReset);
+  }
+}
+
+void Stream::OnWritable() {
+  if (m_connecting) {
+    int       error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+      Fail(CloseCause::kReset);
+      return;
+    }
+    m_connecting = false;
+    m_owner->OnConnected();
+    if (m_fd < 0) return;
+  }
+  const bool had_bytes = pending() > 0;
+  Flush();
+  if (had_bytes && pending() == 0) m_owner->OnDrained();
+}
+
+void Stream::OnHangup() {
+  int       error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    Fail(CloseCause::kReset);
+    return;
+  }
+  if (m_reading == Reading::kOn) {
+    // Reading delivers what is left, then the end itself.
+    OnReadable();
+  } else {
+    Fail(CloseCause::kEnd);
+  }
+}
+
+}  // namespace yuccawick::net
--- /dev/null
+++ b/src/yuccawick/programs/record.cc
@@ -0,0 +1,100 @@
+#include "yuccawick/programs/record.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <utility>
+
+namespace yuccawick::programs {
+namespace {
+
+template <class Fill>
+std::string Encode(Fill fill) {
+  capnp::MallocMessageBuilder message;
+  fill(&message);
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, message);
+  const auto bytes = out.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+// Nothing if the bytes are no such record.
+template <class Record, class Take>
+std::optional<Record> Decode(std::string_view bytes, Take take) {
+  std::optional<Record> record;
+  const auto            failed = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream in(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
+                     bytes.size()));
+    capnp::PackedMessageReader reader(in);
+    record = take(&reader);
+  });
+  return failed == nullptr ? std::move(record) : std::nullopt;
+}
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+std::string Bytes(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+capnp::Data::Reader AsData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+}  // namespace
+
+void Write(const Turn& turn, wire::Turn::Builder builder) {
+  builder.setId(turn.id);
+  builder.setPrevious(turn.previous);
+  builder.setProgram(turn.program);
+  builder.setInput(AsData(turn.input));
+  builder.setOutput(AsData(turn.output));
+}
+
+Turn Read(wire::Turn::Reader reader) {
+  return {Text(reader.getId()), Text(reader.getPrevious()),
+          Text(reader.getProgram()), Bytes(reader.getInput()),
+          Bytes(reader.getOutput())};
+}
+
+std::string EncodeTurn(const Turn& turn) {
+  return Encode([&](auto* message) {
+    Write(turn, message->template initRoot<wire::Turn>());
+  });
+}
+
+std::optional<Turn> DecodeTurn(std::string_view bytes) {
+  return Decode<Turn>(bytes, [](auto* message) {
+    return Read(message->template getRoot<wire::Turn>());
+  });
+}
+
+std::string EncodeClaim(const TokenClaim& claim) {
+  return Encode([&](auto* message) {
+    auto builder = message->template initRoot<wire::Claim>();
+    builder.setNumber(claim.number);
+    builder.setNode(claim.node);
+    builder.setProgram(claim.program);
+    builder.setBudget(claim.budget);
+    builder.setNeed(claim.need);
+    builder.setWish(claim.wish);
+    builder.setTaken(claim.taken);
+  });
+}
+
+std::optional<TokenClaim> DecodeClaim(std::string_view bytes) {
+  return Decode<TokenClaim>(bytes, [](auto* message) {
+    const auto reader = message->template getRoot<wire::Claim>();
+    return TokenClaim{reader.getNumber(),        Text(reader.getNode()),
+                      Text(reader.getProgram()), reader.getBudget(),
+                      reader.getNeed(),          reader.getWish(),
+                      reader.getTaken()};
+  });
+}
+
+}  // namespace yuccawick::programs
--- /dev/null
+++ b/src/yuccawick/programs/turn_history.cc
@@ -0,0 +1,56 @@
+#include "yuccawick/programs/turn_history.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace yuccawick::programs {
+
+void TurnHistory::Add(Turn turn, Time now, Duration retention) {
+  auto& kept = m_turns[turn.id];
+  kept.until = std::max(kept.until, now + retention);
+  if (kept.turn.id.empty()) kept.turn = std::move(turn);
+}
+
+std::vector<const Turn*> TurnHistory::Line(const std::string& id) const {
+  std::vector<const Turn*> line;
+  std::string              next = id;
+  while (!next.empty()) {
+    const auto found = m_turns.find(next);
+    if (found == m_turns.end()) break;
+    line.push_back(&found->second.turn);
+    next = found->second.turn.previous;
+  }
+  return line;
+}
+
+bool TurnHistory::HoldsChain(const std::string& id) const {
+  const auto line = Line(id);
+  return !line.empty() && line.back()->previous.empty();
+}
+
+Chain TurnHistory::Build(const std::string& previous, const std::string& input,
+                         Time now, Duration retention) {
+  Chain      chain;
+  const auto line = Line(previous);
+  const Turn* oldest = line.empty() ? nullptr : line.back();
+  if (!previous.empty() && (oldest == nullptr || !oldest->previous.empty())) {
+    chain.missing = oldest == nullptr ? previous : oldest->previous;
+    return chain;
+  }
+  for (auto turn = line.rbegin(); turn != line.rend(); ++turn) {
+    chain.body += (*turn)->input;
+    chain.body += (*turn)->output;
+    auto& until = m_turns[(*turn)->id].until;
+    until = std::max(until, now + retention);
+  }
+  chain.body += input;
+  return chain;
+}
+
+void TurnHistory::Expire(Time now) {
+  std::erase_if(m_turns,
+                [now](const auto& entry) { return entry.second.until < now; });
+}
+
+}  // namespace yuccawick::programs
--- /dev/null
+++ b/src/yuccawick/traffic/directory.cc
@@ -0,0 +1,68 @@
+#include "yuccawick/traffic/directory.h"
+
+#include <set>
+
+namespace yuccawick::traffic {
+
+void Directory::Put(const BackendServer& server) {
+  m_lapsed.erase(server.id);
+  auto& known = m_servers[server.id];
+  if (known == server) return;
+  known = server;
+  m_changed = true;
+}
+
+void Directory::Remove(const std::string& id, Time now) {
+  if (!m_servers.contains(id)) return;
+  if (m_reachable && now >= m_grace_end) {
+    m_servers.erase(id);
+    m_changed = true;
+    return;
+  }
+  m_lapsed.try_emplace(id, m_reachable ? m_grace_end : now + kReturnGrace);
+}
+
+void Directory::ReplaceAll(const ServerList& servers, Time now) {
+  std::set<std::string> present;
+  for (const BackendServer& server : servers) {
+    present.insert(server.id);
+    Put(server);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [id, server] : m_servers) {
+    if (!present.contains(id)) absent.push_back(id);
+  }
+  for (const std::string& id : absent) Remove(id, now);
+}
+
+void Directory::SetReachable(bool reachable, Time now) {
+  if (reachable == m_reachable) return;
+  m_reachable = reachable;
+  if (reachable) m_grace_end = now + kReturnGrace;
+}
+
+void Directory::Expire(Time now) {
+  if (!m_reachable) return;
+  for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    m_changed = m_servers.erase(it->first) > 0 || m_changed;
+    it = m_lapsed.erase(it);
+  }
+}
+
+bool Directory::TakeChange() {
+  const bool changed = m_changed;
+  m_changed = false;
+  return changed;
+}
+
+ServerListPtr Directory::List() const {
+  auto list = std::make_shared<ServerList>();
+  for (const auto& [id, server] : m_servers) list->push_back(server);
+  return list;
+}
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/event_stream.cc
@@ -0,0 +1,64 @@
+#include "yuccawick/traffic/event_stream.h"
+
+namespace yuccawick::traffic {
+namespace {
+
+// Value of "NAME: VALUE" or "NAME:VALUE" if the line has that name.
+bool FieldOf(std::string_view line, std::string_view name,
+             std::string_view* value) {
+  if (!line.starts_with(name)) return false;
+  line.remove_prefix(name.size());
+  if (!line.starts_with(":")) return false;
+  line.remove_prefix(1);
+  if (line.starts_with(" ")) line.remove_prefix(1);
+  *value = line;
+  return true;
+}
+
+void Describe(StreamEvent* event) {
+  std::string_view rest = event->bytes;
+  bool             first = true;
+  while (!rest.empty()) {
+    const auto       end = rest.find('\n');
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (line.ends_with("\r")) line.remove_suffix(1);
+    std::string_view value;
+    if (FieldOf(line, "id", &value)) event->id = value;
+    if (FieldOf(line, "data", &value)) {
+      if (!first) event->data += '\n';
+      event->data += value;
+      first = false;
+    }
+  }
+}
+
+}  // namespace
+
+bool EventSplitter::Add(std::string_view bytes) {
+  m_buffer.erase(0, m_start);
+  m_start = 0;
+  m_buffer.append(bytes);
+  return m_buffer.size() <= kMaxEventBytes;
+}
+
+bool EventSplitter::Next(StreamEvent* event) {
+  const std::string_view rest = std::string_view(m_buffer).substr(m_start);
+  const auto             plain = rest.find("\n\n");
+  const auto             with_returns = rest.find("\r\n\r\n");
+  std::size_t            size = 0;
+  if (with_returns < plain) {
+    size = with_returns + 4;
+  } else if (plain != std::string_view::npos) {
+    size = plain + 2;
+  } else {
+    return false;
+  }
+  *event = {};
+  event->bytes = rest.substr(0, size);
+  m_start += size;
+  Describe(event);
+  return true;
+}
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/manifest.h
@@ -0,0 +1,106 @@
+// What the operator published: routes, services and the limits on clients.
+//
+// A manifest is immutable once decoded; a new version replaces the whole. Keep
+// the shared pointer for as long as a request is under way, so that one request
+// sees one version.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "yuccawick/net/event_loop.h"
+
+namespace yuccawick::traffic {
+
+using net::Duration;
+using net::Time;
+
+// What may be repeated.
+enum class RequestKind : std::uint8_t {
+  kSafe,       // may run any number of times
+  kUnsafe,     // may run at most once for each attempt of a client
+  kStreaming,  // a series of events; as kUnsafe unless the route is resumable
+};
+std::string_view           Name(RequestKind kind);
+std::optional<RequestKind> ParseRequestKind(std::string_view name);
+
+struct WeightedService {
+  std::string  service;
+  std::int64_t weight = 1;  // relative to the others of the route
+};
+
+struct Route {
+  std::string                  name;
+  std::string                  host;
+  std::string                  path_prefix;  // begins and ends with a slash
+  RequestKind                  kind = RequestKind::kSafe;
+  Duration                     timeout = 0;         // ms a client may be held
+  Duration                     target_latency = 0;  // ms; response in full time
+  Duration                     max_pause = 0;       // ms between two events
+  int                          priority = 0;        // 0 is most urgent
+  std::vector<WeightedService> services;            // at least one
+  int                          max_attempts = 1;    // servers one attempt meets
+  bool                         resumable = false;   // may go on after an event
+  bool                         prefix_affinity = false;
+  bool                         keeps_turns = false;  // the system keeps history
+  Duration                     retention = 0;        // ms a turn is kept
+
+  bool Repeatable() const {
+    return kind == RequestKind::kSafe ||
+           (kind == RequestKind::kStreaming && resumable);
+  }
+};
+
+struct EngineLimits {
+  int          slots = 0;            // requests at once
+  std::int64_t cache_tokens = 0;     // shared by runs and cached prefixes
+  std::int64_t tokens_per_event = 1;
+};
+
+struct Service {
+  std::string                 name;
+  std::string                 health_path;
+  int                         max_connections = 0;  // from all callers together
+  std::optional<EngineLimits> engine;               // of a model service
+};
+
+struct ClientLimits {
+  std::size_t max_head_bytes = 0;
+  std::size_t max_body_bytes = 0;
+  Duration    head_timeout = 0;  // ms to send a whole head
+  Duration    idle_timeout = 0;  // ms a connection may rest between requests
+};
+
+struct Manifest {
+  std::int64_t                   version = 0;
+  std::vector<Route>             routes;
+  std::map<std::string, Service> services;  // by name
+  ClientLimits                   limits;
+
+  const Service* FindService(const std::string& name) const;
+};
+
+using ManifestPtr = std::shared_ptr<const Manifest>;
+
+// Finds the route of a request: among the routes of the host, the longest
+// prefix that begins the path.
+class RouteTable {
+ public:
+  explicit RouteTable(ManifestPtr manifest);
+  const Route*       Find(std::string_view host, std::string_view path) const;
+  const ManifestPtr& manifest() const { return m_manifest; }
+
+ private:
+  ManifestPtr                                           m_manifest;
+  std::map<std::string, std::vector<const Route*>, std::less<>> m_by_host;
+};
+
+// Picks a service of a split route; `draw` is uniform in [0, 1).
+const std::string& PickService(const Route& route, double draw);
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/placement.h
@@ -0,0 +1,46 @@
+// Which backend server a request goes to.
+//
+// A strategy sees candidates with what is known of their load and returns one.
+// Strategies hold no state and read no clock, so each is tested with a table of
+// candidates. LeastLoaded is the baseline; ZoneAndPrefix is what runs.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "yuccawick/traffic/directory.h"
+
+namespace yuccawick::traffic {
+
+struct Candidate {
+  const BackendServer* server = nullptr;
+  int  own_load = 0;         // requests this node has under way there
+  int  others_load = 0;      // the same of other nodes, as last heard
+  bool same_zone = false;    // as this node
+  bool holds_prefix = false; // served the request's line of turns last
+  int  recent_failures = 0;  // since its last success
+
+  int load() const { return own_load + others_load; }
+};
+
+class Placement {
+ public:
+  virtual ~Placement() = default;
+  // Index of the chosen candidate; `candidates` is not empty. `draw` is uniform
+  // in [0, 1) and settles ties, so that nodes with the same view spread.
+  virtual std::size_t Choose(const std::vector<Candidate>& candidates,
+                             double                        draw) const = 0;
+};
+
+enum class PlacementKind : std::uint8_t { kLeastLoaded, kZoneAndPrefix };
+std::unique_ptr<Placement> MakePlacement(PlacementKind kind);
+
+// Load, in requests waiting or running per slot, at which the advantages of a
+// near or warm server stop to count.
+inline constexpr double kCrossZonePenalty = 0.45;  // per slot; see docs/design
+inline constexpr double kColdPrefixPenalty = 0.15;
+inline constexpr double kFailurePenalty = 4.0;     // any healthy server first
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/refusal.cc
@@ -0,0 +1,46 @@
+#include "yuccawick/traffic/refusal.h"
+
+#include <array>
+
+namespace yuccawick::traffic {
+namespace {
+
+struct Row {
+  std::string_view name;
+  int              status;
+  bool             invites_return;
+};
+
+constexpr std::array<Row, kRefusalCount> kRows{{
+    {"malformed", 400, false},
+    {"head_too_large", 431, false},
+    {"body_too_large", 413, false},
+    {"too_slow", 408, false},
+    {"no_route", 404, false},
+    {"unknown_turn", 404, false},
+    {"budget_spent", 402, false},
+    {"not_ready", 503, true},
+    {"no_server", 503, true},
+    {"overloaded", 503, true},
+    {"history_unsure", 503, true},
+    {"budget_unsure", 503, true},
+    {"late_unsent", 503, true},
+    {"late_sent", 504, false},
+    {"server_failed", 502, false},
+}};
+
+}  // namespace
+
+std::string_view Name(Refusal refusal) {
+  return kRows[static_cast<std::size_t>(refusal)].name;
+}
+
+int Status(Refusal refusal) {
+  return kRows[static_cast<std::size_t>(refusal)].status;
+}
+
+bool InvitesReturn(Refusal refusal) {
+  return kRows[static_cast<std::size_t>(refusal)].invites_return;
+}
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/refusal.h
@@ -0,0 +1,38 @@
+// Answers of our own, in place of a backend server's.
+//
+// Each refusal says whether the request may have run; the status that a client
+// sees comes from the table in refusal.cc and nowhere else. A status that
+// promises "not run" may only be used where that is certain.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace yuccawick::traffic {
+
+enum class Refusal : std::uint8_t {
+  kMalformed,        // not HTTP as we read it, or a bad header
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kTooSlow,          // the client did not send its request in time
+  kNoRoute,
+  kUnknownTurn,      // the turn it continues from certainly does not exist
+  kBudgetSpent,      // the program's tokens do not hold this turn
+  kNotReady,         // this node knows no manifest yet
+  kNoServer,         // no backend server can take it now
+  kOverloaded,       // the server that was asked is full
+  kHistoryUnsure,    // the turn may exist, and the log does not answer
+  kBudgetUnsure,     // the budget cannot be claimed now
+  kLateUnsent,       // out of time before it was sent
+  kLateSent,         // out of time after it was sent
+  kServerFailed,     // it may have run, and no answer can be had
+  kCount,
+};
+constexpr std::size_t kRefusalCount = static_cast<std::size_t>(Refusal::kCount);
+
+std::string_view Name(Refusal refusal);
+int              Status(Refusal refusal);
+// Refusals after which the same request may be sent again later.
+bool             InvitesReturn(Refusal refusal);
+
+}  // namespace yuccawick::traffic
