--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -109,6 +109,12 @@
          traffic.Post([&gateway, servers = std::move(servers)] {
            gateway.TakeServers(servers);
          });
+       },
+       [&](std::string name, std::optional<programs::NodeInfo> node) {
+         traffic.Post(
+             [&gateway, name = std::move(name), node = std::move(node)] {
+               gateway.TakeNode(name, node);
+             });
        }});
   control.Post([&] { follower.Start(); });
   std::thread control_thread([&] { control.Run(); });
--- /dev/null
+++ b/src/yuccawick/gateway/appender.cc
@@ -0,0 +1,69 @@
+#include "yuccawick/gateway/appender.h"
+
+#include <iterator>
+#include <utility>
+
+namespace yuccawick::gateway {
+namespace {
+
+using net::Duration;
+
+// An append takes some 6 ms; in a slow spell of the log a quarter of a second.
+constexpr Duration    kTimeout = 600;             // ms
+constexpr Duration    kRetryDelay = 80;           // ms
+constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // the log takes 2 MB a call
+
+}  // namespace
+
+Appender::Appender(net::EventLoop* loop, platform::Store* store,
+                   LogHealth* health, platform::Topic topic, int partition)
+    : m_loop(loop),
+      m_store(store),
+      m_health(health),
+      m_topic(topic),
+      m_partition(partition) {}
+
+void Appender::Add(std::string record, bool insist, Done done) {
+  m_waiting.push_back({std::move(record), insist, std::move(done)});
+  Pump();
+}
+
+void Appender::Pump() {
+  if (m_busy || m_waiting.empty()) return;
+  m_busy = true;
+  std::vector<std::string> records;
+  std::size_t              bytes = 0;
+  std::size_t              taken = 0;
+  while (taken < m_waiting.size() && bytes < kMaxBatchBytes) {
+    bytes += m_waiting[taken].record.size();
+    records.push_back(m_waiting[taken].record);
+    ++taken;
+  }
+  const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(taken);
+  m_flying.assign(std::make_move_iterator(m_waiting.begin()),
+                  std::make_move_iterator(end));
+  m_waiting.erase(m_waiting.begin(), end);
+  m_store->Append(m_topic, m_partition, records, kTimeout,
+                  [this](const Result& result) { Finish(result); });
+}
+
+void Appender::Finish(const Result& result) {
+  m_health->Note(result.has_value(), "append");
+  auto              flown = std::exchange(m_flying, {});
+  std::vector<Item> again;
+  m_loop->After(result ? 0 : kRetryDelay, [this] {
+    m_busy = false;
+    Pump();
+  });
+  for (Item& item : flown) {
+    if (!result && item.insist) {
+      again.push_back(std::move(item));
+    } else {
+      item.done(result);
+    }
+  }
+  m_waiting.insert(m_waiting.begin(), std::make_move_iterator(again.begin()),
+                   std::make_move_iterator(again.end()));
+}
+
+}  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -31,10 +31,6 @@
 // Given up this long before the client stops listening, in ms, so that the
 // answer still reaches it.
 constexpr Duration kAnswerWay = 5;
-// How long the end of an answer waits for the log, in ms, before it goes out
-// with the turn held in memory only. The log takes some 6 ms; a client's own
-// patience with a silent stream is above a second.
-constexpr Duration kRecordPatience = 250;
 // Clients come back after this many ms on average: a turn's length, the time
 // in which a place at a server comes free.
 constexpr Duration kReturnDelay = 150;
@@ -142,7 +138,8 @@
     return;
   }
   m_parts.turns->Find(
-      m_info.previous_turn, [self = shared_from_this()](FindOutcome outcome) {
+      m_info.previous_turn, m_info.program,
+      [self = shared_from_this()](FindOutcome outcome) {
         if (self->m_client == nullptr) return;
         if (outcome == FindOutcome::kUnknown) {
           self->Refuse(Refusal::kUnknownTurn);
@@ -164,27 +161,30 @@
     Prepared();
     return;
   }
-  m_parts.turns->Reserve(
-      m_info.program, *m_info.budget, m_info.most_tokens,
-      [self = shared_from_this()](
-          std::optional<programs::TokenAnswer> answer) {
-        const bool reserved = answer == programs::TokenAnswer::kStart;
-        if (self->m_client == nullptr) {
-          if (reserved) {
-            self->m_parts.turns->EndTurn(self->m_info.program,
-                                         self->m_info.most_tokens);
-          }
-          return;
-        }
-        self->m_reserved = reserved;
-        if (reserved) {
-          self->Prepared();
-        } else {
-          self->Refuse(answer ? Refusal::kBudgetSpent : Refusal::kBudgetUnsure);
-        }
+  const TurnBudget turn{m_info.program, *m_info.budget, m_info.most_tokens};
+  m_parts.peers->Reserve(
+      turn, [self = shared_from_this()](const Reservation& reservation) {
+        self->TakeReservation(reservation);
       });
 }
 
+void Exchange::TakeReservation(const Reservation& reservation) {
+  const bool reserved = reservation.outcome == ReserveOutcome::kStart;
+  if (m_client == nullptr) {
+    if (reserved) m_parts.peers->EndTurn(reservation, 0);
+    return;
+  }
+  m_reserved = reserved;
+  m_reservation = reservation;
+  if (reserved) {
+    Prepared();
+  } else {
+    Refuse(reservation.outcome == ReserveOutcome::kSpent
+               ? Refusal::kBudgetSpent
+               : Refusal::kBudgetUnsure);
+  }
+}
+
 void Exchange::Prepared() {
   if (Fire(AttemptEvent::kPrepared)) Dispatch();
 }
@@ -377,7 +377,7 @@
       m_parts.metrics->ObserveFirstEvent(
           static_cast<double>(m_first_event - m_began) / kMillisPerSecond);
     }
-    if (m_reserved) m_parts.turns->Use(m_info.program, tokens_per_event);
+    m_tokens_used += tokens_per_event;
   }
   if (!out.empty()) WriteAnswer(out);
 }
@@ -452,19 +452,16 @@
 void Exchange::RecordTurn() {
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
-  m_parts.loop->Cancel(&m_timer);
-  m_timer = m_parts.loop->After(kRecordPatience, [self = shared_from_this()] {
-    self->m_timer = 0;
-    if (self->m_client == nullptr) return;
-    self->m_parts.log->Write(LogEvent::kTurnAtRisk,
-                             {{"request", self->m_info.attempt}});
-    self->FinishAnswer(net::kLastChunk);
-  });
-  m_parts.turns->Keep(std::move(turn), m_route->retention,
-                      [self = shared_from_this()] {
-                        if (self->m_client == nullptr) return;
-                        self->FinishAnswer(net::kLastChunk);
-                      });
+  m_parts.turns->Keep(
+      turn, m_route->retention,
+      [self = shared_from_this()](TurnKeeper::Kept kept) {
+        if (self->m_client == nullptr) return;
+        if (kept == TurnKeeper::Kept::kAtPeers) {
+          self->m_parts.log->Write(LogEvent::kTurnAtPeers,
+                                   {{"request", self->m_info.attempt}});
+        }
+        self->FinishAnswer(net::kLastChunk);
+      });
 }
 
 void Exchange::FinishAnswer(std::string_view last_bytes) {
@@ -561,7 +558,7 @@
   m_parts.loop->Cancel(&m_timer);
   if (m_phase != AttemptPhase::kDone) Fire(AttemptEvent::kFinish);
   if (std::exchange(m_reserved, false)) {
-    m_parts.turns->EndTurn(m_info.program, m_info.most_tokens);
+    m_parts.peers->EndTurn(m_reservation, m_tokens_used);
   }
 }
 
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "yuccawick/gateway/backends.h"
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/metrics.h"
+#include "yuccawick/gateway/peer_service.h"
 #include "yuccawick/gateway/turn_keeper.h"
 #include "yuccawick/traffic/event_stream.h"
 #include "yuccawick/traffic/manifest.h"
@@ -44,6 +45,7 @@
   net::EventLoop* loop = nullptr;
   Backends*       backends = nullptr;
   TurnKeeper*     turns = nullptr;
+  PeerService*    peers = nullptr;
   Log*            log = nullptr;
   Metrics*        metrics = nullptr;
 };
@@ -72,6 +74,7 @@
   void StartTimer();
   void FindHistory();
   void ReserveTokens();
+  void TakeReservation(const Reservation& reservation);
   void Prepared();
   // Sending
   void Dispatch();
@@ -111,6 +114,8 @@
   Time                                       m_due = 0;  // given up then
   net::TimerId                               m_timer = 0;
   bool                                       m_reserved = false;
+  Reservation                                m_reservation;
+  programs::Tokens                           m_tokens_used = 0;
   std::string                                m_chain;  // body for the server
 
   // The server at hand, and those before it.
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "platform/manifest_codec.h"
+#include "yuccawick/programs/record.h"
 
 namespace yuccawick::gateway {
 namespace {
@@ -18,7 +19,10 @@
 // the next record for up to a second, so that a connection that went silent is
 // noticed in time; with the pause the whole stays below that bound.
 constexpr Duration kWait = 800;           // ms, for the first record
-constexpr Duration kCallTimeout = 1300;   // ms; above kWait and a slow answer
+constexpr Duration kAnswerTime = 500;     // ms beyond it; a slow answer's time
+// Nodes come and go rarely, and nothing depends on knowing them at once.
+constexpr Duration kNodesWait = 4000;     // ms
+constexpr Duration kNodesPause = 500;     // ms
 constexpr Duration kListTimeout = 1000;   // ms
 constexpr Duration kRetryDelay = 120;     // ms after a failure
 constexpr Duration kManifestPause = 20;   // ms; manifests are rare
@@ -31,11 +35,11 @@
 }  // namespace
 
 TopicFollower::TopicFollower(net::EventLoop* loop, platform::Store* store,
-                             Topic topic, Duration pause, Callbacks callbacks)
+                             Topic topic, Pace pace, Callbacks callbacks)
     : m_loop(loop),
       m_store(store),
       m_topic(topic),
-      m_pause(pause),
+      m_pace(pace),
       m_callbacks(std::move(callbacks)) {}
 
 void TopicFollower::Start() { Restart(); }
@@ -81,7 +85,7 @@
 
 void TopicFollower::Follow() {
   m_store->Read(
-      m_topic, 0, m_next, kWait, kCallTimeout,
+      m_topic, 0, m_next, m_pace.wait, m_pace.wait + kAnswerTime,
       [this](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           Restart();
@@ -101,7 +105,7 @@
           Restart();
           return;
         }
-        Again(result->records.empty() ? 0 : m_pause, &TopicFollower::Follow);
+        Again(result->records.empty() ? 0 : m_pace.pause, &TopicFollower::Follow);
       });
 }
 
@@ -110,10 +114,10 @@
     : m_loop(loop),
       m_log(log),
       m_outputs(std::move(outputs)),
-      m_operator(loop, store, Topic::kOperator, kManifestPause,
+      m_operator(loop, store, Topic::kOperator, {kWait, kManifestPause},
                  {[this](const LogRecord& record) { TakeManifest(record); },
                   [] {}, [] {}, [](bool) {}}),
-      m_servers(loop, store, Topic::kServers, kServersPause,
+      m_servers(loop, store, Topic::kServers, {kWait, kServersPause},
                 {[this](const LogRecord& record) { TakeServer(record); },
                  [this] {
                    m_listing_servers = true;
@@ -122,11 +126,15 @@
                  [this] { EndServerListing(); },
                  [this](bool reachable) {
                    m_directory.SetReachable(reachable, m_loop->now());
-                 }}) {}
+                 }}),
+      m_nodes(loop, store, Topic::kNodes, {kNodesWait, kNodesPause},
+              {[this](const LogRecord& record) { TakeNode(record); }, [] {},
+               [] {}, [](bool) {}}) {}
 
 void Follower::Start() {
   m_operator.Start();
   m_servers.Start();
+  m_nodes.Start();
   Tick();
 }
 
@@ -156,6 +164,23 @@
   m_outputs.manifest(*manifest);
 }
 
+void Follower::TakeNode(const LogRecord& record) {
+  if (record.removed) {
+    m_outputs.node(record.key, std::nullopt);
+    return;
+  }
+  const auto node = programs::DecodeNode(record.key, record.value);
+  if (!node) {
+    m_log->Write(LogEvent::kFault, {{"what", "undecodable node"},
+                                    {"peer", record.key}});
+    return;
+  }
+  m_log->Write(LogEvent::kPeer, {{"peer", node->name},
+                                 {"state", "announced"},
+                                 {"address", node->address.Text()}});
+  m_outputs.node(record.key, node);
+}
+
 void Follower::TakeServer(const LogRecord& record) {
   if (record.removed) {
     m_log->Write(LogEvent::kServers, {{"server", record.key},
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -7,11 +7,13 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "platform/store.h"
 #include "yuccawick/gateway/log.h"
+#include "yuccawick/programs/membership.h"
 #include "yuccawick/traffic/directory.h"
 #include "yuccawick/traffic/manifest.h"
 
@@ -30,9 +32,14 @@
     std::function<void()>                           on_listing_ended;
     std::function<void(bool)>                       on_reachable;
   };
-  // `pause`: ms between two readings that brought something.
+  // `wait`: ms a read waits for the first record. `pause`: ms between two
+  // readings that brought something.
+  struct Pace {
+    Duration wait = 0;
+    Duration pause = 0;
+  };
   TopicFollower(net::EventLoop* loop, platform::Store* store,
-                platform::Topic topic, Duration pause, Callbacks callbacks);
+                platform::Topic topic, Pace pace, Callbacks callbacks);
   void Start();
 
  private:
@@ -45,7 +52,7 @@
   net::EventLoop*  m_loop;
   platform::Store* m_store;
   platform::Topic  m_topic;
-  Duration         m_pause;
+  Pace             m_pace;
   Callbacks        m_callbacks;
   std::int64_t     m_next = 0;
   bool             m_first_page = true;
@@ -57,6 +64,8 @@
   struct Outputs {
     std::function<void(traffic::ManifestPtr)>   manifest;
     std::function<void(traffic::ServerListPtr)> servers;
+    // A node announced itself, or, without a value, left.
+    std::function<void(std::string, std::optional<programs::NodeInfo>)> node;
   };
   Follower(net::EventLoop* loop, platform::Store* store, Log* log,
            Outputs outputs);
@@ -64,6 +73,7 @@
 
  private:
   void TakeManifest(const platform::LogRecord& record);
+  void TakeNode(const platform::LogRecord& record);
   void TakeServer(const platform::LogRecord& record);
   void EndServerListing();
   void PublishServers();
@@ -79,6 +89,7 @@
   std::int64_t         m_version = -1;  // of the manifest in force
   TopicFollower        m_operator;
   TopicFollower        m_servers;
+  TopicFollower        m_nodes;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccawick/programs/record.h"
+
 namespace yuccawick::gateway {
 namespace {
 
@@ -14,6 +16,12 @@
 constexpr Duration kBalancerLag = 2600;    // ms
 constexpr Duration kStopMargin = 700;      // ms before the kill after SIGTERM
 constexpr Duration kStopCheck = 50;        // ms
+constexpr Duration kLastCalls = 100;  // ms for the last appends to go out
+constexpr Duration kAnnounceTimeout = 600;  // ms
+constexpr Duration kAnnounceRetry = 200;    // ms
+// Loads are told this often, in ms: a turn takes some 200 ms, so peers learn of
+// most turns while they run.
+constexpr Duration kTellLoads = 50;
 constexpr std::uint16_t kMetricsPort = 9464;  // the usual one of exporters
 // What clients may send until a manifest says.
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
@@ -22,7 +30,8 @@
 }  // namespace
 
 Gateway::Gateway(net::EventLoop* loop, const platform::Settings& settings,
-                 Log* log, Metrics* metrics, std::string incarnation)
+                 Log* log, Metrics* metrics,
+                 const std::string& incarnation)
     : m_loop(loop),
       m_settings(settings),
       m_log(log),
@@ -30,7 +39,14 @@
       m_store(loop, settings.store),
       m_backends(loop, settings.zone,
                  traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
-      m_turns(loop, &m_store, log, metrics, std::move(incarnation)),
+      m_health(loop, log, metrics),
+      m_turns(loop, &m_store, &m_health, log, metrics),
+      m_desk(loop, &m_store, &m_health, log, incarnation),
+      m_members({settings.node, incarnation,
+                 {settings.address, settings.inner_ports.front()},
+                 settings.zone}),
+      m_network(loop, &m_members, log),
+      m_peers(loop, &m_members, &m_network, &m_desk, &m_turns, &m_backends),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
       m_metrics_server(loop, [metrics](std::string_view) {
         return SmallAnswer{200, metrics->Text()};
@@ -50,10 +66,37 @@
   if (!m_metrics_server.Listen({m_settings.address, kMetricsPort})) {
     m_log->Write(LogEvent::kFault, {{"what", "no address for metrics"}});
   }
+  if (!m_network.Listen(m_members.self().address)) return false;
+  Announce();
   Tick();
+  TellLoads();
   return true;
 }
 
+void Gateway::Announce() {
+  m_store.Put(platform::Topic::kNodes, m_settings.node,
+              programs::EncodeNode(m_members.self()), kAnnounceTimeout,
+              [this](const platform::StoreResult<platform::Appended>& result) {
+                m_health.Note(result.has_value(), "announce");
+                if (result || m_stopping) return;
+                m_loop->After(kAnnounceRetry, [this] { Announce(); });
+              });
+}
+
+void Gateway::TakeNode(const std::string&                        name,
+                       const std::optional<programs::NodeInfo>& node) {
+  if (node) {
+    m_members.Put(*node);
+  } else {
+    m_members.Remove(name);
+  }
+}
+
+void Gateway::TellLoads() {
+  m_peers.TellLoads();
+  m_loop->After(kTellLoads, [this] { TellLoads(); });
+}
+
 void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
   m_routes = std::make_shared<traffic::RouteTable>(manifest);
   Duration longest = 0;
@@ -83,7 +126,8 @@
 void Gateway::OnReadable() {
   for (int fd = net::Accept(m_listener, kClientSilence); fd >= 0;
        fd = net::Accept(m_listener, kClientSilence)) {
-    GatewayParts parts{m_loop, &m_backends, &m_turns, m_log, m_metrics};
+    const GatewayParts parts{m_loop,   &m_backends, &m_turns,
+                             &m_peers, m_log,       m_metrics};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
     m_clients.emplace(raw, std::move(connection));
@@ -101,6 +145,7 @@
 void Gateway::Tick() {
   m_backends.Sweep();
   m_turns.Sweep();
+  m_desk.Sweep();
   m_metrics->Set(Gauge::kConnections, static_cast<double>(m_clients.size()));
   m_metrics->Set(Gauge::kTurns,
                  static_cast<double>(m_turns.history().size()));
@@ -116,6 +161,9 @@
   m_log->Write(LogEvent::kStopping, {{"connections", m_clients.size()}});
   m_loop->After(kBalancerLag, [this] {
     m_closing = true;
+    m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
+                kAnnounceTimeout,
+                [](const platform::StoreResult<platform::Appended>&) {});
     CloseIdle();
     FinishWhenIdle();
   });
@@ -134,7 +182,8 @@
     m_log->Write(LogEvent::kStopped,
                  {{"connections_cut", m_clients.size()},
                   {"turns_not_durable", m_turns.unkept()}});
-    m_loop->Stop();
+    m_desk.GiveBackAll();
+    m_loop->After(kLastCalls, [this] { m_loop->Stop(); });
     return;
   }
   m_loop->After(kStopCheck, [this] { FinishWhenIdle(); });
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -18,12 +18,15 @@
 class Gateway final : public ClientHost, public net::SocketHandler {
  public:
   Gateway(net::EventLoop* loop, const platform::Settings& settings, Log* log,
-          Metrics* metrics, std::string incarnation);
+          Metrics* metrics, const std::string& incarnation);
   ~Gateway() override;
 
   bool Listen();  // false: an address is not to be had
   void TakeManifest(const traffic::ManifestPtr& manifest);
   void TakeServers(const traffic::ServerListPtr& servers);
+  // A node announced itself, or, without a value, left.
+  void TakeNode(const std::string&                        name,
+                const std::optional<programs::NodeInfo>& node);
   // Serves on while the balancer turns clients away, then stops the loop.
   void Stop();
 
@@ -40,7 +43,9 @@
 
  private:
   SmallAnswer AnswerReadiness() const;
+  void        Announce();
   void        Tick();
+  void        TellLoads();
   void        CloseIdle();
   void        FinishWhenIdle();
   bool        Ready() const;
@@ -51,7 +56,12 @@
   Metrics*           m_metrics;
   platform::Store    m_store;
   Backends           m_backends;
+  LogHealth          m_health;
   TurnKeeper         m_turns;
+  TokenDesk          m_desk;
+  programs::Membership m_members;
+  PeerNetwork        m_network;
+  PeerService        m_peers;
   SmallServer        m_readiness;
   SmallServer        m_metrics_server;
   int                m_listener = -1;
--- a/src/yuccawick/gateway/log.cc
+++ b/src/yuccawick/gateway/log.cc
@@ -43,12 +43,12 @@
 }  // namespace
 
 std::string_view Name(LogEvent event) {
-  constexpr std::array<std::string_view, 22> kNames{
+  constexpr std::array<std::string_view, 21> kNames{
       "started",    "stopping",   "stopped",      "settings",
       "manifest",   "servers",    "log_lost",     "log_back",
       "accepted",   "sent",       "loss",         "answered",
-      "refused",    "cut_off",    "client_left",  "turn_kept",
-      "turn_at_risk", "claim",    "scan",         "peer",
+      "refused",    "cut_off",    "client_left",  "turn_at_peers",
+      "claim",    "scan",         "peer",
       "dropped",    "fault"};
   return kNames[static_cast<std::size_t>(event)];
 }
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -37,8 +37,7 @@
   kRefused,        // answered without an answer of a server
   kCutOff,         // the answer was broken off
   kClientLeft,
-  kTurnKept,       // a turn is durable
-  kTurnAtRisk,     // a turn's answer ended before the log had it
+  kTurnAtPeers,    // a turn is durable by copies; the log does not have it
   kClaim,          // tokens of a program were claimed
   kScan,           // the log was searched for turns
   kPeer,           // a peer came or went
--- /dev/null
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -0,0 +1,327 @@
+#include "yuccawick/gateway/peer_service.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "yuccawick/programs/record.h"
+
+namespace yuccawick::gateway {
+namespace {
+
+using programs::NodeInfo;
+using programs::Turn;
+
+// A home that must claim first takes two calls of the log, some 12 ms, half a
+// second in a slow spell.
+constexpr Duration kReserveTimeout = 700;  // ms
+constexpr Duration kCopyTimeout = 250;     // ms; a round trip and a busy peer
+constexpr Duration kFindTimeout = 250;     // ms
+// Copies that make a turn durable without the log; two losses at once are rarer
+// than the outages of the log that they bridge.
+constexpr std::size_t kCopies = 2;
+// Loads are told again after this time even if they did not change, in ms; news
+// older than 700 ms is not used.
+constexpr Duration kTellAnyway = 400;
+constexpr std::size_t kMaxGivenUp = 256;
+
+programs::wire::Reserved ToWire(ReserveOutcome outcome) {
+  return static_cast<programs::wire::Reserved>(outcome);
+}
+
+ReserveOutcome FromWire(programs::wire::Reserved reserved) {
+  return static_cast<ReserveOutcome>(reserved);
+}
+
+}  // namespace
+
+PeerService::PeerService(net::EventLoop* loop, programs::Membership* members,
+                         PeerNetwork* network, TokenDesk* desk,
+                         TurnKeeper* turns, Backends* backends)
+    : m_loop(loop),
+      m_members(members),
+      m_network(network),
+      m_desk(desk),
+      m_turns(turns),
+      m_backends(backends) {
+  network->SetService(this);
+  turns->SetPeers(this);
+}
+
+// Tokens ---------------------------------------------------------------------
+
+void PeerService::ReserveHere(const TurnBudget& turn, const ReserveDone& done) {
+  m_desk->Reserve(turn, [turn, done](ReserveOutcome outcome) {
+    done({outcome, turn, {}});
+  });
+}
+
+void PeerService::Reserve(const TurnBudget& turn, ReserveDone done) {
+  const NodeInfo& home = m_members->HomeOf(turn.program, m_loop->now());
+  if (home.name == m_members->self().name) {
+    ReserveHere(turn, done);
+    return;
+  }
+  auto       number = std::make_shared<std::uint64_t>(0);
+  const auto answered = [this, number, turn, name = home.name,
+                         done = std::move(done)](
+                            std::optional<PeerMessage::Reader> answer) {
+    if (!answer || !answer->isReserved()) {
+      if (m_given_up.size() >= kMaxGivenUp) {
+        m_given_up.erase(m_given_up.begin());
+      }
+      m_given_up.emplace(*number, turn);
+      ReserveHere(turn, done);
+      return;
+    }
+    const ReserveOutcome outcome = FromWire(answer->getReserved());
+    if (outcome == ReserveOutcome::kUnsure) {
+      // The home does not reach the log; this node may.
+      ReserveHere(turn, done);
+      return;
+    }
+    done({outcome, turn, name});
+  };
+  *number = m_network->Ask(
+      home,
+      [&turn](PeerMessage::Builder message) {
+        auto reserve = message.initReserve();
+        reserve.setProgram(turn.program);
+        reserve.setBudget(turn.budget);
+        reserve.setMost(turn.most);
+      },
+      kReserveTimeout, answered);
+}
+
+void PeerService::EndTurn(const Reservation& reservation,
+                          programs::Tokens   used) {
+  if (reservation.home.empty()) {
+    m_desk->EndTurn(reservation.turn, used);
+  } else {
+    TellSettle(reservation.home, reservation.turn, used);
+  }
+}
+
+void PeerService::TellSettle(const std::string& home, const TurnBudget& turn,
+                             programs::Tokens used) {
+  const NodeInfo* node = m_members->Find(home);
+  if (node == nullptr) return;
+  m_network->Tell(*node, [&](PeerMessage::Builder message) {
+    auto settle = message.initSettle();
+    settle.setProgram(turn.program);
+    settle.setMost(turn.most);
+    settle.setUsed(used);
+  });
+}
+
+void PeerService::OnLateAnswer(const std::string&  node,
+                               PeerMessage::Reader message,
+                               std::uint64_t       number) {
+  const auto found = m_given_up.find(number);
+  if (found == m_given_up.end()) return;
+  const TurnBudget turn = found->second;
+  m_given_up.erase(found);
+  const bool reserved = message.isReserved() && FromWire(message.getReserved()) ==
+                                                    ReserveOutcome::kStart;
+  // Nobody runs this turn on that reservation.
+  if (reserved) TellSettle(node, turn, 0);
+}
+
+void PeerService::ServeReserve(PeerNetwork::SessionId session,
+                               PeerMessage::Reader    message,
+                               PeerNetwork::Reply     reply) {
+  const auto       asked = message.getReserve();
+  const TurnBudget turn{asked.getProgram().cStr(), asked.getBudget(),
+                        asked.getMost()};
+  m_reserved.try_emplace(session);
+  m_desk->Reserve(turn, [this, session, turn,
+                         reply = std::move(reply)](ReserveOutcome outcome) {
+    if (outcome == ReserveOutcome::kStart) {
+      const auto held = m_reserved.find(session);
+      if (held == m_reserved.end()) {
+        // The asker is gone, and nothing was said to it.
+        m_desk->EndTurn(turn, 0);
+        return;
+      }
+      held->second.push_back(turn);
+    }
+    reply([outcome](PeerMessage::Builder answer) {
+      answer.setReserved(ToWire(outcome));
+    });
+  });
+}
+
+void PeerService::ServeSettle(PeerNetwork::SessionId session,
+                              PeerMessage::Reader    message) {
+  const auto settle = message.getSettle();
+  const auto held = m_reserved.find(session);
+  if (held == m_reserved.end()) return;
+  const std::string program = settle.getProgram().cStr();
+  const auto        turn = std::find_if(
+      held->second.begin(), held->second.end(), [&](const TurnBudget& each) {
+        return each.program == program && each.most == settle.getMost();
+      });
+  // Not there: it was counted at its most when an earlier session ended.
+  if (turn == held->second.end()) return;
+  const TurnBudget ended = *turn;
+  held->second.erase(turn);
+  m_desk->EndTurn(ended, settle.getUsed());
+}
+
+void PeerService::OnSessionEnd(PeerNetwork::SessionId session) {
+  auto node = m_reserved.extract(session);
+  if (node.empty()) return;
+  // What these turns generate will not be heard of; their most is safe.
+  for (const TurnBudget& turn : node.mapped()) m_desk->EndTurn(turn, turn.most);
+}
+
+// Turns ----------------------------------------------------------------------
+
+std::vector<NodeInfo> PeerService::Holders(const std::string& key) const {
+  // Other zones first: a zone's nodes fail together more often than not.
+  auto others = m_members->Others(m_loop->now());
+  const auto rank = [&](const NodeInfo& node) {
+    return std::pair(node.zone == m_members->self().zone,
+                     XXH3_64bits_withSeed(node.name.data(), node.name.size(),
+                                          XXH3_64bits(key.data(), key.size())));
+  };
+  std::sort(others.begin(), others.end(),
+            [&](const NodeInfo& a, const NodeInfo& b) {
+              return rank(a) < rank(b);
+            });
+  return others;
+}
+
+void PeerService::CopyTurn(const Turn& turn, Duration retention,
+                           std::function<void(bool)> done) {
+  auto holders = Holders(turn.id);
+  if (holders.size() > kCopies) holders.resize(kCopies);
+  if (holders.empty()) {
+    done(false);
+    return;
+  }
+  auto left = std::make_shared<std::size_t>(holders.size());
+  auto kept = std::make_shared<std::size_t>(0);
+  for (const NodeInfo& holder : holders) {
+    m_network->Ask(
+        holder,
+        [&](PeerMessage::Builder message) {
+          auto keep = message.initKeepTurn();
+          programs::Write(turn, keep.initTurn());
+          keep.setRetentionMs(retention);
+        },
+        kCopyTimeout,
+        [left, kept, done, wanted = holders.size()](
+            std::optional<PeerMessage::Reader> answer) {
+          if (answer && answer->isTurnKept()) ++*kept;
+          if (--*left == 0) done(*kept == wanted);
+        });
+  }
+}
+
+void PeerService::AskForTurn(const std::string&                     id,
+                             std::function<void(std::vector<Turn>)> done) {
+  const auto others = m_members->Others(m_loop->now());
+  if (others.empty()) {
+    done({});
+    return;
+  }
+  // Any of them may hold it. This is asked only while the log is away.
+  auto left = std::make_shared<std::size_t>(others.size());
+  auto ended = std::make_shared<bool>(false);
+  for (const NodeInfo& node : others) {
+    m_network->Ask(
+        node,
+        [&](PeerMessage::Builder message) { message.setFindTurn(id); },
+        kFindTimeout,
+        [left, ended, done](std::optional<PeerMessage::Reader> answer) {
+          --*left;
+          if (*ended) return;
+          std::vector<Turn> turns;
+          if (answer && answer->isTurnFound()) {
+            for (const auto& turn : answer->getTurnFound()) {
+              turns.push_back(programs::Read(turn));
+            }
+          }
+          if (turns.empty() && *left > 0) return;
+          *ended = true;
+          done(turns);
+        });
+  }
+}
+
+void PeerService::ServeFind(PeerMessage::Reader       message,
+                            const PeerNetwork::Reply& reply) {
+  const std::string id = message.getFindTurn().cStr();
+  // Part of a chain is of no use to the asker.
+  const bool whole = m_turns->history().HoldsChain(id);
+  const auto line = whole ? m_turns->history().Line(id)
+                          : std::vector<const Turn*>();
+  reply([&line](PeerMessage::Builder answer) {
+    auto     turns = answer.initTurnFound(static_cast<unsigned>(line.size()));
+    unsigned at = 0;
+    for (const Turn* turn : line) programs::Write(*turn, turns[at++]);
+  });
+}
+
+// Loads ----------------------------------------------------------------------
+
+void PeerService::TellLoads() {
+  auto loads = m_backends->OwnLoads();
+  std::sort(loads.begin(), loads.end());
+  const bool due = m_loop->now() - m_told_at >= kTellAnyway;
+  if (loads == m_told && !due) return;
+  m_told = loads;
+  m_told_at = m_loop->now();
+  for (const NodeInfo& node : m_members->Others(m_loop->now())) {
+    if (node.zone != m_members->self().zone) continue;
+    m_network->Tell(node, [&](PeerMessage::Builder message) {
+      auto list = message.initLoads(static_cast<unsigned>(loads.size()));
+      for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setServer(loads[i].first);
+        list[i].setRequests(static_cast<std::uint16_t>(loads[i].second));
+      }
+    });
+  }
+}
+
+void PeerService::TakeLoads(const std::string&  node,
+                            PeerMessage::Reader message) {
+  std::unordered_map<std::string, int> loads;
+  for (const auto& load : message.getLoads()) {
+    loads.emplace(load.getServer().cStr(), load.getRequests());
+  }
+  m_backends->SetPeerLoads(node, loads);
+}
+
+void PeerService::OnMessage(PeerNetwork::SessionId session,
+                            const std::string&     node,
+                            PeerMessage::Reader    message,
+                            PeerNetwork::Reply     reply) {
+  switch (message.which()) {
+    case PeerMessage::RESERVE:
+      ServeReserve(session, message, std::move(reply));
+      break;
+    case PeerMessage::SETTLE:
+      ServeSettle(session, message);
+      break;
+    case PeerMessage::KEEP_TURN: {
+      const auto keep = message.getKeepTurn();
+      m_turns->KeepCopy(programs::Read(keep.getTurn()), keep.getRetentionMs());
+      reply([](PeerMessage::Builder answer) { answer.setTurnKept(); });
+      break;
+    }
+    case PeerMessage::FIND_TURN:
+      ServeFind(message, reply);
+      break;
+    case PeerMessage::LOADS:
+      TakeLoads(node, message);
+      break;
+    default:
+      break;  // answers come on links, not here
+  }
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/peer_service.h
@@ -0,0 +1,80 @@
+// What nodes do for each other: count tokens, hold copies of turns, tell their
+// load.
+//
+// Each program has a home, the node that counts its tokens in memory; asking it
+// costs one round trip instead of two calls of the log. Homes are a matter of
+// cost only: a node that cannot reach the home, or differs about who it is,
+// counts by itself, and the claims in the log keep both within the budget.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "yuccawick/gateway/backends.h"
+#include "yuccawick/gateway/peer_network.h"
+#include "yuccawick/gateway/token_desk.h"
+#include "yuccawick/gateway/turn_keeper.h"
+
+namespace yuccawick::gateway {
+
+// Tokens that were reserved for a turn, and where they are settled.
+struct Reservation {
+  ReserveOutcome outcome = ReserveOutcome::kUnsure;
+  TurnBudget     turn;
+  std::string    home;  // name of the node that counts; empty: this one
+};
+
+class PeerService final : public PeerNetwork::Service, public TurnPeers {
+ public:
+  PeerService(net::EventLoop* loop, programs::Membership* members,
+              PeerNetwork* network, TokenDesk* desk, TurnKeeper* turns,
+              Backends* backends);
+
+  using ReserveDone = std::function<void(const Reservation&)>;
+  void Reserve(const TurnBudget& turn, ReserveDone done);
+  void EndTurn(const Reservation& reservation, programs::Tokens used);
+  // Tells the nodes of this zone what this node has under way.
+  void TellLoads();
+
+  void AskForTurn(
+      const std::string&                               id,
+      std::function<void(std::vector<programs::Turn>)> done) override;
+  void CopyTurn(const programs::Turn& turn, Duration retention,
+                std::function<void(bool)> done) override;
+
+  void OnMessage(PeerNetwork::SessionId session, const std::string& node,
+                 PeerMessage::Reader message,
+                 PeerNetwork::Reply  reply) override;
+  void OnSessionEnd(PeerNetwork::SessionId session) override;
+  void OnLateAnswer(const std::string& node, PeerMessage::Reader message,
+                    std::uint64_t number) override;
+
+ private:
+  void ReserveHere(const TurnBudget& turn, const ReserveDone& done);
+  void ServeReserve(PeerNetwork::SessionId session, PeerMessage::Reader message,
+                    PeerNetwork::Reply reply);
+  void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
+  void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
+  void TakeLoads(const std::string& node, PeerMessage::Reader message);
+  void TellSettle(const std::string& home, const TurnBudget& turn,
+                  programs::Tokens used);
+  std::vector<programs::NodeInfo> Holders(const std::string& key) const;
+
+  net::EventLoop*       m_loop;
+  programs::Membership* m_members;
+  PeerNetwork*          m_network;
+  TokenDesk*            m_desk;
+  TurnKeeper*           m_turns;
+  Backends*             m_backends;
+  // Turns reserved here for other nodes, by the session they came over.
+  std::unordered_map<PeerNetwork::SessionId, std::vector<TurnBudget>>
+      m_reserved;
+  // Questions for a reservation that were given up, by number.
+  std::map<std::uint64_t, TurnBudget>      m_given_up;
+  std::vector<std::pair<std::string, int>> m_told;
+  Time                                     m_told_at = 0;
+};
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -0,0 +1,222 @@
+#include "yuccawick/gateway/token_desk.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "yuccawick/programs/record.h"
+
+namespace yuccawick::gateway {
+namespace {
+
+using platform::ReadPage;
+using platform::StoreFailure;
+using platform::StoreResult;
+using platform::Topic;
+using programs::TokenAnswer;
+
+constexpr Duration kReadTimeout = 600;        // ms
+constexpr Duration kRetryDelay = 80;          // ms
+constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
+// A turn waits this long for others of its program to end, in ms: about as long
+// as the longest turn takes at a busy server.
+constexpr Duration kWaitForTurns = 900;
+
+}  // namespace
+
+std::string_view Name(ReserveOutcome outcome) {
+  constexpr std::array<std::string_view, 3> kNames{"unsure", "start", "spent"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
+TokenDesk::TokenDesk(net::EventLoop* loop, platform::Store* store,
+                     LogHealth* health, Log* log, std::string incarnation)
+    : m_loop(loop),
+      m_store(store),
+      m_health(health),
+      m_log(log),
+      m_incarnation(std::move(incarnation)),
+      m_appender(loop, store, health, Topic::kClaims, 0) {}
+
+void TokenDesk::Reserve(const TurnBudget& turn, Done done) {
+  m_accounts.try_emplace(turn.program,
+                         Account{programs::TokenAccount(turn.budget), 0, {}});
+  Answer({turn, std::move(done), m_loop->now() + kWaitForTurns});
+}
+
+void TokenDesk::Answer(const Waiting& request) {
+  Account& account = m_accounts.at(request.turn.program);
+  account.used = m_loop->now();
+  switch (account.tokens.Reserve(request.turn.most)) {
+    case TokenAnswer::kStart:
+      request.done(ReserveOutcome::kStart);
+      break;
+    case TokenAnswer::kSpent:
+      request.done(ReserveOutcome::kSpent);
+      break;
+    case TokenAnswer::kClaim:
+      Claim(request);
+      break;
+    case TokenAnswer::kWait:
+      if (m_loop->now() >= request.until) {
+        request.done(ReserveOutcome::kSpent);
+      } else {
+        account.waiting.push_back(request);
+      }
+      break;
+  }
+}
+
+void TokenDesk::Claim(const Waiting& request) {
+  programs::TokenClaim claim =
+      m_accounts.at(request.turn.program).tokens.NextClaim(request.turn.most);
+  claim.number = ++m_last_number;
+  claim.node = m_incarnation;
+  claim.program = request.turn.program;
+  m_claims.emplace(claim.number, request);
+  if (!m_health->WorthCalling()) {
+    ClaimFailed(claim.number);
+    return;
+  }
+  m_appender.Add(programs::EncodeClaim(claim), false,
+                 [this, number = claim.number](const Appender::Result& result) {
+                   if (!result) {
+                     ClaimFailed(number);
+                     return;
+                   }
+                   m_goal = std::max(m_goal, result->end);
+                   ReadClaims();
+                 });
+}
+
+void TokenDesk::ReadClaims() {
+  if (m_reading || m_next >= m_goal) return;
+  m_reading = true;
+  m_store->Read(Topic::kClaims, 0, m_next, 0, kReadTimeout,
+                [this](const StoreResult<ReadPage>& result) {
+                  m_reading = false;
+                  if (!result &&
+                      result.error().failure == StoreFailure::kExpired) {
+                    m_next = result.error().first;
+                    ReadClaims();
+                    return;
+                  }
+                  m_health->Note(result.has_value(), "read claims");
+                  if (!result) {
+                    ReadFailed();
+                    return;
+                  }
+                  m_next = result->next;
+                  for (const auto& record : result->records) {
+                    TakeRecord(record.value);
+                  }
+                  ReadClaims();
+                });
+}
+
+void TokenDesk::ReadFailed() {
+  // Claims that are in the log stay decided; what they bring is credited when
+  // it can be read again. Nobody waits for that.
+  std::vector<std::uint64_t> open;
+  for (const auto& [number, request] : m_claims) open.push_back(number);
+  for (const std::uint64_t number : open) ClaimFailed(number);
+  m_loop->After(kRetryDelay, [this] { ReadClaims(); });
+}
+
+void TokenDesk::TakeRecord(const std::string& record) {
+  const auto claim = programs::DecodeClaim(record);
+  if (!claim) {
+    m_log->Write(LogEvent::kFault, {{"what", "undecodable claim"}});
+    return;
+  }
+  const auto granted = m_ledger.Apply(*claim, m_loop->now());
+  if (claim->node != m_incarnation || claim->taken) return;
+  const auto account = m_accounts.find(claim->program);
+  if (account != m_accounts.end()) account->second.tokens.Granted(granted);
+  ClaimDecided(claim->number, granted);
+}
+
+void TokenDesk::ClaimDecided(std::uint64_t number, programs::Tokens granted) {
+  auto node = m_claims.extract(number);
+  if (node.empty()) return;
+  const Waiting& request = node.mapped();
+  m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
+                                  {"granted", granted},
+                                  {"most", request.turn.most}});
+  // Asks again rather than taking it: other turns may have used it meanwhile.
+  Answer(request);
+}
+
+void TokenDesk::ClaimFailed(std::uint64_t number) {
+  auto node = m_claims.extract(number);
+  if (node.empty()) return;
+  const Waiting& request = node.mapped();
+  auto&          tokens = m_accounts.at(request.turn.program).tokens;
+  const auto     allowance = tokens.TakeAllowance(request.turn.most);
+  if (allowance > 0) {
+    AppendTaken(request.turn.program, tokens.budget() + request.turn.most,
+                allowance);
+  }
+  const auto answer = tokens.Reserve(request.turn.most);
+  m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
+                                  {"log", "away"},
+                                  {"allowance", allowance},
+                                  {"granted", tokens.granted()},
+                                  {"most", request.turn.most}});
+  request.done(answer == TokenAnswer::kStart ? ReserveOutcome::kStart
+                                             : ReserveOutcome::kUnsure);
+}
+
+void TokenDesk::AppendTaken(const std::string& program, programs::Tokens budget,
+                            programs::Tokens tokens) {
+  programs::TokenClaim taken;
+  taken.number = ++m_last_number;
+  taken.node = m_incarnation;
+  taken.program = program;
+  taken.budget = budget;
+  taken.wish = tokens;
+  taken.taken = true;
+  m_appender.Add(programs::EncodeClaim(taken), true,
+                 [](const Appender::Result&) {});
+}
+
+void TokenDesk::EndTurn(const TurnBudget& turn, programs::Tokens used) {
+  const auto found = m_accounts.find(turn.program);
+  if (found == m_accounts.end()) return;
+  found->second.tokens.EndTurn(turn.most, used);
+  found->second.used = m_loop->now();
+  WakeWaiting(turn.program);
+}
+
+void TokenDesk::WakeWaiting(const std::string& program) {
+  // Each asks again; those that still do not fit wait on, in order.
+  auto waiting = std::exchange(m_accounts.at(program).waiting, {});
+  for (const Waiting& request : waiting) Answer(request);
+}
+
+void TokenDesk::GiveBackAll() {
+  for (auto& [program, account] : m_accounts) {
+    const auto spare = account.tokens.GiveBack();
+    if (spare <= 0) continue;
+    AppendTaken(program, account.tokens.budget(), -spare);
+  }
+}
+
+void TokenDesk::Sweep() {
+  const Time now = m_loop->now();
+  m_ledger.Expire(now);
+  std::vector<std::string> overdue;
+  for (const auto& [program, account] : m_accounts) {
+    if (!account.waiting.empty() && account.waiting.front().until <= now) {
+      overdue.push_back(program);
+    }
+  }
+  for (const std::string& program : overdue) WakeWaiting(program);
+  std::erase_if(m_accounts, [now](const auto& entry) {
+    return now - entry.second.used > kAccountMemory &&
+           entry.second.waiting.empty();
+  });
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/token_desk.h
@@ -0,0 +1,88 @@
+// Counts the tokens of the agent programs that this node is home of.
+//
+// Accounts live in memory and claim from the platform's log. Whoever asks for a
+// turn gets an answer soon: at once if the account has room, after a claim (two
+// calls of the log) if not, when a turn of the program ends if only turns under
+// way stand in the way.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "yuccawick/gateway/appender.h"
+#include "yuccawick/gateway/log_health.h"
+#include "yuccawick/programs/token_ledger.h"
+
+namespace yuccawick::gateway {
+
+using net::Duration;
+using net::Time;
+
+enum class ReserveOutcome : std::uint8_t {
+  kUnsure,  // the log does not answer, and nothing is left to allow
+  kStart,
+  kSpent,
+};
+std::string_view Name(ReserveOutcome outcome);
+
+struct TurnBudget {
+  std::string      program;
+  programs::Tokens budget = 0;  // of the program
+  programs::Tokens most = 0;    // that the turn may generate
+};
+
+class TokenDesk {
+ public:
+  using Done = std::function<void(ReserveOutcome)>;
+
+  TokenDesk(net::EventLoop* loop, platform::Store* store, LogHealth* health,
+            Log* log, std::string incarnation);
+
+  void Reserve(const TurnBudget& turn, Done done);
+  void EndTurn(const TurnBudget& turn, programs::Tokens used);
+  // The node stops: what it was granted and does not need goes back.
+  void GiveBackAll();
+  void Sweep();
+
+ private:
+  struct Waiting {
+    TurnBudget turn;
+    Done       done;
+    Time       until = 0;
+  };
+  struct Account {
+    programs::TokenAccount tokens;
+    Time                   used = 0;
+    std::deque<Waiting>    waiting;  // for a turn under way to end
+  };
+
+  void Answer(const Waiting& request);
+  void Claim(const Waiting& request);
+  void ClaimDecided(std::uint64_t number, programs::Tokens granted);
+  void ClaimFailed(std::uint64_t number);
+  void AppendTaken(const std::string& program, programs::Tokens budget,
+                   programs::Tokens tokens);
+  void ReadClaims();
+  void ReadFailed();
+  void TakeRecord(const std::string& record);
+  void WakeWaiting(const std::string& program);
+
+  net::EventLoop*       m_loop;
+  platform::Store*      m_store;
+  LogHealth*            m_health;
+  Log*                  m_log;
+  std::string           m_incarnation;
+  programs::TokenLedger m_ledger;
+  Appender              m_appender;
+  std::unordered_map<std::string, Account>   m_accounts;  // by program
+  std::unordered_map<std::uint64_t, Waiting> m_claims;    // by number
+  std::uint64_t m_last_number = 0;
+  std::int64_t  m_next = 0;  // offset to read on from
+  std::int64_t  m_goal = 0;  // offset to read up to
+  bool          m_reading = false;
+};
+
+}  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "yuccawick/programs/record.h"
@@ -11,23 +10,20 @@
 namespace yuccawick::gateway {
 namespace {
 
-using platform::Appended;
 using platform::LogRecord;
 using platform::ReadPage;
-using platform::StoreError;
 using platform::StoreFailure;
 using platform::StoreResult;
 using platform::Topic;
 
-// An append takes some 6 ms; in a slow spell of the log a quarter of a second.
-constexpr Duration kCallTimeout = 600;     // ms
-constexpr Duration kRetryDelay = 80;       // ms between tries of an append
-constexpr Duration kAwayPause = 150;       // ms between tries while it is away
-constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
-// Turns are kept longer than a client may name them, so that clocks and
-// answers on the way do not matter.
+constexpr Duration kReadTimeout = 600;  // ms
+// Turns are kept longer than a client may name them, so that answers on the way
+// and the time of a search do not matter.
 constexpr Duration kRetentionSlack = 15'000;  // ms
-constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // the log takes 2 MB a call
+// How long the log may take, in ms, before copies at peers are made as well. It
+// takes some 6 ms; a client's patience between two turns is above 100 ms.
+constexpr Duration kLogPatience = 40;
+constexpr double   kMillisPerSecond = 1000.0;
 
 int PartitionOf(const std::string& program) {
   return static_cast<int>(XXH3_64bits(program.data(), program.size()) %
@@ -36,118 +32,133 @@
 
 }  // namespace
 
-Appender::Appender(net::EventLoop* loop, platform::Store* store, Topic topic,
-                   int partition)
-    : m_loop(loop), m_store(store), m_topic(topic), m_partition(partition) {}
-
-void Appender::Add(std::string record, bool insist, Done done) {
-  m_waiting.push_back({std::move(record), insist, std::move(done)});
-  Pump();
-}
-
-void Appender::Pump() {
-  if (m_busy || m_waiting.empty()) return;
-  m_busy = true;
-  std::vector<std::string> records;
-  std::size_t              bytes = 0;
-  while (!m_waiting.empty() && bytes < kMaxBatchBytes) {
-    bytes += m_waiting.front().record.size();
-    records.push_back(m_waiting.front().record);
-    m_flying.push_back(std::move(m_waiting.front()));
-    m_waiting.erase(m_waiting.begin());
-  }
-  m_store->Append(
-      m_topic, m_partition, records, kCallTimeout,
-      [this](const StoreResult<Appended>& result) { Finish(result); });
-}
-
-void Appender::Finish(const tl::expected<Appended, StoreError>& result) {
-  auto              flown = std::exchange(m_flying, {});
-  std::vector<Item> again;
-  for (Item& item : flown) {
-    if (!result && item.insist) {
-      again.push_back(std::move(item));
-    } else {
-      item.done(result);
-    }
-  }
-  m_waiting.insert(m_waiting.begin(), std::make_move_iterator(again.begin()),
-                   std::make_move_iterator(again.end()));
-  m_loop->After(result ? 0 : kRetryDelay, [this] {
-    m_busy = false;
-    Pump();
-  });
-}
-
-TurnKeeper::TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
-                       Metrics* metrics, std::string incarnation)
+TurnKeeper::TurnKeeper(net::EventLoop* loop, platform::Store* store,
+                       LogHealth* health, Log* log, Metrics* metrics)
     : m_loop(loop),
       m_store(store),
+      m_health(health),
       m_log(log),
       m_metrics(metrics),
-      m_incarnation(std::move(incarnation)),
-      m_claim_appender(loop, store, Topic::kClaims, 0),
-      m_partitions(kTurnPartitions) {
+      m_scans(kTurnPartitions) {
   for (int i = 0; i < kTurnPartitions; ++i) {
-    m_turn_appenders.emplace_back(loop, store, Topic::kTurns, i);
+    m_appenders.emplace_back(loop, store, health, Topic::kTurns, i);
   }
 }
 
-void TurnKeeper::NoteLog(bool answered, std::string_view call) {
-  m_metrics->CountStoreCall(answered);
-  if (!answered) m_retry_log_at = m_loop->now() + kAwayPause;
-  if (answered != m_log_away) return;
-  m_log_away = !answered;
-  m_log->Write(answered ? LogEvent::kLogBack : LogEvent::kLogLost,
-               {{"call", call}});
-}
-
-std::size_t TurnKeeper::unkept() const { return m_unkept; }
-
-// Looks for turns ------------------------------------------------------------
+// Finding --------------------------------------------------------------------
 
-void TurnKeeper::Find(const std::string& id, FindDone done) {
+void TurnKeeper::Find(const std::string& id, const std::string& program,
+                      FindDone done) {
   if (m_history.HoldsChain(id)) {
     done(FindOutcome::kFound);
     return;
   }
-  m_scan_waiting.emplace_back(id, std::move(done));
-  if (!m_scanning) StartScan();
+  // A turn usually continues one of its own program, whose partition is known.
+  const int      first = PartitionOf(program);
+  const Question question{id, std::move(done)};
+  ScanPartition(first, [this, first, question](bool complete) {
+    if (m_history.HoldsChain(question.id)) {
+      question.done(FindOutcome::kFound);
+    } else if (!complete) {
+      AskPeers(question);
+    } else {
+      FindElsewhere(first, question);
+    }
+  });
 }
 
-void TurnKeeper::StartScan() {
-  m_scanning = true;
-  m_scan_failed = false;
-  m_scan_served = std::exchange(m_scan_waiting, {});
-  m_scan_open = kTurnPartitions;
-  for (int i = 0; i < kTurnPartitions; ++i) ScanPartition(i);
+void TurnKeeper::FindElsewhere(int first, const Question& question) {
+  auto open = std::make_shared<int>(kTurnPartitions - 1);
+  auto complete = std::make_shared<bool>(true);
+  const auto end = [this, question, complete] {
+    if (m_history.HoldsChain(question.id)) {
+      question.done(FindOutcome::kFound);
+    } else if (!*complete) {
+      AskPeers(question);
+    } else {
+      question.done(FindOutcome::kUnknown);
+    }
+  };
+  if (*open == 0) end();
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    if (i == first) continue;
+    ScanPartition(i, [open, complete, end](bool whole) {
+      *complete = *complete && whole;
+      if (--*open == 0) end();
+    });
+  }
 }
 
-void TurnKeeper::ScanPartition(int partition) {
-  auto& state = m_partitions[static_cast<std::size_t>(partition)];
-  m_store->Read(
-      Topic::kTurns, partition, state.next, 0, kCallTimeout,
-      [this, partition, &state](const StoreResult<ReadPage>& result) {
-        if (!result && result.error().failure == StoreFailure::kExpired) {
-          state.next = result.error().first;
-          ScanPartition(partition);
-          return;
-        }
-        NoteLog(result.has_value(), "read turns");
-        if (!result) {
-          m_scan_failed = true;
-        } else {
-          TakeTurns(result->records);
-          state.next = std::max(state.next, result->next);
-          if (state.next < result->end && !result->records.empty()) {
-            ScanPartition(partition);
-            return;
-          }
+void TurnKeeper::AskPeers(const Question& question) {
+  if (m_peers == nullptr) {
+    question.done(FindOutcome::kUnsure);
+    return;
+  }
+  m_peers->AskForTurn(
+      question.id, [this, question](const std::vector<programs::Turn>& turns) {
+        for (const programs::Turn& turn : turns) {
+          m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
         }
-        if (--m_scan_open == 0) EndScan(!m_scan_failed);
+        question.done(m_history.HoldsChain(question.id) ? FindOutcome::kFound
+                                                        : FindOutcome::kUnsure);
       });
 }
 
+void TurnKeeper::ScanPartition(int partition, std::function<void(bool)> done) {
+  Scan& scan = m_scans[static_cast<std::size_t>(partition)];
+  if (!scan.busy && !m_health->WorthCalling()) {
+    done(false);
+    return;
+  }
+  scan.waiting.push_back(std::move(done));
+  if (!scan.busy) BeginScan(partition);
+}
+
+void TurnKeeper::BeginScan(int partition) {
+  Scan& scan = m_scans[static_cast<std::size_t>(partition)];
+  scan.busy = true;
+  scan.served = std::exchange(scan.waiting, {});
+  ReadPart(partition);
+}
+
+void TurnKeeper::ReadPart(int partition) {
+  Scan& scan = m_scans[static_cast<std::size_t>(partition)];
+  m_store->Read(Topic::kTurns, partition, scan.next, 0, kReadTimeout,
+                [this, partition, &scan](const StoreResult<ReadPage>& result) {
+                  if (!result &&
+                      result.error().failure == StoreFailure::kExpired) {
+                    scan.next = result.error().first;
+                    ReadPart(partition);
+                    return;
+                  }
+                  m_health->Note(result.has_value(), "read turns");
+                  if (!result) {
+                    EndScan(partition, false);
+                    return;
+                  }
+                  TakeTurns(result->records);
+                  scan.next = std::max(scan.next, result->next);
+                  if (scan.next < result->end && !result->records.empty()) {
+                    ReadPart(partition);
+                  } else {
+                    EndScan(partition, true);
+                  }
+                });
+}
+
+void TurnKeeper::EndScan(int partition, bool complete) {
+  Scan&      scan = m_scans[static_cast<std::size_t>(partition)];
+  const auto served = std::exchange(scan.served, {});
+  scan.busy = false;
+  m_log->Write(LogEvent::kScan, {{"partition", partition},
+                                 {"complete", complete ? "yes" : "no"},
+                                 {"offset", scan.next},
+                                 {"questions", served.size()}});
+  // Whoever asked while this search ran needs one that starts now.
+  if (!scan.waiting.empty()) BeginScan(partition);
+  for (const auto& done : served) done(complete);
+}
+
 void TurnKeeper::TakeTurns(const std::vector<LogRecord>& records) {
   for (const LogRecord& record : records) {
     auto turn = programs::DecodeTurn(record.value);
@@ -161,196 +172,47 @@
   }
 }
 
-void TurnKeeper::EndScan(bool complete) {
-  const auto served = std::exchange(m_scan_served, {});
-  m_scanning = false;
-  m_log->Write(LogEvent::kScan, {{"complete", complete ? "yes" : "no"},
-                                 {"waiting", served.size()},
-                                 {"turns", m_history.size()}});
-  for (const auto& [id, done] : served) {
-    if (m_history.HoldsChain(id)) {
-      done(FindOutcome::kFound);
-    } else {
-      done(complete ? FindOutcome::kUnknown : FindOutcome::kUnsure);
-    }
-  }
-  if (!m_scan_waiting.empty() && !m_scanning) StartScan();
-}
-
-// Records turns --------------------------------------------------------------
+// Keeping --------------------------------------------------------------------
 
-void TurnKeeper::Keep(programs::Turn turn, Duration retention,
-                      std::function<void()> done) {
-  const Time  began = m_loop->now();
-  const int   partition = PartitionOf(turn.program);
-  std::string record = programs::EncodeTurn(turn);
-  m_history.Add(std::move(turn), began, retention + kRetentionSlack);
+void TurnKeeper::Append(const programs::Turn& turn, Appender::Done done) {
   ++m_unkept;
-  m_turn_appenders[static_cast<std::size_t>(partition)].Add(
-      std::move(record), true,
-      [this, began,
-       done = std::move(done)](const StoreResult<Appended>& result) {
+  const auto partition = static_cast<std::size_t>(PartitionOf(turn.program));
+  m_appenders[partition].Add(
+      programs::EncodeTurn(turn), true,
+      [this, done = std::move(done)](const Appender::Result& result) {
         --m_unkept;
-        NoteLog(result.has_value(), "append turn");
-        constexpr double kMillisPerSecond = 1000.0;
-        m_metrics->ObserveTurnKept(
-            static_cast<double>(m_loop->now() - began) / kMillisPerSecond);
-        done();
+        done(result);
       });
 }
 
-// Token budgets --------------------------------------------------------------
-
-void TurnKeeper::Reserve(const std::string& program, programs::Tokens budget,
-                         programs::Tokens most, ReserveDone done) {
-  auto [found, added] =
-      m_accounts.try_emplace(program, Account{programs::TokenAccount(budget)});
-  found->second.used = m_loop->now();
-  const auto answer = found->second.tokens.Reserve(most);
-  if (answer != programs::TokenAnswer::kClaim) {
-    done(answer);
-    return;
-  }
-  SubmitClaim(program, most, std::move(done));
-}
-
-void TurnKeeper::SubmitClaim(const std::string& program, programs::Tokens most,
-                             ReserveDone done) {
-  auto&                account = m_accounts.at(program).tokens;
-  programs::TokenClaim claim = account.NextClaim(most);
-  claim.number = ++m_last_claim;
-  claim.node = m_incarnation;
-  claim.program = program;
-  m_claims.emplace(claim.number, Waiting{program, most, std::move(done)});
-  if (m_loop->now() < m_retry_log_at) {
-    // The log has just failed to answer; waiting for it again would cost each
-    // request the whole timeout.
-    ClaimFailed(claim.number);
-    return;
-  }
-  m_claim_appender.Add(
-      programs::EncodeClaim(claim), false,
-      [this, number = claim.number](const StoreResult<Appended>& result) {
-        NoteLog(result.has_value(), "append claim");
-        if (!result) {
-          ClaimFailed(number);
-          return;
-        }
-        m_claims_goal = std::max(m_claims_goal, result->end);
-        ReadClaims();
-      });
-}
-
-void TurnKeeper::ReadClaims() {
-  if (m_reading_claims || m_claims_next >= m_claims_goal) return;
-  m_reading_claims = true;
-  m_store->Read(
-      Topic::kClaims, 0, m_claims_next, 0, kCallTimeout,
-      [this](const StoreResult<ReadPage>& result) {
-        m_reading_claims = false;
-        if (!result && result.error().failure == StoreFailure::kExpired) {
-          m_claims_next = result.error().first;
-          ReadClaims();
-          return;
-        }
-        NoteLog(result.has_value(), "read claims");
-        if (!result) {
-          // Claims that are in the log stay decided; they are credited when it
-          // can be read again.
-          std::vector<std::uint64_t> open;
-          for (const auto& [number, waiting] : m_claims) open.push_back(number);
-          for (const std::uint64_t number : open) ClaimFailed(number);
-          m_loop->After(kRetryDelay, [this] { ReadClaims(); });
-          return;
-        }
-        m_claims_next = result->next;
-        for (const LogRecord& record : result->records) TakeClaim(record.value);
-        ReadClaims();
-      });
-}
-
-void TurnKeeper::TakeClaim(const std::string& record) {
-  const auto claim = programs::DecodeClaim(record);
-  if (!claim) {
-    m_log->Write(LogEvent::kFault, {{"what", "undecodable claim"}});
-    return;
-  }
-  const auto granted = m_ledger.Apply(*claim, m_loop->now());
-  if (claim->node != m_incarnation || claim->taken) return;
-  const auto account = m_accounts.find(claim->program);
-  if (account != m_accounts.end()) account->second.tokens.Granted(granted);
-  SettleClaim(claim->number, granted);
-}
-
-void TurnKeeper::SettleClaim(std::uint64_t number, programs::Tokens granted) {
-  auto node = m_claims.extract(number);
-  if (node.empty()) return;
-  const Waiting& waiting = node.mapped();
-  m_log->Write(LogEvent::kClaim, {{"program", waiting.program},
-                                  {"granted", granted},
-                                  {"most", waiting.most}});
-  Retry(waiting);
-}
-
-void TurnKeeper::Retry(const Waiting& waiting) {
-  auto& account = m_accounts.at(waiting.program);
-  auto  answer = account.tokens.Reserve(waiting.most);
-  // Another turn of the program may have taken what this claim brought.
-  if (answer == programs::TokenAnswer::kClaim) {
-    SubmitClaim(waiting.program, waiting.most, waiting.done);
-    return;
-  }
-  waiting.done(answer);
-}
-
-void TurnKeeper::ClaimFailed(std::uint64_t number) {
-  auto node = m_claims.extract(number);
-  if (node.empty()) return;
-  const Waiting& waiting = node.mapped();
-  auto&          account = m_accounts.at(waiting.program).tokens;
-  if (account.TakeAllowance()) {
-    programs::TokenClaim taken;
-    taken.number = ++m_last_claim;
-    taken.node = m_incarnation;
-    taken.program = waiting.program;
-    taken.budget = account.budget();
-    taken.wish = account.allowance();
-    taken.taken = true;
-    m_claim_appender.Add(programs::EncodeClaim(taken), true,
-                         [](const StoreResult<Appended>&) {});
-  }
-  const auto answer = account.Reserve(waiting.most);
-  m_log->Write(LogEvent::kClaim,
-               {{"program", waiting.program},
-                {"log", "away"},
-                {"granted", account.granted()},
-                {"most", waiting.most}});
-  if (answer == programs::TokenAnswer::kClaim) {
-    waiting.done(std::nullopt);
-  } else {
-    waiting.done(answer);
-  }
-}
-
-void TurnKeeper::Use(const std::string& program, programs::Tokens tokens) {
-  const auto found = m_accounts.find(program);
-  if (found != m_accounts.end()) found->second.tokens.Use(tokens);
-}
-
-void TurnKeeper::EndTurn(const std::string& program, programs::Tokens most) {
-  const auto found = m_accounts.find(program);
-  if (found == m_accounts.end()) return;
-  found->second.tokens.EndTurn(most);
-  found->second.used = m_loop->now();
+void TurnKeeper::Keep(const programs::Turn& turn, Duration retention,
+                      KeepDone done) {
+  const Time began = m_loop->now();
+  m_history.Add(turn, began, retention + kRetentionSlack);
+  auto       open = std::make_shared<bool>(true);
+  const auto settle = [this, began, open, done = std::move(done)](Kept kept) {
+    if (!std::exchange(*open, false)) return;
+    m_metrics->ObserveTurnKept(static_cast<double>(m_loop->now() - began) /
+                               kMillisPerSecond);
+    done(kept);
+  };
+  Append(turn, [settle](const Appender::Result&) { settle(Kept::kInLog); });
+  if (m_peers == nullptr) return;
+  const Duration patience = m_health->away() ? 0 : kLogPatience;
+  m_loop->After(patience, [this, turn, retention, open, settle] {
+    if (!*open) return;
+    m_peers->CopyTurn(turn, retention, [settle](bool copied) {
+      if (copied) settle(Kept::kAtPeers);
+    });
+  });
 }
 
-void TurnKeeper::Sweep() {
-  const Time now = m_loop->now();
-  m_history.Expire(now);
-  m_ledger.Expire(now);
-  std::erase_if(m_accounts, [now](const auto& entry) {
-    return now - entry.second.used > kAccountMemory;
-  });
+void TurnKeeper::KeepCopy(const programs::Turn& turn, Duration retention) {
+  if (m_history.Holds(turn.id)) return;
+  m_history.Add(turn, m_loop->now(), retention + kRetentionSlack);
+  // The sender appends it as well; a turn that lies in the log twice is the
+  // same turn, and this copy counts if the sender dies first.
+  Append(turn, [](const Appender::Result&) {});
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -1,31 +1,24 @@
-// Turns and token budgets as this node serves them: from memory where it can,
-// from the platform's log where it must.
+// The turns of agent programs as this node serves them: from memory where it
+// can, from the platform's log where it must.
 //
-//   history   TurnHistory holds what this node finished or read. A turn it does
-//             not hold is looked for in the whole log; the search starts after
-//             the question came, so what it does not find does not exist.
-//   recording a finished turn is appended to the log before the client sees the
-//             end of its answer. Appends of a partition go one after the other,
-//             each with all turns that came meanwhile.
-//   budgets   claims go to the log and are decided by its order.
-//
-// While the log does not answer, turns wait for it in memory and are appended
-// when it is back.
+//   Find  a turn that this node does not hold is looked for in the log. The
+//         search starts after the question came, so what a complete search does
+//         not find does not exist. If the log does not answer, peers are asked;
+//         they can find a turn, but not rule it out.
+//   Keep  a finished turn is appended to the log before the client sees the end
+//         of its answer. If the log is away, copies at two other nodes have to
+//         do until it is back; they append it too, in case this node dies.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "platform/store.h"
-#include "yuccawick/gateway/log.h"
-#include "yuccawick/gateway/metrics.h"
-#include "yuccawick/programs/token_ledger.h"
+#include "yuccawick/gateway/appender.h"
+#include "yuccawick/gateway/log_health.h"
 #include "yuccawick/programs/turn_history.h"
 
 namespace yuccawick::gateway {
@@ -33,129 +26,87 @@
 using net::Duration;
 using net::Time;
 
-// Partitions of our topics. Each takes an append every two milliseconds with
-// any number of records; a search reads all of them.
+// Partitions of the log that hold turns, by program. Each takes an append every
+// two milliseconds with any number of records.
 inline constexpr int kTurnPartitions = 2;
 
-// Carries records to one partition, one append at a time.
-class Appender {
- public:
-  using Done = std::function<void(tl::expected<platform::Appended,
-                                               platform::StoreError>)>;
-  Appender(net::EventLoop* loop, platform::Store* store, platform::Topic topic,
-           int partition);
-  // `done` is called once, with the append that carried the record. With
-  // `insist`, failed appends are repeated until one succeeds.
-  void Add(std::string record, bool insist, Done done);
-  std::size_t waiting() const { return m_waiting.size() + m_flying.size(); }
-
- private:
-  struct Item {
-    std::string record;
-    bool        insist;
-    Done        done;
-  };
-  void Pump();
-  void Finish(const tl::expected<platform::Appended, platform::StoreError>&);
-
-  net::EventLoop*   m_loop;
-  platform::Store*  m_store;
-  platform::Topic   m_topic;
-  int               m_partition;
-  std::vector<Item> m_waiting;
-  std::vector<Item> m_flying;
-  bool              m_busy = false;
-};
-
 enum class FindOutcome : std::uint8_t {
   kFound,
   kUnknown,  // certainly no such turn
-  kUnsure,   // the log does not answer
+  kUnsure,   // the log does not answer, and no peer holds it
+};
+
+// What other nodes can do for turns; see peer_service.h.
+class TurnPeers {
+ public:
+  virtual ~TurnPeers() = default;
+  // Asks some others for a turn with its ancestors; empty: none holds it.
+  virtual void AskForTurn(
+      const std::string&                              id,
+      std::function<void(std::vector<programs::Turn>)> done) = 0;
+  // Has two others keep the turn; `done(true)` once both do.
+  virtual void CopyTurn(const programs::Turn& turn, Duration retention,
+                        std::function<void(bool)> done) = 0;
 };
 
 class TurnKeeper {
  public:
-  TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
-             Metrics* metrics, std::string incarnation);
+  TurnKeeper(net::EventLoop* loop, platform::Store* store, LogHealth* health,
+             Log* log, Metrics* metrics);
+  void SetPeers(TurnPeers* peers) { m_peers = peers; }
 
-  // Makes sure that the chain of turn `id` is in history().
+  // Makes sure that the chain of the turn is in history().
   using FindDone = std::function<void(FindOutcome)>;
-  void Find(const std::string& id, FindDone done);
+  void Find(const std::string& id, const std::string& program, FindDone done);
 
-  // Keeps the turn; `done` once it is durable.
-  void Keep(programs::Turn turn, Duration retention,
-            std::function<void()> done);
-
-  // Reserves a turn of `most` tokens in the program's budget.
-  using ReserveDone = std::function<void(std::optional<programs::TokenAnswer>)>;
-  void Reserve(const std::string& program, programs::Tokens budget,
-               programs::Tokens most, ReserveDone done);
-  // Tokens handed to a client, and the end of a reserved turn.
-  void Use(const std::string& program, programs::Tokens tokens);
-  void EndTurn(const std::string& program, programs::Tokens most);
+  enum class Kept : std::uint8_t { kInLog, kAtPeers };
+  using KeepDone = std::function<void(Kept)>;
+  // `done` once the turn is durable; never, if that cannot be had.
+  void Keep(const programs::Turn& turn, Duration retention, KeepDone done);
+  // A peer's turn, kept here and appended to the log when it answers.
+  void KeepCopy(const programs::Turn& turn, Duration retention);
 
   programs::TurnHistory& history() { return m_history; }
-  std::size_t            unkept() const;  // turns that are not durable yet
+  std::size_t            unkept() const { return m_unkept; }
   // How long turns read from the log are kept, in ms: the longest of the routes.
   void                   SetRetention(Duration retention) {
     m_retention = retention;
   }
-  bool                   log_away() const { return m_log_away; }
-  void                   Sweep();
+  void Sweep() { m_history.Expire(m_loop->now()); }
 
  private:
-  struct Partition {
-    std::int64_t next = 0;
-    bool         done = false;
-  };
-  struct Account {
-    programs::TokenAccount tokens;
-    Time                   used = 0;
+  struct Question {
+    std::string id;
+    FindDone    done;
   };
-  struct Waiting {
-    std::string      program;
-    programs::Tokens most = 0;
-    ReserveDone      done;
+  // Reads one partition up to its end, for those who asked before it began.
+  struct Scan {
+    std::int64_t                           next = 0;
+    bool                                   busy = false;
+    std::vector<std::function<void(bool)>> served;
+    std::vector<std::function<void(bool)>> waiting;
   };
 
-  void StartScan();
-  void ScanPartition(int partition);
-  void EndScan(bool complete);
+  void ScanPartition(int partition, std::function<void(bool)> done);
+  void BeginScan(int partition);
+  void ReadPart(int partition);
+  void EndScan(int partition, bool complete);
+  void FindElsewhere(int first, const Question& question);
+  void AskPeers(const Question& question);
   void TakeTurns(const std::vector<platform::LogRecord>& records);
-  void SubmitClaim(const std::string& program, programs::Tokens most,
-                   ReserveDone done);
-  void ReadClaims();
-  void TakeClaim(const std::string& record);
-  void SettleClaim(std::uint64_t number, programs::Tokens granted);
-  void ClaimFailed(std::uint64_t number);
-  void Retry(const Waiting& waiting);
-  void NoteLog(bool answered, std::string_view call);
-
-  net::EventLoop*        m_loop;
-  platform::Store*       m_store;
-  Log*                   m_log;
-  Metrics*               m_metrics;
-  std::string            m_incarnation;
-  programs::TurnHistory  m_history;
-  programs::TokenLedger  m_ledger;
-  std::vector<Appender>  m_turn_appenders;
-  Appender               m_claim_appender;
-  std::vector<Partition> m_partitions;
-  bool                   m_scanning = false;
-  int                    m_scan_open = 0;
-  bool                   m_scan_failed = false;
-  std::vector<std::pair<std::string, FindDone>> m_scan_waiting;  // the next one
-  std::vector<std::pair<std::string, FindDone>> m_scan_served;   // this one
-  std::unordered_map<std::string, Account>      m_accounts;  // by program
-  std::unordered_map<std::uint64_t, Waiting>    m_claims;    // by number
-  std::uint64_t m_last_claim = 0;
-  std::int64_t  m_claims_next = 0;  // offset to read on from
-  std::int64_t  m_claims_goal = 0;  // read up to here, at least
-  bool          m_reading_claims = false;
-  bool          m_log_away = false;
-  Time          m_retry_log_at = 0;
-  std::size_t   m_unkept = 0;
-  Duration      m_retention = 60'000;  // until a manifest says
+  void Append(const programs::Turn& turn, Appender::Done done);
+
+  net::EventLoop*       m_loop;
+  platform::Store*      m_store;
+  LogHealth*            m_health;
+  Log*                  m_log;
+  Metrics*              m_metrics;
+  TurnPeers*            m_peers = nullptr;
+  programs::TurnHistory m_history;
+  std::vector<Appender> m_appenders;  // by partition
+  std::vector<Scan>     m_scans;      // by partition
+  std::size_t           m_unkept = 0;  // turns of this node not in the log
+  Duration              m_retention = 60'000;  // until a manifest says
 };
 
 }  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/programs/membership.h
@@ -0,0 +1,60 @@
+// The nodes that take traffic, as they announced themselves, and which of them
+// is responsible for a key.
+//
+// Every node computes the same home for a key as long as it knows the same
+// nodes; nodes that differ for a while choose two homes, so a home may only
+// make work cheaper, never decide anything that the log does not. Rendezvous
+// hashing moves no more keys than it must when nodes come and go.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "yuccawick/net/endpoint.h"
+#include "yuccawick/net/event_loop.h"
+
+namespace yuccawick::programs {
+
+using net::Duration;
+using net::Time;
+
+struct NodeInfo {
+  std::string   name;         // of the VM; stays over restarts
+  std::string   incarnation;  // of one start
+  net::Endpoint address;      // for other nodes
+  std::string   zone;
+
+  bool operator==(const NodeInfo&) const = default;
+};
+
+class Membership {
+ public:
+  explicit Membership(NodeInfo self) : m_self(std::move(self)) {}
+
+  void            Put(const NodeInfo& node);
+  void            Remove(const std::string& name) { m_nodes.erase(name); }
+  // The node did not answer: it is no home for `kSuspicion`.
+  void            Suspect(const std::string& name, Time now);
+  void            Trust(const std::string& name) { m_suspects.erase(name); }
+  // The home of a key among the nodes that are not suspected; may be self.
+  const NodeInfo& HomeOf(std::string_view key, Time now) const;
+  const NodeInfo& self() const { return m_self; }
+  const NodeInfo* Find(const std::string& name) const;
+  std::vector<NodeInfo> Others(Time now) const;  // not suspected
+
+ private:
+  bool Suspected(const std::string& name, Time now) const;
+
+  NodeInfo                        m_self;
+  std::map<std::string, NodeInfo> m_nodes;     // others, by name
+  std::map<std::string, Time>     m_suspects;  // until when
+};
+
+// How long a node that did not answer is left alone, in ms: long enough that a
+// dead node costs few requests a timeout, short enough that a restarted one is
+// used soon.
+inline constexpr Duration kSuspicion = 1500;
+
+}  // namespace yuccawick::programs
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -32,35 +32,45 @@
 
 struct ServerLoad {
   server   @0 :Text;    # id of the backend server
-  requests @1 :UInt16;  # under way there from this node
+  requests @1 :UInt16;  # under way there from the sender
 }
 
-struct PeerMessage {
-  union {
-    # Sent first on each connection; names the sender.
-    hello     @0 :Node;
-    loads     @1 :List(ServerLoad);
-    # Keep this turn, and append it to the log when that can be reached.
-    keepTurn  @2 :KeepTurn;
-    turnKept  @3 :UInt64;
-    # Asks for a turn and its ancestors.
-    findTurn  @4 :FindTurn;
-    turnFound @5 :TurnFound;
-  }
+# Tokens of a program, asked of the node that counts them.
+struct Reserve {
+  program @0 :Text;
+  budget  @1 :Int64;
+  most    @2 :Int64;  # that the turn may generate
 }
 
-struct KeepTurn {
-  number    @0 :UInt64;
-  turn      @1 :Turn;
-  partition @2 :UInt32;
+enum Reserved {
+  unsure @0;  # the log does not answer, and there is no allowance
+  start  @1;
+  spent  @2;
 }
 
-struct FindTurn {
-  number @0 :UInt64;
-  id     @1 :Text;
+struct Settle {
+  program @0 :Text;
+  most    @1 :Int64;  # as reserved
+  used    @2 :Int64;
 }
 
-struct TurnFound {
+struct KeepTurn {
+  turn        @0 :Turn;
+  retentionMs @1 :Int64;
+}
+
+# One message between two nodes. An answer carries its question's number.
+struct PeerMessage {
   number @0 :UInt64;
-  turns  @1 :List(Turn);  # newest first; empty: not held
+  union {
+    hello     @1 :Node;
+    loads     @2 :List(ServerLoad);
+    reserve   @3 :Reserve;
+    reserved  @4 :Reserved;
+    settle    @5 :Settle;
+    keepTurn  @6 :KeepTurn;
+    turnKept  @7 :Void;
+    findTurn  @8 :Text;
+    turnFound @9 :List(Turn);  # the turn, then its ancestors; empty: not held
+  }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -20,10 +20,17 @@
 CAPNP_DECLARE_SCHEMA(ccc3d6065c8f34fd);
 CAPNP_DECLARE_SCHEMA(bd554e7db3564a08);
 CAPNP_DECLARE_SCHEMA(c9f77a471cb6f694);
-CAPNP_DECLARE_SCHEMA(cf586f855819257a);
+CAPNP_DECLARE_SCHEMA(a0cb44f94be6ba58);
+CAPNP_DECLARE_SCHEMA(88ae186b7b8b0e4c);
+enum class Reserved_88ae186b7b8b0e4c: uint16_t {
+  UNSURE,
+  START,
+  SPENT,
+};
+CAPNP_DECLARE_ENUM(Reserved, 88ae186b7b8b0e4c);
+CAPNP_DECLARE_SCHEMA(e815b14870d8fb0a);
 CAPNP_DECLARE_SCHEMA(ad2032ee2143278b);
-CAPNP_DECLARE_SCHEMA(ef439a6e7630d740);
-CAPNP_DECLARE_SCHEMA(dcbbc7fd69706fca);
+CAPNP_DECLARE_SCHEMA(cf586f855819257a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -92,68 +99,73 @@
   };
 };
 
-struct PeerMessage {
-  PeerMessage() = delete;
+struct Reserve {
+  Reserve() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
-    HELLO,
-    LOADS,
-    KEEP_TURN,
-    TURN_KEPT,
-    FIND_TURN,
-    TURN_FOUND,
-  };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cf586f855819257a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a0cb44f94be6ba58, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct KeepTurn {
-  KeepTurn() = delete;
+typedef ::capnp::schemas::Reserved_88ae186b7b8b0e4c Reserved;
+
+struct Settle {
+  Settle() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad2032ee2143278b, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e815b14870d8fb0a, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct FindTurn {
-  FindTurn() = delete;
+struct KeepTurn {
+  KeepTurn() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef439a6e7630d740, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ad2032ee2143278b, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct TurnFound {
-  TurnFound() = delete;
+struct PeerMessage {
+  PeerMessage() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
+  enum Which: uint16_t {
+    HELLO,
+    LOADS,
+    RESERVE,
+    RESERVED,
+    SETTLE,
+    KEEP_TURN,
+    TURN_KEPT,
+    FIND_TURN,
+    TURN_FOUND,
+  };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcbbc7fd69706fca, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cf586f855819257a, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -586,9 +598,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PeerMessage::Reader {
+class Reserve::Reader {
 public:
-  typedef PeerMessage Reads;
+  typedef Reserve Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -603,29 +615,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline bool hasHello() const;
-  inline  ::yuccawick::programs::wire::Node::Reader getHello() const;
-
-  inline bool isLoads() const;
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
-
-  inline bool isKeepTurn() const;
-  inline bool hasKeepTurn() const;
-  inline  ::yuccawick::programs::wire::KeepTurn::Reader getKeepTurn() const;
-
-  inline bool isTurnKept() const;
-  inline  ::uint64_t getTurnKept() const;
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline bool isFindTurn() const;
-  inline bool hasFindTurn() const;
-  inline  ::yuccawick::programs::wire::FindTurn::Reader getFindTurn() const;
+  inline  ::int64_t getBudget() const;
 
-  inline bool isTurnFound() const;
-  inline bool hasTurnFound() const;
-  inline  ::yuccawick::programs::wire::TurnFound::Reader getTurnFound() const;
+  inline  ::int64_t getMost() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -639,9 +634,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerMessage::Builder {
+class Reserve::Builder {
 public:
-  typedef PeerMessage Builds;
+  typedef Reserve Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -655,50 +650,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline bool hasHello();
-  inline  ::yuccawick::programs::wire::Node::Builder getHello();
-  inline void setHello( ::yuccawick::programs::wire::Node::Reader value);
-  inline  ::yuccawick::programs::wire::Node::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value);
-  inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> disownHello();
-
-  inline bool isLoads();
-  inline bool hasLoads();
-  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>> disownLoads();
-
-  inline bool isKeepTurn();
-  inline bool hasKeepTurn();
-  inline  ::yuccawick::programs::wire::KeepTurn::Builder getKeepTurn();
-  inline void setKeepTurn( ::yuccawick::programs::wire::KeepTurn::Reader value);
-  inline  ::yuccawick::programs::wire::KeepTurn::Builder initKeepTurn();
-  inline void adoptKeepTurn(::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn>&& value);
-  inline ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn> disownKeepTurn();
-
-  inline bool isTurnKept();
-  inline  ::uint64_t getTurnKept();
-  inline void setTurnKept( ::uint64_t value);
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline bool isFindTurn();
-  inline bool hasFindTurn();
-  inline  ::yuccawick::programs::wire::FindTurn::Builder getFindTurn();
-  inline void setFindTurn( ::yuccawick::programs::wire::FindTurn::Reader value);
-  inline  ::yuccawick::programs::wire::FindTurn::Builder initFindTurn();
-  inline void adoptFindTurn(::capnp::Orphan< ::yuccawick::programs::wire::FindTurn>&& value);
-  inline ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn> disownFindTurn();
+  inline  ::int64_t getBudget();
+  inline void setBudget( ::int64_t value);
 
-  inline bool isTurnFound();
-  inline bool hasTurnFound();
-  inline  ::yuccawick::programs::wire::TurnFound::Builder getTurnFound();
-  inline void setTurnFound( ::yuccawick::programs::wire::TurnFound::Reader value);
-  inline  ::yuccawick::programs::wire::TurnFound::Builder initTurnFound();
-  inline void adoptTurnFound(::capnp::Orphan< ::yuccawick::programs::wire::TurnFound>&& value);
-  inline ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound> disownTurnFound();
+  inline  ::int64_t getMost();
+  inline void setMost( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -710,9 +673,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerMessage::Pipeline {
+class Reserve::Pipeline {
 public:
-  typedef PeerMessage Pipelines;
+  typedef Reserve Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -726,9 +689,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class KeepTurn::Reader {
+class Settle::Reader {
 public:
-  typedef KeepTurn Reads;
+  typedef Settle Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -743,12 +706,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline bool hasProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline bool hasTurn() const;
-  inline  ::yuccawick::programs::wire::Turn::Reader getTurn() const;
+  inline  ::int64_t getMost() const;
 
-  inline  ::uint32_t getPartition() const;
+  inline  ::int64_t getUsed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -762,9 +725,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class KeepTurn::Builder {
+class Settle::Builder {
 public:
-  typedef KeepTurn Builds;
+  typedef Settle Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -778,18 +741,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline bool hasProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline bool hasTurn();
-  inline  ::yuccawick::programs::wire::Turn::Builder getTurn();
-  inline void setTurn( ::yuccawick::programs::wire::Turn::Reader value);
-  inline  ::yuccawick::programs::wire::Turn::Builder initTurn();
-  inline void adoptTurn(::capnp::Orphan< ::yuccawick::programs::wire::Turn>&& value);
-  inline ::capnp::Orphan< ::yuccawick::programs::wire::Turn> disownTurn();
+  inline  ::int64_t getMost();
+  inline void setMost( ::int64_t value);
 
-  inline  ::uint32_t getPartition();
-  inline void setPartition( ::uint32_t value);
+  inline  ::int64_t getUsed();
+  inline void setUsed( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -801,15 +764,14 @@
 };
 
 #if !CAPNP_LITE
-class KeepTurn::Pipeline {
+class Settle::Pipeline {
 public:
-  typedef KeepTurn Pipelines;
+  typedef Settle Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::yuccawick::programs::wire::Turn::Pipeline getTurn();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -818,9 +780,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FindTurn::Reader {
+class KeepTurn::Reader {
 public:
-  typedef FindTurn Reads;
+  typedef KeepTurn Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -835,10 +797,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline bool hasTurn() const;
+  inline  ::yuccawick::programs::wire::Turn::Reader getTurn() const;
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline  ::int64_t getRetentionMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -852,9 +814,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FindTurn::Builder {
+class KeepTurn::Builder {
 public:
-  typedef FindTurn Builds;
+  typedef KeepTurn Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -868,15 +830,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline bool hasTurn();
+  inline  ::yuccawick::programs::wire::Turn::Builder getTurn();
+  inline void setTurn( ::yuccawick::programs::wire::Turn::Reader value);
+  inline  ::yuccawick::programs::wire::Turn::Builder initTurn();
+  inline void adoptTurn(::capnp::Orphan< ::yuccawick::programs::wire::Turn>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Turn> disownTurn();
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline  ::int64_t getRetentionMs();
+  inline void setRetentionMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -888,14 +850,15 @@
 };
 
 #if !CAPNP_LITE
-class FindTurn::Pipeline {
+class KeepTurn::Pipeline {
 public:
-  typedef FindTurn Pipelines;
+  typedef KeepTurn Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::yuccawick::programs::wire::Turn::Pipeline getTurn();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -904,9 +867,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TurnFound::Reader {
+class PeerMessage::Reader {
 public:
-  typedef TurnFound Reads;
+  typedef PeerMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -921,10 +884,42 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline Which which() const;
   inline  ::uint64_t getNumber() const;
 
-  inline bool hasTurns() const;
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader getTurns() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::yuccawick::programs::wire::Node::Reader getHello() const;
+
+  inline bool isLoads() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool isReserve() const;
+  inline bool hasReserve() const;
+  inline  ::yuccawick::programs::wire::Reserve::Reader getReserve() const;
+
+  inline bool isReserved() const;
+  inline  ::yuccawick::programs::wire::Reserved getReserved() const;
+
+  inline bool isSettle() const;
+  inline bool hasSettle() const;
+  inline  ::yuccawick::programs::wire::Settle::Reader getSettle() const;
+
+  inline bool isKeepTurn() const;
+  inline bool hasKeepTurn() const;
+  inline  ::yuccawick::programs::wire::KeepTurn::Reader getKeepTurn() const;
+
+  inline bool isTurnKept() const;
+  inline  ::capnp::Void getTurnKept() const;
+
+  inline bool isFindTurn() const;
+  inline bool hasFindTurn() const;
+  inline  ::capnp::Text::Reader getFindTurn() const;
+
+  inline bool isTurnFound() const;
+  inline bool hasTurnFound() const;
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader getTurnFound() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -938,9 +933,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TurnFound::Builder {
+class PeerMessage::Builder {
 public:
-  typedef TurnFound Builds;
+  typedef PeerMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -954,15 +949,73 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline Which which();
   inline  ::uint64_t getNumber();
   inline void setNumber( ::uint64_t value);
 
-  inline bool hasTurns();
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder getTurns();
-  inline void setTurns( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder initTurns(unsigned int size);
-  inline void adoptTurns(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> disownTurns();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::yuccawick::programs::wire::Node::Builder getHello();
+  inline void setHello( ::yuccawick::programs::wire::Node::Reader value);
+  inline  ::yuccawick::programs::wire::Node::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> disownHello();
+
+  inline bool isLoads();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool isReserve();
+  inline bool hasReserve();
+  inline  ::yuccawick::programs::wire::Reserve::Builder getReserve();
+  inline void setReserve( ::yuccawick::programs::wire::Reserve::Reader value);
+  inline  ::yuccawick::programs::wire::Reserve::Builder initReserve();
+  inline void adoptReserve(::capnp::Orphan< ::yuccawick::programs::wire::Reserve>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Reserve> disownReserve();
+
+  inline bool isReserved();
+  inline  ::yuccawick::programs::wire::Reserved getReserved();
+  inline void setReserved( ::yuccawick::programs::wire::Reserved value);
+
+  inline bool isSettle();
+  inline bool hasSettle();
+  inline  ::yuccawick::programs::wire::Settle::Builder getSettle();
+  inline void setSettle( ::yuccawick::programs::wire::Settle::Reader value);
+  inline  ::yuccawick::programs::wire::Settle::Builder initSettle();
+  inline void adoptSettle(::capnp::Orphan< ::yuccawick::programs::wire::Settle>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Settle> disownSettle();
+
+  inline bool isKeepTurn();
+  inline bool hasKeepTurn();
+  inline  ::yuccawick::programs::wire::KeepTurn::Builder getKeepTurn();
+  inline void setKeepTurn( ::yuccawick::programs::wire::KeepTurn::Reader value);
+  inline  ::yuccawick::programs::wire::KeepTurn::Builder initKeepTurn();
+  inline void adoptKeepTurn(::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn> disownKeepTurn();
+
+  inline bool isTurnKept();
+  inline  ::capnp::Void getTurnKept();
+  inline void setTurnKept( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isFindTurn();
+  inline bool hasFindTurn();
+  inline  ::capnp::Text::Builder getFindTurn();
+  inline void setFindTurn( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFindTurn(unsigned int size);
+  inline void adoptFindTurn(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFindTurn();
+
+  inline bool isTurnFound();
+  inline bool hasTurnFound();
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder getTurnFound();
+  inline void setTurnFound( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder initTurnFound(unsigned int size);
+  inline void adoptTurnFound(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> disownTurnFound();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -974,9 +1027,9 @@
 };
 
 #if !CAPNP_LITE
-class TurnFound::Pipeline {
+class PeerMessage::Pipeline {
 public:
-  typedef TurnFound Pipelines;
+  typedef PeerMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1450,64 +1503,255 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::yuccawick::programs::wire::PeerMessage::Which PeerMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::yuccawick::programs::wire::PeerMessage::Which PeerMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool PeerMessage::Reader::isHello() const {
-  return which() == PeerMessage::HELLO;
-}
-inline bool PeerMessage::Builder::isHello() {
-  return which() == PeerMessage::HELLO;
-}
-inline bool PeerMessage::Reader::hasHello() const {
-  if (which() != PeerMessage::HELLO) return false;
+inline bool Reserve::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasHello() {
-  if (which() != PeerMessage::HELLO) return false;
+inline bool Reserve::Builder::hasProgram() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::yuccawick::programs::wire::Node::Reader PeerMessage::Reader::getHello() const {
-  KJ_IREQUIRE((which() == PeerMessage::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Reserve::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::getHello() {
-  KJ_IREQUIRE((which() == PeerMessage::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Reserve::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setHello( ::yuccawick::programs::wire::Node::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::set(_builder.getPointerField(
+inline void Reserve::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::initHello() {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Reserve::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PeerMessage::Builder::adoptHello(
-    ::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::adopt(_builder.getPointerField(
+inline void Reserve::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> PeerMessage::Builder::disownHello() {
-  KJ_IREQUIRE((which() == PeerMessage::HELLO),
+inline ::capnp::Orphan< ::capnp::Text> Reserve::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Reserve::Reader::getBudget() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Reserve::Builder::getBudget() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Reserve::Builder::setBudget( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Reserve::Reader::getMost() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Reserve::Builder::getMost() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Reserve::Builder::setMost( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Settle::Reader::hasProgram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Settle::Builder::hasProgram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Settle::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Settle::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Settle::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Settle::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Settle::Builder::adoptProgram(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Settle::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Settle::Reader::getMost() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Settle::Builder::getMost() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Settle::Builder::setMost( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Settle::Reader::getUsed() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Settle::Builder::getUsed() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Settle::Builder::setUsed( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeepTurn::Reader::hasTurn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeepTurn::Builder::hasTurn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::Turn::Reader KeepTurn::Reader::getTurn() const {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::Turn::Builder KeepTurn::Builder::getTurn() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::yuccawick::programs::wire::Turn::Pipeline KeepTurn::Pipeline::getTurn() {
+  return  ::yuccawick::programs::wire::Turn::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void KeepTurn::Builder::setTurn( ::yuccawick::programs::wire::Turn::Reader value) {
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::Turn::Builder KeepTurn::Builder::initTurn() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeepTurn::Builder::adoptTurn(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Turn>&& value) {
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Turn> KeepTurn::Builder::disownTurn() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t KeepTurn::Reader::getRetentionMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t KeepTurn::Builder::getRetentionMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeepTurn::Builder::setRetentionMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::yuccawick::programs::wire::PeerMessage::Which PeerMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::yuccawick::programs::wire::PeerMessage::Which PeerMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Reader::isHello() const {
+  return which() == PeerMessage::HELLO;
+}
+inline bool PeerMessage::Builder::isHello() {
+  return which() == PeerMessage::HELLO;
+}
+inline bool PeerMessage::Reader::hasHello() const {
+  if (which() != PeerMessage::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasHello() {
+  if (which() != PeerMessage::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::Node::Reader PeerMessage::Reader::getHello() const {
+  KJ_IREQUIRE((which() == PeerMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::getHello() {
+  KJ_IREQUIRE((which() == PeerMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setHello( ::yuccawick::programs::wire::Node::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::initHello() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptHello(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> PeerMessage::Builder::disownHello() {
+  KJ_IREQUIRE((which() == PeerMessage::HELLO),
               "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
@@ -1543,20 +1787,20 @@
 }
 inline void PeerMessage::Builder::setLoads( ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
   ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initLoads(unsigned int size) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
   return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void PeerMessage::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOADS);
   ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::ServerLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
@@ -1567,353 +1811,324 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isKeepTurn() const {
-  return which() == PeerMessage::KEEP_TURN;
+inline bool PeerMessage::Reader::isReserve() const {
+  return which() == PeerMessage::RESERVE;
 }
-inline bool PeerMessage::Builder::isKeepTurn() {
-  return which() == PeerMessage::KEEP_TURN;
+inline bool PeerMessage::Builder::isReserve() {
+  return which() == PeerMessage::RESERVE;
 }
-inline bool PeerMessage::Reader::hasKeepTurn() const {
-  if (which() != PeerMessage::KEEP_TURN) return false;
+inline bool PeerMessage::Reader::hasReserve() const {
+  if (which() != PeerMessage::RESERVE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasKeepTurn() {
-  if (which() != PeerMessage::KEEP_TURN) return false;
+inline bool PeerMessage::Builder::hasReserve() {
+  if (which() != PeerMessage::RESERVE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::yuccawick::programs::wire::KeepTurn::Reader PeerMessage::Reader::getKeepTurn() const {
-  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
+inline  ::yuccawick::programs::wire::Reserve::Reader PeerMessage::Reader::getReserve() const {
+  KJ_IREQUIRE((which() == PeerMessage::RESERVE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::yuccawick::programs::wire::KeepTurn::Builder PeerMessage::Builder::getKeepTurn() {
-  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
+inline  ::yuccawick::programs::wire::Reserve::Builder PeerMessage::Builder::getReserve() {
+  KJ_IREQUIRE((which() == PeerMessage::RESERVE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setKeepTurn( ::yuccawick::programs::wire::KeepTurn::Reader value) {
+inline void PeerMessage::Builder::setReserve( ::yuccawick::programs::wire::Reserve::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RESERVE);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::yuccawick::programs::wire::KeepTurn::Builder PeerMessage::Builder::initKeepTurn() {
+inline  ::yuccawick::programs::wire::Reserve::Builder PeerMessage::Builder::initReserve() {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RESERVE);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::adoptKeepTurn(
-    ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn>&& value) {
+inline void PeerMessage::Builder::adoptReserve(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Reserve>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RESERVE);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn> PeerMessage::Builder::disownKeepTurn() {
-  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Reserve> PeerMessage::Builder::disownReserve() {
+  KJ_IREQUIRE((which() == PeerMessage::RESERVE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Reserve>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTurnKept() const {
-  return which() == PeerMessage::TURN_KEPT;
+inline bool PeerMessage::Reader::isReserved() const {
+  return which() == PeerMessage::RESERVED;
 }
-inline bool PeerMessage::Builder::isTurnKept() {
-  return which() == PeerMessage::TURN_KEPT;
+inline bool PeerMessage::Builder::isReserved() {
+  return which() == PeerMessage::RESERVED;
 }
-inline  ::uint64_t PeerMessage::Reader::getTurnKept() const {
-  KJ_IREQUIRE((which() == PeerMessage::TURN_KEPT),
+inline  ::yuccawick::programs::wire::Reserved PeerMessage::Reader::getReserved() const {
+  KJ_IREQUIRE((which() == PeerMessage::RESERVED),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::yuccawick::programs::wire::Reserved>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerMessage::Builder::getTurnKept() {
-  KJ_IREQUIRE((which() == PeerMessage::TURN_KEPT),
+inline  ::yuccawick::programs::wire::Reserved PeerMessage::Builder::getReserved() {
+  KJ_IREQUIRE((which() == PeerMessage::RESERVED),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::yuccawick::programs::wire::Reserved>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PeerMessage::Builder::setTurnKept( ::uint64_t value) {
+inline void PeerMessage::Builder::setReserved( ::yuccawick::programs::wire::Reserved value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TURN_KEPT);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::RESERVED);
+  _builder.setDataField< ::yuccawick::programs::wire::Reserved>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PeerMessage::Reader::isFindTurn() const {
-  return which() == PeerMessage::FIND_TURN;
+inline bool PeerMessage::Reader::isSettle() const {
+  return which() == PeerMessage::SETTLE;
 }
-inline bool PeerMessage::Builder::isFindTurn() {
-  return which() == PeerMessage::FIND_TURN;
+inline bool PeerMessage::Builder::isSettle() {
+  return which() == PeerMessage::SETTLE;
 }
-inline bool PeerMessage::Reader::hasFindTurn() const {
-  if (which() != PeerMessage::FIND_TURN) return false;
+inline bool PeerMessage::Reader::hasSettle() const {
+  if (which() != PeerMessage::SETTLE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasFindTurn() {
-  if (which() != PeerMessage::FIND_TURN) return false;
+inline bool PeerMessage::Builder::hasSettle() {
+  if (which() != PeerMessage::SETTLE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::yuccawick::programs::wire::FindTurn::Reader PeerMessage::Reader::getFindTurn() const {
-  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+inline  ::yuccawick::programs::wire::Settle::Reader PeerMessage::Reader::getSettle() const {
+  KJ_IREQUIRE((which() == PeerMessage::SETTLE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::yuccawick::programs::wire::FindTurn::Builder PeerMessage::Builder::getFindTurn() {
-  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+inline  ::yuccawick::programs::wire::Settle::Builder PeerMessage::Builder::getSettle() {
+  KJ_IREQUIRE((which() == PeerMessage::SETTLE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setFindTurn( ::yuccawick::programs::wire::FindTurn::Reader value) {
+inline void PeerMessage::Builder::setSettle( ::yuccawick::programs::wire::Settle::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::yuccawick::programs::wire::FindTurn::Builder PeerMessage::Builder::initFindTurn() {
+inline  ::yuccawick::programs::wire::Settle::Builder PeerMessage::Builder::initSettle() {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SETTLE);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::adoptFindTurn(
-    ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn>&& value) {
+inline void PeerMessage::Builder::adoptSettle(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Settle>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::SETTLE);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn> PeerMessage::Builder::disownFindTurn() {
-  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Settle> PeerMessage::Builder::disownSettle() {
+  KJ_IREQUIRE((which() == PeerMessage::SETTLE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Settle>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PeerMessage::Reader::isTurnFound() const {
-  return which() == PeerMessage::TURN_FOUND;
+inline bool PeerMessage::Reader::isKeepTurn() const {
+  return which() == PeerMessage::KEEP_TURN;
 }
-inline bool PeerMessage::Builder::isTurnFound() {
-  return which() == PeerMessage::TURN_FOUND;
+inline bool PeerMessage::Builder::isKeepTurn() {
+  return which() == PeerMessage::KEEP_TURN;
 }
-inline bool PeerMessage::Reader::hasTurnFound() const {
-  if (which() != PeerMessage::TURN_FOUND) return false;
+inline bool PeerMessage::Reader::hasKeepTurn() const {
+  if (which() != PeerMessage::KEEP_TURN) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerMessage::Builder::hasTurnFound() {
-  if (which() != PeerMessage::TURN_FOUND) return false;
+inline bool PeerMessage::Builder::hasKeepTurn() {
+  if (which() != PeerMessage::KEEP_TURN) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::yuccawick::programs::wire::TurnFound::Reader PeerMessage::Reader::getTurnFound() const {
-  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+inline  ::yuccawick::programs::wire::KeepTurn::Reader PeerMessage::Reader::getKeepTurn() const {
+  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::yuccawick::programs::wire::TurnFound::Builder PeerMessage::Builder::getTurnFound() {
-  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+inline  ::yuccawick::programs::wire::KeepTurn::Builder PeerMessage::Builder::getKeepTurn() {
+  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTurnFound( ::yuccawick::programs::wire::TurnFound::Reader value) {
+inline void PeerMessage::Builder::setKeepTurn( ::yuccawick::programs::wire::KeepTurn::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::yuccawick::programs::wire::TurnFound::Builder PeerMessage::Builder::initTurnFound() {
+inline  ::yuccawick::programs::wire::KeepTurn::Builder PeerMessage::Builder::initKeepTurn() {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::adoptTurnFound(
-    ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound>&& value) {
+inline void PeerMessage::Builder::adoptKeepTurn(
+    ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::KEEP_TURN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound> PeerMessage::Builder::disownTurnFound() {
-  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+inline ::capnp::Orphan< ::yuccawick::programs::wire::KeepTurn> PeerMessage::Builder::disownKeepTurn() {
+  KJ_IREQUIRE((which() == PeerMessage::KEEP_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t KeepTurn::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeepTurn::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeepTurn::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeepTurn::Reader::hasTurn() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeepTurn::Builder::hasTurn() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::yuccawick::programs::wire::Turn::Reader KeepTurn::Reader::getTurn() const {
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::yuccawick::programs::wire::Turn::Builder KeepTurn::Builder::getTurn() {
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::yuccawick::programs::wire::Turn::Pipeline KeepTurn::Pipeline::getTurn() {
-  return  ::yuccawick::programs::wire::Turn::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void KeepTurn::Builder::setTurn( ::yuccawick::programs::wire::Turn::Reader value) {
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::yuccawick::programs::wire::Turn::Builder KeepTurn::Builder::initTurn() {
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KeepTurn::Builder::adoptTurn(
-    ::capnp::Orphan< ::yuccawick::programs::wire::Turn>&& value) {
-  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::yuccawick::programs::wire::Turn> KeepTurn::Builder::disownTurn() {
-  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Turn>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::KeepTurn>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t KeepTurn::Reader::getPartition() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t KeepTurn::Builder::getPartition() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool PeerMessage::Reader::isTurnKept() const {
+  return which() == PeerMessage::TURN_KEPT;
 }
-inline void KeepTurn::Builder::setPartition( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool PeerMessage::Builder::isTurnKept() {
+  return which() == PeerMessage::TURN_KEPT;
 }
-
-inline  ::uint64_t FindTurn::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::capnp::Void PeerMessage::Reader::getTurnKept() const {
+  KJ_IREQUIRE((which() == PeerMessage::TURN_KEPT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FindTurn::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::capnp::Void PeerMessage::Builder::getTurnKept() {
+  KJ_IREQUIRE((which() == PeerMessage::TURN_KEPT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FindTurn::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void PeerMessage::Builder::setTurnKept( ::capnp::Void value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_KEPT);
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FindTurn::Reader::hasId() const {
+inline bool PeerMessage::Reader::isFindTurn() const {
+  return which() == PeerMessage::FIND_TURN;
+}
+inline bool PeerMessage::Builder::isFindTurn() {
+  return which() == PeerMessage::FIND_TURN;
+}
+inline bool PeerMessage::Reader::hasFindTurn() const {
+  if (which() != PeerMessage::FIND_TURN) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FindTurn::Builder::hasId() {
+inline bool PeerMessage::Builder::hasFindTurn() {
+  if (which() != PeerMessage::FIND_TURN) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FindTurn::Reader::getId() const {
+inline  ::capnp::Text::Reader PeerMessage::Reader::getFindTurn() const {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FindTurn::Builder::getId() {
+inline  ::capnp::Text::Builder PeerMessage::Builder::getFindTurn() {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FindTurn::Builder::setId( ::capnp::Text::Reader value) {
+inline void PeerMessage::Builder::setFindTurn( ::capnp::Text::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FindTurn::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder PeerMessage::Builder::initFindTurn(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FindTurn::Builder::adoptId(
+inline void PeerMessage::Builder::adoptFindTurn(
     ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FindTurn::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownFindTurn() {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TurnFound::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TurnFound::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PeerMessage::Reader::isTurnFound() const {
+  return which() == PeerMessage::TURN_FOUND;
 }
-inline void TurnFound::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool PeerMessage::Builder::isTurnFound() {
+  return which() == PeerMessage::TURN_FOUND;
 }
-
-inline bool TurnFound::Reader::hasTurns() const {
+inline bool PeerMessage::Reader::hasTurnFound() const {
+  if (which() != PeerMessage::TURN_FOUND) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TurnFound::Builder::hasTurns() {
+inline bool PeerMessage::Builder::hasTurnFound() {
+  if (which() != PeerMessage::TURN_FOUND) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader TurnFound::Reader::getTurns() const {
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getTurnFound() const {
+  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder TurnFound::Builder::getTurns() {
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getTurnFound() {
+  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TurnFound::Builder::setTurns( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void PeerMessage::Builder::setTurnFound( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
   ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder TurnFound::Builder::initTurns(unsigned int size) {
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initTurnFound(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
   return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TurnFound::Builder::adoptTurns(
+inline void PeerMessage::Builder::adoptTurnFound(
     ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
   ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> TurnFound::Builder::disownTurns() {
+inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownTurnFound() {
+  KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -97,4 +97,25 @@
   });
 }
 
+std::string EncodeNode(const NodeInfo& node) {
+  return Encode([&](auto* message) {
+    auto builder = message->template initRoot<wire::Node>();
+    builder.setIncarnation(node.incarnation);
+    builder.setAddress(node.address.Text());
+    builder.setZone(node.zone);
+  });
+}
+
+std::optional<NodeInfo> DecodeNode(const std::string& name,
+                                   std::string_view   bytes) {
+  auto node = Decode<NodeInfo>(bytes, [&](auto* message) {
+    const auto reader = message->template getRoot<wire::Node>();
+    const auto address = net::ParseEndpoint(Text(reader.getAddress()));
+    return NodeInfo{name, Text(reader.getIncarnation()),
+                    address.value_or(net::Endpoint{}),
+                    Text(reader.getZone())};
+  });
+  return node && node->address.port != 0 ? node : std::nullopt;
+}
+
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -1,6 +1,7 @@
 #include "yuccawick/programs/token_ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawick::programs {
 
@@ -38,12 +39,16 @@
     m_running += most;
     return TokenAnswer::kStart;
   }
-  return m_denied ? TokenAnswer::kSpent : TokenAnswer::kClaim;
+  if (!m_denied) return TokenAnswer::kClaim;
+  // Turns under way are counted at their most; they usually end with less.
+  const bool may_fit_later = m_used + most <= m_granted;
+  return may_fit_later ? TokenAnswer::kWait : TokenAnswer::kSpent;
 }
 
 TokenClaim TokenAccount::NextClaim(Tokens most) const {
   TokenClaim claim;
-  claim.budget = m_budget;
+  // One turn may go beyond the budget.
+  claim.budget = m_budget + most;
   claim.need = std::max<Tokens>(1, m_used + m_running + most - m_granted);
   claim.wish = std::max(claim.need, m_budget / kWishDivisor);
   return claim;
@@ -54,12 +59,23 @@
   m_denied = granted == 0;
 }
 
-bool TokenAccount::TakeAllowance() {
-  if (m_allowance_taken) return false;
-  m_allowance_taken = true;
-  m_allowance = m_budget / kAllowanceDivisor;
-  m_granted += m_allowance;
-  return true;
+Tokens TokenAccount::TakeAllowance(Tokens most) {
+  if (std::exchange(m_allowance_taken, true)) return 0;
+  const Tokens allowance =
+      m_granted == 0 ? std::max(most, m_budget / kAllowanceDivisor) : most;
+  m_granted += allowance;
+  return allowance;
+}
+
+void TokenAccount::EndTurn(Tokens most, Tokens used) {
+  m_running -= most;
+  m_used += used;
+}
+
+Tokens TokenAccount::GiveBack() {
+  const Tokens spare = m_granted - m_used - m_running;
+  m_granted -= spare;
+  return spare;
 }
 
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -8,6 +8,10 @@
 //
 // TokenLedger is that computation. TokenAccount is one node's side of one
 // program: what it was granted, what its turns used, what they may still use.
+//
+// The ledger grants up to the budget and one turn beyond it: a program may end
+// its budget in the middle of a turn. Counting turns at the most they may
+// generate, nothing that was granted can exceed that.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +33,8 @@
   Tokens        budget = 0;  // of the program, as its client states it
   Tokens        need = 0;    // less than this is of no use
   Tokens        wish = 0;    // taken if half of the rest allows it
-  // Already used while the log was away; counts whether it fits or not.
+  // Counts whether it fits or not: `wish` was used while the log was away, or,
+  // below zero, is given back by a node that stops.
   bool          taken = false;
 };
 
@@ -52,6 +57,7 @@
 enum class TokenAnswer : std::uint8_t {
   kStart,  // reserved; the turn may run
   kClaim,  // claim NextClaim() first, then ask again
+  kWait,   // ask again when a turn under way has ended
   kSpent,  // the budget does not hold this turn
 };
 
@@ -64,35 +70,36 @@
   // A claim for such a turn; `number` and `node` are the caller's to fill.
   TokenClaim  NextClaim(Tokens most) const;
   void        Granted(Tokens granted);
-  // The log does not answer: a share of the budget that this node may use
-  // without a record. False if it was taken before.
-  bool        TakeAllowance();
-  void        Use(Tokens tokens) { m_used += tokens; }  // handed to the client
-  void        EndTurn(Tokens most) { m_running -= most; }
+  // The log does not answer: tokens that may be used without its record, for
+  // this turn; 0 if there are none.
+  Tokens      TakeAllowance(Tokens most);
+  // The turn ended and `used` of its tokens were handed to the client.
+  void        EndTurn(Tokens most, Tokens used);
+  // What is granted and not needed is given up; returns how much.
+  Tokens      GiveBack();
 
   Tokens budget() const { return m_budget; }
   Tokens granted() const { return m_granted; }
   Tokens used() const { return m_used; }
-  Tokens allowance() const { return m_allowance; }
-  void   CountAllowance() { m_allowance = 0; }  // it is in the log now
+  Tokens running() const { return m_running; }
 
  private:
   Tokens m_budget;
   Tokens m_granted = 0;
   Tokens m_used = 0;
-  Tokens m_running = 0;    // the most that turns under way may use
-  Tokens m_allowance = 0;  // part of m_granted that the log does not know
+  Tokens m_running = 0;  // the most that turns under way may use
   bool   m_allowance_taken = false;
   bool   m_denied = false;  // the last claim was granted nothing
 };
 
-// Share of a budget that a node takes while the log does not answer. Clients
-// stay with few nodes, so a quarter keeps the sum over the nodes that see one
-// program during an outage within its budget.
-inline constexpr Tokens   kAllowanceDivisor = 4;
-// A claim asks for half of the budget: a program that stays on its node costs
-// one claim, and half is left for the nodes it moves to.
+// A claim asks for half of the budget, and gets at most half of what is left: a
+// program that stays with one counting node costs one claim, and enough is left
+// for the node that counts after it.
 inline constexpr Tokens   kWishDivisor = 2;
+// Allowance of a program that the log knows nothing of yet, as a part of its
+// budget. One node counts a program, so a second one comes in only if the first
+// fails during the outage; both together stay within the budget.
+inline constexpr Tokens   kAllowanceDivisor = 2;
 // How long an idle program's entry is kept, in ms: well above the retention of
 // turns, within which a stopped program may come back.
 inline constexpr Duration kLedgerRetention = 180'000;
