Rule turns out only with the peers; allowances only at a program's home

Change: a turn is unknown only if the log was read whole and at most two nodes are silent. Change: only the home takes one; nodes ask the next home if one does not answer.

--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -19,9 +19,8 @@
 constexpr Duration kReserveTimeout = 700;  // ms
 constexpr Duration kCopyTimeout = 250;     // ms; a round trip and a busy peer
 constexpr Duration kFindTimeout = 250;     // ms
-// Copies that make a turn durable without the log; two losses at once are rarer
-// than the outages of the log that they bridge.
-constexpr std::size_t kCopies = 2;
+// Homes that are asked one after the other for one turn.
+constexpr int kMaxHomes = 2;
 // Loads are told again after this time even if they did not change, in ms; news
 // older than 700 ms is not used.
 constexpr Duration kTellAnyway = 400;
@@ -52,34 +51,44 @@
 
 // Tokens ---------------------------------------------------------------------
 
-void PeerService::ReserveHere(const TurnBudget& turn, const ReserveDone& done) {
-  m_desk->Reserve(turn, [turn, done](ReserveOutcome outcome) {
+void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
+                              const ReserveDone& done) {
+  m_desk->Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
     done({outcome, turn, {}});
   });
 }
 
 void PeerService::Reserve(const TurnBudget& turn, ReserveDone done) {
+  ReserveFrom(turn, 0, done);
+}
+
+void PeerService::ReserveFrom(const TurnBudget& turn, int failures,
+                              const ReserveDone& done) {
   const NodeInfo& home = m_members->HomeOf(turn.program, m_loop->now());
   if (home.name == m_members->self().name) {
-    ReserveHere(turn, done);
+    ReserveHere(turn, TokenDesk::Outage::kUseAllowance, done);
+    return;
+  }
+  if (failures >= kMaxHomes) {
+    ReserveHere(turn, TokenDesk::Outage::kRefuse, done);
     return;
   }
   auto       number = std::make_shared<std::uint64_t>(0);
-  const auto answered = [this, number, turn, name = home.name,
-                         done = std::move(done)](
-                            std::optional<PeerMessage::Reader> answer) {
+  const auto answered = [this, number, turn, failures, name = home.name,
+                         done](std::optional<PeerMessage::Reader> answer) {
     if (!answer || !answer->isReserved()) {
       if (m_given_up.size() >= kMaxGivenUp) {
         m_given_up.erase(m_given_up.begin());
       }
       m_given_up.emplace(*number, turn);
-      ReserveHere(turn, done);
+      // That node is suspected now, so all nodes agree on the next home.
+      ReserveFrom(turn, failures + 1, done);
       return;
     }
     const ReserveOutcome outcome = FromWire(answer->getReserved());
     if (outcome == ReserveOutcome::kUnsure) {
       // The home does not reach the log; this node may.
-      ReserveHere(turn, done);
+      ReserveHere(turn, TokenDesk::Outage::kRefuse, done);
       return;
     }
     done({outcome, turn, name});
@@ -136,8 +145,9 @@
   const TurnBudget turn{asked.getProgram().cStr(), asked.getBudget(),
                         asked.getMost()};
   m_reserved.try_emplace(session);
-  m_desk->Reserve(turn, [this, session, turn,
-                         reply = std::move(reply)](ReserveOutcome outcome) {
+  m_desk->Reserve(turn, TokenDesk::Outage::kUseAllowance,
+                  [this, session, turn,
+                   reply = std::move(reply)](ReserveOutcome outcome) {
     if (outcome == ReserveOutcome::kStart) {
       const auto held = m_reserved.find(session);
       if (held == m_reserved.end()) {
@@ -197,7 +207,7 @@
 void PeerService::CopyTurn(const Turn& turn, Duration retention,
                            std::function<void(bool)> done) {
   auto holders = Holders(turn.id);
-  if (holders.size() > kCopies) holders.resize(kCopies);
+  if (holders.size() > kTurnCopies) holders.resize(kTurnCopies);
   if (holders.empty()) {
     done(false);
     return;
@@ -221,33 +231,35 @@
   }
 }
 
-void PeerService::AskForTurn(const std::string&                     id,
-                             std::function<void(std::vector<Turn>)> done) {
-  const auto others = m_members->Others(m_loop->now());
+void PeerService::AskForTurn(const std::string&                 id,
+                             std::function<void(const Search&)> done) {
+  // Suspected nodes may hold it as well, and may answer by now.
+  const auto others = m_members->All();
   if (others.empty()) {
     done({});
     return;
   }
-  // Any of them may hold it. This is asked only while the log is away.
   auto left = std::make_shared<std::size_t>(others.size());
   auto ended = std::make_shared<bool>(false);
+  auto search = std::make_shared<Search>();
   for (const NodeInfo& node : others) {
     m_network->Ask(
         node,
         [&](PeerMessage::Builder message) { message.setFindTurn(id); },
         kFindTimeout,
-        [left, ended, done](std::optional<PeerMessage::Reader> answer) {
+        [left, ended, search, done](std::optional<PeerMessage::Reader> answer) {
           --*left;
           if (*ended) return;
-          std::vector<Turn> turns;
-          if (answer && answer->isTurnFound()) {
+          if (!answer || !answer->isTurnFound()) {
+            ++search->silent;
+          } else {
             for (const auto& turn : answer->getTurnFound()) {
-              turns.push_back(programs::Read(turn));
+              search->turns.push_back(programs::Read(turn));
             }
           }
-          if (turns.empty() && *left > 0) return;
+          if (search->turns.empty() && *left > 0) return;
           *ended = true;
-          done(turns);
+          done(*search);
         });
   }
 }
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -4,7 +4,9 @@
 // Each program has a home, the node that counts its tokens in memory; asking it
 // costs one round trip instead of two calls of the log. Homes are a matter of
 // cost only: a node that cannot reach the home, or differs about who it is,
-// counts by itself, and the claims in the log keep both within the budget.
+// counts by itself, and the claims in the log keep both within the budget. Only
+// a home uses tokens without a record while the log is away, so that they are
+// used once and not once a node.
 #pragma once
 
 #include <map>
@@ -38,9 +40,8 @@
   // Tells the nodes of this zone what this node has under way.
   void TellLoads();
 
-  void AskForTurn(
-      const std::string&                               id,
-      std::function<void(std::vector<programs::Turn>)> done) override;
+  void AskForTurn(const std::string&                 id,
+                  std::function<void(const Search&)> done) override;
   void CopyTurn(const programs::Turn& turn, Duration retention,
                 std::function<void(bool)> done) override;
 
@@ -52,7 +53,10 @@
                     std::uint64_t number) override;
 
  private:
-  void ReserveHere(const TurnBudget& turn, const ReserveDone& done);
+  void ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
+                   const ReserveDone& done);
+  void ReserveFrom(const TurnBudget& turn, int failures,
+                   const ReserveDone& done);
   void ServeReserve(PeerNetwork::SessionId session, PeerMessage::Reader message,
                     PeerNetwork::Reply reply);
   void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -39,10 +39,10 @@
       m_incarnation(std::move(incarnation)),
       m_appender(loop, store, health, Topic::kClaims, 0) {}
 
-void TokenDesk::Reserve(const TurnBudget& turn, Done done) {
+void TokenDesk::Reserve(const TurnBudget& turn, Outage outage, Done done) {
   m_accounts.try_emplace(turn.program,
                          Account{programs::TokenAccount(turn.budget), 0, {}});
-  Answer({turn, std::move(done), m_loop->now() + kWaitForTurns});
+  Answer({turn, outage, std::move(done), m_loop->now() + kWaitForTurns});
 }
 
 void TokenDesk::Answer(const Waiting& request) {
@@ -153,7 +153,13 @@
   if (node.empty()) return;
   const Waiting& request = node.mapped();
   auto&          tokens = m_accounts.at(request.turn.program).tokens;
-  const auto     allowance = tokens.TakeAllowance(request.turn.most);
+  const auto     allowance =
+      request.outage == Outage::kUseAllowance
+              ? tokens.TakeAllowance(request.turn.most,
+                                     m_ledger.Rest(request.turn.program,
+                                                   tokens.budget() +
+                                                       request.turn.most))
+              : 0;
   if (allowance > 0) {
     AppendTaken(request.turn.program, tokens.budget() + request.turn.most,
                 allowance);
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -41,7 +41,9 @@
   TokenDesk(net::EventLoop* loop, platform::Store* store, LogHealth* health,
             Log* log, std::string incarnation);
 
-  void Reserve(const TurnBudget& turn, Done done);
+  // What to do if a claim is needed and the log does not answer.
+  enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
+  void Reserve(const TurnBudget& turn, Outage outage, Done done);
   void EndTurn(const TurnBudget& turn, programs::Tokens used);
   // The node stops: what it was granted and does not need goes back.
   void GiveBackAll();
@@ -50,6 +52,7 @@
  private:
   struct Waiting {
     TurnBudget turn;
+    Outage     outage = Outage::kRefuse;
     Done       done;
     Time       until = 0;
   };
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -60,7 +60,7 @@
     if (m_history.HoldsChain(question.id)) {
       question.done(FindOutcome::kFound);
     } else if (!complete) {
-      AskPeers(question);
+      AskPeers(question, false);
     } else {
       FindElsewhere(first, question);
     }
@@ -73,10 +73,8 @@
   const auto end = [this, question, complete] {
     if (m_history.HoldsChain(question.id)) {
       question.done(FindOutcome::kFound);
-    } else if (!*complete) {
-      AskPeers(question);
     } else {
-      question.done(FindOutcome::kUnknown);
+      AskPeers(question, *complete);
     }
   };
   if (*open == 0) end();
@@ -89,18 +87,21 @@
   }
 }
 
-void TurnKeeper::AskPeers(const Question& question) {
-  if (m_peers == nullptr) {
-    question.done(FindOutcome::kUnsure);
-    return;
-  }
+void TurnKeeper::AskPeers(const Question& question, bool log_complete) {
   m_peers->AskForTurn(
-      question.id, [this, question](const std::vector<programs::Turn>& turns) {
-        for (const programs::Turn& turn : turns) {
+      question.id,
+      [this, question, log_complete](const TurnPeers::Search& search) {
+        for (const programs::Turn& turn : search.turns) {
           m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
         }
-        question.done(m_history.HoldsChain(question.id) ? FindOutcome::kFound
-                                                        : FindOutcome::kUnsure);
+        // The node that finished a turn holds it beside its copies.
+        const bool ruled_out = log_complete && search.silent <= kTurnCopies;
+        if (m_history.HoldsChain(question.id)) {
+          question.done(FindOutcome::kFound);
+        } else {
+          question.done(ruled_out ? FindOutcome::kUnknown
+                                  : FindOutcome::kUnsure);
+        }
       });
 }
 
@@ -197,7 +198,6 @@
     done(kept);
   };
   Append(turn, [settle](const Appender::Result&) { settle(Kept::kInLog); });
-  if (m_peers == nullptr) return;
   const Duration patience = m_health->away() ? 0 : kLogPatience;
   m_loop->After(patience, [this, turn, retention, open, settle] {
     if (!*open) return;
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -2,9 +2,10 @@
 // can, from the platform's log where it must.
 //
 //   Find  a turn that this node does not hold is looked for in the log. The
-//         search starts after the question came, so what a complete search does
-//         not find does not exist. If the log does not answer, peers are asked;
-//         they can find a turn, but not rule it out.
+//         search starts after the question came. What it does not find may
+//         still lie at nodes that finished it while the log was away, so they
+//         are asked too. A turn is unknown only if the log was read whole and
+//         fewer nodes are silent than hold a turn that the log does not have.
 //   Keep  a finished turn is appended to the log before the client sees the end
 //         of its answer. If the log is away, copies at two other nodes have to
 //         do until it is back; they append it too, in case this node dies.
@@ -36,14 +37,21 @@
   kUnsure,   // the log does not answer, and no peer holds it
 };
 
+// Copies that make a turn durable without the log; two losses at once are rarer
+// than the outages of the log that they bridge.
+inline constexpr std::size_t kTurnCopies = 2;
+
 // What other nodes can do for turns; see peer_service.h.
 class TurnPeers {
  public:
   virtual ~TurnPeers() = default;
-  // Asks some others for a turn with its ancestors; empty: none holds it.
-  virtual void AskForTurn(
-      const std::string&                              id,
-      std::function<void(std::vector<programs::Turn>)> done) = 0;
+  struct Search {
+    std::vector<programs::Turn> turns;  // it and its ancestors; empty: not held
+    std::size_t                 silent = 0;  // nodes that did not answer
+  };
+  // Asks the others for a turn.
+  virtual void AskForTurn(const std::string&                 id,
+                          std::function<void(const Search&)> done) = 0;
   // Has two others keep the turn; `done(true)` once both do.
   virtual void CopyTurn(const programs::Turn& turn, Duration retention,
                         std::function<void(bool)> done) = 0;
@@ -92,7 +100,7 @@
   void ReadPart(int partition);
   void EndScan(int partition, bool complete);
   void FindElsewhere(int first, const Question& question);
-  void AskPeers(const Question& question);
+  void AskPeers(const Question& question, bool log_complete);
   void TakeTurns(const std::vector<platform::LogRecord>& records);
   void Append(const programs::Turn& turn, Appender::Done done);
 
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -54,4 +54,10 @@
   return others;
 }
 
+std::vector<NodeInfo> Membership::All() const {
+  std::vector<NodeInfo> all;
+  for (const auto& [name, node] : m_nodes) all.push_back(node);
+  return all;
+}
+
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -43,6 +43,7 @@
   const NodeInfo& self() const { return m_self; }
   const NodeInfo* Find(const std::string& name) const;
   std::vector<NodeInfo> Others(Time now) const;  // not suspected
+  std::vector<NodeInfo> All() const;             // but self
 
  private:
   bool Suspected(const std::string& name, Time now) const;
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -59,10 +59,14 @@
   m_denied = granted == 0;
 }
 
-Tokens TokenAccount::TakeAllowance(Tokens most) {
+Tokens TokenAccount::TakeAllowance(Tokens most, Tokens rest) {
   if (std::exchange(m_allowance_taken, true)) return 0;
-  const Tokens allowance =
-      m_granted == 0 ? std::max(most, m_budget / kAllowanceDivisor) : most;
+  Tokens allowance = 0;
+  if (m_granted == 0) {
+    allowance = std::max(most, (m_budget + most) / kAllowanceDivisor);
+  } else if (rest >= kTurnsLeftForAllowance * most) {
+    allowance = most;
+  }
   m_granted += allowance;
   return allowance;
 }
