Use tokens without a record only by quorum; health of the log by partition

After a fault of all nodes, an outage of one partition counted as one of all. Ruled out: the order of claims (the ledgers agree). Change: an allowance needs the home of the program, a majority of nodes for which the log is away, and a ledger read whole since the start; each partition of the log has its own health.

--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -129,7 +129,7 @@
                  }}),
       m_nodes(loop, store, Topic::kNodes, {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { TakeNode(record); }, [] {},
-               [] {}, [](bool) {}}) {}
+               [this] { m_outputs.nodes_listed(); }, [](bool) {}}) {}
 
 void Follower::Start() {
   m_operator.Start();
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -21,7 +21,7 @@
 constexpr Duration kAnnounceRetry = 200;    // ms
 // Loads are told this often, in ms: a turn takes some 200 ms, so peers learn of
 // most turns while they run.
-constexpr Duration kTellLoads = 50;
+constexpr Duration kTellNews = 50;
 constexpr std::uint16_t kMetricsPort = 9464;  // the usual one of exporters
 // What clients may send until a manifest says.
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
@@ -39,9 +39,8 @@
       m_store(loop, settings.store),
       m_backends(loop, settings.zone,
                  traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
-      m_health(loop, log, metrics),
-      m_turns(loop, &m_store, &m_health, log, metrics),
-      m_desk(loop, &m_store, &m_health, log, incarnation),
+      m_turns(loop, &m_store, log, metrics),
+      m_desk(loop, &m_store, log, metrics, incarnation),
       m_members({settings.node, incarnation,
                  {settings.address, settings.inner_ports.front()},
                  settings.zone}),
@@ -69,7 +68,8 @@
   if (!m_network.Listen(m_members.self().address)) return false;
   Announce();
   Tick();
-  TellLoads();
+  TellNews();
+  m_desk.Start();
   return true;
 }
 
@@ -77,7 +77,7 @@
   m_store.Put(platform::Topic::kNodes, m_settings.node,
               programs::EncodeNode(m_members.self()), kAnnounceTimeout,
               [this](const platform::StoreResult<platform::Appended>& result) {
-                m_health.Note(result.has_value(), "announce");
+                m_metrics->CountStoreCall(result.has_value());
                 if (result || m_stopping) return;
                 m_loop->After(kAnnounceRetry, [this] { Announce(); });
               });
@@ -92,9 +92,9 @@
   }
 }
 
-void Gateway::TellLoads() {
-  m_peers.TellLoads();
-  m_loop->After(kTellLoads, [this] { TellLoads(); });
+void Gateway::TellNews() {
+  m_peers.TellNews();
+  m_loop->After(kTellNews, [this] { TellNews(); });
 }
 
 void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -24,6 +24,8 @@
   bool Listen();  // false: an address is not to be had
   void TakeManifest(const traffic::ManifestPtr& manifest);
   void TakeServers(const traffic::ServerListPtr& servers);
+  // The nodes that announced themselves so far have all been taken.
+  void TakeNodesKnown() { m_peers.SetMembersKnown(); }
   // A node announced itself, or, without a value, left.
   void TakeNode(const std::string&                        name,
                 const std::optional<programs::NodeInfo>& node);
@@ -45,7 +47,7 @@
   SmallAnswer AnswerReadiness() const;
   void        Announce();
   void        Tick();
-  void        TellLoads();
+  void        TellNews();
   void        CloseIdle();
   void        FinishWhenIdle();
   bool        Ready() const;
@@ -56,7 +58,6 @@
   Metrics*           m_metrics;
   platform::Store    m_store;
   Backends           m_backends;
-  LogHealth          m_health;
   TurnKeeper         m_turns;
   TokenDesk          m_desk;
   programs::Membership m_members;
--- a/src/yuccawick/gateway/log_health.cc
+++ b/src/yuccawick/gateway/log_health.cc
@@ -15,7 +15,7 @@
   if (answered != m_away) return;
   m_away = !answered;
   m_log->Write(answered ? LogEvent::kLogBack : LogEvent::kLogLost,
-               {{"call", call}});
+               {{"partition", m_name}, {"call", call}});
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/log_health.h
+++ b/src/yuccawick/gateway/log_health.h
@@ -1,10 +1,14 @@
-// Whether the platform's log answers this node, as its calls show.
+// Whether one partition of the platform's log answers this node, as its calls
+// show. Partitions fail one by one, so each has a health of its own.
 //
-// After a failure, calls that can do without the log should do so until
-// RetryAt(): waiting for it again would cost each request a whole timeout.
+// After a failure, calls that can do without the log should do so while
+// WorthCalling() is false: waiting for it again would cost each request a whole
+// timeout.
 #pragma once
 
+#include <string>
 #include <string_view>
+#include <utility>
 
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/metrics.h"
@@ -13,8 +17,9 @@
 
 class LogHealth {
  public:
-  LogHealth(net::EventLoop* loop, Log* log, Metrics* metrics)
-      : m_loop(loop), m_log(log), m_metrics(metrics) {}
+  // `name` says in logs what the partition holds.
+  LogHealth(net::EventLoop* loop, Log* log, Metrics* metrics, std::string name)
+      : m_loop(loop), m_log(log), m_metrics(metrics), m_name(std::move(name)) {}
 
   // The outcome of one call; `call` says which, for the log line.
   void Note(bool answered, std::string_view call);
@@ -25,6 +30,7 @@
   net::EventLoop* m_loop;
   Log*            m_log;
   Metrics*        m_metrics;
+  std::string     m_name;
   bool            m_away = false;
   net::Time       m_retry_at = 0;
 };
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -110,9 +110,8 @@
     m_questions.emplace(number, Question{std::move(done), timer});
   }
 
-  // Ends all questions; the link is dropped then.
+  void Close() { m_stream.Close(); }
   void FailAll() {
-    m_stream.Close();
     auto questions = std::exchange(m_questions, {});
     for (auto& [number, question] : questions) {
       m_network->m_loop->Cancel(&question.timer);
@@ -284,9 +283,10 @@
     m_log->Write(LogEvent::kPeer, {{"peer", node}, {"state", "lost"}});
   }
   const std::shared_ptr<Link> dying = std::move(entry.mapped());
-  dying->FailAll();
-  // Destroyed later: the link may be on the call stack.
-  m_loop->Defer([dying] {});
+  dying->Close();
+  // Questions fail later: whoever asked may ask again at once, and the link may
+  // be on the call stack.
+  m_loop->Defer([dying] { dying->FailAll(); });
 }
 
 void PeerNetwork::DropSession(SessionId id) {
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -19,6 +19,14 @@
 constexpr Duration kReserveTimeout = 700;  // ms
 constexpr Duration kCopyTimeout = 250;     // ms; a round trip and a busy peer
 constexpr Duration kFindTimeout = 250;     // ms
+// How long a turn waits for tokens while the log is away or its outage is not
+// yet agreed on, in ms, and the pause between two tries.
+constexpr Duration kReservePatience = 1200;
+constexpr Duration kReservePause = 80;
+// A node says that the log is away for it this often, in ms, and is believed
+// for this long.
+constexpr Duration kTellOutage = 200;
+constexpr Duration kOutageMemory = 600;
 // Homes that are asked one after the other for one turn.
 constexpr int kMaxHomes = 2;
 // Loads are told again after this time even if they did not change, in ms; news
@@ -47,6 +55,7 @@
       m_backends(backends) {
   network->SetService(this);
   turns->SetPeers(this);
+  desk->SetJudge(this);
 }
 
 // Tokens ---------------------------------------------------------------------
@@ -59,36 +68,54 @@
 }
 
 void PeerService::Reserve(const TurnBudget& turn, ReserveDone done) {
-  ReserveFrom(turn, 0, done);
+  ReserveFrom(turn, 0, m_loop->now() + kReservePatience, done);
 }
 
-void PeerService::ReserveFrom(const TurnBudget& turn, int failures,
+void PeerService::ReserveUnsure(const TurnBudget& turn, Time until,
+                                const ReserveDone& done) {
+  if (m_loop->now() + kReservePause >= until) {
+    done({ReserveOutcome::kUnsure, turn, {}});
+    return;
+  }
+  m_loop->After(kReservePause, [this, turn, until, done] {
+    ReserveFrom(turn, 0, until, done);
+  });
+}
+
+void PeerService::ReserveFrom(const TurnBudget& turn, int failures, Time until,
                               const ReserveDone& done) {
+  const auto decided = [this, turn, until, done](const Reservation& result) {
+    if (result.outcome == ReserveOutcome::kUnsure) {
+      ReserveUnsure(turn, until, done);
+    } else {
+      done(result);
+    }
+  };
   const NodeInfo& home = m_members->HomeOf(turn.program, m_loop->now());
   if (home.name == m_members->self().name) {
-    ReserveHere(turn, TokenDesk::Outage::kUseAllowance, done);
+    ReserveHere(turn, TokenDesk::Outage::kUseAllowance, decided);
     return;
   }
   if (failures >= kMaxHomes) {
-    ReserveHere(turn, TokenDesk::Outage::kRefuse, done);
+    ReserveHere(turn, TokenDesk::Outage::kRefuse, decided);
     return;
   }
   auto       number = std::make_shared<std::uint64_t>(0);
-  const auto answered = [this, number, turn, failures, name = home.name,
-                         done](std::optional<PeerMessage::Reader> answer) {
+  const auto answered = [this, number, turn, failures, until, name = home.name,
+                         decided, done](std::optional<PeerMessage::Reader> answer) {
     if (!answer || !answer->isReserved()) {
       if (m_given_up.size() >= kMaxGivenUp) {
         m_given_up.erase(m_given_up.begin());
       }
       m_given_up.emplace(*number, turn);
       // That node is suspected now, so all nodes agree on the next home.
-      ReserveFrom(turn, failures + 1, done);
+      ReserveFrom(turn, failures + 1, until, done);
       return;
     }
     const ReserveOutcome outcome = FromWire(answer->getReserved());
     if (outcome == ReserveOutcome::kUnsure) {
       // The home does not reach the log; this node may.
-      ReserveHere(turn, TokenDesk::Outage::kRefuse, done);
+      ReserveHere(turn, TokenDesk::Outage::kRefuse, decided);
       return;
     }
     done({outcome, turn, name});
@@ -278,7 +305,34 @@
   });
 }
 
-// Loads ----------------------------------------------------------------------
+// News -----------------------------------------------------------------------
+
+void PeerService::TellNews() {
+  TellLoads();
+  TellOutage();
+}
+
+void PeerService::TellOutage() {
+  if (!m_desk->log_away()) return;
+  m_desk->Probe();
+  if (m_loop->now() - m_outage_told_at < kTellOutage) return;
+  m_outage_told_at = m_loop->now();
+  for (const NodeInfo& node : m_members->Others(m_loop->now())) {
+    m_network->Tell(node,
+                    [](PeerMessage::Builder message) { message.setLogAway(); });
+  }
+}
+
+bool PeerService::LogIsAwayForMost() const {
+  if (!m_members_known) return false;
+  std::size_t away = m_desk->log_away() ? 1 : 0;
+  for (const auto& [name, said] : m_away_nodes) {
+    const bool fresh = m_loop->now() - said < kOutageMemory;
+    if (fresh && m_members->Find(name) != nullptr) ++away;
+  }
+  const std::size_t nodes = m_members->All().size() + 1;
+  return 2 * away > nodes;
+}
 
 void PeerService::TellLoads() {
   auto loads = m_backends->OwnLoads();
@@ -328,6 +382,11 @@
     case PeerMessage::FIND_TURN:
       ServeFind(message, reply);
       break;
+    case PeerMessage::LOG_AWAY:
+      m_away_nodes[node] = m_loop->now();
+      // This node may not have noticed yet.
+      m_desk->Probe();
+      break;
     case PeerMessage::LOADS:
       TakeLoads(node, message);
       break;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -28,7 +28,9 @@
   std::string    home;  // name of the node that counts; empty: this one
 };
 
-class PeerService final : public PeerNetwork::Service, public TurnPeers {
+class PeerService final : public PeerNetwork::Service,
+                          public TurnPeers,
+                          public OutageJudge {
  public:
   PeerService(net::EventLoop* loop, programs::Membership* members,
               PeerNetwork* network, TokenDesk* desk, TurnKeeper* turns,
@@ -37,8 +39,12 @@
   using ReserveDone = std::function<void(const Reservation&)>;
   void Reserve(const TurnBudget& turn, ReserveDone done);
   void EndTurn(const Reservation& reservation, programs::Tokens used);
-  // Tells the nodes of this zone what this node has under way.
-  void TellLoads();
+  // Tells the nodes of this zone what this node has under way, and all nodes
+  // whether the log is away for it. Call often.
+  void TellNews();
+  // Every node of the deployment is known that has announced itself.
+  void SetMembersKnown() { m_members_known = true; }
+  bool LogIsAwayForMost() const override;
 
   void AskForTurn(const std::string&                 id,
                   std::function<void(const Search&)> done) override;
@@ -55,8 +61,13 @@
  private:
   void ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
                    const ReserveDone& done);
-  void ReserveFrom(const TurnBudget& turn, int failures,
+  // `until`: no further tries then.
+  void ReserveFrom(const TurnBudget& turn, int failures, Time until,
                    const ReserveDone& done);
+  void ReserveUnsure(const TurnBudget& turn, Time until,
+                     const ReserveDone& done);
+  void TellLoads();
+  void TellOutage();
   void ServeReserve(PeerNetwork::SessionId session, PeerMessage::Reader message,
                     PeerNetwork::Reply reply);
   void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
@@ -79,6 +90,9 @@
   std::map<std::uint64_t, TurnBudget>      m_given_up;
   std::vector<std::pair<std::string, int>> m_told;
   Time                                     m_told_at = 0;
+  Time                                     m_outage_told_at = 0;
+  bool                                     m_members_known = false;
+  std::unordered_map<std::string, Time>    m_away_nodes;  // last said so
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -10,7 +10,6 @@
 namespace yuccawick::gateway {
 namespace {
 
-using platform::ReadPage;
 using platform::StoreFailure;
 using platform::StoreResult;
 using platform::Topic;
@@ -30,14 +29,22 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
-TokenDesk::TokenDesk(net::EventLoop* loop, platform::Store* store,
-                     LogHealth* health, Log* log, std::string incarnation)
+TokenDesk::TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
+                     Metrics* metrics, std::string incarnation)
     : m_loop(loop),
       m_store(store),
-      m_health(health),
+      m_health(loop, log, metrics, "claims"),
       m_log(log),
       m_incarnation(std::move(incarnation)),
-      m_appender(loop, store, health, Topic::kClaims, 0) {}
+      m_appender(loop, store, &m_health, Topic::kClaims, 0) {}
+
+void TokenDesk::Start() {
+  if (!m_caught_up && !m_reading) ReadPage();
+}
+
+void TokenDesk::Probe() {
+  if (!m_reading && m_health.WorthCalling()) ReadPage();
+}
 
 void TokenDesk::Reserve(const TurnBudget& turn, Outage outage, Done done) {
   m_accounts.try_emplace(turn.program,
@@ -75,7 +82,7 @@
   claim.node = m_incarnation;
   claim.program = request.turn.program;
   m_claims.emplace(claim.number, request);
-  if (!m_health->WorthCalling()) {
+  if (!m_health.WorthCalling()) {
     ClaimFailed(claim.number);
     return;
   }
@@ -91,28 +98,31 @@
 }
 
 void TokenDesk::ReadClaims() {
-  if (m_reading || m_next >= m_goal) return;
+  if (!m_reading && m_next < m_goal) ReadPage();
+}
+
+void TokenDesk::ReadPage() {
   m_reading = true;
-  m_store->Read(Topic::kClaims, 0, m_next, 0, kReadTimeout,
-                [this](const StoreResult<ReadPage>& result) {
-                  m_reading = false;
-                  if (!result &&
-                      result.error().failure == StoreFailure::kExpired) {
-                    m_next = result.error().first;
-                    ReadClaims();
-                    return;
-                  }
-                  m_health->Note(result.has_value(), "read claims");
-                  if (!result) {
-                    ReadFailed();
-                    return;
-                  }
-                  m_next = result->next;
-                  for (const auto& record : result->records) {
-                    TakeRecord(record.value);
-                  }
-                  ReadClaims();
-                });
+  m_store->Read(
+      Topic::kClaims, 0, m_next, 0, kReadTimeout,
+      [this](const StoreResult<platform::ReadPage>& result) {
+        m_reading = false;
+        if (!result && result.error().failure == StoreFailure::kExpired) {
+          m_next = result.error().first;
+          ReadPage();
+          return;
+        }
+        m_health.Note(result.has_value(), "read");
+        if (!result) {
+          ReadFailed();
+          return;
+        }
+        m_next = result->next;
+        for (const auto& record : result->records) TakeRecord(record.value);
+        m_caught_up = m_caught_up || m_next >= result->end;
+        if (!m_caught_up) m_goal = std::max(m_goal, result->end);
+        ReadClaims();
+      });
 }
 
 void TokenDesk::ReadFailed() {
@@ -121,7 +131,10 @@
   std::vector<std::uint64_t> open;
   for (const auto& [number, request] : m_claims) open.push_back(number);
   for (const std::uint64_t number : open) ClaimFailed(number);
-  m_loop->After(kRetryDelay, [this] { ReadClaims(); });
+  m_loop->After(kRetryDelay, [this] {
+    ReadClaims();
+    Start();
+  });
 }
 
 void TokenDesk::TakeRecord(const std::string& record) {
@@ -153,13 +166,7 @@
   if (node.empty()) return;
   const Waiting& request = node.mapped();
   auto&          tokens = m_accounts.at(request.turn.program).tokens;
-  const auto     allowance =
-      request.outage == Outage::kUseAllowance
-              ? tokens.TakeAllowance(request.turn.most,
-                                     m_ledger.Rest(request.turn.program,
-                                                   tokens.budget() +
-                                                       request.turn.most))
-              : 0;
+  const auto     allowance = Allowance(request);
   if (allowance > 0) {
     AppendTaken(request.turn.program, tokens.budget() + request.turn.most,
                 allowance);
@@ -174,6 +181,15 @@
                                              : ReserveOutcome::kUnsure);
 }
 
+programs::Tokens TokenDesk::Allowance(const Waiting& request) {
+  if (request.outage == Outage::kRefuse || !m_caught_up) return 0;
+  if (m_judge == nullptr || !m_judge->LogIsAwayForMost()) return 0;
+  auto&      tokens = m_accounts.at(request.turn.program).tokens;
+  const auto rest = m_ledger.Rest(request.turn.program,
+                                  tokens.budget() + request.turn.most);
+  return tokens.TakeAllowance(request.turn.most, rest);
+}
+
 void TokenDesk::AppendTaken(const std::string& program, programs::Tokens budget,
                             programs::Tokens tokens) {
   programs::TokenClaim taken;
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -4,6 +4,10 @@
 // turn gets an answer soon: at once if the account has room, after a claim (two
 // calls of the log) if not, when a turn of the program ends if only turns under
 // way stand in the way.
+//
+// While the log is away for most nodes, the home of a program may use tokens
+// without a record, half of what the log last left; the record follows. A node
+// that the log alone does not answer may not: others still claim there.
 #pragma once
 
 #include <cstdint>
@@ -34,12 +38,26 @@
   programs::Tokens most = 0;    // that the turn may generate
 };
 
+// Whether most nodes agree that claims cannot be made now.
+class OutageJudge {
+ public:
+  virtual ~OutageJudge() = default;
+  virtual bool LogIsAwayForMost() const = 0;
+};
+
 class TokenDesk {
  public:
   using Done = std::function<void(ReserveOutcome)>;
 
-  TokenDesk(net::EventLoop* loop, platform::Store* store, LogHealth* health,
-            Log* log, std::string incarnation);
+  TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
+            Metrics* metrics, std::string incarnation);
+  void SetJudge(const OutageJudge* judge) { m_judge = judge; }
+
+  // Reads the claims of before this node started; allowances wait for that.
+  void Start();
+  // Finds out whether the log answers.
+  void Probe();
+  bool log_away() const { return m_health.away(); }
 
   // What to do if a claim is needed and the log does not answer.
   enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
@@ -69,13 +87,16 @@
   void AppendTaken(const std::string& program, programs::Tokens budget,
                    programs::Tokens tokens);
   void ReadClaims();
+  void ReadPage();
   void ReadFailed();
+  programs::Tokens Allowance(const Waiting& request);
   void TakeRecord(const std::string& record);
   void WakeWaiting(const std::string& program);
 
   net::EventLoop*       m_loop;
   platform::Store*      m_store;
-  LogHealth*            m_health;
+  LogHealth             m_health;
+  const OutageJudge*    m_judge = nullptr;
   Log*                  m_log;
   std::string           m_incarnation;
   programs::TokenLedger m_ledger;
@@ -86,6 +107,7 @@
   std::int64_t  m_next = 0;  // offset to read on from
   std::int64_t  m_goal = 0;  // offset to read up to
   bool          m_reading = false;
+  bool          m_caught_up = false;  // read whole since the start
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -32,16 +32,18 @@
 
 }  // namespace
 
-TurnKeeper::TurnKeeper(net::EventLoop* loop, platform::Store* store,
-                       LogHealth* health, Log* log, Metrics* metrics)
+TurnKeeper::TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
+                       Metrics* metrics)
     : m_loop(loop),
       m_store(store),
-      m_health(health),
       m_log(log),
       m_metrics(metrics),
       m_scans(kTurnPartitions) {
   for (int i = 0; i < kTurnPartitions; ++i) {
-    m_appenders.emplace_back(loop, store, health, Topic::kTurns, i);
+    auto& health = m_scans[static_cast<std::size_t>(i)].health;
+    health = std::make_unique<LogHealth>(loop, log, metrics,
+                                         "turns " + std::to_string(i));
+    m_appenders.emplace_back(loop, store, health.get(), Topic::kTurns, i);
   }
 }
 
@@ -107,7 +109,7 @@
 
 void TurnKeeper::ScanPartition(int partition, std::function<void(bool)> done) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
-  if (!scan.busy && !m_health->WorthCalling()) {
+  if (!scan.busy && !scan.health->WorthCalling()) {
     done(false);
     return;
   }
@@ -132,7 +134,7 @@
                     ReadPart(partition);
                     return;
                   }
-                  m_health->Note(result.has_value(), "read turns");
+                  scan.health->Note(result.has_value(), "read");
                   if (!result) {
                     EndScan(partition, false);
                     return;
@@ -198,7 +200,9 @@
     done(kept);
   };
   Append(turn, [settle](const Appender::Result&) { settle(Kept::kInLog); });
-  const Duration patience = m_health->away() ? 0 : kLogPatience;
+  const auto&    scan =
+      m_scans[static_cast<std::size_t>(PartitionOf(turn.program))];
+  const Duration patience = scan.health->away() ? 0 : kLogPatience;
   m_loop->After(patience, [this, turn, retention, open, settle] {
     if (!*open) return;
     m_peers->CopyTurn(turn, retention, [settle](bool copied) {
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -59,8 +59,8 @@
 
 class TurnKeeper {
  public:
-  TurnKeeper(net::EventLoop* loop, platform::Store* store, LogHealth* health,
-             Log* log, Metrics* metrics);
+  TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
+             Metrics* metrics);
   void SetPeers(TurnPeers* peers) { m_peers = peers; }
 
   // Makes sure that the chain of the turn is in history().
@@ -89,6 +89,7 @@
   };
   // Reads one partition up to its end, for those who asked before it began.
   struct Scan {
+    std::unique_ptr<LogHealth>             health;
     std::int64_t                           next = 0;
     bool                                   busy = false;
     std::vector<std::function<void(bool)>> served;
@@ -106,7 +107,6 @@
 
   net::EventLoop*       m_loop;
   platform::Store*      m_store;
-  LogHealth*            m_health;
   Log*                  m_log;
   Metrics*              m_metrics;
   TurnPeers*            m_peers = nullptr;
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -72,5 +72,7 @@
     turnKept  @7 :Void;
     findTurn  @8 :Text;
     turnFound @9 :List(Turn);  # the turn, then its ancestors; empty: not held
+    # Claims cannot be made by the sender: the log does not answer it.
+    logAway   @10 :Void;
   }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -162,6 +162,7 @@
     TURN_KEPT,
     FIND_TURN,
     TURN_FOUND,
+    LOG_AWAY,
   };
 
   struct _capnpPrivate {
@@ -921,6 +922,9 @@
   inline bool hasTurnFound() const;
   inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader getTurnFound() const;
 
+  inline bool isLogAway() const;
+  inline  ::capnp::Void getLogAway() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1017,6 +1021,10 @@
   inline void adoptTurnFound(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> disownTurnFound();
 
+  inline bool isLogAway();
+  inline  ::capnp::Void getLogAway();
+  inline void setLogAway( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2133,6 +2141,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isLogAway() const {
+  return which() == PeerMessage::LOG_AWAY;
+}
+inline bool PeerMessage::Builder::isLogAway() {
+  return which() == PeerMessage::LOG_AWAY;
+}
+inline  ::capnp::Void PeerMessage::Reader::getLogAway() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOG_AWAY),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void PeerMessage::Builder::getLogAway() {
+  KJ_IREQUIRE((which() == PeerMessage::LOG_AWAY),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setLogAway( ::capnp::Void value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOG_AWAY);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -60,13 +60,10 @@
 }
 
 Tokens TokenAccount::TakeAllowance(Tokens most, Tokens rest) {
-  if (std::exchange(m_allowance_taken, true)) return 0;
-  Tokens allowance = 0;
-  if (m_granted == 0) {
-    allowance = std::max(most, (m_budget + most) / kAllowanceDivisor);
-  } else if (rest >= kTurnsLeftForAllowance * most) {
-    allowance = most;
-  }
+  if (m_allowance_taken) return 0;
+  m_allowance_taken = true;
+  const Tokens allowance =
+      rest < most ? 0 : std::max(most, rest / kAllowanceDivisor);
   m_granted += allowance;
   return allowance;
 }
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -71,7 +71,8 @@
   TokenClaim  NextClaim(Tokens most) const;
   void        Granted(Tokens granted);
   // The log does not answer: tokens that may be used without its record, for
-  // this turn; 0 if there are none. `rest`: not yet granted, as last read.
+  // this turn and others; 0 if there are none. `rest`: not yet granted, as last
+  // read.
   Tokens      TakeAllowance(Tokens most, Tokens rest);
   // The turn ended and `used` of its tokens were handed to the client.
   void        EndTurn(Tokens most, Tokens used);
@@ -96,13 +97,10 @@
 // program that stays with one counting node costs one claim, and enough is left
 // for the node that counts after it.
 inline constexpr Tokens   kWishDivisor = 2;
-// Allowance of a program that this node was granted nothing of, as a part of
-// all it may use. One node counts a program; a second one comes in only if the
-// first fails during the outage, a third if that fails too.
-inline constexpr Tokens   kAllowanceDivisor = 3;
-// A program that this node was granted tokens of gets one turn more if this
-// many would be left.
-inline constexpr Tokens   kTurnsLeftForAllowance = 3;
+// Part of the tokens left in the log that a home may use while the log is away.
+// One node is the home of a program; a second one comes in only if the first
+// fails during the outage, and both together stay within what was left.
+inline constexpr Tokens   kAllowanceDivisor = 2;
 // How long an idle program's entry is kept, in ms: well above the retention of
 // turns, within which a stopped program may come back.
 inline constexpr Duration kLedgerRetention = 180'000;
