Answer reservations in time, and read claims each second

Change: a home answers within 350 ms, unsure if it must; claims of others are read at least every 800 ms.

--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -19,6 +19,9 @@
 constexpr Duration kReserveTimeout = 700;  // ms
 constexpr Duration kCopyTimeout = 250;     // ms; a round trip and a busy peer
 constexpr Duration kFindTimeout = 250;     // ms
+// A home answers within this time, in ms; "unsure" if it does not know yet. The
+// asker asks again, and what was claimed meanwhile is there then.
+constexpr Duration kAnswerWithin = 350;
 // How long a turn waits for tokens while the log is away or its outage is not
 // yet agreed on, in ms, and the pause between two tries.
 constexpr Duration kReservePatience = 1200;
@@ -172,22 +175,28 @@
   const TurnBudget turn{asked.getProgram().cStr(), asked.getBudget(),
                         asked.getMost()};
   m_reserved.try_emplace(session);
-  m_desk->Reserve(turn, TokenDesk::Outage::kUseAllowance,
-                  [this, session, turn,
-                   reply = std::move(reply)](ReserveOutcome outcome) {
-    if (outcome == ReserveOutcome::kStart) {
-      const auto held = m_reserved.find(session);
-      if (held == m_reserved.end()) {
-        // The asker is gone, and nothing was said to it.
-        m_desk->EndTurn(turn, 0);
-        return;
-      }
-      held->second.push_back(turn);
-    }
-    reply([outcome](PeerMessage::Builder answer) {
-      answer.setReserved(ToWire(outcome));
+  // A home that waits for the log must not look dead to the asker.
+  auto       open = std::make_shared<bool>(true);
+  const auto answer = [open, reply = std::move(reply)](ReserveOutcome outcome) {
+    if (!std::exchange(*open, false)) return false;
+    reply([outcome](PeerMessage::Builder reserved) {
+      reserved.setReserved(ToWire(outcome));
     });
-  });
+    return true;
+  };
+  m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
+  m_desk->Reserve(turn, TokenDesk::Outage::kUseAllowance,
+                  [this, session, turn, answer](ReserveOutcome outcome) {
+                    const auto held = m_reserved.find(session);
+                    const bool heard =
+                        held != m_reserved.end() && answer(outcome);
+                    if (outcome != ReserveOutcome::kStart) return;
+                    if (heard) {
+                      held->second.push_back(turn);
+                    } else {
+                      m_desk->EndTurn(turn, 0);  // nobody will run it
+                    }
+                  });
 }
 
 void PeerService::ServeSettle(PeerNetwork::SessionId session,
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -17,6 +17,9 @@
 
 constexpr Duration kReadTimeout = 600;        // ms
 constexpr Duration kRetryDelay = 80;          // ms
+// Claims of others are read at least this often, in ms. A node that becomes
+// home of a program in an outage knows what was granted until shortly before.
+constexpr Duration kReadAnyway = 800;
 constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
 // A turn waits this long for others of its program to end, in ms: about as long
 // as the longest turn takes at a busy server.
@@ -103,6 +106,7 @@
 
 void TokenDesk::ReadPage() {
   m_reading = true;
+  m_read_at = m_loop->now();
   m_store->Read(
       Topic::kClaims, 0, m_next, 0, kReadTimeout,
       [this](const StoreResult<platform::ReadPage>& result) {
@@ -227,6 +231,7 @@
 
 void TokenDesk::Sweep() {
   const Time now = m_loop->now();
+  if (now - m_read_at >= kReadAnyway) Probe();
   m_ledger.Expire(now);
   std::vector<std::string> overdue;
   for (const auto& [program, account] : m_accounts) {
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -106,6 +106,7 @@
   std::uint64_t m_last_number = 0;
   std::int64_t  m_next = 0;  // offset to read on from
   std::int64_t  m_goal = 0;  // offset to read up to
+  Time          m_read_at = 0;  // began to read then
   bool          m_reading = false;
   bool          m_caught_up = false;  // read whole since the start
 };
