--- a/src/yuccawick/gateway/log_health.h
+++ b/src/yuccawick/gateway/log_health.h
@@ -25,6 +25,8 @@
   void Note(bool answered, std::string_view call);
   bool away() const { return m_away; }
   bool WorthCalling() const { return m_loop->now() >= m_retry_at; }
+  // It has just come back after an outage that others may have noticed too.
+  bool JustReturned() const;
 
  private:
   net::EventLoop* m_loop;
@@ -33,6 +35,8 @@
   std::string     m_name;
   bool            m_away = false;
   net::Time       m_retry_at = 0;
+  net::Time       m_away_since = 0;
+  net::Time       m_quiet_until = 0;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -88,7 +88,8 @@
 void PeerService::ReserveFrom(const TurnBudget& turn, int failures, Time until,
                               const ReserveDone& done) {
   const auto decided = [this, turn, until, done](const Reservation& result) {
-    if (result.outcome == ReserveOutcome::kUnsure) {
+    if (result.outcome == ReserveOutcome::kUnsure ||
+        result.outcome == ReserveOutcome::kHold) {
       ReserveUnsure(turn, until, done);
     } else {
       done(result);
@@ -121,7 +122,7 @@
       ReserveHere(turn, TokenDesk::Outage::kRefuse, decided);
       return;
     }
-    done({outcome, turn, name});
+    decided({outcome, turn, name});
   };
   *number = m_network->Ask(
       home,
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -17,6 +17,9 @@
 
 constexpr Duration kReadTimeout = 600;        // ms
 constexpr Duration kRetryDelay = 80;          // ms
+// A claim that took longer than this, in ms, is not used any more; above the
+// time of a call that was answered.
+constexpr Duration kLateClaim = 1200;
 // Claims of others are read at least this often, in ms. A node that becomes
 // home of a program in an outage knows what was granted until shortly before.
 constexpr Duration kReadAnyway = 800;
@@ -25,10 +28,15 @@
 // as the longest turn takes at a busy server.
 constexpr Duration kWaitForTurns = 900;
 
+Time SentAt(const programs::TokenClaim& claim) {
+  return static_cast<Time>(claim.number);
+}
+
 }  // namespace
 
 std::string_view Name(ReserveOutcome outcome) {
-  constexpr std::array<std::string_view, 3> kNames{"unsure", "start", "spent"};
+  constexpr std::array<std::string_view, 4> kNames{"unsure", "start", "spent",
+                                                   "hold"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
@@ -51,7 +59,7 @@
 
 void TokenDesk::Reserve(const TurnBudget& turn, Outage outage, Done done) {
   m_accounts.try_emplace(turn.program,
-                         Account{programs::TokenAccount(turn.budget), 0, {}});
+                         Account{programs::TokenAccount(turn.budget), 0, {}, 0});
   Answer({turn, outage, std::move(done), m_loop->now() + kWaitForTurns});
 }
 
@@ -81,18 +89,20 @@
 void TokenDesk::Claim(const Waiting& request) {
   programs::TokenClaim claim =
       m_accounts.at(request.turn.program).tokens.NextClaim(request.turn.most);
-  claim.number = ++m_last_number;
+  claim.number = NextNumber();
   claim.node = m_incarnation;
   claim.program = request.turn.program;
   m_claims.emplace(claim.number, request);
-  if (!m_health.WorthCalling()) {
+  // Tokens that homes used during an outage are recorded first when it ends; a
+  // claim before them would be granted tokens that are gone.
+  if (!m_health.WorthCalling() || m_health.JustReturned()) {
     ClaimFailed(claim.number);
     return;
   }
   m_appender.Add(programs::EncodeClaim(claim), false,
                  [this, number = claim.number](const Appender::Result& result) {
                    if (!result) {
-                     ClaimFailed(number);
+                     ClaimLost(number, result.error());
                      return;
                    }
                    m_goal = std::max(m_goal, result->end);
@@ -100,6 +110,24 @@
                  });
 }
 
+// Numbers are times, so that a record tells how long it was on its way.
+std::uint64_t TokenDesk::NextNumber() {
+  m_last_number = std::max(m_last_number + 1,
+                           static_cast<std::uint64_t>(m_loop->now()));
+  return m_last_number;
+}
+
+void TokenDesk::ClaimLost(std::uint64_t               number,
+                          const platform::StoreError& error) {
+  if (error.failure != StoreFailure::kUnknown || m_reading) {
+    ClaimFailed(number);
+    return;
+  }
+  // It may be in the log all the same.
+  m_unsure_claim = number;
+  ReadPage();
+}
+
 void TokenDesk::ReadClaims() {
   if (!m_reading && m_next < m_goal) ReadPage();
 }
@@ -125,6 +153,8 @@
         for (const auto& record : result->records) TakeRecord(record.value);
         m_caught_up = m_caught_up || m_next >= result->end;
         if (!m_caught_up) m_goal = std::max(m_goal, result->end);
+        // Not there: it failed, or comes late.
+        if (m_unsure_claim != 0) ClaimFailed(std::exchange(m_unsure_claim, 0));
         ReadClaims();
       });
 }
@@ -149,8 +179,13 @@
   }
   const auto granted = m_ledger.Apply(*claim, m_loop->now());
   if (claim->node != m_incarnation || claim->taken) return;
+  // An append that got no answer may be carried out seconds later. By then this
+  // node may have used an allowance instead, so it forgoes what came late.
+  const bool late = m_loop->now() - SentAt(*claim) > kLateClaim;
   const auto account = m_accounts.find(claim->program);
-  if (account != m_accounts.end()) account->second.tokens.Granted(granted);
+  if (account != m_accounts.end() && !late) {
+    account->second.tokens.Granted(granted);
+  }
   ClaimDecided(claim->number, granted);
 }
 
@@ -169,20 +204,23 @@
   auto node = m_claims.extract(number);
   if (node.empty()) return;
   const Waiting& request = node.mapped();
-  auto&          tokens = m_accounts.at(request.turn.program).tokens;
+  Account&       account = m_accounts.at(request.turn.program);
+  auto&          tokens = account.tokens;
   const auto     allowance = Allowance(request);
   if (allowance > 0) {
+    ++account.unrecorded;
+    m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
+                                    {"log", "away"},
+                                    {"allowance", allowance},
+                                    {"granted", tokens.granted()},
+                                    {"most", request.turn.most}});
     AppendTaken(request.turn.program, tokens.budget() + request.turn.most,
                 allowance);
   }
   const auto answer = tokens.Reserve(request.turn.most);
-  m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
-                                  {"log", "away"},
-                                  {"allowance", allowance},
-                                  {"granted", tokens.granted()},
-                                  {"most", request.turn.most}});
-  request.done(answer == TokenAnswer::kStart ? ReserveOutcome::kStart
-                                             : ReserveOutcome::kUnsure);
+  const auto unsure =
+      account.unrecorded > 0 ? ReserveOutcome::kHold : ReserveOutcome::kUnsure;
+  request.done(answer == TokenAnswer::kStart ? ReserveOutcome::kStart : unsure);
 }
 
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
@@ -197,14 +235,18 @@
 void TokenDesk::AppendTaken(const std::string& program, programs::Tokens budget,
                             programs::Tokens tokens) {
   programs::TokenClaim taken;
-  taken.number = ++m_last_number;
+  taken.number = NextNumber();
   taken.node = m_incarnation;
   taken.program = program;
   taken.budget = budget;
   taken.wish = tokens;
   taken.taken = true;
   m_appender.Add(programs::EncodeClaim(taken), true,
-                 [](const Appender::Result&) {});
+                 [this, program, tokens](const Appender::Result&) {
+                   const auto account = m_accounts.find(program);
+                   if (account == m_accounts.end() || tokens < 0) return;
+                   --account->second.unrecorded;
+                 });
 }
 
 void TokenDesk::EndTurn(const TurnBudget& turn, programs::Tokens used) {
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -29,6 +29,9 @@
   kUnsure,  // the log does not answer, and nothing is left to allow
   kStart,
   kSpent,
+  // As kUnsure, and this node used tokens that the log does not know yet:
+  // nobody else may claim for the program until it does.
+  kHold,
 };
 std::string_view Name(ReserveOutcome outcome);
 
@@ -78,6 +81,7 @@
     programs::TokenAccount tokens;
     Time                   used = 0;
     std::deque<Waiting>    waiting;  // for a turn under way to end
+    int                    unrecorded = 0;  // allowances not yet in the log
   };
 
   void Answer(const Waiting& request);
@@ -86,6 +90,8 @@
   void ClaimFailed(std::uint64_t number);
   void AppendTaken(const std::string& program, programs::Tokens budget,
                    programs::Tokens tokens);
+  std::uint64_t NextNumber();
+  void ClaimLost(std::uint64_t number, const platform::StoreError& error);
   void ReadClaims();
   void ReadPage();
   void ReadFailed();
@@ -104,6 +110,7 @@
   std::unordered_map<std::string, Account>   m_accounts;  // by program
   std::unordered_map<std::uint64_t, Waiting> m_claims;    // by number
   std::uint64_t m_last_number = 0;
+  std::uint64_t m_unsure_claim = 0;  // sent, and its answer was lost
   std::int64_t  m_next = 0;  // offset to read on from
   std::int64_t  m_goal = 0;  // offset to read up to
   Time          m_read_at = 0;  // began to read then
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -46,6 +46,7 @@
   unsure @0;  # the log does not answer, and there is no allowance
   start  @1;
   spent  @2;
+  hold   @3;  # as unsure, and the asker may not claim for itself
 }
 
 struct Settle {
--- a/src/yuccawick/programs/record.capnp.c++
+++ b/src/yuccawick/programs/record.capnp.c++
@@ -448,7 +448,7 @@
   0, 3, i_a0cb44f94be6ba58, nullptr, nullptr, { &s_a0cb44f94be6ba58, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<29> b_88ae186b7b8b0e4c = {
+static const ::capnp::_::AlignedData<33> b_88ae186b7b8b0e4c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      76,  14, 139, 123, 107,  24, 174, 136,
      13,   0,   0,   0,   2,   0,   0,   0,
@@ -458,33 +458,37 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  79,   0,   0,   0,
+     25,   0,   0,   0, 103,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 101,  99, 111, 114, 100,  46,  99,
      97, 112, 110, 112,  58,  82, 101, 115,
     101, 114, 118, 101, 100,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   1,   0,   2,   0,
+     16,   0,   0,   0,   1,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  58,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   0,   0,   0,
+     33,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  50,   0,   0,   0,
+     25,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+     17,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     117, 110, 115, 117, 114, 101,   0,   0,
     115, 116,  97, 114, 116,   0,   0,   0,
-    115, 112, 101, 110, 116,   0,   0,   0, }
+    115, 112, 101, 110, 116,   0,   0,   0,
+    104, 111, 108, 100,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_88ae186b7b8b0e4c = b_88ae186b7b8b0e4c.words;
 #if !CAPNP_LITE
-static const uint16_t m_88ae186b7b8b0e4c[] = {2, 1, 0};
+static const uint16_t m_88ae186b7b8b0e4c[] = {3, 2, 1, 0};
 const ::capnp::_::RawSchema s_88ae186b7b8b0e4c = {
-  0x88ae186b7b8b0e4c, b_88ae186b7b8b0e4c.words, 29, nullptr, m_88ae186b7b8b0e4c,
-  0, 3, nullptr, nullptr, nullptr, { &s_88ae186b7b8b0e4c, nullptr, nullptr, 0, 0, nullptr }
+  0x88ae186b7b8b0e4c, b_88ae186b7b8b0e4c.words, 33, nullptr, m_88ae186b7b8b0e4c,
+  0, 4, nullptr, nullptr, nullptr, { &s_88ae186b7b8b0e4c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(Reserved_88ae186b7b8b0e4c, 88ae186b7b8b0e4c);
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -26,6 +26,7 @@
   UNSURE,
   START,
   SPENT,
+  HOLD,
 };
 CAPNP_DECLARE_ENUM(Reserved, 88ae186b7b8b0e4c);
 CAPNP_DECLARE_SCHEMA(e815b14870d8fb0a);
