Tell records of an outage to the next homes; close listeners before the end

Cause 1: a home that stops during an outage takes its allowance's record with it; the next home used the same tokens again. Change: the record is told to the two next homes at once, counts there from then on and is appended by all three; twice in the log it counts once. Cause 2: nodes went on accepting in the last 100 ms before they ended (LOST). Change: the listener closes first, then the last requests are served. Cause 3: every node that a home left unsure claimed for itself. Change: the next in rank claims.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -228,6 +228,7 @@
        {"load_per_slot_pct",
         static_cast<int>(m_parts.backends->LoadOf(m_service) * 100)},
        {"repeats", m_repeats},
+       {"tokens_counted_by", m_reservation.home},
        {"after_event", forwarding.last_event},
        {"left_ms", forwarding.left}});
   const bool connected = m_connection->connected();
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -16,6 +16,11 @@
 constexpr Duration kBalancerLag = 2600;    // ms
 constexpr Duration kStopMargin = 700;      // ms before the kill after SIGTERM
 constexpr Duration kStopCheck = 50;        // ms
+// No new connection for this long, in ms, after the balancer's lag: it asks
+// once a second, so it has turned away.
+constexpr Duration kQuietBeforeStop = 1200;
+// Left for the last requests, in ms: a turn's time at a busy server.
+constexpr Duration kLastRequests = 1800;
 constexpr Duration kLastCalls = 100;  // ms for the last appends to go out
 constexpr Duration kAnnounceTimeout = 600;  // ms
 constexpr Duration kAnnounceRetry = 200;    // ms
@@ -51,11 +56,7 @@
         return SmallAnswer{200, metrics->Text()};
       }) {}
 
-Gateway::~Gateway() {
-  if (m_listener < 0) return;
-  m_loop->Forget(m_listener);
-  close(m_listener);
-}
+Gateway::~Gateway() { StopListening(); }
 
 bool Gateway::Listen() {
   m_listener = net::Listen(m_settings.clients);
@@ -126,6 +127,7 @@
 void Gateway::OnReadable() {
   for (int fd = net::Accept(m_listener, kClientSilence); fd >= 0;
        fd = net::Accept(m_listener, kClientSilence)) {
+    m_accepted_at = m_loop->now();
     const GatewayParts parts{m_loop,   &m_backends, &m_turns,
                              &m_peers, m_log,       m_metrics};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
@@ -169,6 +171,13 @@
   });
 }
 
+void Gateway::StopListening() {
+  if (m_listener < 0) return;
+  m_loop->Forget(m_listener);
+  close(m_listener);
+  m_listener = -1;
+}
+
 void Gateway::CloseIdle() {
   std::vector<ClientConnection*> all;
   for (const auto& [raw, owned] : m_clients) all.push_back(raw);
@@ -176,8 +185,14 @@
 }
 
 void Gateway::FinishWhenIdle() {
+  // The balancer may go on sending clients, if many nodes of the zone are away.
+  // Whoever connected before the end is still served: a connection that was
+  // accepted and then dropped is a lost request.
+  const bool quiet = m_loop->now() - m_accepted_at >= kQuietBeforeStop;
+  if (quiet || m_loop->now() >= m_stop_due - kLastRequests) StopListening();
   CloseIdle();
-  const bool served = m_clients.empty() && m_turns.unkept() == 0;
+  const bool served =
+      m_listener < 0 && m_clients.empty() && m_turns.unkept() == 0;
   if (served || m_loop->now() >= m_stop_due) {
     m_log->Write(LogEvent::kStopped,
                  {{"connections_cut", m_clients.size()},
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -49,6 +49,7 @@
   void        Tick();
   void        TellNews();
   void        CloseIdle();
+  void        StopListening();
   void        FinishWhenIdle();
   bool        Ready() const;
 
@@ -70,6 +71,7 @@
   bool               m_stopping = false;
   bool               m_closing = false;
   Time               m_stop_due = 0;
+  Time               m_accepted_at = 0;  // the last connection
   std::shared_ptr<const traffic::RouteTable> m_routes;
   std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
       m_clients;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -31,7 +31,7 @@
 constexpr Duration kTellOutage = 200;
 constexpr Duration kOutageMemory = 600;
 // Homes that are asked one after the other for one turn.
-constexpr int kMaxHomes = 2;
+constexpr std::size_t kMaxHomes = 3;
 // Loads are told again after this time even if they did not change, in ms; news
 // older than 700 ms is not used.
 constexpr Duration kTellAnyway = 400;
@@ -58,7 +58,7 @@
       m_backends(backends) {
   network->SetService(this);
   turns->SetPeers(this);
-  desk->SetJudge(this);
+  desk->SetPeers(this);
 }
 
 // Tokens ---------------------------------------------------------------------
@@ -85,52 +85,56 @@
   });
 }
 
-void PeerService::ReserveFrom(const TurnBudget& turn, int failures, Time until,
-                              const ReserveDone& done) {
-  const auto decided = [this, turn, until, done](const Reservation& result) {
-    if (result.outcome == ReserveOutcome::kUnsure ||
-        result.outcome == ReserveOutcome::kHold) {
+void PeerService::ReserveFrom(const TurnBudget& turn, std::size_t rank,
+                              Time until, const ReserveDone& done) {
+  const auto homes = m_members->HomesOf(turn.program, m_loop->now());
+  if (rank >= std::min(homes.size(), kMaxHomes)) {
+    ReserveUnsure(turn, until, done);
+    return;
+  }
+  const NodeInfo& home = homes[rank];
+  const auto decided = [this, turn, rank, until,
+                        done](const Reservation& result) {
+    if (result.outcome == ReserveOutcome::kUnsure) {
+      // It does not reach the log; who takes its place may.
+      ReserveFrom(turn, rank + 1, until, done);
+    } else if (result.outcome == ReserveOutcome::kHold) {
       ReserveUnsure(turn, until, done);
     } else {
       done(result);
     }
   };
-  const NodeInfo& home = m_members->HomeOf(turn.program, m_loop->now());
+  // Only the first home may do without the log: two that do so spend twice.
+  const auto outage = rank == 0 ? TokenDesk::Outage::kUseAllowance
+                                : TokenDesk::Outage::kRefuse;
   if (home.name == m_members->self().name) {
-    ReserveHere(turn, TokenDesk::Outage::kUseAllowance, decided);
-    return;
-  }
-  if (failures >= kMaxHomes) {
-    ReserveHere(turn, TokenDesk::Outage::kRefuse, decided);
-    return;
+    ReserveHere(turn, outage, decided);
+  } else {
+    AskHome(home, turn, outage, decided);
   }
+}
+
+void PeerService::AskHome(const NodeInfo& home, const TurnBudget& turn,
+                          TokenDesk::Outage outage, const ReserveDone& done) {
   auto       number = std::make_shared<std::uint64_t>(0);
-  const auto answered = [this, number, turn, failures, until, name = home.name,
-                         decided, done](std::optional<PeerMessage::Reader> answer) {
-    if (!answer || !answer->isReserved()) {
-      if (m_given_up.size() >= kMaxGivenUp) {
-        m_given_up.erase(m_given_up.begin());
-      }
-      m_given_up.emplace(*number, turn);
-      // That node is suspected now, so all nodes agree on the next home.
-      ReserveFrom(turn, failures + 1, until, done);
-      return;
-    }
-    const ReserveOutcome outcome = FromWire(answer->getReserved());
-    if (outcome == ReserveOutcome::kUnsure) {
-      // The home does not reach the log; this node may.
-      ReserveHere(turn, TokenDesk::Outage::kRefuse, decided);
+  const auto answered = [this, number, turn, name = home.name,
+                         done](std::optional<PeerMessage::Reader> answer) {
+    if (answer && answer->isReserved()) {
+      done({FromWire(answer->getReserved()), turn, name});
       return;
     }
-    decided({outcome, turn, name});
+    if (m_given_up.size() >= kMaxGivenUp) m_given_up.erase(m_given_up.begin());
+    m_given_up.emplace(*number, turn);
+    done({ReserveOutcome::kUnsure, turn, name});
   };
   *number = m_network->Ask(
       home,
-      [&turn](PeerMessage::Builder message) {
+      [&turn, outage](PeerMessage::Builder message) {
         auto reserve = message.initReserve();
         reserve.setProgram(turn.program);
         reserve.setBudget(turn.budget);
         reserve.setMost(turn.most);
+        reserve.setFirstHome(outage == TokenDesk::Outage::kUseAllowance);
       },
       kReserveTimeout, answered);
 }
@@ -186,7 +190,9 @@
     return true;
   };
   m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
-  m_desk->Reserve(turn, TokenDesk::Outage::kUseAllowance,
+  const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
+                                           : TokenDesk::Outage::kRefuse;
+  m_desk->Reserve(turn, outage,
                   [this, session, turn, answer](ReserveOutcome outcome) {
                     const auto held = m_reserved.find(session);
                     const bool heard =
@@ -333,6 +339,18 @@
   }
 }
 
+void PeerService::TellRecord(const programs::TokenClaim& record) {
+  std::size_t told = 0;
+  for (const NodeInfo& node :
+       m_members->HomesOf(record.program, m_loop->now())) {
+    if (node.name == m_members->self().name) continue;
+    m_network->Tell(node, [&record](PeerMessage::Builder message) {
+      programs::Write(record, message.initClaimTaken());
+    });
+    if (++told == kTurnCopies) break;
+  }
+}
+
 bool PeerService::LogIsAwayForMost() const {
   if (!m_members_known) return false;
   std::size_t away = m_desk->log_away() ? 1 : 0;
@@ -397,6 +415,11 @@
       // This node may not have noticed yet.
       m_desk->Probe();
       break;
+    case PeerMessage::CLAIM_TAKEN: {
+      const auto record = programs::Read(message.getClaimTaken());
+      m_desk->TakePeerRecord(record);
+      break;
+    }
     case PeerMessage::LOADS:
       TakeLoads(node, message);
       break;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -3,10 +3,10 @@
 //
 // Each program has a home, the node that counts its tokens in memory; asking it
 // costs one round trip instead of two calls of the log. Homes are a matter of
-// cost only: a node that cannot reach the home, or differs about who it is,
-// counts by itself, and the claims in the log keep both within the budget. Only
-// a home uses tokens without a record while the log is away, so that they are
-// used once and not once a node.
+// cost only: if the home is out of reach, or the log is out of its reach, the
+// next in rank counts, and the claims in the log keep both within the budget.
+// Only the first home uses tokens without a record while the log is away for
+// most nodes, so that they are used once and not once a node.
 #pragma once
 
 #include <map>
@@ -30,7 +30,7 @@
 
 class PeerService final : public PeerNetwork::Service,
                           public TurnPeers,
-                          public OutageJudge {
+                          public OutagePeers {
  public:
   PeerService(net::EventLoop* loop, programs::Membership* members,
               PeerNetwork* network, TokenDesk* desk, TurnKeeper* turns,
@@ -45,6 +45,7 @@
   // Every node of the deployment is known that has announced itself.
   void SetMembersKnown() { m_members_known = true; }
   bool LogIsAwayForMost() const override;
+  void TellRecord(const programs::TokenClaim& record) override;
 
   void AskForTurn(const std::string&                 id,
                   std::function<void(const Search&)> done) override;
@@ -61,9 +62,11 @@
  private:
   void ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
                    const ReserveDone& done);
-  // `until`: no further tries then.
-  void ReserveFrom(const TurnBudget& turn, int failures, Time until,
+  // `rank`: of the home to ask, 0 first. `until`: no further tries then.
+  void ReserveFrom(const TurnBudget& turn, std::size_t rank, Time until,
                    const ReserveDone& done);
+  void AskHome(const programs::NodeInfo& home, const TurnBudget& turn,
+               TokenDesk::Outage outage, const ReserveDone& done);
   void ReserveUnsure(const TurnBudget& turn, Time until,
                      const ReserveDone& done);
   void TellLoads();
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -17,6 +17,7 @@
 
 constexpr Duration kReadTimeout = 600;        // ms
 constexpr Duration kRetryDelay = 80;          // ms
+constexpr programs::Tokens kNoTokens = 0;
 // A claim that took longer than this, in ms, is not used any more; above the
 // time of a call that was answered.
 constexpr Duration kLateClaim = 1200;
@@ -177,12 +178,15 @@
     m_log->Write(LogEvent::kFault, {{"what", "undecodable claim"}});
     return;
   }
-  const auto granted = m_ledger.Apply(*claim, m_loop->now());
+  auto granted = m_ledger.Apply(*claim, m_loop->now());
   if (claim->node != m_incarnation || claim->taken) return;
   // An append that got no answer may be carried out seconds later. By then this
   // node may have used an allowance instead, so it forgoes what came late.
   const bool late = m_loop->now() - SentAt(*claim) > kLateClaim;
   const auto account = m_accounts.find(claim->program);
+  // Records that are on their way may take part of what the log grants.
+  const auto rest = m_ledger.Rest(claim->program, claim->budget);
+  granted = std::max<programs::Tokens>(0, granted + std::min(rest, kNoTokens));
   if (account != m_accounts.end() && !late) {
     account->second.tokens.Granted(granted);
   }
@@ -204,36 +208,54 @@
   auto node = m_claims.extract(number);
   if (node.empty()) return;
   const Waiting& request = node.mapped();
-  Account&       account = m_accounts.at(request.turn.program);
-  auto&          tokens = account.tokens;
-  const auto     allowance = Allowance(request);
-  if (allowance > 0) {
-    ++account.unrecorded;
-    m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
-                                    {"log", "away"},
-                                    {"allowance", allowance},
-                                    {"granted", tokens.granted()},
-                                    {"most", request.turn.most}});
-    AppendTaken(request.turn.program, tokens.budget() + request.turn.most,
-                allowance);
-  }
-  const auto answer = tokens.Reserve(request.turn.most);
+  UseAllowance(request);
+  Account&   account = m_accounts.at(request.turn.program);
+  const auto answer = account.tokens.Reserve(request.turn.most);
   const auto unsure =
       account.unrecorded > 0 ? ReserveOutcome::kHold : ReserveOutcome::kUnsure;
   request.done(answer == TokenAnswer::kStart ? ReserveOutcome::kStart : unsure);
 }
 
+void TokenDesk::UseAllowance(const Waiting& request) {
+  const auto allowance = Allowance(request);
+  if (allowance <= 0) return;
+  const std::string& program = request.turn.program;
+  Account&           account = m_accounts.at(program);
+  m_log->Write(LogEvent::kClaim, {{"program", program},
+                                  {"log", "away"},
+                                  {"allowance", allowance},
+                                  {"granted", account.tokens.granted()},
+                                  {"most", request.turn.most}});
+  const auto record = TakenRecord(
+      program, account.tokens.budget() + request.turn.most, allowance);
+  m_ledger.Foretell(record, m_loop->now());
+  m_peers->TellRecord(record);
+  ++account.unrecorded;
+  m_appender.Add(programs::EncodeClaim(record), true,
+                 [this, program](const Appender::Result&) {
+                   const auto found = m_accounts.find(program);
+                   if (found != m_accounts.end()) --found->second.unrecorded;
+                 });
+}
+
+void TokenDesk::TakePeerRecord(const programs::TokenClaim& record) {
+  m_ledger.Foretell(record, m_loop->now());
+  m_appender.Add(programs::EncodeClaim(record), true,
+                 [](const Appender::Result&) {});
+}
+
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
   if (request.outage == Outage::kRefuse || !m_caught_up) return 0;
-  if (m_judge == nullptr || !m_judge->LogIsAwayForMost()) return 0;
+  if (!m_peers->LogIsAwayForMost()) return 0;
   auto&      tokens = m_accounts.at(request.turn.program).tokens;
   const auto rest = m_ledger.Rest(request.turn.program,
                                   tokens.budget() + request.turn.most);
   return tokens.TakeAllowance(request.turn.most, rest);
 }
 
-void TokenDesk::AppendTaken(const std::string& program, programs::Tokens budget,
-                            programs::Tokens tokens) {
+programs::TokenClaim TokenDesk::TakenRecord(const std::string& program,
+                                            programs::Tokens   budget,
+                                            programs::Tokens   tokens) {
   programs::TokenClaim taken;
   taken.number = NextNumber();
   taken.node = m_incarnation;
@@ -241,12 +263,7 @@
   taken.budget = budget;
   taken.wish = tokens;
   taken.taken = true;
-  m_appender.Add(programs::EncodeClaim(taken), true,
-                 [this, program, tokens](const Appender::Result&) {
-                   const auto account = m_accounts.find(program);
-                   if (account == m_accounts.end() || tokens < 0) return;
-                   --account->second.unrecorded;
-                 });
+  return taken;
 }
 
 void TokenDesk::EndTurn(const TurnBudget& turn, programs::Tokens used) {
@@ -267,7 +284,9 @@
   for (auto& [program, account] : m_accounts) {
     const auto spare = account.tokens.GiveBack();
     if (spare <= 0) continue;
-    AppendTaken(program, account.tokens.budget(), -spare);
+    const auto record = TakenRecord(program, account.tokens.budget(), -spare);
+    m_appender.Add(programs::EncodeClaim(record), false,
+                   [](const Appender::Result&) {});
   }
 }
 
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -41,11 +41,14 @@
   programs::Tokens most = 0;    // that the turn may generate
 };
 
-// Whether most nodes agree that claims cannot be made now.
-class OutageJudge {
+// What the desk needs other nodes for while claims cannot be made.
+class OutagePeers {
  public:
-  virtual ~OutageJudge() = default;
+  virtual ~OutagePeers() = default;
+  // Most nodes agree that the log does not answer.
   virtual bool LogIsAwayForMost() const = 0;
+  // Tells a record to those who would be home of its program after this node.
+  virtual void TellRecord(const programs::TokenClaim& record) = 0;
 };
 
 class TokenDesk {
@@ -54,7 +57,7 @@
 
   TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
             Metrics* metrics, std::string incarnation);
-  void SetJudge(const OutageJudge* judge) { m_judge = judge; }
+  void SetPeers(OutagePeers* peers) { m_peers = peers; }
 
   // Reads the claims of before this node started; allowances wait for that.
   void Start();
@@ -66,6 +69,9 @@
   enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
   void Reserve(const TurnBudget& turn, Outage outage, Done done);
   void EndTurn(const TurnBudget& turn, programs::Tokens used);
+  // A record of another node that used tokens while the log is away. It is
+  // appended from here too, in case that node does not live to do it.
+  void TakePeerRecord(const programs::TokenClaim& record);
   // The node stops: what it was granted and does not need goes back.
   void GiveBackAll();
   void Sweep();
@@ -88,8 +94,10 @@
   void Claim(const Waiting& request);
   void ClaimDecided(std::uint64_t number, programs::Tokens granted);
   void ClaimFailed(std::uint64_t number);
-  void AppendTaken(const std::string& program, programs::Tokens budget,
-                   programs::Tokens tokens);
+  programs::TokenClaim TakenRecord(const std::string& program,
+                                   programs::Tokens   budget,
+                                   programs::Tokens   tokens);
+  void                 UseAllowance(const Waiting& request);
   std::uint64_t NextNumber();
   void ClaimLost(std::uint64_t number, const platform::StoreError& error);
   void ReadClaims();
@@ -102,7 +110,7 @@
   net::EventLoop*       m_loop;
   platform::Store*      m_store;
   LogHealth             m_health;
-  const OutageJudge*    m_judge = nullptr;
+  OutagePeers*          m_peers = nullptr;
   Log*                  m_log;
   std::string           m_incarnation;
   programs::TokenLedger m_ledger;
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace yuccawick::programs {
 namespace {
 
@@ -28,17 +30,15 @@
   return found != m_suspects.end() && now < found->second;
 }
 
-const NodeInfo& Membership::HomeOf(std::string_view key, Time now) const {
-  const NodeInfo* home = &m_self;
-  std::uint64_t   most = Weight(key, m_self.name);
-  for (const auto& [name, node] : m_nodes) {
-    if (Suspected(name, now)) continue;
-    const std::uint64_t weight = Weight(key, name);
-    if (weight <= most) continue;
-    most = weight;
-    home = &node;
-  }
-  return *home;
+std::vector<NodeInfo> Membership::HomesOf(std::string_view key,
+                                          Time             now) const {
+  std::vector<NodeInfo> homes = Others(now);
+  homes.push_back(m_self);
+  std::sort(homes.begin(), homes.end(),
+            [key](const NodeInfo& a, const NodeInfo& b) {
+              return Weight(key, a.name) > Weight(key, b.name);
+            });
+  return homes;
 }
 
 const NodeInfo* Membership::Find(const std::string& name) const {
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -38,8 +38,9 @@
   // The node did not answer: it is no home for `kSuspicion`.
   void            Suspect(const std::string& name, Time now);
   void            Trust(const std::string& name) { m_suspects.erase(name); }
-  // The home of a key among the nodes that are not suspected; may be self.
-  const NodeInfo& HomeOf(std::string_view key, Time now) const;
+  // The nodes that are not suspected, self included, the home of the key first
+  // and then who takes its place if it cannot serve.
+  std::vector<NodeInfo> HomesOf(std::string_view key, Time now) const;
   const NodeInfo& self() const { return m_self; }
   const NodeInfo* Find(const std::string& name) const;
   std::vector<NodeInfo> Others(Time now) const;  // not suspected
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -40,6 +40,8 @@
   program @0 :Text;
   budget  @1 :Int64;
   most    @2 :Int64;  # that the turn may generate
+  # The asker knows no node that counts before this one.
+  firstHome @3 :Bool;
 }
 
 enum Reserved {
@@ -75,5 +77,7 @@
     turnFound @9 :List(Turn);  # the turn, then its ancestors; empty: not held
     # Claims cannot be made by the sender: the log does not answer it.
     logAway   @10 :Void;
+    # Tokens that the sender used while the log is away.
+    claimTaken @11 :Claim;
   }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -108,7 +108,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0cb44f94be6ba58, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a0cb44f94be6ba58, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -164,6 +164,7 @@
     FIND_TURN,
     TURN_FOUND,
     LOG_AWAY,
+    CLAIM_TAKEN,
   };
 
   struct _capnpPrivate {
@@ -624,6 +625,8 @@
 
   inline  ::int64_t getMost() const;
 
+  inline bool getFirstHome() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -665,6 +668,9 @@
   inline  ::int64_t getMost();
   inline void setMost( ::int64_t value);
 
+  inline bool getFirstHome();
+  inline void setFirstHome(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -926,6 +932,10 @@
   inline bool isLogAway() const;
   inline  ::capnp::Void getLogAway() const;
 
+  inline bool isClaimTaken() const;
+  inline bool hasClaimTaken() const;
+  inline  ::yuccawick::programs::wire::Claim::Reader getClaimTaken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1026,6 +1036,14 @@
   inline  ::capnp::Void getLogAway();
   inline void setLogAway( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isClaimTaken();
+  inline bool hasClaimTaken();
+  inline  ::yuccawick::programs::wire::Claim::Builder getClaimTaken();
+  inline void setClaimTaken( ::yuccawick::programs::wire::Claim::Reader value);
+  inline  ::yuccawick::programs::wire::Claim::Builder initClaimTaken();
+  inline void adoptClaimTaken(::capnp::Orphan< ::yuccawick::programs::wire::Claim>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Claim> disownClaimTaken();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1592,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Reserve::Reader::getFirstHome() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Reserve::Builder::getFirstHome() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Reserve::Builder::setFirstHome(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Settle::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2168,6 +2200,60 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::Reader::isClaimTaken() const {
+  return which() == PeerMessage::CLAIM_TAKEN;
+}
+inline bool PeerMessage::Builder::isClaimTaken() {
+  return which() == PeerMessage::CLAIM_TAKEN;
+}
+inline bool PeerMessage::Reader::hasClaimTaken() const {
+  if (which() != PeerMessage::CLAIM_TAKEN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasClaimTaken() {
+  if (which() != PeerMessage::CLAIM_TAKEN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::Claim::Reader PeerMessage::Reader::getClaimTaken() const {
+  KJ_IREQUIRE((which() == PeerMessage::CLAIM_TAKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::Claim::Builder PeerMessage::Builder::getClaimTaken() {
+  KJ_IREQUIRE((which() == PeerMessage::CLAIM_TAKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setClaimTaken( ::yuccawick::programs::wire::Claim::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CLAIM_TAKEN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::Claim::Builder PeerMessage::Builder::initClaimTaken() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CLAIM_TAKEN);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptClaimTaken(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Claim>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::CLAIM_TAKEN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Claim> PeerMessage::Builder::disownClaimTaken() {
+  KJ_IREQUIRE((which() == PeerMessage::CLAIM_TAKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -74,26 +74,32 @@
   });
 }
 
+void Write(const TokenClaim& claim, wire::Claim::Builder builder) {
+  builder.setNumber(claim.number);
+  builder.setNode(claim.node);
+  builder.setProgram(claim.program);
+  builder.setBudget(claim.budget);
+  builder.setNeed(claim.need);
+  builder.setWish(claim.wish);
+  builder.setTaken(claim.taken);
+}
+
+TokenClaim Read(wire::Claim::Reader reader) {
+  return {reader.getNumber(),  Text(reader.getNode()),
+          Text(reader.getProgram()), reader.getBudget(),
+          reader.getNeed(),    reader.getWish(),
+          reader.getTaken()};
+}
+
 std::string EncodeClaim(const TokenClaim& claim) {
   return Encode([&](auto* message) {
-    auto builder = message->template initRoot<wire::Claim>();
-    builder.setNumber(claim.number);
-    builder.setNode(claim.node);
-    builder.setProgram(claim.program);
-    builder.setBudget(claim.budget);
-    builder.setNeed(claim.need);
-    builder.setWish(claim.wish);
-    builder.setTaken(claim.taken);
+    Write(claim, message->template initRoot<wire::Claim>());
   });
 }
 
 std::optional<TokenClaim> DecodeClaim(std::string_view bytes) {
   return Decode<TokenClaim>(bytes, [](auto* message) {
-    const auto reader = message->template getRoot<wire::Claim>();
-    return TokenClaim{reader.getNumber(),        Text(reader.getNode()),
-                      Text(reader.getProgram()), reader.getBudget(),
-                      reader.getNeed(),          reader.getWish(),
-                      reader.getTaken()};
+    return Read(message->template getRoot<wire::Claim>());
   });
 }
 
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -24,5 +24,7 @@
 
 void Write(const Turn& turn, wire::Turn::Builder builder);
 Turn Read(wire::Turn::Reader reader);
+void       Write(const TokenClaim& claim, wire::Claim::Builder builder);
+TokenClaim Read(wire::Claim::Reader reader);
 
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -5,13 +5,21 @@
 
 namespace yuccawick::programs {
 
-Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
-  auto& entry = m_entries[claim.program];
+TokenLedger::Entry& TokenLedger::EntryOf(const TokenClaim& claim, Time now) {
+  Entry& entry = m_entries[claim.program];
   if (entry.budget == 0) entry.budget = claim.budget;
   // Clients state the same budget each time; the least is the safe reading.
   entry.budget = std::min(entry.budget, claim.budget);
   entry.until = now + kLedgerRetention;
+  return entry;
+}
+
+Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
+  Entry& entry = EntryOf(claim, now);
   if (claim.taken) {
+    const RecordId id(claim.node, claim.number);
+    entry.foretold.erase(id);
+    if (!entry.taken.insert(id).second) return 0;
     entry.granted += claim.wish;
     return claim.wish;
   }
@@ -23,10 +31,18 @@
   return granted;
 }
 
+void TokenLedger::Foretell(const TokenClaim& claim, Time now) {
+  Entry&         entry = EntryOf(claim, now);
+  const RecordId id(claim.node, claim.number);
+  if (!entry.taken.contains(id)) entry.foretold.emplace(id, claim.wish);
+}
+
 Tokens TokenLedger::Rest(const std::string& program, Tokens budget) const {
   const auto found = m_entries.find(program);
   if (found == m_entries.end()) return budget;
-  return std::min(budget, found->second.budget) - found->second.granted;
+  Tokens rest = std::min(budget, found->second.budget) - found->second.granted;
+  for (const auto& [id, tokens] : found->second.foretold) rest -= tokens;
+  return rest;
 }
 
 void TokenLedger::Expire(Time now) {
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -15,8 +15,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "yuccawick/net/event_loop.h"
 
@@ -40,17 +43,27 @@
 
 class TokenLedger {
  public:
-  // Applies the next claim in log order; returns the tokens granted.
+  // Applies the next claim in log order; returns the tokens granted. A record
+  // that was taken without the log and lies there twice counts once.
   Tokens Apply(const TokenClaim& claim, Time now);
+  // A record that will come in the log. It lowers Rest() from now on; what
+  // others are granted stays a matter of the log's order alone.
+  void   Foretell(const TokenClaim& claim, Time now);
+  // Not granted and not foretold; below zero if more was used.
   Tokens Rest(const std::string& program, Tokens budget) const;
   void   Expire(Time now);
 
  private:
+  using RecordId = std::pair<std::string, std::uint64_t>;  // node, number
   struct Entry {
-    Tokens budget = 0;
-    Tokens granted = 0;
-    Time   until = 0;
+    Tokens                     budget = 0;
+    Tokens                     granted = 0;
+    Time                       until = 0;
+    std::map<RecordId, Tokens> foretold;
+    std::set<RecordId>         taken;  // applied
   };
+  Entry& EntryOf(const TokenClaim& claim, Time now);
+
   std::unordered_map<std::string, Entry> m_entries;  // by program
 };
 
