Tell unrecorded tokens again until the log has them

Cause: a home that started anew in an outage did not hear what its earlier start had used; flapping appends (429) kept the record out of the log.

--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -329,10 +329,11 @@
 }
 
 void PeerService::TellOutage() {
-  if (!m_desk->log_away()) return;
-  m_desk->Probe();
+  if (m_desk->log_away()) m_desk->Probe();
   if (m_loop->now() - m_outage_told_at < kTellOutage) return;
   m_outage_told_at = m_loop->now();
+  m_desk->TellRecords();
+  if (!m_desk->log_away()) return;
   for (const NodeInfo& node : m_members->Others(m_loop->now())) {
     m_network->Tell(node,
                     [](PeerMessage::Builder message) { message.setLogAway(); });
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -179,6 +179,7 @@
     return;
   }
   auto granted = m_ledger.Apply(*claim, m_loop->now());
+  if (claim->taken) Recorded(*claim);
   if (claim->node != m_incarnation || claim->taken) return;
   // An append that got no answer may be carried out seconds later. By then this
   // node may have used an allowance instead, so it forgoes what came late.
@@ -231,17 +232,32 @@
   m_ledger.Foretell(record, m_loop->now());
   m_peers->TellRecord(record);
   ++account.unrecorded;
+  Insist(record);
+}
+
+void TokenDesk::Insist(const programs::TokenClaim& record) {
+  m_unrecorded.push_back(record);
   m_appender.Add(programs::EncodeClaim(record), true,
-                 [this, program](const Appender::Result&) {
-                   const auto found = m_accounts.find(program);
-                   if (found != m_accounts.end()) --found->second.unrecorded;
-                 });
+                 [this, record](const Appender::Result&) { Recorded(record); });
+}
+
+void TokenDesk::Recorded(const programs::TokenClaim& record) {
+  const auto erased = std::erase_if(m_unrecorded, [&](const auto& each) {
+    return each.node == record.node && each.number == record.number;
+  });
+  const auto found = m_accounts.find(record.program);
+  const bool own = record.node == m_incarnation;
+  if (erased > 0 && own && found != m_accounts.end()) {
+    --found->second.unrecorded;
+  }
+}
+
+void TokenDesk::TellRecords() {
+  for (const auto& record : m_unrecorded) m_peers->TellRecord(record);
 }
 
 void TokenDesk::TakePeerRecord(const programs::TokenClaim& record) {
-  m_ledger.Foretell(record, m_loop->now());
-  m_appender.Add(programs::EncodeClaim(record), true,
-                 [](const Appender::Result&) {});
+  if (m_ledger.Foretell(record, m_loop->now())) Insist(record);
 }
 
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "yuccawick/gateway/appender.h"
 #include "yuccawick/gateway/log_health.h"
@@ -72,6 +73,9 @@
   // A record of another node that used tokens while the log is away. It is
   // appended from here too, in case that node does not live to do it.
   void TakePeerRecord(const programs::TokenClaim& record);
+  // Tells the records again that the log does not have yet: their homes may
+  // have changed or started anew. Call a few times a second.
+  void TellRecords();
   // The node stops: what it was granted and does not need goes back.
   void GiveBackAll();
   void Sweep();
@@ -98,6 +102,8 @@
                                    programs::Tokens   budget,
                                    programs::Tokens   tokens);
   void                 UseAllowance(const Waiting& request);
+  void                 Insist(const programs::TokenClaim& record);
+  void                 Recorded(const programs::TokenClaim& record);
   std::uint64_t NextNumber();
   void ClaimLost(std::uint64_t number, const platform::StoreError& error);
   void ReadClaims();
@@ -117,6 +123,7 @@
   Appender              m_appender;
   std::unordered_map<std::string, Account>   m_accounts;  // by program
   std::unordered_map<std::uint64_t, Waiting> m_claims;    // by number
+  std::vector<programs::TokenClaim> m_unrecorded;  // not in the log yet
   std::uint64_t m_last_number = 0;
   std::uint64_t m_unsure_claim = 0;  // sent, and its answer was lost
   std::int64_t  m_next = 0;  // offset to read on from
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -31,10 +31,11 @@
   return granted;
 }
 
-void TokenLedger::Foretell(const TokenClaim& claim, Time now) {
+bool TokenLedger::Foretell(const TokenClaim& claim, Time now) {
   Entry&         entry = EntryOf(claim, now);
   const RecordId id(claim.node, claim.number);
-  if (!entry.taken.contains(id)) entry.foretold.emplace(id, claim.wish);
+  if (entry.taken.contains(id)) return false;
+  return entry.foretold.emplace(id, claim.wish).second;
 }
 
 Tokens TokenLedger::Rest(const std::string& program, Tokens budget) const {
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -47,8 +47,9 @@
   // that was taken without the log and lies there twice counts once.
   Tokens Apply(const TokenClaim& claim, Time now);
   // A record that will come in the log. It lowers Rest() from now on; what
-  // others are granted stays a matter of the log's order alone.
-  void   Foretell(const TokenClaim& claim, Time now);
+  // others are granted stays a matter of the log's order alone. False if it is
+  // known already.
+  bool   Foretell(const TokenClaim& claim, Time now);
   // Not granted and not foretold; below zero if more was used.
   Tokens Rest(const std::string& program, Tokens budget) const;
   void   Expire(Time now);
