--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -163,9 +163,6 @@
   m_log->Write(LogEvent::kStopping, {{"connections", m_clients.size()}});
   m_loop->After(kBalancerLag, [this] {
     m_closing = true;
-    m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
-                kAnnounceTimeout,
-                [](const platform::StoreResult<platform::Appended>&) {});
     CloseIdle();
     FinishWhenIdle();
   });
@@ -198,6 +195,11 @@
                  {{"connections_cut", m_clients.size()},
                   {"turns_not_durable", m_turns.unkept()}});
     m_desk.GiveBackAll();
+    // Only now: until its end this node may hold turns that the log does not
+    // have, and others ask only the nodes that they know.
+    m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
+                kAnnounceTimeout,
+                [](const platform::StoreResult<platform::Appended>&) {});
     m_loop->After(kLastCalls, [this] { m_loop->Stop(); });
     return;
   }
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -250,11 +250,12 @@
 void PeerService::CopyTurn(const Turn& turn, Duration retention,
                            std::function<void(bool)> done) {
   auto holders = Holders(turn.id);
-  if (holders.size() > kTurnCopies) holders.resize(kTurnCopies);
-  if (holders.empty()) {
+  if (holders.size() < kTurnCopies) {
+    // Fewer copies could all be silent when the turn is asked for.
     done(false);
     return;
   }
+  holders.resize(kTurnCopies);
   auto left = std::make_shared<std::size_t>(holders.size());
   auto kept = std::make_shared<std::size_t>(0);
   for (const NodeInfo& holder : holders) {
