--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -18,8 +18,9 @@
 #include "yuccawick/gateway/gateway.h"
 
 DEFINE_bool(check, false, "check the settings file and leave");
-DEFINE_string(settings, "", "settings file; by default where the platform "
-                            "puts it");
+DEFINE_string(settings, "",
+              "settings file; by default where the platform "
+              "puts it");
 
 namespace yuccawick::daemon {
 namespace {
@@ -83,10 +84,10 @@
   net::EventLoop    control;
   gateway::Log      log(settings.node, settings.zone);
   gateway::Metrics  metrics;
-  log.Write(gateway::LogEvent::kStarted, {{"incarnation", incarnation},
-                                          {"settings", path}});
+  log.Write(gateway::LogEvent::kStarted,
+            {{"incarnation", incarnation}, {"settings", path}});
   gateway::Gateway gateway(&traffic, settings, &log, &metrics, incarnation);
-  const Signals signals(&traffic, [&](int signal) {
+  const Signals    signals(&traffic, [&](int signal) {
     if (signal == SIGHUP) {
       ReloadSettings(path, &log);
     } else {
--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -9,8 +9,8 @@
 using net::Duration;
 
 // An append takes some 6 ms; in a slow spell of the log a quarter of a second.
-constexpr Duration    kTimeout = 600;             // ms
-constexpr Duration    kRetryDelay = 80;           // ms
+constexpr Duration    kTimeout = 600;              // ms
+constexpr Duration    kRetryDelay = 80;            // ms
 constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // the log takes 2 MB a call
 
 }  // namespace
--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -10,18 +10,18 @@
 // How long bytes may stay unacknowledged, in ms. A server that lost power or
 // was cut off sends no reset; with this bound a request on a kept connection to
 // it fails within the shortest route timeout.
-constexpr int             kSilence = 1000;
-constexpr Duration        kConnectTimeout = 400;  // ms; a round trip is below 30
+constexpr int      kSilence = 1000;
+constexpr Duration kConnectTimeout = 400;  // ms; a round trip is below 30
 constexpr net::HttpLimits kAnswerLimits{64UL * 1024, 64UL << 20};
 // How long a connection may rest and be used again, in ms, where the server
 // does not say when it closes idle ones; and the share of it where it does.
-constexpr Duration kDefaultIdle = 600;
-constexpr double   kIdleShare = 0.6;
-constexpr Duration kMillisPerSecond = 1000;
+constexpr Duration        kDefaultIdle = 600;
+constexpr double          kIdleShare = 0.6;
+constexpr Duration        kMillisPerSecond = 1000;
 // A failed server is avoided for this long, in ms, then tried again.
-constexpr Duration kFailureMemory = 1500;
-constexpr Duration kLineMemory = 20'000;   // ms; a cached prompt lasts less
-constexpr Duration kPeerLoadMemory = 700;  // ms; older news is worth nothing
+constexpr Duration        kFailureMemory = 1500;
+constexpr Duration    kLineMemory = 20'000;   // ms; a cached prompt lasts less
+constexpr Duration    kPeerLoadMemory = 700;  // ms; older news is worth nothing
 constexpr std::size_t kMaxIdlePerServer = 16;
 
 Duration IdleLimit(const net::Headers& headers) {
@@ -60,7 +60,7 @@
 
 BackendConnection::~BackendConnection() { m_loop->Cancel(&m_connect_timer); }
 
-void BackendConnection::Send(BackendUser* user, std::string request) {
+void BackendConnection::Send(BackendUser* user, const std::string& request) {
   m_user = user;
   m_ended = false;
   m_in_step = true;
@@ -233,8 +233,7 @@
       m_servers.begin(), m_servers.end(), [&](const auto& entry) {
         const State& state = entry.second;
         return state.listed && !state.server.draining &&
-               state.server.service == service &&
-               !Contains(avoid, entry.first);
+               state.server.service == service && !Contains(avoid, entry.first);
       });
 }
 
@@ -339,8 +338,8 @@
   });
 }
 
-void Backends::SetPeerLoads(
-    const std::string& peer, const std::unordered_map<std::string, int>& loads) {
+void Backends::SetPeerLoads(const std::string&                          peer,
+                            const std::unordered_map<std::string, int>& loads) {
   m_peers[peer] = {loads, m_loop->now()};
 }
 
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -45,13 +45,13 @@
   ~BackendConnection() override;
 
   // Sends a request; `user` hears the rest until Release() or Close().
-  void Send(BackendUser* user, std::string request);
-  void HoldReading(bool hold);
-  bool connected() const { return m_connected; }
-  bool usable_again() const;
+  void               Send(BackendUser* user, const std::string& request);
+  void               HoldReading(bool hold);
+  bool               connected() const { return m_connected; }
+  bool               usable_again() const;
   // Ends the use of the connection by its user.
-  void Detach(Time now);
-  void Close();
+  void               Detach(Time now);
+  void               Close();
   const std::string& server_id() const { return m_server_id; }
   bool               FreshAt(Time now) const;
 
@@ -74,9 +74,9 @@
   net::TimerId                            m_connect_timer = 0;
   bool                                    m_connected = false;
   bool                                    m_skipping = false;
-  bool                                    m_ended = false;     // answer whole
+  bool                                    m_ended = false;  // answer whole
   bool                                    m_keep_alive = false;
-  bool                                    m_in_step = true;    // no bytes over
+  bool                                    m_in_step = true;  // no bytes over
   Duration                                m_max_idle = 0;
   Time                                    m_idle_since = 0;
 };
@@ -94,7 +94,7 @@
       const std::string& service, const std::string& line,
       const std::vector<std::string>& avoid);
   const traffic::BackendServer* Find(const std::string& id) const;
-  bool                          AnyIn(const std::string& service,
+  bool                          AnyIn(const std::string&              service,
                                       const std::vector<std::string>& avoid) const;
 
   // A connection to the server, kept or new; nullptr if none can be made.
@@ -109,8 +109,8 @@
   void Sweep();  // forgets what is old; call about once a second
 
   // What other nodes say they have under way at each server.
-  void SetPeerLoads(const std::string&                          peer,
-                    const std::unordered_map<std::string, int>& loads);
+  void                                     SetPeerLoads(const std::string&                          peer,
+                                                        const std::unordered_map<std::string, int>& loads);
   std::vector<std::pair<std::string, int>> OwnLoads() const;
   std::size_t connections() const { return m_connections.size(); }
   std::size_t servers() const { return m_servers.size(); }
@@ -119,12 +119,12 @@
 
  private:
   struct State {
-    traffic::BackendServer           server;
-    bool                             listed = true;
-    int                              load = 0;
-    int                              failures = 0;
-    Time                             failed_at = 0;
-    std::vector<BackendConnection*>  idle;
+    traffic::BackendServer          server;
+    bool                            listed = true;
+    int                             load = 0;
+    int                             failures = 0;
+    Time                            failed_at = 0;
+    std::vector<BackendConnection*> idle;
   };
   struct LineHome {
     std::string server;
@@ -138,10 +138,10 @@
   void Destroy(BackendConnection* connection);
   void DropIdle(State* state);
 
-  net::EventLoop*                     m_loop;
-  std::string                         m_zone;
-  std::unique_ptr<traffic::Placement> m_placement;
-  std::mt19937_64                     m_random;
+  net::EventLoop*                            m_loop;
+  std::string                                m_zone;
+  std::unique_ptr<traffic::Placement>        m_placement;
+  std::mt19937_64                            m_random;
   std::unordered_map<std::string, State>     m_servers;  // by id
   std::unordered_map<std::string, LineHome>  m_lines;
   std::unordered_map<std::string, PeerLoads> m_peers;
--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -7,7 +7,7 @@
 
 // How long bytes to a client may stay unacknowledged, in ms; a client that went
 // silent gives up on its own well before.
-constexpr int kSilence = 5000;
+constexpr int      kSilence = 5000;
 // After an answer that ends the connection, what the client still sends is read
 // and dropped for this long, in ms. Closing with unread bytes would reset the
 // connection, and the reset can overtake the answer.
@@ -90,8 +90,8 @@
   m_parts.loop->Cancel(&m_timer);
   m_close_after = !m_head.keep_alive;
   m_stream.SetReading(net::Reading::kWatchEnd);
-  m_exchange = std::make_shared<Exchange>(
-      m_parts, this, m_host->Routes(), std::move(m_head), std::move(m_body));
+  m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
+                                          std::move(m_head), std::move(m_body));
   const auto exchange = m_exchange;
   exchange->Start();
 }
@@ -99,10 +99,10 @@
 void ClientConnection::RefuseBytes(net::HttpFault fault) {
   const traffic::Refusal refusal = RefusalOf(fault);
   m_parts.metrics->CountRefusal(refusal);
-  m_parts.log->Write(LogEvent::kRefused, {{"reason", Name(refusal)},
-                                          {"status", Status(refusal)}});
-  m_stream.Write(platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {},
-                                           -1, true));
+  m_parts.log->Write(LogEvent::kRefused,
+                     {{"reason", Name(refusal)}, {"status", Status(refusal)}});
+  m_stream.Write(
+      platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {}, -1, true));
   Linger();
 }
 
@@ -178,10 +178,10 @@
   }
   const auto refusal = traffic::Refusal::kTooSlow;
   m_parts.metrics->CountRefusal(refusal);
-  m_parts.log->Write(LogEvent::kRefused, {{"reason", Name(refusal)},
-                                          {"status", Status(refusal)}});
-  m_stream.Write(platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {},
-                                           -1, true));
+  m_parts.log->Write(LogEvent::kRefused,
+                     {{"reason", Name(refusal)}, {"status", Status(refusal)}});
+  m_stream.Write(
+      platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {}, -1, true));
   Linger();
 }
 
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -22,7 +22,7 @@
   virtual std::shared_ptr<const traffic::RouteTable> Routes() const = 0;
   virtual traffic::ClientLimits                      Limits() const = 0;
   // The balancer sends nobody here any more: connections end with the answer.
-  virtual bool Closing() const = 0;
+  virtual bool                                       Closing() const = 0;
   virtual void Forget(class ClientConnection* connection) = 0;
 };
 
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -17,27 +17,27 @@
 using traffic::Refusal;
 using traffic::RequestKind;
 
-constexpr int kOk = 200;
-constexpr int kMostAccepted = 299;
+constexpr int                kOk = 200;
+constexpr int                kMostAccepted = 299;
 // Statuses by which a server could seem to promise that it did not run a
 // request; only its explicit word does.
 constexpr std::array<int, 4> kPromises{408, 421, 429, 503};
 // A client that takes bytes slower than they come may keep this many waiting
 // here before its server is read no further.
-constexpr std::size_t kMaxBacklog = 256UL * 1024;
+constexpr std::size_t        kMaxBacklog = 256UL * 1024;
 // Plain answers up to this size are passed on whole, so that one that breaks
 // off is still an honest failure or can be fetched again.
-constexpr std::size_t kMaxWhole = 256UL * 1024;
+constexpr std::size_t        kMaxWhole = 256UL * 1024;
 // Given up this long before the client stops listening, in ms, so that the
 // answer still reaches it.
-constexpr Duration kAnswerWay = 5;
+constexpr Duration           kAnswerWay = 5;
 // Clients come back after this many ms on average: a turn's length, the time
 // in which a place at a server comes free.
-constexpr Duration kReturnDelay = 150;
-constexpr Duration kNotReadyDelay = 300;
-constexpr double   kMillisPerSecond = 1000.0;
+constexpr Duration           kReturnDelay = 150;
+constexpr Duration           kNotReadyDelay = 300;
+constexpr double             kMillisPerSecond = 1000.0;
 // Urgencies that servers know: 0 is first, 9 last.
-constexpr int kLeastUrgent = 9;
+constexpr int                kLeastUrgent = 9;
 
 double Draw() {
   static thread_local std::mt19937_64 random(std::random_device{}());
@@ -86,15 +86,14 @@
 void Exchange::Start() {
   if (!CheckRequest()) return;
   StartTimer();
-  m_parts.log->Write(
-      LogEvent::kAccepted,
-      {{"request", m_info.attempt},
-       {"program", m_info.program},
-       {"previous", m_info.previous_turn},
-       {"route", m_route->name},
-       {"service", m_service},
-       {"manifest", m_routes->manifest()->version},
-       {"left_ms", Left()}});
+  m_parts.log->Write(LogEvent::kAccepted,
+                     {{"request", m_info.attempt},
+                      {"program", m_info.program},
+                      {"previous", m_info.previous_turn},
+                      {"route", m_route->name},
+                      {"service", m_service},
+                      {"manifest", m_routes->manifest()->version},
+                      {"left_ms", Left()}});
   FindHistory();
 }
 
@@ -137,23 +136,23 @@
     ReserveTokens();
     return;
   }
-  m_parts.turns->Find(
-      m_info.previous_turn, m_info.program,
-      [self = shared_from_this()](FindOutcome outcome) {
-        if (self->m_client == nullptr) return;
-        if (outcome == FindOutcome::kUnknown) {
-          self->Refuse(Refusal::kUnknownTurn);
-        } else if (outcome == FindOutcome::kUnsure) {
-          self->Refuse(Refusal::kHistoryUnsure);
-        } else {
-          self->m_chain =
-              self->m_parts.turns->history()
-                  .Build(self->m_info.previous_turn, self->m_body,
-                         self->m_parts.loop->now(), self->m_route->retention)
-                  .body;
-          self->ReserveTokens();
-        }
-      });
+  m_parts.turns->Find(m_info.previous_turn, m_info.program,
+                      [self = shared_from_this()](FindOutcome outcome) {
+                        if (self->m_client == nullptr) return;
+                        if (outcome == FindOutcome::kUnknown) {
+                          self->Refuse(Refusal::kUnknownTurn);
+                        } else if (outcome == FindOutcome::kUnsure) {
+                          self->Refuse(Refusal::kHistoryUnsure);
+                        } else {
+                          self->m_chain = self->m_parts.turns->history()
+                                              .Build(self->m_info.previous_turn,
+                                                     self->m_body,
+                                                     self->m_parts.loop->now(),
+                                                     self->m_route->retention)
+                                              .body;
+                          self->ReserveTokens();
+                        }
+                      });
 }
 
 void Exchange::ReserveTokens() {
@@ -192,8 +191,7 @@
 // Sending --------------------------------------------------------------------
 
 void Exchange::Dispatch() {
-  const auto server =
-      m_parts.backends->Choose(m_service, LineKey(), m_tried);
+  const auto server = m_parts.backends->Choose(m_service, LineKey(), m_tried);
   if (!server) {
     Refuse(m_in_doubt ? Refusal::kServerFailed : Refusal::kNoServer);
     return;
@@ -404,10 +402,10 @@
   }
   const bool success =
       m_answer.status >= kOk && m_answer.status <= kMostAccepted;
-  const bool sound =
-      m_answer_info.attempt == m_info.attempt && !m_answer_info.encoded &&
-      (m_answer_info.stamped || !success) &&
-      !(m_is_stream && m_events.has_partial());
+  const bool sound = m_answer_info.attempt == m_info.attempt &&
+                     !m_answer_info.encoded &&
+                     (m_answer_info.stamped || !success) &&
+                     !(m_is_stream && m_events.has_partial());
   if (!sound) {
     OnBackendLost(LossCause::kBadAnswer);
     return;
@@ -453,16 +451,16 @@
 void Exchange::RecordTurn() {
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
-  m_parts.turns->Keep(
-      turn, m_route->retention,
-      [self = shared_from_this()](TurnKeeper::Kept kept) {
-        if (self->m_client == nullptr) return;
-        if (kept == TurnKeeper::Kept::kAtPeers) {
-          self->m_parts.log->Write(LogEvent::kTurnAtPeers,
-                                   {{"request", self->m_info.attempt}});
-        }
-        self->FinishAnswer(net::kLastChunk);
-      });
+  m_parts.turns->Keep(turn, m_route->retention,
+                      [self = shared_from_this()](TurnKeeper::Kept kept) {
+                        if (self->m_client == nullptr) return;
+                        if (kept == TurnKeeper::Kept::kAtPeers) {
+                          self->m_parts.log->Write(
+                              LogEvent::kTurnAtPeers,
+                              {{"request", self->m_info.attempt}});
+                        }
+                        self->FinishAnswer(net::kLastChunk);
+                      });
 }
 
 void Exchange::FinishAnswer(std::string_view last_bytes) {
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -96,10 +96,10 @@
   void CutOff(std::string_view why);
   void End();
 
-  Duration          Left() const;
-  Duration          RetryAfter(traffic::Refusal refusal) const;
-  std::string       LineKey() const;
-  bool              Fire(traffic::AttemptEvent event);
+  Duration    Left() const;
+  Duration    RetryAfter(traffic::Refusal refusal) const;
+  std::string LineKey() const;
+  bool        Fire(traffic::AttemptEvent event);
 
   GatewayParts                               m_parts;
   ClientSide*                                m_client;  // nullptr: ended
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -18,19 +18,19 @@
 // A change must be in force within 2 s of its acknowledgement. A read waits for
 // the next record for up to a second, so that a connection that went silent is
 // noticed in time; with the pause the whole stays below that bound.
-constexpr Duration kWait = 800;           // ms, for the first record
-constexpr Duration kAnswerTime = 500;     // ms beyond it; a slow answer's time
+constexpr Duration kWait = 800;        // ms, for the first record
+constexpr Duration kAnswerTime = 500;  // ms beyond it; a slow answer's time
 // Nodes come and go rarely, and nothing depends on knowing them at once.
-constexpr Duration kNodesWait = 4000;     // ms
-constexpr Duration kNodesPause = 500;     // ms
-constexpr Duration kListTimeout = 1000;   // ms
-constexpr Duration kRetryDelay = 120;     // ms after a failure
-constexpr Duration kManifestPause = 20;   // ms; manifests are rare
+constexpr Duration kNodesWait = 4000;    // ms
+constexpr Duration kNodesPause = 500;    // ms
+constexpr Duration kListTimeout = 1000;  // ms
+constexpr Duration kRetryDelay = 120;    // ms after a failure
+constexpr Duration kManifestPause = 20;  // ms; manifests are rare
 // Servers renew their entries all the time; reading a few renewals at once
 // costs fewer calls, and 300 ms is small against the 2 s in which a leaving
 // server must get no more work.
 constexpr Duration kServersPause = 300;
-constexpr Duration kTick = 100;           // ms; for removals that come due
+constexpr Duration kTick = 100;  // ms; for removals that come due
 
 }  // namespace
 
@@ -105,7 +105,8 @@
           Restart();
           return;
         }
-        Again(result->records.empty() ? 0 : m_pace.pause, &TopicFollower::Follow);
+        Again(result->records.empty() ? 0 : m_pace.pause,
+              &TopicFollower::Follow);
       });
 }
 
@@ -157,10 +158,9 @@
   // have seen the effects of the newer one.
   if ((*manifest)->version <= m_version) return;
   m_version = (*manifest)->version;
-  m_log->Write(LogEvent::kManifest,
-               {{"version", m_version},
-                {"routes", (*manifest)->routes.size()},
-                {"offset", record.offset}});
+  m_log->Write(LogEvent::kManifest, {{"version", m_version},
+                                     {"routes", (*manifest)->routes.size()},
+                                     {"offset", record.offset}});
   m_outputs.manifest(*manifest);
 }
 
@@ -171,8 +171,8 @@
   }
   const auto node = programs::DecodeNode(record.key, record.value);
   if (!node) {
-    m_log->Write(LogEvent::kFault, {{"what", "undecodable node"},
-                                    {"peer", record.key}});
+    m_log->Write(LogEvent::kFault,
+                 {{"what", "undecodable node"}, {"peer", record.key}});
     return;
   }
   m_log->Write(LogEvent::kPeer, {{"peer", node->name},
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -80,17 +80,17 @@
   void PublishServers();
   void Tick();
 
-  net::EventLoop*      m_loop;
-  Log*                 m_log;
-  Outputs              m_outputs;
-  traffic::Directory   m_directory;
-  traffic::ServerList  m_listing;
-  bool                 m_listing_servers = false;
-  bool                 m_servers_known = false;
-  std::int64_t         m_version = -1;  // of the manifest in force
-  TopicFollower        m_operator;
-  TopicFollower        m_servers;
-  TopicFollower        m_nodes;
+  net::EventLoop*     m_loop;
+  Log*                m_log;
+  Outputs             m_outputs;
+  traffic::Directory  m_directory;
+  traffic::ServerList m_listing;
+  bool                m_listing_servers = false;
+  bool                m_servers_known = false;
+  std::int64_t        m_version = -1;  // of the manifest in force
+  TopicFollower       m_operator;
+  TopicFollower       m_servers;
+  TopicFollower       m_nodes;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -10,23 +10,23 @@
 namespace yuccawick::gateway {
 namespace {
 
-constexpr int      kClientSilence = 5000;  // ms of unacknowledged bytes
-constexpr Duration kTick = 500;            // ms between sweeps
+constexpr int           kClientSilence = 5000;  // ms of unacknowledged bytes
+constexpr Duration      kTick = 500;            // ms between sweeps
 // The balancer asks once a second and turns away after two misses.
-constexpr Duration kBalancerLag = 2600;    // ms
-constexpr Duration kStopMargin = 700;      // ms before the kill after SIGTERM
-constexpr Duration kStopCheck = 50;        // ms
+constexpr Duration      kBalancerLag = 2600;  // ms
+constexpr Duration      kStopMargin = 700;  // ms before the kill after SIGTERM
+constexpr Duration      kStopCheck = 50;    // ms
 // No new connection for this long, in ms, after the balancer's lag: it asks
 // once a second, so it has turned away.
-constexpr Duration kQuietBeforeStop = 1200;
+constexpr Duration      kQuietBeforeStop = 1200;
 // Left for the last requests, in ms: a turn's time at a busy server.
-constexpr Duration kLastRequests = 1800;
-constexpr Duration kLastCalls = 100;  // ms for the last appends to go out
-constexpr Duration kAnnounceTimeout = 600;  // ms
-constexpr Duration kAnnounceRetry = 200;    // ms
+constexpr Duration      kLastRequests = 1800;
+constexpr Duration      kLastCalls = 100;  // ms for the last appends to go out
+constexpr Duration      kAnnounceTimeout = 600;  // ms
+constexpr Duration      kAnnounceRetry = 200;    // ms
 // Loads are told this often, in ms: a turn takes some 200 ms, so peers learn of
 // most turns while they run.
-constexpr Duration kTellNews = 50;
+constexpr Duration      kTellNews = 50;
 constexpr std::uint16_t kMetricsPort = 9464;  // the usual one of exporters
 // What clients may send until a manifest says.
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
@@ -35,18 +35,19 @@
 }  // namespace
 
 Gateway::Gateway(net::EventLoop* loop, const platform::Settings& settings,
-                 Log* log, Metrics* metrics,
-                 const std::string& incarnation)
+                 Log* log, Metrics* metrics, const std::string& incarnation)
     : m_loop(loop),
       m_settings(settings),
       m_log(log),
       m_metrics(metrics),
       m_store(loop, settings.store),
-      m_backends(loop, settings.zone,
-                 traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
+      m_backends(
+          loop, settings.zone,
+          traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
       m_turns(loop, &m_store, log, metrics),
       m_desk(loop, &m_store, log, metrics, incarnation),
-      m_members({settings.node, incarnation,
+      m_members({settings.node,
+                 incarnation,
                  {settings.address, settings.inner_ports.front()},
                  settings.zone}),
       m_network(loop, &m_members, log),
@@ -84,7 +85,7 @@
               });
 }
 
-void Gateway::TakeNode(const std::string&                        name,
+void Gateway::TakeNode(const std::string&                       name,
                        const std::optional<programs::NodeInfo>& node) {
   if (node) {
     m_members.Put(*node);
@@ -149,8 +150,7 @@
   m_turns.Sweep();
   m_desk.Sweep();
   m_metrics->Set(Gauge::kConnections, static_cast<double>(m_clients.size()));
-  m_metrics->Set(Gauge::kTurns,
-                 static_cast<double>(m_turns.history().size()));
+  m_metrics->Set(Gauge::kTurns, static_cast<double>(m_turns.history().size()));
   m_metrics->Set(Gauge::kServers, static_cast<double>(m_backends.servers()));
   m_log->Flush();
   m_loop->After(kTick, [this] { Tick(); });
@@ -191,9 +191,8 @@
   const bool served =
       m_listener < 0 && m_clients.empty() && m_turns.unkept() == 0;
   if (served || m_loop->now() >= m_stop_due) {
-    m_log->Write(LogEvent::kStopped,
-                 {{"connections_cut", m_clients.size()},
-                  {"turns_not_durable", m_turns.unkept()}});
+    m_log->Write(LogEvent::kStopped, {{"connections_cut", m_clients.size()},
+                                      {"turns_not_durable", m_turns.unkept()}});
     m_desk.GiveBackAll();
     // Only now: until its end this node may hold turns that the log does not
     // have, and others ask only the nodes that they know.
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -27,7 +27,7 @@
   // The nodes that announced themselves so far have all been taken.
   void TakeNodesKnown() { m_peers.SetMembersKnown(); }
   // A node announced itself, or, without a value, left.
-  void TakeNode(const std::string&                        name,
+  void TakeNode(const std::string&                       name,
                 const std::optional<programs::NodeInfo>& node);
   // Serves on while the balancer turns clients away, then stops the loop.
   void Stop();
@@ -53,25 +53,25 @@
   void        FinishWhenIdle();
   bool        Ready() const;
 
-  net::EventLoop*    m_loop;
-  platform::Settings m_settings;
-  Log*               m_log;
-  Metrics*           m_metrics;
-  platform::Store    m_store;
-  Backends           m_backends;
-  TurnKeeper         m_turns;
-  TokenDesk          m_desk;
+  net::EventLoop*      m_loop;
+  platform::Settings   m_settings;
+  Log*                 m_log;
+  Metrics*             m_metrics;
+  platform::Store      m_store;
+  Backends             m_backends;
+  TurnKeeper           m_turns;
+  TokenDesk            m_desk;
   programs::Membership m_members;
-  PeerNetwork        m_network;
-  PeerService        m_peers;
-  SmallServer        m_readiness;
-  SmallServer        m_metrics_server;
-  int                m_listener = -1;
-  bool               m_servers_known = false;
-  bool               m_stopping = false;
-  bool               m_closing = false;
-  Time               m_stop_due = 0;
-  Time               m_accepted_at = 0;  // the last connection
+  PeerNetwork          m_network;
+  PeerService          m_peers;
+  SmallServer          m_readiness;
+  SmallServer          m_metrics_server;
+  int                  m_listener = -1;
+  bool                 m_servers_known = false;
+  bool                 m_stopping = false;
+  bool                 m_closing = false;
+  Time                 m_stop_due = 0;
+  Time                 m_accepted_at = 0;  // the last connection
   std::shared_ptr<const traffic::RouteTable> m_routes;
   std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
       m_clients;
--- a/src/yuccawick/gateway/log.cc
+++ b/src/yuccawick/gateway/log.cc
@@ -24,8 +24,8 @@
 constexpr std::size_t kMaxLinesPerSecond = 600;
 constexpr net::Time   kSecond = 1000;
 
-std::string Format(std::string_view node, std::string_view zone,
-                   LogEvent event, std::initializer_list<LogField> fields) {
+std::string Format(std::string_view node, std::string_view zone, LogEvent event,
+                   std::initializer_list<LogField> fields) {
   const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
                         std::chrono::system_clock::now().time_since_epoch())
                         .count();
@@ -44,19 +44,17 @@
 
 std::string_view Name(LogEvent event) {
   constexpr std::array<std::string_view, 21> kNames{
-      "started",    "stopping",   "stopped",      "settings",
-      "manifest",   "servers",    "log_lost",     "log_back",
-      "accepted",   "sent",       "loss",         "answered",
-      "refused",    "cut_off",    "client_left",  "turn_at_peers",
-      "claim",    "scan",         "peer",
-      "dropped",    "fault"};
+      "started",       "stopping", "stopped",  "settings", "manifest",
+      "servers",       "log_lost", "log_back", "accepted", "sent",
+      "loss",          "answered", "refused",  "cut_off",  "client_left",
+      "turn_at_peers", "claim",    "scan",     "peer",     "dropped",
+      "fault"};
   return kNames[static_cast<std::size_t>(event)];
 }
 
 // Boost.Log backend that keeps a bounded buffer before a non-blocking output.
-class Log::Sink final
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::concurrent_feeding> {
+class Log::Sink final : public boost::log::sinks::basic_formatted_sink_backend<
+                            char, boost::log::sinks::concurrent_feeding> {
  public:
   Sink() {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -64,7 +62,7 @@
   }
 
   void consume(const boost::log::record_view& /*record*/,
-               const string_type&             line) {
+               const string_type& line) {
     Add(line);
   }
 
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -25,24 +25,24 @@
   kStarted,
   kStopping,
   kStopped,
-  kSettings,       // settings file read again
-  kManifest,       // a manifest came into force here
-  kServers,        // the list of backend servers changed
-  kLogLost,        // the platform's log stopped answering
+  kSettings,  // settings file read again
+  kManifest,  // a manifest came into force here
+  kServers,   // the list of backend servers changed
+  kLogLost,   // the platform's log stopped answering
   kLogBack,
-  kAccepted,       // a request was read and its route found
-  kSent,           // to a backend server, with what decided for it
-  kLoss,           // a send came to nothing, with what follows
-  kAnswered,       // the client has its whole answer
-  kRefused,        // answered without an answer of a server
-  kCutOff,         // the answer was broken off
+  kAccepted,  // a request was read and its route found
+  kSent,      // to a backend server, with what decided for it
+  kLoss,      // a send came to nothing, with what follows
+  kAnswered,  // the client has its whole answer
+  kRefused,   // answered without an answer of a server
+  kCutOff,    // the answer was broken off
   kClientLeft,
-  kTurnAtPeers,    // a turn is durable by copies; the log does not have it
-  kClaim,          // tokens of a program were claimed
-  kScan,           // the log was searched for turns
-  kPeer,           // a peer came or went
-  kDropped,        // log lines were dropped
-  kFault,          // something that should not happen
+  kTurnAtPeers,  // a turn is durable by copies; the log does not have it
+  kClaim,        // tokens of a program were claimed
+  kScan,         // the log was searched for turns
+  kPeer,         // a peer came or went
+  kDropped,      // log lines were dropped
+  kFault,        // something that should not happen
 };
 std::string_view Name(LogEvent event);
 
--- a/src/yuccawick/gateway/log_health.cc
+++ b/src/yuccawick/gateway/log_health.cc
@@ -29,8 +29,6 @@
                {{"partition", m_name}, {"call", call}});
 }
 
-bool LogHealth::JustReturned() const {
-  return m_loop->now() < m_quiet_until;
-}
+bool LogHealth::JustReturned() const { return m_loop->now() < m_quiet_until; }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -25,26 +25,26 @@
 class Metrics {
  public:
   Metrics();
-  void CountRefusal(traffic::Refusal refusal);
-  void CountLoss(traffic::LossCause cause);
-  void CountRepeat(traffic::LossCause cause);
-  void CountAnswer(traffic::RequestKind kind);
-  void CountStoreCall(bool succeeded);
-  void ObserveAnswer(double seconds);
-  void ObserveFirstEvent(double seconds);
-  void ObserveTurnKept(double seconds);
-  void Set(Gauge gauge, double value);
+  void        CountRefusal(traffic::Refusal refusal);
+  void        CountLoss(traffic::LossCause cause);
+  void        CountRepeat(traffic::LossCause cause);
+  void        CountAnswer(traffic::RequestKind kind);
+  void        CountStoreCall(bool succeeded);
+  void        ObserveAnswer(double seconds);
+  void        ObserveFirstEvent(double seconds);
+  void        ObserveTurnKept(double seconds);
+  void        Set(Gauge gauge, double value);
   // All of them in prometheus' text format.
   std::string Text() const;
 
  private:
-  std::shared_ptr<prometheus::Registry>                m_registry;
+  std::shared_ptr<prometheus::Registry>                    m_registry;
   std::array<prometheus::Counter*, traffic::kRefusalCount> m_refusals{};
-  std::array<prometheus::Counter*, 4>                  m_losses{};
-  std::array<prometheus::Counter*, 4>                  m_repeats{};
-  std::array<prometheus::Counter*, 3>                  m_answers{};
-  std::array<prometheus::Counter*, 2>                  m_store_calls{};
-  std::array<prometheus::Gauge*, kGaugeCount>          m_gauges{};
+  std::array<prometheus::Counter*, 4>                      m_losses{};
+  std::array<prometheus::Counter*, 4>                      m_repeats{};
+  std::array<prometheus::Counter*, 3>                      m_answers{};
+  std::array<prometheus::Counter*, 2>                      m_store_calls{};
+  std::array<prometheus::Gauge*, kGaugeCount>              m_gauges{};
   prometheus::Histogram* m_answer_seconds = nullptr;
   prometheus::Histogram* m_first_event_seconds = nullptr;
   prometheus::Histogram* m_turn_kept_seconds = nullptr;
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -47,8 +47,8 @@
     while (sound && m_buffer.size() - at >= kLengthBytes) {
       std::size_t size = 0;
       for (std::size_t i = 0; i < kLengthBytes; ++i) {
-        size = size << kBitsPerByte |
-               static_cast<unsigned char>(m_buffer[at + i]);
+        size =
+            size << kBitsPerByte | static_cast<unsigned char>(m_buffer[at + i]);
       }
       if (size > kMaxMessage) return false;
       if (m_buffer.size() - at - kLengthBytes < size) break;
@@ -64,9 +64,8 @@
   template <class Take>
   static bool Read(const std::string& bytes, Take take) {
     const auto failed = kj::runCatchingExceptions([&] {
-      kj::ArrayInputStream in(
-          kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                       bytes.size()));
+      kj::ArrayInputStream       in(kj::arrayPtr(
+                reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
       capnp::PackedMessageReader reader(in);
       take(reader.getRoot<PeerMessage>());
     });
@@ -102,11 +101,12 @@
   }
 
   void Expect(std::uint64_t number, Duration timeout, Answered done) {
-    const net::TimerId timer = m_network->m_loop->After(timeout, [this, number] {
-      Answered late = Take(number);
-      m_network->m_members->Suspect(m_node.name, m_network->m_loop->now());
-      late(std::nullopt);
-    });
+    const net::TimerId timer =
+        m_network->m_loop->After(timeout, [this, number] {
+          Answered late = Take(number);
+          m_network->m_members->Suspect(m_node.name, m_network->m_loop->now());
+          late(std::nullopt);
+        });
     m_questions.emplace(number, Question{std::move(done), timer});
   }
 
@@ -119,9 +119,7 @@
     }
   }
 
-  void OnConnected() override {
-    m_network->m_loop->Cancel(&m_connect_timer);
-  }
+  void OnConnected() override { m_network->m_loop->Cancel(&m_connect_timer); }
   void OnBytes(std::string_view bytes) override {
     m_network->m_members->Trust(m_node.name);
     const bool sound = m_frames.Feed(
@@ -155,12 +153,12 @@
     done(message);
   }
 
-  PeerNetwork*                                 m_network;
-  programs::NodeInfo                           m_node;
-  net::Stream                                  m_stream;
-  net::TimerId                                 m_connect_timer = 0;
-  FrameReader                                  m_frames;
-  std::unordered_map<std::uint64_t, Question>  m_questions;
+  PeerNetwork*                                m_network;
+  programs::NodeInfo                          m_node;
+  net::Stream                                 m_stream;
+  net::TimerId                                m_connect_timer = 0;
+  FrameReader                                 m_frames;
+  std::unordered_map<std::uint64_t, Question> m_questions;
 };
 
 class PeerNetwork::Session final : public net::StreamOwner {
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -71,13 +71,13 @@
   void  DropLink(const std::string& node, bool suspect);
   void  DropSession(SessionId id);
 
-  net::EventLoop*       m_loop;
-  programs::Membership* m_members;
-  Log*                  m_log;
-  Service*              m_service = nullptr;
-  int                   m_listener = -1;
-  std::uint64_t         m_last_number = 0;
-  SessionId             m_last_session = 0;
+  net::EventLoop*                                         m_loop;
+  programs::Membership*                                   m_members;
+  Log*                                                    m_log;
+  Service*                                                m_service = nullptr;
+  int                                                     m_listener = -1;
+  std::uint64_t                                           m_last_number = 0;
+  SessionId                                               m_last_session = 0;
   std::unordered_map<std::string, std::unique_ptr<Link>>  m_links;
   std::unordered_map<SessionId, std::unique_ptr<Session>> m_sessions;
 };
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -16,25 +16,25 @@
 
 // A home that must claim first takes two calls of the log, some 12 ms, half a
 // second in a slow spell.
-constexpr Duration kReserveTimeout = 700;  // ms
-constexpr Duration kCopyTimeout = 250;     // ms; a round trip and a busy peer
-constexpr Duration kFindTimeout = 250;     // ms
+constexpr Duration    kReserveTimeout = 700;  // ms
+constexpr Duration    kCopyTimeout = 250;  // ms; a round trip and a busy peer
+constexpr Duration    kFindTimeout = 250;  // ms
 // A home answers within this time, in ms; "unsure" if it does not know yet. The
 // asker asks again, and what was claimed meanwhile is there then.
-constexpr Duration kAnswerWithin = 350;
+constexpr Duration    kAnswerWithin = 350;
 // How long a turn waits for tokens while the log is away or its outage is not
 // yet agreed on, in ms, and the pause between two tries.
-constexpr Duration kReservePatience = 1200;
-constexpr Duration kReservePause = 80;
+constexpr Duration    kReservePatience = 1200;
+constexpr Duration    kReservePause = 80;
 // A node says that the log is away for it this often, in ms, and is believed
 // for this long.
-constexpr Duration kTellOutage = 200;
-constexpr Duration kOutageMemory = 600;
+constexpr Duration    kTellOutage = 200;
+constexpr Duration    kOutageMemory = 600;
 // Homes that are asked one after the other for one turn.
 constexpr std::size_t kMaxHomes = 3;
 // Loads are told again after this time even if they did not change, in ms; news
 // older than 700 ms is not used.
-constexpr Duration kTellAnyway = 400;
+constexpr Duration    kTellAnyway = 400;
 constexpr std::size_t kMaxGivenUp = 256;
 
 programs::wire::Reserved ToWire(ReserveOutcome outcome) {
@@ -70,7 +70,7 @@
   });
 }
 
-void PeerService::Reserve(const TurnBudget& turn, ReserveDone done) {
+void PeerService::Reserve(const TurnBudget& turn, const ReserveDone& done) {
   ReserveFrom(turn, 0, m_loop->now() + kReservePatience, done);
 }
 
@@ -93,7 +93,7 @@
     return;
   }
   const NodeInfo& home = homes[rank];
-  const auto decided = [this, turn, rank, until,
+  const auto      decided = [this, turn, rank, until,
                         done](const Reservation& result) {
     if (result.outcome == ReserveOutcome::kUnsure) {
       // It does not reach the log; who takes its place may.
@@ -105,8 +105,8 @@
     }
   };
   // Only the first home may do without the log: two that do so spend twice.
-  const auto outage = rank == 0 ? TokenDesk::Outage::kUseAllowance
-                                : TokenDesk::Outage::kRefuse;
+  const auto outage =
+      rank == 0 ? TokenDesk::Outage::kUseAllowance : TokenDesk::Outage::kRefuse;
   if (home.name == m_members->self().name) {
     ReserveHere(turn, outage, decided);
   } else {
@@ -167,8 +167,9 @@
   if (found == m_given_up.end()) return;
   const TurnBudget turn = found->second;
   m_given_up.erase(found);
-  const bool reserved = message.isReserved() && FromWire(message.getReserved()) ==
-                                                    ReserveOutcome::kStart;
+  const bool reserved =
+      message.isReserved() &&
+      FromWire(message.getReserved()) == ReserveOutcome::kStart;
   // Nobody runs this turn on that reservation.
   if (reserved) TellSettle(node, turn, 0);
 }
@@ -192,18 +193,17 @@
   m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
   const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
                                            : TokenDesk::Outage::kRefuse;
-  m_desk->Reserve(turn, outage,
-                  [this, session, turn, answer](ReserveOutcome outcome) {
-                    const auto held = m_reserved.find(session);
-                    const bool heard =
-                        held != m_reserved.end() && answer(outcome);
-                    if (outcome != ReserveOutcome::kStart) return;
-                    if (heard) {
-                      held->second.push_back(turn);
-                    } else {
-                      m_desk->EndTurn(turn, 0);  // nobody will run it
-                    }
-                  });
+  m_desk->Reserve(
+      turn, outage, [this, session, turn, answer](ReserveOutcome outcome) {
+        const auto held = m_reserved.find(session);
+        const bool heard = held != m_reserved.end() && answer(outcome);
+        if (outcome != ReserveOutcome::kStart) return;
+        if (heard) {
+          held->second.push_back(turn);
+        } else {
+          m_desk->EndTurn(turn, 0);  // nobody will run it
+        }
+      });
 }
 
 void PeerService::ServeSettle(PeerNetwork::SessionId session,
@@ -213,7 +213,7 @@
   if (held == m_reserved.end()) return;
   const std::string program = settle.getProgram().cStr();
   const auto        turn = std::find_if(
-      held->second.begin(), held->second.end(), [&](const TurnBudget& each) {
+             held->second.begin(), held->second.end(), [&](const TurnBudget& each) {
         return each.program == program && each.most == settle.getMost();
       });
   // Not there: it was counted at its most when an earlier session ended.
@@ -234,16 +234,15 @@
 
 std::vector<NodeInfo> PeerService::Holders(const std::string& key) const {
   // Other zones first: a zone's nodes fail together more often than not.
-  auto others = m_members->Others(m_loop->now());
+  auto       others = m_members->Others(m_loop->now());
   const auto rank = [&](const NodeInfo& node) {
     return std::pair(node.zone == m_members->self().zone,
                      XXH3_64bits_withSeed(node.name.data(), node.name.size(),
                                           XXH3_64bits(key.data(), key.size())));
   };
-  std::sort(others.begin(), others.end(),
-            [&](const NodeInfo& a, const NodeInfo& b) {
-              return rank(a) < rank(b);
-            });
+  std::sort(
+      others.begin(), others.end(),
+      [&](const NodeInfo& a, const NodeInfo& b) { return rank(a) < rank(b); });
   return others;
 }
 
@@ -267,8 +266,8 @@
           keep.setRetentionMs(retention);
         },
         kCopyTimeout,
-        [left, kept, done, wanted = holders.size()](
-            std::optional<PeerMessage::Reader> answer) {
+        [left, kept, done,
+         wanted = holders.size()](std::optional<PeerMessage::Reader> answer) {
           if (answer && answer->isTurnKept()) ++*kept;
           if (--*left == 0) done(*kept == wanted);
         });
@@ -288,8 +287,7 @@
   auto search = std::make_shared<Search>();
   for (const NodeInfo& node : others) {
     m_network->Ask(
-        node,
-        [&](PeerMessage::Builder message) { message.setFindTurn(id); },
+        node, [&](PeerMessage::Builder message) { message.setFindTurn(id); },
         kFindTimeout,
         [left, ended, search, done](std::optional<PeerMessage::Reader> answer) {
           --*left;
@@ -312,9 +310,9 @@
                             const PeerNetwork::Reply& reply) {
   const std::string id = message.getFindTurn().cStr();
   // Part of a chain is of no use to the asker.
-  const bool whole = m_turns->history().HoldsChain(id);
-  const auto line = whole ? m_turns->history().Line(id)
-                          : std::vector<const Turn*>();
+  const bool        whole = m_turns->history().HoldsChain(id);
+  const auto        line =
+      whole ? m_turns->history().Line(id) : std::vector<const Turn*>();
   reply([&line](PeerMessage::Builder answer) {
     auto     turns = answer.initTurnFound(static_cast<unsigned>(line.size()));
     unsigned at = 0;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -37,7 +37,7 @@
               Backends* backends);
 
   using ReserveDone = std::function<void(const Reservation&)>;
-  void Reserve(const TurnBudget& turn, ReserveDone done);
+  void Reserve(const TurnBudget& turn, const ReserveDone& done);
   void EndTurn(const Reservation& reservation, programs::Tokens used);
   // Tells the nodes of this zone what this node has under way, and all nodes
   // whether the log is away for it. Call often.
@@ -88,7 +88,7 @@
   Backends*             m_backends;
   // Turns reserved here for other nodes, by the session they came over.
   std::unordered_map<PeerNetwork::SessionId, std::vector<TurnBudget>>
-      m_reserved;
+                                           m_reserved;
   // Questions for a reservation that were given up, by number.
   std::map<std::uint64_t, TurnBudget>      m_given_up;
   std::vector<std::pair<std::string, int>> m_told;
--- a/src/yuccawick/gateway/small_server.h
+++ b/src/yuccawick/gateway/small_server.h
@@ -32,9 +32,9 @@
 
  private:
   class Connection;
-  net::EventLoop* m_loop;
-  Answer          m_answer;
-  int             m_listener = -1;
+  net::EventLoop*                                              m_loop;
+  Answer                                                       m_answer;
+  int                                                          m_listener = -1;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> m_connections;
 };
 
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -15,15 +15,15 @@
 using platform::Topic;
 using programs::TokenAnswer;
 
-constexpr Duration kReadTimeout = 600;        // ms
-constexpr Duration kRetryDelay = 80;          // ms
+constexpr Duration         kReadTimeout = 600;  // ms
+constexpr Duration         kRetryDelay = 80;    // ms
 constexpr programs::Tokens kNoTokens = 0;
 // A claim that took longer than this, in ms, is not used any more; above the
 // time of a call that was answered.
-constexpr Duration kLateClaim = 1200;
+constexpr Duration         kLateClaim = 1200;
 // Claims of others are read at least this often, in ms. A node that becomes
 // home of a program in an outage knows what was granted until shortly before.
-constexpr Duration kReadAnyway = 800;
+constexpr Duration         kReadAnyway = 800;
 constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
 // A turn waits this long for others of its program to end, in ms: about as long
 // as the longest turn takes at a busy server.
@@ -59,8 +59,8 @@
 }
 
 void TokenDesk::Reserve(const TurnBudget& turn, Outage outage, Done done) {
-  m_accounts.try_emplace(turn.program,
-                         Account{programs::TokenAccount(turn.budget), 0, {}, 0});
+  m_accounts.try_emplace(
+      turn.program, Account{programs::TokenAccount(turn.budget), 0, {}, 0});
   Answer({turn, outage, std::move(done), m_loop->now() + kWaitForTurns});
 }
 
@@ -113,8 +113,8 @@
 
 // Numbers are times, so that a record tells how long it was on its way.
 std::uint64_t TokenDesk::NextNumber() {
-  m_last_number = std::max(m_last_number + 1,
-                           static_cast<std::uint64_t>(m_loop->now()));
+  m_last_number =
+      std::max(m_last_number + 1, static_cast<std::uint64_t>(m_loop->now()));
   return m_last_number;
 }
 
@@ -264,8 +264,8 @@
   if (request.outage == Outage::kRefuse || !m_caught_up) return 0;
   if (!m_peers->LogIsAwayForMost()) return 0;
   auto&      tokens = m_accounts.at(request.turn.program).tokens;
-  const auto rest = m_ledger.Rest(request.turn.program,
-                                  tokens.budget() + request.turn.most);
+  const auto rest =
+      m_ledger.Rest(request.turn.program, tokens.budget() + request.turn.most);
   return tokens.TakeAllowance(request.turn.most, rest);
 }
 
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -90,7 +90,7 @@
   struct Account {
     programs::TokenAccount tokens;
     Time                   used = 0;
-    std::deque<Waiting>    waiting;  // for a turn under way to end
+    std::deque<Waiting>    waiting;         // for a turn under way to end
     int                    unrecorded = 0;  // allowances not yet in the log
   };
 
@@ -104,31 +104,31 @@
   void                 UseAllowance(const Waiting& request);
   void                 Insist(const programs::TokenClaim& record);
   void                 Recorded(const programs::TokenClaim& record);
-  std::uint64_t NextNumber();
+  std::uint64_t        NextNumber();
   void ClaimLost(std::uint64_t number, const platform::StoreError& error);
   void ReadClaims();
   void ReadPage();
   void ReadFailed();
   programs::Tokens Allowance(const Waiting& request);
-  void TakeRecord(const std::string& record);
-  void WakeWaiting(const std::string& program);
+  void             TakeRecord(const std::string& record);
+  void             WakeWaiting(const std::string& program);
 
-  net::EventLoop*       m_loop;
-  platform::Store*      m_store;
-  LogHealth             m_health;
-  OutagePeers*          m_peers = nullptr;
-  Log*                  m_log;
-  std::string           m_incarnation;
-  programs::TokenLedger m_ledger;
-  Appender              m_appender;
+  net::EventLoop*                            m_loop;
+  platform::Store*                           m_store;
+  LogHealth                                  m_health;
+  OutagePeers*                               m_peers = nullptr;
+  Log*                                       m_log;
+  std::string                                m_incarnation;
+  programs::TokenLedger                      m_ledger;
+  Appender                                   m_appender;
   std::unordered_map<std::string, Account>   m_accounts;  // by program
   std::unordered_map<std::uint64_t, Waiting> m_claims;    // by number
-  std::vector<programs::TokenClaim> m_unrecorded;  // not in the log yet
-  std::uint64_t m_last_number = 0;
+  std::vector<programs::TokenClaim> m_unrecorded;         // not in the log yet
+  std::uint64_t                     m_last_number = 0;
   std::uint64_t m_unsure_claim = 0;  // sent, and its answer was lost
-  std::int64_t  m_next = 0;  // offset to read on from
-  std::int64_t  m_goal = 0;  // offset to read up to
-  Time          m_read_at = 0;  // began to read then
+  std::int64_t  m_next = 0;          // offset to read on from
+  std::int64_t  m_goal = 0;          // offset to read up to
+  Time          m_read_at = 0;       // began to read then
   bool          m_reading = false;
   bool          m_caught_up = false;  // read whole since the start
 };
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -70,8 +70,8 @@
 }
 
 void TurnKeeper::FindElsewhere(int first, const Question& question) {
-  auto open = std::make_shared<int>(kTurnPartitions - 1);
-  auto complete = std::make_shared<bool>(true);
+  auto       open = std::make_shared<int>(kTurnPartitions - 1);
+  auto       complete = std::make_shared<bool>(true);
   const auto end = [this, question, complete] {
     if (m_history.HoldsChain(question.id)) {
       question.done(FindOutcome::kFound);
@@ -90,21 +90,19 @@
 }
 
 void TurnKeeper::AskPeers(const Question& question, bool log_complete) {
-  m_peers->AskForTurn(
-      question.id,
-      [this, question, log_complete](const TurnPeers::Search& search) {
-        for (const programs::Turn& turn : search.turns) {
-          m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
-        }
-        // The node that finished a turn holds it beside its copies.
-        const bool ruled_out = log_complete && search.silent <= kTurnCopies;
-        if (m_history.HoldsChain(question.id)) {
-          question.done(FindOutcome::kFound);
-        } else {
-          question.done(ruled_out ? FindOutcome::kUnknown
-                                  : FindOutcome::kUnsure);
-        }
-      });
+  m_peers->AskForTurn(question.id, [this, question, log_complete](
+                                       const TurnPeers::Search& search) {
+    for (const programs::Turn& turn : search.turns) {
+      m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
+    }
+    // The node that finished a turn holds it beside its copies.
+    const bool ruled_out = log_complete && search.silent <= kTurnCopies;
+    if (m_history.HoldsChain(question.id)) {
+      question.done(FindOutcome::kFound);
+    } else {
+      question.done(ruled_out ? FindOutcome::kUnknown : FindOutcome::kUnsure);
+    }
+  });
 }
 
 void TurnKeeper::ScanPartition(int partition, std::function<void(bool)> done) {
@@ -126,27 +124,27 @@
 
 void TurnKeeper::ReadPart(int partition) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
-  m_store->Read(Topic::kTurns, partition, scan.next, 0, kReadTimeout,
-                [this, partition, &scan](const StoreResult<ReadPage>& result) {
-                  if (!result &&
-                      result.error().failure == StoreFailure::kExpired) {
-                    scan.next = result.error().first;
-                    ReadPart(partition);
-                    return;
-                  }
-                  scan.health->Note(result.has_value(), "read");
-                  if (!result) {
-                    EndScan(partition, false);
-                    return;
-                  }
-                  TakeTurns(result->records);
-                  scan.next = std::max(scan.next, result->next);
-                  if (scan.next < result->end && !result->records.empty()) {
-                    ReadPart(partition);
-                  } else {
-                    EndScan(partition, true);
-                  }
-                });
+  m_store->Read(
+      Topic::kTurns, partition, scan.next, 0, kReadTimeout,
+      [this, partition, &scan](const StoreResult<ReadPage>& result) {
+        if (!result && result.error().failure == StoreFailure::kExpired) {
+          scan.next = result.error().first;
+          ReadPart(partition);
+          return;
+        }
+        scan.health->Note(result.has_value(), "read");
+        if (!result) {
+          EndScan(partition, false);
+          return;
+        }
+        TakeTurns(result->records);
+        scan.next = std::max(scan.next, result->next);
+        if (scan.next < result->end && !result->records.empty()) {
+          ReadPart(partition);
+        } else {
+          EndScan(partition, true);
+        }
+      });
 }
 
 void TurnKeeper::EndScan(int partition, bool complete) {
@@ -166,8 +164,8 @@
   for (const LogRecord& record : records) {
     auto turn = programs::DecodeTurn(record.value);
     if (!turn) {
-      m_log->Write(LogEvent::kFault, {{"what", "undecodable turn"},
-                                      {"offset", record.offset}});
+      m_log->Write(LogEvent::kFault,
+                   {{"what", "undecodable turn"}, {"offset", record.offset}});
       continue;
     }
     m_history.Add(std::move(*turn), m_loop->now(),
@@ -200,7 +198,7 @@
     done(kept);
   };
   Append(turn, [settle](const Appender::Result&) { settle(Kept::kInLog); });
-  const auto&    scan =
+  const auto& scan =
       m_scans[static_cast<std::size_t>(PartitionOf(turn.program))];
   const Duration patience = scan.health->away() ? 0 : kLogPatience;
   m_loop->After(patience, [this, turn, retention, open, settle] {
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -76,10 +76,9 @@
 
   programs::TurnHistory& history() { return m_history; }
   std::size_t            unkept() const { return m_unkept; }
-  // How long turns read from the log are kept, in ms: the longest of the routes.
-  void                   SetRetention(Duration retention) {
-    m_retention = retention;
-  }
+  // How long turns read from the log are kept, in ms: the longest of the
+  // routes.
+  void SetRetention(Duration retention) { m_retention = retention; }
   void Sweep() { m_history.Expire(m_loop->now()); }
 
  private:
@@ -111,8 +110,8 @@
   Metrics*              m_metrics;
   TurnPeers*            m_peers = nullptr;
   programs::TurnHistory m_history;
-  std::vector<Appender> m_appenders;  // by partition
-  std::vector<Scan>     m_scans;      // by partition
+  std::vector<Appender> m_appenders;   // by partition
+  std::vector<Scan>     m_scans;       // by partition
   std::size_t           m_unkept = 0;  // turns of this node not in the log
   Duration              m_retention = 60'000;  // until a manifest says
 };
--- a/src/yuccawick/net/event_loop.h
+++ b/src/yuccawick/net/event_loop.h
@@ -30,7 +30,7 @@
   virtual ~SocketHandler() = default;
   virtual void OnReadable() = 0;  // bytes, an end of stream or an error wait
   virtual void OnWritable() = 0;
-  virtual void OnHangup() = 0;    // the peer closed, or the socket failed
+  virtual void OnHangup() = 0;  // the peer closed, or the socket failed
 };
 
 using TimerId = std::uint64_t;  // 0 names no timer
@@ -69,18 +69,18 @@
   void RunDeferred();
   void TakePosted();
 
-  int                                          m_epoll = -1;
-  int                                          m_wake_read = -1;
-  int                                          m_wake_write = -1;
-  bool                                         m_stopped = false;
-  Time                                         m_now = 0;
-  TimerId                                      m_last_timer = 0;
-  std::unordered_map<int, Watched>             m_watched;
-  std::map<std::pair<Time, TimerId>, Task>     m_timers;
-  std::unordered_map<TimerId, Time>            m_timer_times;
-  std::vector<Task>                            m_deferred;
-  std::mutex                                   m_posted_lock;
-  std::vector<Task>                            m_posted;  // under m_posted_lock
+  int                                      m_epoll = -1;
+  int                                      m_wake_read = -1;
+  int                                      m_wake_write = -1;
+  bool                                     m_stopped = false;
+  Time                                     m_now = 0;
+  TimerId                                  m_last_timer = 0;
+  std::unordered_map<int, Watched>         m_watched;
+  std::map<std::pair<Time, TimerId>, Task> m_timers;
+  std::unordered_map<TimerId, Time>        m_timer_times;
+  std::vector<Task>                        m_deferred;
+  std::mutex                               m_posted_lock;
+  std::vector<Task>                        m_posted;  // under m_posted_lock
 };
 
 }  // namespace yuccawick::net
--- a/src/yuccawick/net/http.cc
+++ b/src/yuccawick/net/http.cc
@@ -90,9 +90,8 @@
 
 std::size_t Headers::Count(std::string_view name) const {
   return static_cast<std::size_t>(
-      std::count_if(m_headers.begin(), m_headers.end(), [&](const Header& h) {
-        return SameName(h.name, name);
-      }));
+      std::count_if(m_headers.begin(), m_headers.end(),
+                    [&](const Header& h) { return SameName(h.name, name); }));
 }
 
 HttpReader::HttpReader(HttpRole role, HttpLimits limits, HttpSink* sink)
@@ -118,9 +117,7 @@
   return kCallbacks;
 }
 
-bool HttpReader::in_message() const {
-  return m_in_body || !m_raw_head.empty();
-}
+bool HttpReader::in_message() const { return m_in_body || !m_raw_head.empty(); }
 
 void HttpReader::StartMessage() {
   m_head = {};
@@ -186,16 +183,14 @@
   return m_ended;
 }
 
-int HttpReader::OnField(http_parser* parser, const char* at,
-                        std::size_t size) {
+int HttpReader::OnField(http_parser* parser, const char* at, std::size_t size) {
   auto* self = static_cast<HttpReader*>(parser->data);
   if (self->m_value_seen) self->AddHeader();
   self->m_field.append(at, size);
   return 0;
 }
 
-int HttpReader::OnValue(http_parser* parser, const char* at,
-                        std::size_t size) {
+int HttpReader::OnValue(http_parser* parser, const char* at, std::size_t size) {
   auto* self = static_cast<HttpReader*>(parser->data);
   self->m_value_seen = true;
   self->m_value.append(at, size);
@@ -215,7 +210,8 @@
 }
 
 void HttpReader::AddHeader() {
-  while (!m_value.empty() && (m_value.back() == ' ' || m_value.back() == '\t')) {
+  while (!m_value.empty() &&
+         (m_value.back() == ' ' || m_value.back() == '\t')) {
     m_value.pop_back();
   }
   m_head.headers.Add(m_field, m_value);
--- a/src/yuccawick/net/http.h
+++ b/src/yuccawick/net/http.h
@@ -83,14 +83,13 @@
   bool                     in_body() const { return m_in_body; }
 
  private:
-  static int  OnField(http_parser* parser, const char* at, std::size_t size);
-  static int  OnValue(http_parser* parser, const char* at, std::size_t size);
-  static int  OnTarget(http_parser* parser, const char* at, std::size_t size);
-  static int  OnReason(http_parser* parser, const char* at, std::size_t size);
-  static int  OnHeadersEnd(http_parser* parser);
-  static int  OnBodyBytes(http_parser* parser, const char* at,
-                          std::size_t size);
-  static int  OnEnd(http_parser* parser);
+  static int OnField(http_parser* parser, const char* at, std::size_t size);
+  static int OnValue(http_parser* parser, const char* at, std::size_t size);
+  static int OnTarget(http_parser* parser, const char* at, std::size_t size);
+  static int OnReason(http_parser* parser, const char* at, std::size_t size);
+  static int OnHeadersEnd(http_parser* parser);
+  static int OnBodyBytes(http_parser* parser, const char* at, std::size_t size);
+  static int OnEnd(http_parser* parser);
   static const http_parser_settings& Callbacks();
 
   std::size_t FeedHead(std::string_view bytes);
--- a/src/yuccawick/net/http_client.cc
+++ b/src/yuccawick/net/http_client.cc
@@ -9,11 +9,11 @@
 
 // How long bytes may stay unacknowledged, in ms. Calls have their own, usually
 // longer, limit; this one frees connections that went silent for good.
-constexpr int         kSilence = 2000;
-constexpr HttpLimits  kAnswerLimits{16UL * 1024, 16UL << 20};
+constexpr int        kSilence = 2000;
+constexpr HttpLimits kAnswerLimits{16UL * 1024, 16UL << 20};
 // A kept connection that rested longer may have been dropped by the other side
 // without a word; a new one costs one round trip.
-constexpr Duration    kMaxIdle = 10'000;
+constexpr Duration   kMaxIdle = 10'000;
 
 }  // namespace
 
@@ -33,12 +33,11 @@
   bool idle() const { return !m_done && m_stream.is_open(); }
   Time idle_since() const { return m_idle_since; }
 
-  void Start(Call call, CallDone done) {
+  void Start(const Call& call, CallDone done) {
     m_done = std::move(done);
     m_answer = {};
     m_sent = m_connected;
-    std::string request =
-        call.method + " " + call.target + " HTTP/1.1\r\n";
+    std::string request = call.method + " " + call.target + " HTTP/1.1\r\n";
     AppendHeader(&request, "Host", m_client->m_server.Text());
     if (!call.content_type.empty()) {
       AppendHeader(&request, "Content-Type", call.content_type);
@@ -144,7 +143,7 @@
   return nullptr;
 }
 
-void HttpClient::Send(Call call, CallDone done) {
+void HttpClient::Send(const Call& call, CallDone done) {
   Connection* connection = Idle();
   if (connection == nullptr) {
     const int fd = Connect(m_server, kSilence);
@@ -157,7 +156,7 @@
     m_connections.push_back(std::make_unique<Connection>(this, fd));
     connection = m_connections.back().get();
   }
-  connection->Start(std::move(call), std::move(done));
+  connection->Start(call, std::move(done));
 }
 
 void HttpClient::Release(Connection* connection, bool usable) {
--- a/src/yuccawick/net/http_client.h
+++ b/src/yuccawick/net/http_client.h
@@ -48,7 +48,7 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  void            Send(Call call, CallDone done);
+  void            Send(const Call& call, CallDone done);
   const Endpoint& server() const { return m_server; }
 
  private:
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -33,16 +33,16 @@
  public:
   explicit Membership(NodeInfo self) : m_self(std::move(self)) {}
 
-  void            Put(const NodeInfo& node);
-  void            Remove(const std::string& name) { m_nodes.erase(name); }
+  void Put(const NodeInfo& node);
+  void Remove(const std::string& name) { m_nodes.erase(name); }
   // The node did not answer: it is no home for `kSuspicion`.
-  void            Suspect(const std::string& name, Time now);
-  void            Trust(const std::string& name) { m_suspects.erase(name); }
+  void Suspect(const std::string& name, Time now);
+  void Trust(const std::string& name) { m_suspects.erase(name); }
   // The nodes that are not suspected, self included, the home of the key first
   // and then who takes its place if it cannot serve.
   std::vector<NodeInfo> HomesOf(std::string_view key, Time now) const;
-  const NodeInfo& self() const { return m_self; }
-  const NodeInfo* Find(const std::string& name) const;
+  const NodeInfo&       self() const { return m_self; }
+  const NodeInfo*       Find(const std::string& name) const;
   std::vector<NodeInfo> Others(Time now) const;  // not suspected
   std::vector<NodeInfo> All() const;             // but self
 
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -25,9 +25,8 @@
 std::optional<Record> Decode(std::string_view bytes, Take take) {
   std::optional<Record> record;
   const auto            failed = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream in(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                     bytes.size()));
+    kj::ArrayInputStream       in(kj::arrayPtr(
+                         reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::PackedMessageReader reader(in);
     record = take(&reader);
   });
@@ -85,9 +84,8 @@
 }
 
 TokenClaim Read(wire::Claim::Reader reader) {
-  return {reader.getNumber(),  Text(reader.getNode()),
-          Text(reader.getProgram()), reader.getBudget(),
-          reader.getNeed(),    reader.getWish(),
+  return {reader.getNumber(), Text(reader.getNode()), Text(reader.getProgram()),
+          reader.getBudget(), reader.getNeed(),       reader.getWish(),
           reader.getTaken()};
 }
 
@@ -118,8 +116,7 @@
     const auto reader = message->template getRoot<wire::Node>();
     const auto address = net::ParseEndpoint(Text(reader.getAddress()));
     return NodeInfo{name, Text(reader.getIncarnation()),
-                    address.value_or(net::Endpoint{}),
-                    Text(reader.getZone())};
+                    address.value_or(net::Endpoint{}), Text(reader.getZone())};
   });
   return node && node->address.port != 0 ? node : std::nullopt;
 }
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -22,8 +22,8 @@
 std::optional<NodeInfo> DecodeNode(const std::string& name,
                                    std::string_view   bytes);
 
-void Write(const Turn& turn, wire::Turn::Builder builder);
-Turn Read(wire::Turn::Reader reader);
+void       Write(const Turn& turn, wire::Turn::Builder builder);
+Turn       Read(wire::Turn::Reader reader);
 void       Write(const TokenClaim& claim, wire::Claim::Builder builder);
 TokenClaim Read(wire::Claim::Reader reader);
 
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -25,8 +25,7 @@
   }
   const Tokens rest = entry.budget - entry.granted;
   if (rest < claim.need) return 0;
-  const Tokens granted =
-      std::max(claim.need, std::min(claim.wish, rest / 2));
+  const Tokens granted = std::max(claim.need, std::min(claim.wish, rest / 2));
   entry.granted += granted;
   return granted;
 }
--- a/src/yuccawick/programs/turn_history.cc
+++ b/src/yuccawick/programs/turn_history.cc
@@ -31,8 +31,8 @@
 
 Chain TurnHistory::Build(const std::string& previous, const std::string& input,
                          Time now, Duration retention) {
-  Chain      chain;
-  const auto line = Line(previous);
+  Chain       chain;
+  const auto  line = Line(previous);
   const Turn* oldest = line.empty() ? nullptr : line.back();
   if (!previous.empty() && (oldest == nullptr || !oldest->previous.empty())) {
     chain.missing = oldest == nullptr ? previous : oldest->previous;
--- a/src/yuccawick/traffic/attempt.cc
+++ b/src/yuccawick/traffic/attempt.cc
@@ -10,7 +10,7 @@
 
 const core::NameList kPhases{"preparing", "connecting", "sent",
                              "answering", "recording",  "done"};
-const core::NameList kEvents{"prepared",   "connected", "answer_began",
+const core::NameList kEvents{"prepared",     "connected",  "answer_began",
                              "answer_ended", "send_again", "recorded",
                              "finish"};
 
@@ -49,7 +49,7 @@
   const bool may_repeat = route.Repeatable() || !may_have_run;
   const bool has_time =
       loss.left >= kLeastTimeToRepeat && loss.repeats < kMaxRepeats;
-  const NextStep give_up = loss.answering  ? NextStep::kCutOff
+  const NextStep give_up = loss.answering ? NextStep::kCutOff
                            : may_have_run ? NextStep::kFail
                                           : NextStep::kRefuse;
   if (!may_repeat || !has_time) return give_up;
@@ -60,8 +60,8 @@
   if (loss.other_server && more_servers) return NextStep::kOtherServer;
   // The same server again costs no further server. One that is full stays full
   // for longer than a repeat takes.
-  const bool same_helps = loss.cause == LossCause::kBroken ||
-                          loss.cause == LossCause::kBadAnswer;
+  const bool same_helps =
+      loss.cause == LossCause::kBroken || loss.cause == LossCause::kBadAnswer;
   return same_helps ? NextStep::kSameServer : give_up;
 }
 
--- a/src/yuccawick/traffic/attempt.h
+++ b/src/yuccawick/traffic/attempt.h
@@ -51,12 +51,12 @@
 
 struct Loss {
   LossCause cause = LossCause::kBroken;
-  int       servers_sent = 0;    // distinct servers that were sent it
-  int       repeats = 0;         // sends after the first
-  bool      in_doubt = false;    // some send of it may have run
-  bool      answering = false;   // part of the answer went to the client
+  int       servers_sent = 0;      // distinct servers that were sent it
+  int       repeats = 0;           // sends after the first
+  bool      in_doubt = false;      // some send of it may have run
+  bool      answering = false;     // part of the answer went to the client
   bool      other_server = false;  // one is left that was not tried
-  Duration  left = 0;            // ms until the attempt is given up
+  Duration  left = 0;              // ms until the attempt is given up
 };
 
 enum class NextStep : std::uint8_t {
--- a/src/yuccawick/traffic/directory.h
+++ b/src/yuccawick/traffic/directory.h
@@ -40,14 +40,14 @@
 
 class Directory {
  public:
-  void Put(const BackendServer& server);
+  void          Put(const BackendServer& server);
   // The entry is gone; at once, or after the grace of a recent outage.
-  void Remove(const std::string& id, Time now);
+  void          Remove(const std::string& id, Time now);
   // A complete listing: what it does not name is gone.
-  void ReplaceAll(const ServerList& servers, Time now);
-  void SetReachable(bool reachable, Time now);
+  void          ReplaceAll(const ServerList& servers, Time now);
+  void          SetReachable(bool reachable, Time now);
   // Carries out removals that are due. Call often.
-  void Expire(Time now);
+  void          Expire(Time now);
   // True once after each change of what List() returns.
   bool          TakeChange();
   ServerListPtr List() const;
--- a/src/yuccawick/traffic/event_stream.cc
+++ b/src/yuccawick/traffic/event_stream.cc
@@ -43,7 +43,8 @@
 }
 
 bool EventSplitter::Next(StreamEvent* event) {
-  const std::string_view rest = std::string_view(m_buffer).substr(m_start);
+  std::string_view rest = m_buffer;
+  rest.remove_prefix(m_start);
   const auto             plain = rest.find("\n\n");
   const auto             with_returns = rest.find("\r\n\r\n");
   std::size_t            size = 0;
--- a/src/yuccawick/traffic/manifest.h
+++ b/src/yuccawick/traffic/manifest.h
@@ -57,8 +57,8 @@
 };
 
 struct EngineLimits {
-  int          slots = 0;            // requests at once
-  std::int64_t cache_tokens = 0;     // shared by runs and cached prefixes
+  int          slots = 0;         // requests at once
+  std::int64_t cache_tokens = 0;  // shared by runs and cached prefixes
   std::int64_t tokens_per_event = 1;
 };
 
@@ -96,7 +96,7 @@
   const ManifestPtr& manifest() const { return m_manifest; }
 
  private:
-  ManifestPtr                                           m_manifest;
+  ManifestPtr                                                   m_manifest;
   std::map<std::string, std::vector<const Route*>, std::less<>> m_by_host;
 };
 
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -16,11 +16,11 @@
 
 struct Candidate {
   const BackendServer* server = nullptr;
-  int  own_load = 0;         // requests this node has under way there
-  int  others_load = 0;      // the same of other nodes, as last heard
-  bool same_zone = false;    // as this node
-  bool holds_prefix = false; // served the request's line of turns last
-  int  recent_failures = 0;  // since its last success
+  int                  own_load = 0;  // requests this node has under way there
+  int  others_load = 0;               // the same of other nodes, as last heard
+  bool same_zone = false;             // as this node
+  bool holds_prefix = false;          // served the request's line of turns last
+  int  recent_failures = 0;           // since its last success
 
   int load() const { return own_load + others_load; }
 };
@@ -41,6 +41,6 @@
 // near or warm server stop to count.
 inline constexpr double kCrossZonePenalty = 0.45;  // per slot; see docs/design
 inline constexpr double kColdPrefixPenalty = 0.15;
-inline constexpr double kFailurePenalty = 4.0;     // any healthy server first
+inline constexpr double kFailurePenalty = 4.0;  // any healthy server first
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -11,21 +11,21 @@
 namespace yuccawick::traffic {
 
 enum class Refusal : std::uint8_t {
-  kMalformed,        // not HTTP as we read it, or a bad header
+  kMalformed,  // not HTTP as we read it, or a bad header
   kHeadTooLarge,
   kBodyTooLarge,
-  kTooSlow,          // the client did not send its request in time
+  kTooSlow,  // the client did not send its request in time
   kNoRoute,
-  kUnknownTurn,      // the turn it continues from certainly does not exist
-  kBudgetSpent,      // the program's tokens do not hold this turn
-  kNotReady,         // this node knows no manifest yet
-  kNoServer,         // no backend server can take it now
-  kOverloaded,       // the server that was asked is full
-  kHistoryUnsure,    // the turn may exist, and the log does not answer
-  kBudgetUnsure,     // the budget cannot be claimed now
-  kLateUnsent,       // out of time before it was sent
-  kLateSent,         // out of time after it was sent
-  kServerFailed,     // it may have run, and no answer can be had
+  kUnknownTurn,    // the turn it continues from certainly does not exist
+  kBudgetSpent,    // the program's tokens do not hold this turn
+  kNotReady,       // this node knows no manifest yet
+  kNoServer,       // no backend server can take it now
+  kOverloaded,     // the server that was asked is full
+  kHistoryUnsure,  // the turn may exist, and the log does not answer
+  kBudgetUnsure,   // the budget cannot be claimed now
+  kLateUnsent,     // out of time before it was sent
+  kLateSent,       // out of time after it was sent
+  kServerFailed,   // it may have run, and no answer can be had
   kCount,
 };
 constexpr std::size_t kRefusalCount = static_cast<std::size_t>(Refusal::kCount);
--- a/src/yuccawick/traffic/request.h
+++ b/src/yuccawick/traffic/request.h
@@ -15,11 +15,11 @@
 struct RequestInfo {
   std::string                 attempt;  // unique to this attempt of a client
   std::string                 host;
-  std::optional<Duration>     deadline;  // ms the client still waits
-  std::string                 program;   // agent program; empty: none
-  std::string                 line;      // line of turns in the program
-  std::optional<Duration>     program_left;   // ms until it should be finished
-  std::optional<std::int64_t> budget;         // tokens of the whole program
+  std::optional<Duration>     deadline;      // ms the client still waits
+  std::string                 program;       // agent program; empty: none
+  std::string                 line;          // line of turns in the program
+  std::optional<Duration>     program_left;  // ms until it should be finished
+  std::optional<std::int64_t> budget;        // tokens of the whole program
   std::int64_t                prompt_tokens = 0;
   std::int64_t                most_tokens = 0;  // that the turn may generate
   std::string                 previous_turn;
