--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -32,6 +32,21 @@
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
                                              15'000};
 
+// Partitions of the claims. Each takes an append every two milliseconds; two
+// carry some 300 claiming nodes' batches a second at a third of that.
+constexpr int kClaimPartitions = 2;
+
+std::vector<TokenDesk> MakeDesks(net::EventLoop* loop, platform::Store* store,
+                                 Log* log, Metrics* metrics,
+                                 const std::string& incarnation) {
+  std::vector<TokenDesk> desks;
+  desks.reserve(kClaimPartitions);  // desks hand out pointers to themselves
+  for (int i = 0; i < kClaimPartitions; ++i) {
+    desks.emplace_back(loop, store, log, metrics, incarnation, i);
+  }
+  return desks;
+}
+
 }  // namespace
 
 Gateway::Gateway(net::EventLoop* loop, const platform::Settings& settings,
@@ -45,13 +60,13 @@
           loop, settings.zone,
           traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
       m_turns(loop, &m_store, log, metrics),
-      m_desk(loop, &m_store, log, metrics, incarnation),
+      m_desks(MakeDesks(loop, &m_store, log, metrics, incarnation)),
       m_members({settings.node,
                  incarnation,
                  {settings.address, settings.inner_ports.front()},
                  settings.zone}),
       m_network(loop, &m_members, log),
-      m_peers(loop, &m_members, &m_network, &m_desk, &m_turns, &m_backends),
+      m_peers(loop, &m_members, &m_network, &m_desks, &m_turns, &m_backends),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
       m_metrics_server(loop, [metrics](std::string_view) {
         return SmallAnswer{200, metrics->Text()};
@@ -71,7 +86,7 @@
   Announce();
   Tick();
   TellNews();
-  m_desk.Start();
+  for (TokenDesk& desk : m_desks) desk.Start();
   return true;
 }
 
@@ -148,7 +163,7 @@
 void Gateway::Tick() {
   m_backends.Sweep();
   m_turns.Sweep();
-  m_desk.Sweep();
+  for (TokenDesk& desk : m_desks) desk.Sweep();
   m_metrics->Set(Gauge::kConnections, static_cast<double>(m_clients.size()));
   m_metrics->Set(Gauge::kTurns, static_cast<double>(m_turns.history().size()));
   m_metrics->Set(Gauge::kServers, static_cast<double>(m_backends.servers()));
@@ -193,7 +208,7 @@
   if (served || m_loop->now() >= m_stop_due) {
     m_log->Write(LogEvent::kStopped, {{"connections_cut", m_clients.size()},
                                       {"turns_not_durable", m_turns.unkept()}});
-    m_desk.GiveBackAll();
+    for (TokenDesk& desk : m_desks) desk.GiveBackAll();
     // Only now: until its end this node may hold turns that the log does not
     // have, and others ask only the nodes that they know.
     m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -60,7 +60,7 @@
   platform::Store      m_store;
   Backends             m_backends;
   TurnKeeper           m_turns;
-  TokenDesk            m_desk;
+  std::vector<TokenDesk> m_desks;  // by partition of the claims
   programs::Membership m_members;
   PeerNetwork          m_network;
   PeerService          m_peers;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -32,6 +32,10 @@
 constexpr Duration    kOutageMemory = 600;
 // Homes that are asked one after the other for one turn.
 constexpr std::size_t kMaxHomes = 3;
+constexpr int kNoPartition = -1;
+// A reader answers after one read of the log's end, some 10 ms; after a restart
+// it has a minute of records to read first.
+constexpr Duration kReaderTimeout = 500;  // ms
 // Loads are told again after this time even if they did not change, in ms; news
 // older than 700 ms is not used.
 constexpr Duration    kTellAnyway = 400;
@@ -48,24 +52,30 @@
 }  // namespace
 
 PeerService::PeerService(net::EventLoop* loop, programs::Membership* members,
-                         PeerNetwork* network, TokenDesk* desk,
+                         PeerNetwork* network, std::vector<TokenDesk>* desks,
                          TurnKeeper* turns, Backends* backends)
     : m_loop(loop),
       m_members(members),
       m_network(network),
-      m_desk(desk),
+      m_desks(desks),
       m_turns(turns),
       m_backends(backends) {
   network->SetService(this);
   turns->SetPeers(this);
-  desk->SetPeers(this);
+  m_away_nodes.resize(desks->size());
+  for (TokenDesk& desk : *desks) desk.SetPeers(this);
 }
 
 // Tokens ---------------------------------------------------------------------
 
+TokenDesk& PeerService::DeskOf(const std::string& program) {
+  const auto hash = XXH3_64bits(program.data(), program.size());
+  return (*m_desks)[hash % m_desks->size()];
+}
+
 void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
                               const ReserveDone& done) {
-  m_desk->Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
+  DeskOf(turn.program).Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
     done({outcome, turn, {}});
   });
 }
@@ -142,7 +152,7 @@
 void PeerService::EndTurn(const Reservation& reservation,
                           programs::Tokens   used) {
   if (reservation.home.empty()) {
-    m_desk->EndTurn(reservation.turn, used);
+    DeskOf(reservation.turn.program).EndTurn(reservation.turn, used);
   } else {
     TellSettle(reservation.home, reservation.turn, used);
   }
@@ -193,7 +203,7 @@
   m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
   const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
                                            : TokenDesk::Outage::kRefuse;
-  m_desk->Reserve(
+  DeskOf(turn.program).Reserve(
       turn, outage, [this, session, turn, answer](ReserveOutcome outcome) {
         const auto held = m_reserved.find(session);
         const bool heard = held != m_reserved.end() && answer(outcome);
@@ -201,7 +211,7 @@
         if (heard) {
           held->second.push_back(turn);
         } else {
-          m_desk->EndTurn(turn, 0);  // nobody will run it
+          DeskOf(turn.program).EndTurn(turn, 0);  // nobody will run it
         }
       });
 }
@@ -220,14 +230,14 @@
   if (turn == held->second.end()) return;
   const TurnBudget ended = *turn;
   held->second.erase(turn);
-  m_desk->EndTurn(ended, settle.getUsed());
+  DeskOf(ended.program).EndTurn(ended, settle.getUsed());
 }
 
 void PeerService::OnSessionEnd(PeerNetwork::SessionId session) {
   auto node = m_reserved.extract(session);
   if (node.empty()) return;
   // What these turns generate will not be heard of; their most is safe.
-  for (const TurnBudget& turn : node.mapped()) m_desk->EndTurn(turn, turn.most);
+  for (const TurnBudget& turn : node.mapped()) DeskOf(turn.program).EndTurn(turn, turn.most);
 }
 
 // Turns ----------------------------------------------------------------------
@@ -287,7 +297,11 @@
   auto search = std::make_shared<Search>();
   for (const NodeInfo& node : others) {
     m_network->Ask(
-        node, [&](PeerMessage::Builder message) { message.setFindTurn(id); },
+        node, [&](PeerMessage::Builder message) {
+          auto find = message.initFindTurn();
+          find.setId(id);
+          find.setPartition(kNoPartition);
+        },
         kFindTimeout,
         [left, ended, search, done](std::optional<PeerMessage::Reader> answer) {
           --*left;
@@ -295,7 +309,7 @@
           if (!answer || !answer->isTurnFound()) {
             ++search->silent;
           } else {
-            for (const auto& turn : answer->getTurnFound()) {
+            for (const auto& turn : answer->getTurnFound().getTurns()) {
               search->turns.push_back(programs::Read(turn));
             }
           }
@@ -306,15 +320,63 @@
   }
 }
 
+bool PeerService::AskReader(int partition, const std::string& id,
+                            std::function<void(const Lookup&)> done) {
+  const NodeInfo* reader = nullptr;
+  const auto      ranked = m_members->HomesOf(
+      "turns " + std::to_string(partition), m_loop->now());
+  for (const NodeInfo& node : ranked) {
+    if (node.zone != m_members->self().zone) continue;
+    reader = &node;
+    break;
+  }
+  if (reader == nullptr || reader->name == m_members->self().name) return false;
+  m_network->Ask(
+      *reader,
+      [&](PeerMessage::Builder message) {
+        auto find = message.initFindTurn();
+        find.setId(id);
+        find.setPartition(partition);
+      },
+      kReaderTimeout, [done](std::optional<PeerMessage::Reader> answer) {
+        Lookup lookup;
+        if (answer && answer->isTurnFound()) {
+          const auto found = answer->getTurnFound();
+          lookup.answered = true;
+          lookup.complete = found.getComplete();
+          for (const auto& turn : found.getTurns()) {
+            lookup.turns.push_back(programs::Read(turn));
+          }
+        }
+        done(lookup);
+      });
+  return true;
+}
+
 void PeerService::ServeFind(PeerMessage::Reader       message,
                             const PeerNetwork::Reply& reply) {
-  const std::string id = message.getFindTurn().cStr();
+  const std::string id = message.getFindTurn().getId().cStr();
+  const int         partition = message.getFindTurn().getPartition();
+  if (partition < 0 || partition >= kTurnPartitions ||
+      m_turns->history().HoldsChain(id)) {
+    AnswerFind(id, partition != kNoPartition, reply);
+    return;
+  }
+  m_turns->ScanPartition(partition, [this, id, reply](bool complete) {
+    AnswerFind(id, complete, reply);
+  });
+}
+
+void PeerService::AnswerFind(const std::string& id, bool complete,
+                             const PeerNetwork::Reply& reply) {
   // Part of a chain is of no use to the asker.
-  const bool        whole = m_turns->history().HoldsChain(id);
-  const auto        line =
-      whole ? m_turns->history().Line(id) : std::vector<const Turn*>();
-  reply([&line](PeerMessage::Builder answer) {
-    auto     turns = answer.initTurnFound(static_cast<unsigned>(line.size()));
+  const bool whole = m_turns->history().HoldsChain(id);
+  const auto line = whole ? m_turns->history().Line(id)
+                          : std::vector<const Turn*>();
+  reply([&line, complete](PeerMessage::Builder answer) {
+    auto found = answer.initTurnFound();
+    found.setComplete(complete);
+    auto     turns = found.initTurns(static_cast<unsigned>(line.size()));
     unsigned at = 0;
     for (const Turn* turn : line) programs::Write(*turn, turns[at++]);
   });
@@ -328,17 +390,49 @@
 }
 
 void PeerService::TellOutage() {
-  if (m_desk->log_away()) m_desk->Probe();
+  for (TokenDesk& desk : *m_desks) {
+    if (desk.log_away()) desk.Probe();
+  }
   if (m_loop->now() - m_outage_told_at < kTellOutage) return;
   m_outage_told_at = m_loop->now();
-  m_desk->TellRecords();
-  if (!m_desk->log_away()) return;
+  std::vector<std::uint16_t> away;
+  for (TokenDesk& desk : *m_desks) {
+    desk.TellRecords();
+    if (desk.log_away()) {
+      away.push_back(static_cast<std::uint16_t>(desk.partition()));
+    }
+  }
+  if (away.empty()) return;
   for (const NodeInfo& node : m_members->Others(m_loop->now())) {
-    m_network->Tell(node,
-                    [](PeerMessage::Builder message) { message.setLogAway(); });
+    m_network->Tell(node, [&away](PeerMessage::Builder message) {
+      auto list = message.initLogAway(static_cast<unsigned>(away.size()));
+      for (unsigned i = 0; i < list.size(); ++i) list.set(i, away[i]);
+    });
   }
 }
 
+void PeerService::TakeLogAway(const std::string&  node,
+                              PeerMessage::Reader message) {
+  for (const std::uint16_t partition : message.getLogAway()) {
+    if (partition >= m_away_nodes.size()) continue;
+    m_away_nodes[partition][node] = m_loop->now();
+    // This node may not have noticed yet.
+    (*m_desks)[partition].Probe();
+  }
+}
+
+bool PeerService::LogIsAwayForMost(int partition) const {
+  if (!m_members_known) return false;
+  const auto  index = static_cast<std::size_t>(partition);
+  std::size_t away = (*m_desks)[index].log_away() ? 1 : 0;
+  for (const auto& [name, said] : m_away_nodes[index]) {
+    const bool fresh = m_loop->now() - said < kOutageMemory;
+    if (fresh && m_members->Find(name) != nullptr) ++away;
+  }
+  const std::size_t nodes = m_members->All().size() + 1;
+  return 2 * away > nodes;
+}
+
 void PeerService::TellRecord(const programs::TokenClaim& record) {
   std::size_t told = 0;
   for (const NodeInfo& node :
@@ -351,17 +445,6 @@
   }
 }
 
-bool PeerService::LogIsAwayForMost() const {
-  if (!m_members_known) return false;
-  std::size_t away = m_desk->log_away() ? 1 : 0;
-  for (const auto& [name, said] : m_away_nodes) {
-    const bool fresh = m_loop->now() - said < kOutageMemory;
-    if (fresh && m_members->Find(name) != nullptr) ++away;
-  }
-  const std::size_t nodes = m_members->All().size() + 1;
-  return 2 * away > nodes;
-}
-
 void PeerService::TellLoads() {
   auto loads = m_backends->OwnLoads();
   std::sort(loads.begin(), loads.end());
@@ -411,13 +494,11 @@
       ServeFind(message, reply);
       break;
     case PeerMessage::LOG_AWAY:
-      m_away_nodes[node] = m_loop->now();
-      // This node may not have noticed yet.
-      m_desk->Probe();
+      TakeLogAway(node, message);
       break;
     case PeerMessage::CLAIM_TAKEN: {
       const auto record = programs::Read(message.getClaimTaken());
-      m_desk->TakePeerRecord(record);
+      DeskOf(record.program).TakePeerRecord(record);
       break;
     }
     case PeerMessage::LOADS:
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -33,8 +33,8 @@
                           public OutagePeers {
  public:
   PeerService(net::EventLoop* loop, programs::Membership* members,
-              PeerNetwork* network, TokenDesk* desk, TurnKeeper* turns,
-              Backends* backends);
+              PeerNetwork* network, std::vector<TokenDesk>* desks,
+              TurnKeeper* turns, Backends* backends);
 
   using ReserveDone = std::function<void(const Reservation&)>;
   void Reserve(const TurnBudget& turn, const ReserveDone& done);
@@ -44,11 +44,13 @@
   void TellNews();
   // Every node of the deployment is known that has announced itself.
   void SetMembersKnown() { m_members_known = true; }
-  bool LogIsAwayForMost() const override;
+  bool LogIsAwayForMost(int partition) const override;
   void TellRecord(const programs::TokenClaim& record) override;
 
   void AskForTurn(const std::string&                 id,
                   std::function<void(const Search&)> done) override;
+  bool AskReader(int partition, const std::string& id,
+                 std::function<void(const Lookup&)> done) override;
   void CopyTurn(const programs::Turn& turn, Duration retention,
                 std::function<void(bool)> done) override;
 
@@ -75,6 +77,10 @@
                     PeerNetwork::Reply reply);
   void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
   void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
+  void AnswerFind(const std::string& id, bool complete,
+                  const PeerNetwork::Reply& reply);
+  TokenDesk& DeskOf(const std::string& program);
+  void       TakeLogAway(const std::string& node, PeerMessage::Reader message);
   void TakeLoads(const std::string& node, PeerMessage::Reader message);
   void TellSettle(const std::string& home, const TurnBudget& turn,
                   programs::Tokens used);
@@ -83,7 +89,7 @@
   net::EventLoop*       m_loop;
   programs::Membership* m_members;
   PeerNetwork*          m_network;
-  TokenDesk*            m_desk;
+  std::vector<TokenDesk>* m_desks;  // by partition of the claims
   TurnKeeper*           m_turns;
   Backends*             m_backends;
   // Turns reserved here for other nodes, by the session they came over.
@@ -95,7 +101,8 @@
   Time                                     m_told_at = 0;
   Time                                     m_outage_told_at = 0;
   bool                                     m_members_known = false;
-  std::unordered_map<std::string, Time>    m_away_nodes;  // last said so
+  // By partition: when each node last said that it is away.
+  std::vector<std::unordered_map<std::string, Time>> m_away_nodes;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -42,13 +42,14 @@
 }
 
 TokenDesk::TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
-                     Metrics* metrics, std::string incarnation)
+                     Metrics* metrics, std::string incarnation, int partition)
     : m_loop(loop),
       m_store(store),
-      m_health(loop, log, metrics, "claims"),
+      m_health(loop, log, metrics, "claims " + std::to_string(partition)),
       m_log(log),
       m_incarnation(std::move(incarnation)),
-      m_appender(loop, store, &m_health, Topic::kClaims, 0) {}
+      m_partition(partition),
+      m_appender(loop, store, &m_health, Topic::kClaims, partition) {}
 
 void TokenDesk::Start() {
   if (!m_caught_up && !m_reading) ReadPage();
@@ -137,7 +138,7 @@
   m_reading = true;
   m_read_at = m_loop->now();
   m_store->Read(
-      Topic::kClaims, 0, m_next, 0, kReadTimeout,
+      Topic::kClaims, m_partition, m_next, 0, kReadTimeout,
       [this](const StoreResult<platform::ReadPage>& result) {
         m_reading = false;
         if (!result && result.error().failure == StoreFailure::kExpired) {
@@ -262,7 +263,7 @@
 
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
   if (request.outage == Outage::kRefuse || !m_caught_up) return 0;
-  if (!m_peers->LogIsAwayForMost()) return 0;
+  if (!m_peers->LogIsAwayForMost(m_partition)) return 0;
   auto&      tokens = m_accounts.at(request.turn.program).tokens;
   const auto rest =
       m_ledger.Rest(request.turn.program, tokens.budget() + request.turn.most);
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -46,8 +46,8 @@
 class OutagePeers {
  public:
   virtual ~OutagePeers() = default;
-  // Most nodes agree that the log does not answer.
-  virtual bool LogIsAwayForMost() const = 0;
+  // Most nodes agree that the partition does not answer.
+  virtual bool LogIsAwayForMost(int partition) const = 0;
   // Tells a record to those who would be home of its program after this node.
   virtual void TellRecord(const programs::TokenClaim& record) = 0;
 };
@@ -56,8 +56,9 @@
  public:
   using Done = std::function<void(ReserveOutcome)>;
 
+  // One desk counts the programs whose claims lie in one partition.
   TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
-            Metrics* metrics, std::string incarnation);
+            Metrics* metrics, std::string incarnation, int partition);
   void SetPeers(OutagePeers* peers) { m_peers = peers; }
 
   // Reads the claims of before this node started; allowances wait for that.
@@ -65,6 +66,7 @@
   // Finds out whether the log answers.
   void Probe();
   bool log_away() const { return m_health.away(); }
+  int  partition() const { return m_partition; }
 
   // What to do if a claim is needed and the log does not answer.
   enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
@@ -119,6 +121,7 @@
   OutagePeers*                               m_peers = nullptr;
   Log*                                       m_log;
   std::string                                m_incarnation;
+  int                   m_partition;
   programs::TokenLedger                      m_ledger;
   Appender                                   m_appender;
   std::unordered_map<std::string, Account>   m_accounts;  // by program
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -58,7 +58,7 @@
   // A turn usually continues one of its own program, whose partition is known.
   const int      first = PartitionOf(program);
   const Question question{id, std::move(done)};
-  ScanPartition(first, [this, first, question](bool complete) {
+  LookIn(first, id, [this, first, question](bool complete) {
     if (m_history.HoldsChain(question.id)) {
       question.done(FindOutcome::kFound);
     } else if (!complete) {
@@ -82,7 +82,7 @@
   if (*open == 0) end();
   for (int i = 0; i < kTurnPartitions; ++i) {
     if (i == first) continue;
-    ScanPartition(i, [open, complete, end](bool whole) {
+    LookIn(i, question.id, [open, complete, end](bool whole) {
       *complete = *complete && whole;
       if (--*open == 0) end();
     });
@@ -105,6 +105,24 @@
   });
 }
 
+void TurnKeeper::LookIn(int partition, const std::string& id,
+                        std::function<void(bool)> done) {
+  const auto answered = [this, partition, done](
+                            const TurnPeers::Lookup& lookup) {
+    for (const programs::Turn& turn : lookup.turns) {
+      m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
+    }
+    if (lookup.answered && lookup.complete) {
+      done(true);
+    } else {
+      ScanPartition(partition, done);
+    }
+  };
+  if (!m_peers->AskReader(partition, id, answered)) {
+    ScanPartition(partition, std::move(done));
+  }
+}
+
 void TurnKeeper::ScanPartition(int partition, std::function<void(bool)> done) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
   if (!scan.busy && !scan.health->WorthCalling()) {
@@ -175,10 +193,21 @@
 
 // Keeping --------------------------------------------------------------------
 
-void TurnKeeper::Append(const programs::Turn& turn, Appender::Done done) {
+int TurnKeeper::PlaceFor(const programs::Turn& turn) const {
+  const int own = PartitionOf(turn.program);
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    const int partition = (own + i) % kTurnPartitions;
+    if (!m_scans[static_cast<std::size_t>(partition)].health->away()) {
+      return partition;
+    }
+  }
+  return own;
+}
+
+void TurnKeeper::Append(const programs::Turn& turn, int partition,
+                        Appender::Done done) {
   ++m_unkept;
-  const auto partition = static_cast<std::size_t>(PartitionOf(turn.program));
-  m_appenders[partition].Add(
+  m_appenders[static_cast<std::size_t>(partition)].Add(
       programs::EncodeTurn(turn), true,
       [this, done = std::move(done)](const Appender::Result& result) {
         --m_unkept;
@@ -197,12 +226,18 @@
                                kMillisPerSecond);
     done(kept);
   };
-  Append(turn, [settle](const Appender::Result&) { settle(Kept::kInLog); });
-  const auto& scan =
-      m_scans[static_cast<std::size_t>(PartitionOf(turn.program))];
-  const Duration patience = scan.health->away() ? 0 : kLogPatience;
-  m_loop->After(patience, [this, turn, retention, open, settle] {
+  const auto in_log = [settle](const Appender::Result&) {
+    settle(Kept::kInLog);
+  };
+  const int first = PlaceFor(turn);
+  Append(turn, first, in_log);
+  const bool away = m_scans[static_cast<std::size_t>(first)].health->away();
+  m_loop->After(away ? 0 : kLogPatience, [this, turn, retention, first, open,
+                                          settle, in_log] {
     if (!*open) return;
+    const int second = PlaceFor(turn);
+    // A turn that lies in the log twice is the same turn.
+    if (second != first) Append(turn, second, in_log);
     m_peers->CopyTurn(turn, retention, [settle](bool copied) {
       if (copied) settle(Kept::kAtPeers);
     });
@@ -214,7 +249,7 @@
   m_history.Add(turn, m_loop->now(), retention + kRetentionSlack);
   // The sender appends it as well; a turn that lies in the log twice is the
   // same turn, and this copy counts if the sender dies first.
-  Append(turn, [](const Appender::Result&) {});
+  Append(turn, PlaceFor(turn), [](const Appender::Result&) {});
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -2,13 +2,17 @@
 // can, from the platform's log where it must.
 //
 //   Find  a turn that this node does not hold is looked for in the log. The
-//         search starts after the question came. What it does not find may
+//         search starts after the question came. One node of each zone reads
+//         a partition for the others: if all read all of it, a restart of every
+//         node would keep the log busy for longer than the nodes' recovery. What it does not find may
 //         still lie at nodes that finished it while the log was away, so they
 //         are asked too. A turn is unknown only if the log was read whole and
 //         fewer nodes are silent than hold a turn that the log does not have.
 //   Keep  a finished turn is appended to the log before the client sees the end
-//         of its answer. If the log is away, copies at two other nodes have to
-//         do until it is back; they append it too, in case this node dies.
+//         of its answer, to its program's partition or, if that is away, to
+//         another: whoever misses a turn searches all. If the whole log is
+//         away, copies at two other nodes have to do until it is back; they
+//         append it too, in case this node dies.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +33,7 @@
 
 // Partitions of the log that hold turns, by program. Each takes an append every
 // two milliseconds with any number of records.
-inline constexpr int kTurnPartitions = 2;
+inline constexpr int kTurnPartitions = 4;
 
 enum class FindOutcome : std::uint8_t {
   kFound,
@@ -52,6 +56,15 @@
   // Asks the others for a turn.
   virtual void AskForTurn(const std::string&                 id,
                           std::function<void(const Search&)> done) = 0;
+  // Has the node that reads the partition for this zone look for a turn there.
+  // False, and `done` is not called, if that is this node.
+  struct Lookup {
+    bool                        answered = false;
+    bool                        complete = false;  // it read up to the end
+    std::vector<programs::Turn> turns;
+  };
+  virtual bool AskReader(int partition, const std::string& id,
+                         std::function<void(const Lookup&)> done) = 0;
   // Has two others keep the turn; `done(true)` once both do.
   virtual void CopyTurn(const programs::Turn& turn, Duration retention,
                         std::function<void(bool)> done) = 0;
@@ -74,6 +87,9 @@
   // A peer's turn, kept here and appended to the log when it answers.
   void KeepCopy(const programs::Turn& turn, Duration retention);
 
+  // Reads the partition up to its end; `done` with whether that worked.
+  void ScanPartition(int partition, std::function<void(bool)> done);
+
   programs::TurnHistory& history() { return m_history; }
   std::size_t            unkept() const { return m_unkept; }
   // How long turns read from the log are kept, in ms: the longest of the
@@ -95,14 +111,18 @@
     std::vector<std::function<void(bool)>> waiting;
   };
 
-  void ScanPartition(int partition, std::function<void(bool)> done);
+  // As ScanPartition, by the node that reads it for this zone if possible.
+  void LookIn(int partition, const std::string& id,
+              std::function<void(bool)> done);
   void BeginScan(int partition);
   void ReadPart(int partition);
   void EndScan(int partition, bool complete);
   void FindElsewhere(int first, const Question& question);
   void AskPeers(const Question& question, bool log_complete);
   void TakeTurns(const std::vector<platform::LogRecord>& records);
-  void Append(const programs::Turn& turn, Appender::Done done);
+  // The turn's own partition, or another if that one does not answer.
+  int  PlaceFor(const programs::Turn& turn) const;
+  void Append(const programs::Turn& turn, int partition, Appender::Done done);
 
   net::EventLoop*       m_loop;
   platform::Store*      m_store;
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -57,6 +57,17 @@
   used    @2 :Int64;
 }
 
+struct FindTurn {
+  id        @0 :Text;
+  # Read this partition up to its end first; -1: say what is at hand.
+  partition @1 :Int32;
+}
+
+struct TurnFound {
+  turns    @0 :List(Turn);  # the turn, then its ancestors; empty: not held
+  complete @1 :Bool;        # the partition was read up to its end
+}
+
 struct KeepTurn {
   turn        @0 :Turn;
   retentionMs @1 :Int64;
@@ -73,10 +84,10 @@
     settle    @5 :Settle;
     keepTurn  @6 :KeepTurn;
     turnKept  @7 :Void;
-    findTurn  @8 :Text;
-    turnFound @9 :List(Turn);  # the turn, then its ancestors; empty: not held
-    # Claims cannot be made by the sender: the log does not answer it.
-    logAway   @10 :Void;
+    findTurn  @8 :FindTurn;
+    turnFound @9 :TurnFound;
+    # Claims cannot be made by the sender: these partitions do not answer it.
+    logAway   @10 :List(UInt16);
     # Tokens that the sender used while the log is away.
     claimTaken @11 :Claim;
   }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -30,6 +30,8 @@
 };
 CAPNP_DECLARE_ENUM(Reserved, 88ae186b7b8b0e4c);
 CAPNP_DECLARE_SCHEMA(e815b14870d8fb0a);
+CAPNP_DECLARE_SCHEMA(ef439a6e7630d740);
+CAPNP_DECLARE_SCHEMA(dcbbc7fd69706fca);
 CAPNP_DECLARE_SCHEMA(ad2032ee2143278b);
 CAPNP_DECLARE_SCHEMA(cf586f855819257a);
 
@@ -132,6 +134,36 @@
   };
 };
 
+struct FindTurn {
+  FindTurn() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ef439a6e7630d740, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TurnFound {
+  TurnFound() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dcbbc7fd69706fca, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct KeepTurn {
   KeepTurn() = delete;
 
@@ -788,6 +820,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class FindTurn::Reader {
+public:
+  typedef FindTurn Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int32_t getPartition() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FindTurn::Builder {
+public:
+  typedef FindTurn Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int32_t getPartition();
+  inline void setPartition( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FindTurn::Pipeline {
+public:
+  typedef FindTurn Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TurnFound::Reader {
+public:
+  typedef TurnFound Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTurns() const;
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader getTurns() const;
+
+  inline bool getComplete() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TurnFound::Builder {
+public:
+  typedef TurnFound Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTurns();
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder getTurns();
+  inline void setTurns( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder initTurns(unsigned int size);
+  inline void adoptTurns(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> disownTurns();
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TurnFound::Pipeline {
+public:
+  typedef TurnFound Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class KeepTurn::Reader {
 public:
   typedef KeepTurn Reads;
@@ -923,14 +1127,15 @@
 
   inline bool isFindTurn() const;
   inline bool hasFindTurn() const;
-  inline  ::capnp::Text::Reader getFindTurn() const;
+  inline  ::yuccawick::programs::wire::FindTurn::Reader getFindTurn() const;
 
   inline bool isTurnFound() const;
   inline bool hasTurnFound() const;
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader getTurnFound() const;
+  inline  ::yuccawick::programs::wire::TurnFound::Reader getTurnFound() const;
 
   inline bool isLogAway() const;
-  inline  ::capnp::Void getLogAway() const;
+  inline bool hasLogAway() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLogAway() const;
 
   inline bool isClaimTaken() const;
   inline bool hasClaimTaken() const;
@@ -1018,23 +1223,28 @@
 
   inline bool isFindTurn();
   inline bool hasFindTurn();
-  inline  ::capnp::Text::Builder getFindTurn();
-  inline void setFindTurn( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFindTurn(unsigned int size);
-  inline void adoptFindTurn(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFindTurn();
+  inline  ::yuccawick::programs::wire::FindTurn::Builder getFindTurn();
+  inline void setFindTurn( ::yuccawick::programs::wire::FindTurn::Reader value);
+  inline  ::yuccawick::programs::wire::FindTurn::Builder initFindTurn();
+  inline void adoptFindTurn(::capnp::Orphan< ::yuccawick::programs::wire::FindTurn>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn> disownFindTurn();
 
   inline bool isTurnFound();
   inline bool hasTurnFound();
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder getTurnFound();
-  inline void setTurnFound( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder initTurnFound(unsigned int size);
-  inline void adoptTurnFound(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> disownTurnFound();
+  inline  ::yuccawick::programs::wire::TurnFound::Builder getTurnFound();
+  inline void setTurnFound( ::yuccawick::programs::wire::TurnFound::Reader value);
+  inline  ::yuccawick::programs::wire::TurnFound::Builder initTurnFound();
+  inline void adoptTurnFound(::capnp::Orphan< ::yuccawick::programs::wire::TurnFound>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound> disownTurnFound();
 
   inline bool isLogAway();
-  inline  ::capnp::Void getLogAway();
-  inline void setLogAway( ::capnp::Void value = ::capnp::VOID);
+  inline bool hasLogAway();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLogAway();
+  inline void setLogAway( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLogAway(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLogAway(unsigned int size);
+  inline void adoptLogAway(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLogAway();
 
   inline bool isClaimTaken();
   inline bool hasClaimTaken();
@@ -1668,6 +1878,102 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FindTurn::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FindTurn::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FindTurn::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FindTurn::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FindTurn::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FindTurn::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FindTurn::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FindTurn::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t FindTurn::Reader::getPartition() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t FindTurn::Builder::getPartition() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FindTurn::Builder::setPartition( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TurnFound::Reader::hasTurns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TurnFound::Builder::hasTurns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader TurnFound::Reader::getTurns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder TurnFound::Builder::getTurns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TurnFound::Builder::setTurns( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder TurnFound::Builder::initTurns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TurnFound::Builder::adoptTurns(
+    ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> TurnFound::Builder::disownTurns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TurnFound::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TurnFound::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TurnFound::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KeepTurn::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2082,41 +2388,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader PeerMessage::Reader::getFindTurn() const {
+inline  ::yuccawick::programs::wire::FindTurn::Reader PeerMessage::Reader::getFindTurn() const {
   KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::getFindTurn() {
+inline  ::yuccawick::programs::wire::FindTurn::Builder PeerMessage::Builder::getFindTurn() {
   KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setFindTurn( ::capnp::Text::Reader value) {
+inline void PeerMessage::Builder::setFindTurn( ::yuccawick::programs::wire::FindTurn::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder PeerMessage::Builder::initFindTurn(unsigned int size) {
+inline  ::yuccawick::programs::wire::FindTurn::Builder PeerMessage::Builder::initFindTurn() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptFindTurn(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
+    ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_TURN);
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Builder::disownFindTurn() {
+inline ::capnp::Orphan< ::yuccawick::programs::wire::FindTurn> PeerMessage::Builder::disownFindTurn() {
   KJ_IREQUIRE((which() == PeerMessage::FIND_TURN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::FindTurn>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2136,41 +2442,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getTurnFound() const {
+inline  ::yuccawick::programs::wire::TurnFound::Reader PeerMessage::Reader::getTurnFound() const {
   KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getTurnFound() {
+inline  ::yuccawick::programs::wire::TurnFound::Builder PeerMessage::Builder::getTurnFound() {
   KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setTurnFound( ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void PeerMessage::Builder::setTurnFound( ::yuccawick::programs::wire::TurnFound::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initTurnFound(unsigned int size) {
+inline  ::yuccawick::programs::wire::TurnFound::Builder PeerMessage::Builder::initTurnFound() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptTurnFound(
-    ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>&& value) {
+    ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TURN_FOUND);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownTurnFound() {
+inline ::capnp::Orphan< ::yuccawick::programs::wire::TurnFound> PeerMessage::Builder::disownTurnFound() {
   KJ_IREQUIRE((which() == PeerMessage::TURN_FOUND),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::Turn,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::TurnFound>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2180,24 +2486,58 @@
 inline bool PeerMessage::Builder::isLogAway() {
   return which() == PeerMessage::LOG_AWAY;
 }
-inline  ::capnp::Void PeerMessage::Reader::getLogAway() const {
+inline bool PeerMessage::Reader::hasLogAway() const {
+  if (which() != PeerMessage::LOG_AWAY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasLogAway() {
+  if (which() != PeerMessage::LOG_AWAY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerMessage::Reader::getLogAway() const {
   KJ_IREQUIRE((which() == PeerMessage::LOG_AWAY),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void PeerMessage::Builder::getLogAway() {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::Builder::getLogAway() {
   KJ_IREQUIRE((which() == PeerMessage::LOG_AWAY),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setLogAway( ::capnp::Void value) {
+inline void PeerMessage::Builder::setLogAway( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOG_AWAY);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PeerMessage::Builder::setLogAway(::kj::ArrayPtr<const  ::uint16_t> value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOG_AWAY);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::Builder::initLogAway(unsigned int size) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOG_AWAY);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Builder::adoptLogAway(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::LOG_AWAY);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> PeerMessage::Builder::disownLogAway() {
+  KJ_IREQUIRE((which() == PeerMessage::LOG_AWAY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isClaimTaken() const {
