--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -53,25 +53,25 @@
   void        FinishWhenIdle();
   bool        Ready() const;
 
-  net::EventLoop*      m_loop;
-  platform::Settings   m_settings;
-  Log*                 m_log;
-  Metrics*             m_metrics;
-  platform::Store      m_store;
-  Backends             m_backends;
-  TurnKeeper           m_turns;
+  net::EventLoop*        m_loop;
+  platform::Settings     m_settings;
+  Log*                   m_log;
+  Metrics*               m_metrics;
+  platform::Store        m_store;
+  Backends               m_backends;
+  TurnKeeper             m_turns;
   std::vector<TokenDesk> m_desks;  // by partition of the claims
-  programs::Membership m_members;
-  PeerNetwork          m_network;
-  PeerService          m_peers;
-  SmallServer          m_readiness;
-  SmallServer          m_metrics_server;
-  int                  m_listener = -1;
-  bool                 m_servers_known = false;
-  bool                 m_stopping = false;
-  bool                 m_closing = false;
-  Time                 m_stop_due = 0;
-  Time                 m_accepted_at = 0;  // the last connection
+  programs::Membership   m_members;
+  PeerNetwork            m_network;
+  PeerService            m_peers;
+  SmallServer            m_readiness;
+  SmallServer            m_metrics_server;
+  int                    m_listener = -1;
+  bool                   m_servers_known = false;
+  bool                   m_stopping = false;
+  bool                   m_closing = false;
+  Time                   m_stop_due = 0;
+  Time                   m_accepted_at = 0;  // the last connection
   std::shared_ptr<const traffic::RouteTable> m_routes;
   std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
       m_clients;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -32,10 +32,10 @@
 constexpr Duration    kOutageMemory = 600;
 // Homes that are asked one after the other for one turn.
 constexpr std::size_t kMaxHomes = 3;
-constexpr int kNoPartition = -1;
+constexpr int         kNoPartition = -1;
 // A reader answers after one read of the log's end, some 10 ms; after a restart
 // it has a minute of records to read first.
-constexpr Duration kReaderTimeout = 500;  // ms
+constexpr Duration    kReaderTimeout = 500;  // ms
 // Loads are told again after this time even if they did not change, in ms; news
 // older than 700 ms is not used.
 constexpr Duration    kTellAnyway = 400;
@@ -75,9 +75,10 @@
 
 void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
                               const ReserveDone& done) {
-  DeskOf(turn.program).Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
-    done({outcome, turn, {}});
-  });
+  DeskOf(turn.program)
+      .Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
+        done({outcome, turn, {}});
+      });
 }
 
 void PeerService::Reserve(const TurnBudget& turn, const ReserveDone& done) {
@@ -203,17 +204,18 @@
   m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
   const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
                                            : TokenDesk::Outage::kRefuse;
-  DeskOf(turn.program).Reserve(
-      turn, outage, [this, session, turn, answer](ReserveOutcome outcome) {
-        const auto held = m_reserved.find(session);
-        const bool heard = held != m_reserved.end() && answer(outcome);
-        if (outcome != ReserveOutcome::kStart) return;
-        if (heard) {
-          held->second.push_back(turn);
-        } else {
-          DeskOf(turn.program).EndTurn(turn, 0);  // nobody will run it
-        }
-      });
+  DeskOf(turn.program)
+      .Reserve(turn, outage,
+               [this, session, turn, answer](ReserveOutcome outcome) {
+                 const auto held = m_reserved.find(session);
+                 const bool heard = held != m_reserved.end() && answer(outcome);
+                 if (outcome != ReserveOutcome::kStart) return;
+                 if (heard) {
+                   held->second.push_back(turn);
+                 } else {
+                   DeskOf(turn.program).EndTurn(turn, 0);  // nobody will run it
+                 }
+               });
 }
 
 void PeerService::ServeSettle(PeerNetwork::SessionId session,
@@ -237,7 +239,8 @@
   auto node = m_reserved.extract(session);
   if (node.empty()) return;
   // What these turns generate will not be heard of; their most is safe.
-  for (const TurnBudget& turn : node.mapped()) DeskOf(turn.program).EndTurn(turn, turn.most);
+  for (const TurnBudget& turn : node.mapped())
+    DeskOf(turn.program).EndTurn(turn, turn.most);
 }
 
 // Turns ----------------------------------------------------------------------
@@ -297,7 +300,8 @@
   auto search = std::make_shared<Search>();
   for (const NodeInfo& node : others) {
     m_network->Ask(
-        node, [&](PeerMessage::Builder message) {
+        node,
+        [&](PeerMessage::Builder message) {
           auto find = message.initFindTurn();
           find.setId(id);
           find.setPartition(kNoPartition);
@@ -323,8 +327,8 @@
 bool PeerService::AskReader(int partition, const std::string& id,
                             std::function<void(const Lookup&)> done) {
   const NodeInfo* reader = nullptr;
-  const auto      ranked = m_members->HomesOf(
-      "turns " + std::to_string(partition), m_loop->now());
+  const auto      ranked =
+      m_members->HomesOf("turns " + std::to_string(partition), m_loop->now());
   for (const NodeInfo& node : ranked) {
     if (node.zone != m_members->self().zone) continue;
     reader = &node;
@@ -338,7 +342,8 @@
         find.setId(id);
         find.setPartition(partition);
       },
-      kReaderTimeout, [done](std::optional<PeerMessage::Reader> answer) {
+      kReaderTimeout,
+      [done](std::optional<PeerMessage::Reader> answer) {
         Lookup lookup;
         if (answer && answer->isTurnFound()) {
           const auto found = answer->getTurnFound();
@@ -358,7 +363,7 @@
   const std::string id = message.getFindTurn().getId().cStr();
   const int         partition = message.getFindTurn().getPartition();
   if (partition < 0 || partition >= kTurnPartitions ||
-      m_turns->history().HoldsChain(id)) {
+      m_turns->history().Holds(id)) {
     AnswerFind(id, partition != kNoPartition, reply);
     return;
   }
@@ -369,10 +374,7 @@
 
 void PeerService::AnswerFind(const std::string& id, bool complete,
                              const PeerNetwork::Reply& reply) {
-  // Part of a chain is of no use to the asker.
-  const bool whole = m_turns->history().HoldsChain(id);
-  const auto line = whole ? m_turns->history().Line(id)
-                          : std::vector<const Turn*>();
+  const auto line = m_turns->history().Line(id);
   reply([&line, complete](PeerMessage::Builder answer) {
     auto found = answer.initTurnFound();
     found.setComplete(complete);
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -81,26 +81,26 @@
                   const PeerNetwork::Reply& reply);
   TokenDesk& DeskOf(const std::string& program);
   void       TakeLogAway(const std::string& node, PeerMessage::Reader message);
-  void TakeLoads(const std::string& node, PeerMessage::Reader message);
-  void TellSettle(const std::string& home, const TurnBudget& turn,
-                  programs::Tokens used);
+  void       TakeLoads(const std::string& node, PeerMessage::Reader message);
+  void       TellSettle(const std::string& home, const TurnBudget& turn,
+                        programs::Tokens used);
   std::vector<programs::NodeInfo> Holders(const std::string& key) const;
 
-  net::EventLoop*       m_loop;
-  programs::Membership* m_members;
-  PeerNetwork*          m_network;
+  net::EventLoop*         m_loop;
+  programs::Membership*   m_members;
+  PeerNetwork*            m_network;
   std::vector<TokenDesk>* m_desks;  // by partition of the claims
-  TurnKeeper*           m_turns;
-  Backends*             m_backends;
+  TurnKeeper*             m_turns;
+  Backends*               m_backends;
   // Turns reserved here for other nodes, by the session they came over.
   std::unordered_map<PeerNetwork::SessionId, std::vector<TurnBudget>>
-                                           m_reserved;
+                                                     m_reserved;
   // Questions for a reservation that were given up, by number.
-  std::map<std::uint64_t, TurnBudget>      m_given_up;
-  std::vector<std::pair<std::string, int>> m_told;
-  Time                                     m_told_at = 0;
-  Time                                     m_outage_told_at = 0;
-  bool                                     m_members_known = false;
+  std::map<std::uint64_t, TurnBudget>                m_given_up;
+  std::vector<std::pair<std::string, int>>           m_told;
+  Time                                               m_told_at = 0;
+  Time                                               m_outage_told_at = 0;
+  bool                                               m_members_known = false;
   // By partition: when each node last said that it is away.
   std::vector<std::unordered_map<std::string, Time>> m_away_nodes;
 };
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -121,7 +121,7 @@
   OutagePeers*                               m_peers = nullptr;
   Log*                                       m_log;
   std::string                                m_incarnation;
-  int                   m_partition;
+  int                                        m_partition;
   programs::TokenLedger                      m_ledger;
   Appender                                   m_appender;
   std::unordered_map<std::string, Account>   m_accounts;  // by program
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -51,67 +51,75 @@
 
 void TurnKeeper::Find(const std::string& id, const std::string& program,
                       FindDone done) {
-  if (m_history.HoldsChain(id)) {
-    done(FindOutcome::kFound);
+  // A turn usually continues one of its own program, whose partition is known.
+  const Question question{id, PartitionOf(program), std::move(done)};
+  Search(question);
+}
+
+void TurnKeeper::Search(const Question& question) {
+  const std::string missing = m_history.Missing(question.id);
+  if (missing.empty()) {
+    question.done(FindOutcome::kFound);
     return;
   }
-  // A turn usually continues one of its own program, whose partition is known.
-  const int      first = PartitionOf(program);
-  const Question question{id, std::move(done)};
-  LookIn(first, id, [this, first, question](bool complete) {
-    if (m_history.HoldsChain(question.id)) {
-      question.done(FindOutcome::kFound);
-    } else if (!complete) {
-      AskPeers(question, false);
+  LookIn(question.partition, missing, [this, question, missing](bool complete) {
+    const std::string left = m_history.Missing(question.id);
+    if (left == missing) {
+      SearchElsewhere(question, missing, complete);
     } else {
-      FindElsewhere(first, question);
+      Search(question);
     }
   });
 }
 
-void TurnKeeper::FindElsewhere(int first, const Question& question) {
+void TurnKeeper::SearchElsewhere(const Question&    question,
+                                 const std::string& missing,
+                                 bool               first_complete) {
   auto       open = std::make_shared<int>(kTurnPartitions - 1);
-  auto       complete = std::make_shared<bool>(true);
-  const auto end = [this, question, complete] {
-    if (m_history.HoldsChain(question.id)) {
-      question.done(FindOutcome::kFound);
+  auto       complete = std::make_shared<bool>(first_complete);
+  const auto end = [this, question, missing, complete] {
+    if (m_history.Missing(question.id) == missing) {
+      AskPeers(question, missing, *complete);
     } else {
-      AskPeers(question, *complete);
+      // An ancestor may lie in yet another partition.
+      Search(question);
     }
   };
-  if (*open == 0) end();
   for (int i = 0; i < kTurnPartitions; ++i) {
-    if (i == first) continue;
-    LookIn(i, question.id, [open, complete, end](bool whole) {
+    if (i == question.partition) continue;
+    LookIn(i, missing, [open, complete, end](bool whole) {
       *complete = *complete && whole;
       if (--*open == 0) end();
     });
   }
 }
 
-void TurnKeeper::AskPeers(const Question& question, bool log_complete) {
-  m_peers->AskForTurn(question.id, [this, question, log_complete](
-                                       const TurnPeers::Search& search) {
-    for (const programs::Turn& turn : search.turns) {
-      m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
-    }
+void TurnKeeper::AskPeers(const Question& question, const std::string& missing,
+                          bool log_complete) {
+  m_peers->AskForTurn(missing, [this, question, missing,
+                                log_complete](const TurnPeers::Search& search) {
+    TakeCopies(search.turns);
     // The node that finished a turn holds it beside its copies.
     const bool ruled_out = log_complete && search.silent <= kTurnCopies;
-    if (m_history.HoldsChain(question.id)) {
-      question.done(FindOutcome::kFound);
+    if (m_history.Missing(question.id) != missing) {
+      Search(question);
     } else {
       question.done(ruled_out ? FindOutcome::kUnknown : FindOutcome::kUnsure);
     }
   });
 }
 
+void TurnKeeper::TakeCopies(const std::vector<programs::Turn>& turns) {
+  for (const programs::Turn& turn : turns) {
+    m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
+  }
+}
+
 void TurnKeeper::LookIn(int partition, const std::string& id,
                         std::function<void(bool)> done) {
-  const auto answered = [this, partition, done](
-                            const TurnPeers::Lookup& lookup) {
-    for (const programs::Turn& turn : lookup.turns) {
-      m_history.Add(turn, m_loop->now(), m_retention + kRetentionSlack);
-    }
+  const auto answered = [this, partition,
+                         done](const TurnPeers::Lookup& lookup) {
+    TakeCopies(lookup.turns);
     if (lookup.answered && lookup.complete) {
       done(true);
     } else {
@@ -232,16 +240,16 @@
   const int first = PlaceFor(turn);
   Append(turn, first, in_log);
   const bool away = m_scans[static_cast<std::size_t>(first)].health->away();
-  m_loop->After(away ? 0 : kLogPatience, [this, turn, retention, first, open,
-                                          settle, in_log] {
-    if (!*open) return;
-    const int second = PlaceFor(turn);
-    // A turn that lies in the log twice is the same turn.
-    if (second != first) Append(turn, second, in_log);
-    m_peers->CopyTurn(turn, retention, [settle](bool copied) {
-      if (copied) settle(Kept::kAtPeers);
-    });
-  });
+  m_loop->After(away ? 0 : kLogPatience,
+                [this, turn, retention, first, open, settle, in_log] {
+                  if (!*open) return;
+                  const int second = PlaceFor(turn);
+                  // A turn that lies in the log twice is the same turn.
+                  if (second != first) Append(turn, second, in_log);
+                  m_peers->CopyTurn(turn, retention, [settle](bool copied) {
+                    if (copied) settle(Kept::kAtPeers);
+                  });
+                });
 }
 
 void TurnKeeper::KeepCopy(const programs::Turn& turn, Duration retention) {
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -4,10 +4,11 @@
 //   Find  a turn that this node does not hold is looked for in the log. The
 //         search starts after the question came. One node of each zone reads
 //         a partition for the others: if all read all of it, a restart of every
-//         node would keep the log busy for longer than the nodes' recovery. What it does not find may
-//         still lie at nodes that finished it while the log was away, so they
-//         are asked too. A turn is unknown only if the log was read whole and
-//         fewer nodes are silent than hold a turn that the log does not have.
+//         node would keep the log busy for longer than the nodes' recovery.
+//         What it does not find may still lie at nodes that finished it while
+//         the log was away, so they are asked too. A turn is unknown only if
+//         the log was read whole and fewer nodes are silent than hold a turn
+//         that the log does not have.
 //   Keep  a finished turn is appended to the log before the client sees the end
 //         of its answer, to its program's partition or, if that is away, to
 //         another: whoever misses a turn searches all. If the whole log is
@@ -100,6 +101,7 @@
  private:
   struct Question {
     std::string id;
+    int         partition = 0;  // where it most likely lies
     FindDone    done;
   };
   // Reads one partition up to its end, for those who asked before it began.
@@ -117,8 +119,14 @@
   void BeginScan(int partition);
   void ReadPart(int partition);
   void EndScan(int partition, bool complete);
-  void FindElsewhere(int first, const Question& question);
-  void AskPeers(const Question& question, bool log_complete);
+  // Looks for the nearest turn of the chain that is not at hand, then for the
+  // next: turns of one chain may lie in different partitions.
+  void Search(const Question& question);
+  void SearchElsewhere(const Question& question, const std::string& missing,
+                       bool first_complete);
+  void AskPeers(const Question& question, const std::string& missing,
+                bool log_complete);
+  void TakeCopies(const std::vector<programs::Turn>& turns);
   void TakeTurns(const std::vector<platform::LogRecord>& records);
   // The turn's own partition, or another if that one does not answer.
   int  PlaceFor(const programs::Turn& turn) const;
--- a/src/yuccawick/net/event_loop.cc
+++ b/src/yuccawick/net/event_loop.cc
@@ -37,7 +37,10 @@
          static_cast<Time>(time.tv_nsec) / kNanosPerMilli;
 }
 
-EventLoop::EventLoop() : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_now(Now()) {
+EventLoop::EventLoop(Clock clock)
+    : m_clock(std::move(clock)),
+      m_epoll(epoll_create1(EPOLL_CLOEXEC)),
+      m_now(m_clock()) {
   std::array<int, 2> ends{};
   if (m_epoll < 0 || pipe2(ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
     throw std::system_error(errno, std::generic_category(), "event loop");
@@ -48,6 +51,12 @@
 }
 
 EventLoop::~EventLoop() {
+  // Tasks may own the last reference to what uses this loop.
+  RunDeferred();
+  m_deferred.clear();
+  auto timers = std::exchange(m_timers, {});
+  timers.clear();
+  m_deferred.clear();
   close(m_wake_read);
   close(m_wake_write);
   close(m_epoll);
@@ -107,11 +116,11 @@
   [[maybe_unused]] const auto written = write(m_wake_write, "w", 1);
 }
 
-int EventLoop::WaitTime() const {
+Duration EventLoop::WaitTime() const {
   if (!m_deferred.empty()) return 0;
-  if (m_timers.empty()) return static_cast<int>(kLongestWait);
-  const Time left = m_timers.begin()->first.first - Now();
-  return static_cast<int>(std::clamp<Time>(left, 0, kLongestWait));
+  if (m_timers.empty()) return kLongestWait;
+  const Duration left = m_timers.begin()->first.first - m_clock();
+  return std::clamp<Duration>(left, 0, kLongestWait);
 }
 
 void EventLoop::Dispatch(int fd, std::uint32_t events) {
@@ -159,19 +168,22 @@
   for (const Task& task : tasks) task();
 }
 
-void EventLoop::Run() {
+int EventLoop::RunOnce(Duration wait) {
   std::array<epoll_event, kEventsPerWait> events{};
-  while (!m_stopped) {
-    const int count =
-        epoll_wait(m_epoll, events.data(), kEventsPerWait, WaitTime());
-    m_now = Now();
-    for (int i = 0; i < count; ++i) {
-      const auto& event = events[static_cast<std::size_t>(i)];
-      Dispatch(event.data.fd, event.events);
-    }
-    RunTimers();
-    RunDeferred();
+  const int count = epoll_wait(m_epoll, events.data(), kEventsPerWait,
+                               static_cast<int>(wait));
+  m_now = m_clock();
+  for (int i = 0; i < count; ++i) {
+    const auto& event = events[static_cast<std::size_t>(i)];
+    Dispatch(event.data.fd, event.events);
   }
+  RunTimers();
+  RunDeferred();
+  return count;
+}
+
+void EventLoop::Run() {
+  while (!m_stopped) RunOnce(WaitTime());
 }
 
 }  // namespace yuccawick::net
--- a/src/yuccawick/net/event_loop.h
+++ b/src/yuccawick/net/event_loop.h
@@ -38,8 +38,10 @@
 class EventLoop {
  public:
   using Task = std::function<void()>;
+  using Clock = std::function<Time()>;
 
-  EventLoop();
+  // Tests give a clock that they move by hand.
+  explicit EventLoop(Clock clock = Now);
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
@@ -54,6 +56,9 @@
   void    Defer(Task task);
   void    Post(Task task);  // the same, from any thread
   void    Run();            // until Stop()
+  // One turn of the loop that waits up to `wait` ms for sockets; returns how
+  // many of them had something.
+  int     RunOnce(Duration wait);
   void    Stop() { m_stopped = true; }
   Time    now() const { return m_now; }  // as of the present turn of the loop
 
@@ -62,13 +67,14 @@
     SocketHandler* handler = nullptr;
     std::uint32_t  events = 0;
   };
-  void Control(int operation, int fd, std::uint32_t events) const;
-  int  WaitTime() const;
-  void Dispatch(int fd, std::uint32_t events);
-  void RunTimers();
-  void RunDeferred();
-  void TakePosted();
+  void     Control(int operation, int fd, std::uint32_t events) const;
+  Duration WaitTime() const;
+  void     Dispatch(int fd, std::uint32_t events);
+  void     RunTimers();
+  void     RunDeferred();
+  void     TakePosted();
 
+  Clock                                    m_clock;
   int                                      m_epoll = -1;
   int                                      m_wake_read = -1;
   int                                      m_wake_write = -1;
--- a/src/yuccawick/programs/turn_history.cc
+++ b/src/yuccawick/programs/turn_history.cc
@@ -24,20 +24,17 @@
   return line;
 }
 
-bool TurnHistory::HoldsChain(const std::string& id) const {
+std::string TurnHistory::Missing(const std::string& id) const {
   const auto line = Line(id);
-  return !line.empty() && line.back()->previous.empty();
+  return line.empty() ? id : line.back()->previous;
 }
 
 Chain TurnHistory::Build(const std::string& previous, const std::string& input,
                          Time now, Duration retention) {
-  Chain       chain;
-  const auto  line = Line(previous);
-  const Turn* oldest = line.empty() ? nullptr : line.back();
-  if (!previous.empty() && (oldest == nullptr || !oldest->previous.empty())) {
-    chain.missing = oldest == nullptr ? previous : oldest->previous;
-    return chain;
-  }
+  Chain chain;
+  chain.missing = Missing(previous);
+  if (!chain.missing.empty()) return chain;
+  const auto line = Line(previous);
   for (auto turn = line.rbegin(); turn != line.rend(); ++turn) {
     chain.body += (*turn)->input;
     chain.body += (*turn)->output;
--- a/src/yuccawick/programs/turn_history.h
+++ b/src/yuccawick/programs/turn_history.h
@@ -36,10 +36,12 @@
 class TurnHistory {
  public:
   // Keeps the turn until `retention` after `now`, at least.
-  void  Add(Turn turn, Time now, Duration retention);
-  bool  Holds(const std::string& id) const { return m_turns.contains(id); }
+  void Add(Turn turn, Time now, Duration retention);
+  bool Holds(const std::string& id) const { return m_turns.contains(id); }
   // The turn and all its ancestors are at hand.
-  bool  HoldsChain(const std::string& id) const;
+  bool HoldsChain(const std::string& id) const { return Missing(id).empty(); }
+  // The nearest turn of the chain that is not at hand; empty: it is whole.
+  std::string Missing(const std::string& id) const;
   // A chain that is used is kept on from now, all of it: a turn is worth
   // nothing without its ancestors.
   Chain Build(const std::string& previous, const std::string& input, Time now,
--- a/src/yuccawick/traffic/event_stream.cc
+++ b/src/yuccawick/traffic/event_stream.cc
@@ -45,9 +45,9 @@
 bool EventSplitter::Next(StreamEvent* event) {
   std::string_view rest = m_buffer;
   rest.remove_prefix(m_start);
-  const auto             plain = rest.find("\n\n");
-  const auto             with_returns = rest.find("\r\n\r\n");
-  std::size_t            size = 0;
+  const auto  plain = rest.find("\n\n");
+  const auto  with_returns = rest.find("\r\n\r\n");
+  std::size_t size = 0;
   if (with_returns < plain) {
     size = with_returns + 4;
   } else if (plain != std::string_view::npos) {
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -25,7 +25,8 @@
     }
     if (price <= best + kSame) ties.push_back(i);
   }
-  const auto pick = static_cast<std::size_t>(draw * static_cast<double>(ties.size()));
+  const auto pick =
+      static_cast<std::size_t>(draw * static_cast<double>(ties.size()));
   return ties[std::min(pick, ties.size() - 1)];
 }
 
--- /dev/null
+++ b/tests/gateway_requests_test.cc
@@ -0,0 +1,416 @@
+// Requests through the gateway: what clients may send, what servers may answer
+// badly, what is repeated and what never is.
+#include <criterion/criterion.h>
+
+#include "gateway_fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+const std::string kTool = "Attempt-Id: a1\r\nDeadline-Ms: 1000\r\n";
+
+struct OneNode : Deployment {
+  OneNode() {
+    app = &AddServer("app", "a");
+    model = &AddServer("llm", "a");
+    node = &AddNode();
+    Settle();
+  }
+  Server* app = nullptr;
+  Server* model = nullptr;
+  Node*   node = nullptr;
+};
+
+Test(Request, Safe_ReachesTheServerUnchangedAndItsAnswerTheClient) {
+  OneNode d;
+  Client  client =
+      d.Ask(*d.node, "GET", "/tool/x?q=1", kTool + "X-Extra: kept\r\n");
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 200);
+  cr_assert_str_eq(client.body().c_str(), "done");
+  cr_assert_not_null(client.headers().Find("Response-Stamp"));
+  const Request& run = d.app->runs.at(0);
+  cr_assert_str_eq(run.head.target.c_str(), "/tool/x?q=1");
+  cr_assert_str_eq(run.head.headers.Find("X-Extra")->c_str(), "kept");
+  cr_assert_str_eq(run.head.headers.Find("Expect-Instance")->c_str(), "i-0");
+  cr_assert_leq(std::stoi(*run.head.headers.Find("Deadline-Ms")), 1000);
+}
+
+Test(Request, HeadersOfTheSystemSetByAClient_AreDropped) {
+  OneNode d;
+  Client  client = d.Ask(*d.node, "GET", "/tool/x",
+                         kTool + "Kv-Hold: h\r\nPin-Ms: 9\r\nKv-From: x\r\n");
+  cr_assert(d.Finish(client));
+  const net::Headers& headers = d.app->runs.at(0).head.headers;
+  cr_assert_null(headers.Find("Kv-Hold"));
+  cr_assert_null(headers.Find("Pin-Ms"));
+  cr_assert_null(headers.Find("Kv-From"));
+}
+
+struct ClientCase {
+  const char* name;
+  std::string bytes;
+  int         status;
+};
+
+Test(Request, BadOnes_GetTheirTypedAnswerAndReachNoServer) {
+  OneNode           d;
+  const std::string start = "GET /tool/x HTTP/1.1\r\nHost: h\r\n";
+  const std::string post = "POST /post/x HTTP/1.1\r\nHost: h\r\n" + kTool;
+  const std::vector<ClientCase> cases{
+      {"no attempt id", start + "\r\n", 400},
+      {"unknown path", "GET /none/ HTTP/1.1\r\nHost: h\r\n" + kTool + "\r\n",
+       404},
+      {"unknown host", "GET /tool/x HTTP/1.1\r\nHost: g\r\n" + kTool + "\r\n",
+       404},
+      {"deadline is no number",
+       start + "Attempt-Id: a\r\nDeadline-Ms: soon\r\n\r\n", 400},
+      {"two attempt ids",
+       start + "Attempt-Id: a\r\nAttempt-Id: b\r\nDeadline-Ms: 9\r\n\r\n", 400},
+      {"not HTTP", "hello there\r\n\r\n", 400},
+      {"bare line feed", "GET /tool/x HTTP/1.1\nHost: h\r\n\r\n", 400},
+      {"folded line", start + "X: a\r\n b\r\n\r\n", 400},
+      {"blank before colon", start + "X : a\r\n\r\n", 400},
+      {"two lengths",
+       post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+      {"length and chunks",
+       post +
+           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
+      {"another coding", post + "Transfer-Encoding: gzip\r\n\r\n", 400},
+      {"head too large", start + "X: " + std::string(3000, 'x') + "\r\n\r\n",
+       431},
+      {"body too large",
+       post + "Content-Length: 5000\r\n\r\n" + std::string(5000, 'x'), 413},
+  };
+  for (const ClientCase& c : cases) {
+    Client client = d.AskRaw(*d.node, c.bytes);
+    cr_assert(d.Finish(client), "%s", c.name);
+    cr_assert_eq(client.status(), c.status, "%s: %d", c.name, client.status());
+  }
+  cr_assert_eq(d.app->runs.size(), 0);
+}
+
+Test(Request, HeadNeverFinished_Is408) {
+  OneNode d;
+  Client  client = d.AskRaw(*d.node, "GET /tool/x HTTP/1.1\r\nHost: h\r\n");
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 408);
+}
+
+Test(Request, TwoOnOneConnection_AreAnsweredInOrder) {
+  OneNode           d;
+  const std::string first =
+      "GET /tool/1 HTTP/1.1\r\nHost: h\r\n" + kTool + "\r\n";
+  const std::string second =
+      "GET /tool/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n\r\n";
+  Client client = d.AskRaw(*d.node, first + second);
+  cr_assert(d.Until([&] { return d.app->runs.size() == 2; }));
+  cr_assert_str_eq(d.app->runs[0].head.target.c_str(), "/tool/1");
+  cr_assert_str_eq(d.app->runs[1].head.target.c_str(), "/tool/2");
+}
+
+using Behave = std::function<void(const Request&, const HttpService::Reply&)>;
+
+struct ServerCase {
+  const char* name;
+  Behave      behave;
+  int         status;  // the client's; 0: the connection ends without answer
+};
+
+Behave Raw(const std::string& bytes, Ending ending) {
+  return [bytes, ending](const Request&, const HttpService::Reply& reply) {
+    reply(bytes, ending);
+  };
+}
+
+std::vector<ServerCase> BadAnswers() {
+  return {
+      {"reset before the answer", Raw("", Ending::kReset), 502},
+      {"closed before the answer", Raw("", Ending::kClose), 502},
+      {"not HTTP", Raw("what?\r\n\r\n", Ending::kClose), 502},
+      {"cut in the body",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply("HTTP/1.1 200 OK\r\n" + Signed(request) +
+                   "Content-Length: 10\r\n\r\nabc",
+               Ending::kClose);
+       },
+       502},
+      {"success without signature",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply(PlainAnswer(200, "Attempt-Id: " + Id(request) + "\r\n", "x"),
+               Ending::kKeep);
+       },
+       502},
+      {"answer of another request",
+       [](const Request&, const HttpService::Reply& reply) {
+         reply(PlainAnswer(200, "Attempt-Id: z\r\nResponse-Stamp: s\r\n", "x"),
+               Ending::kClose);
+       },
+       502},
+      {"encoded body",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply(PlainAnswer(200, Signed(request) + "Content-Encoding: gzip\r\n",
+                           "x"),
+               Ending::kKeep);
+       },
+       502},
+      {"503 without a promise",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply(PlainAnswer(503, Signed(request), "x"), Ending::kKeep);
+       },
+       502},
+      {"429 without a promise",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply(PlainAnswer(429, Signed(request), "x"), Ending::kKeep);
+       },
+       502},
+      {"reset without a length",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply("HTTP/1.1 200 OK\r\n" + Signed(request) + "\r\nabc",
+               Ending::kReset);
+       },
+       502},
+      {"own failure",
+       [](const Request& request, const HttpService::Reply& reply) {
+         reply(PlainAnswer(500, Signed(request), "x"), Ending::kKeep);
+       },
+       500},
+      {"full, not run",
+       Raw("HTTP/1.1 503 Service Unavailable\r\n"
+           "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+           Ending::kKeep),
+       503},
+      {"another incarnation",
+       Raw("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+           Ending::kKeep),
+       503},
+  };
+}
+
+Test(UnsafeRequest, AnsweredBadly_IsSentOnceAndFailsHonestly) {
+  // A server answers in every wrong way. The client sees a failure that does
+  // not promise "not run" unless the server said so, and the server gets the
+  // request once.
+  for (const ServerCase& c : BadAnswers()) {
+    OneNode d;
+    d.app->behave = c.behave;
+    Client client =
+        d.Ask(*d.node, "POST", "/post/x", "Attempt-Id: a\r\n", "body");
+    cr_assert(d.Finish(client), "%s", c.name);
+    cr_assert_eq(client.status(), c.status, "%s: %d", c.name, client.status());
+    cr_assert_eq(d.app->runs.size(), 1, "%s", c.name);
+  }
+}
+
+Test(UnsafeRequest, InterimAndExtraAnswers_DoNotConfuseTheNextRequest) {
+  // An interim answer comes first and an extra one after the whole answer. The
+  // client gets the right body, and the next request its own.
+  OneNode d;
+  d.app->behave = [](const Request& request, const HttpService::Reply& reply) {
+    reply("HTTP/1.1 103 Early Hints\r\n\r\n" +
+              PlainAnswer(200, Signed(request), "mine") +
+              PlainAnswer(200, Signed(request), "extra"),
+          Ending::kKeep);
+  };
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "Attempt-Id: a" + std::to_string(i) + "\r\n";
+    Client            client = d.Ask(*d.node, "POST", "/post/x", id, "body");
+    cr_assert(d.Finish(client));
+    cr_assert_eq(client.status(), 200);
+    cr_assert_str_eq(client.body().c_str(), "mine");
+  }
+}
+
+Test(UnsafeRequest, LateAnswerOfAnEarlierOneComesFirst_IsSkipped) {
+  OneNode d;
+  d.app->behave = [](const Request& request, const HttpService::Reply& reply) {
+    reply(PlainAnswer(200, "Attempt-Id: old\r\nResponse-Stamp: s\r\n", "old") +
+              PlainAnswer(200, Signed(request), "mine"),
+          Ending::kKeep);
+  };
+  Client client =
+      d.Ask(*d.node, "POST", "/post/x", "Attempt-Id: a\r\n", "body");
+  cr_assert(d.Finish(client));
+  cr_assert_str_eq(client.body().c_str(), "mine");
+}
+
+Test(UnsafeRequest, NoServerTakesConnections_IsRefusedAsNotRun) {
+  OneNode d;
+  d.app->service.reset();
+  Client client =
+      d.Ask(*d.node, "POST", "/post/x", "Attempt-Id: a\r\n", "body");
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 503);
+  cr_assert_not_null(client.headers().Find("Retry-After"));
+}
+
+Test(SafeRequest, ConnectionBroken_IsSentAgain) {
+  OneNode d;
+  d.app->behave = [&](const Request& request, const HttpService::Reply& reply) {
+    if (d.app->runs.size() == 1) {
+      reply("", Ending::kReset);
+    } else {
+      AnswerPlain(request, reply);
+    }
+  };
+  Client client = d.Ask(*d.node, "GET", "/tool/x", kTool);
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 200);
+  cr_assert_eq(d.app->runs.size(), 2);
+}
+
+Test(Request, ServerSilentPastTheDeadline_IsGivenUpInTime) {
+  // The server never answers. The client gets its final answer by the deadline,
+  // 504 since the request may have run, and the server's connection ends.
+  OneNode d;
+  d.app->behave = [](const Request&, const HttpService::Reply&) {};
+  Client client = d.Ask(*d.node, "GET", "/tool/x", kTool);
+  cr_assert(d.Until([&] { return client.done(); }, 1100));
+  cr_assert_eq(client.status(), 504);
+  cr_assert(d.Until([&] { return d.app->service->open_connections() == 0; }));
+}
+
+Test(Stream, EventsMadeOneByOne_ArriveAsMadeAndEndWhole) {
+  OneNode            d;
+  HttpService::Reply open;
+  d.model->behave = [&](const Request&            request,
+                        const HttpService::Reply& reply) {
+    reply(StreamHead(request) + Chunk(EventText(1)), Ending::kKeep);
+    open = reply;
+  };
+  Client client = d.Ask(*d.node, "POST", "/talk/x", kTool, "q");
+  cr_assert(d.Until([&] { return client.body() == EventText(1); }));
+  cr_assert_not(client.complete());
+  open(Chunk(EventText(2)) + std::string(net::kLastChunk), Ending::kKeep);
+  cr_assert(d.Finish(client) && client.complete());
+  cr_assert(client.body() == EventText(1) + EventText(2));
+}
+
+Test(Stream, ResumableOneBrokenInAnEvent_GoesOnAfterTheLastWholeOne) {
+  // The server breaks off in the middle of the second event. The client sees
+  // each event once, in order, in one answer.
+  OneNode d;
+  d.model->behave = [&](const Request&            request,
+                        const HttpService::Reply& reply) {
+    if (d.model->runs.size() == 1) {
+      reply(StreamHead(request) + Chunk(EventText(1)) + Chunk("id: 2\nda"),
+            Ending::kReset);
+    } else {
+      reply(StreamHead(request) + Chunk(EventText(2)) +
+                std::string(net::kLastChunk),
+            Ending::kKeep);
+    }
+  };
+  Client client = d.Ask(*d.node, "POST", "/talk/x", kTool, "q");
+  cr_assert(d.Finish(client) && client.complete());
+  cr_assert(client.body() == EventText(1) + EventText(2));
+  cr_assert_str_eq(d.model->runs[1].head.headers.Find("Last-Event-Id")->c_str(),
+                   "1");
+}
+
+Test(Stream, OtherOneBroken_IsCutAndNotRunAgain) {
+  OneNode d;
+  d.model->behave = [](const Request&            request,
+                       const HttpService::Reply& reply) {
+    reply(StreamHead(request) + Chunk(EventText(1)), Ending::kClose);
+  };
+  Client client = d.Ask(*d.node, "POST", "/chat/x", TurnHeaders("t", "p"), "q");
+  cr_assert(d.Finish(client));
+  cr_assert(client.closed() && !client.complete());
+  cr_assert_eq(d.model->runs.size(), 1);
+}
+
+Test(Stream, ClientLeaves_ServerIsToldAtOnce) {
+  OneNode d;
+  d.model->behave = [](const Request&            request,
+                       const HttpService::Reply& reply) {
+    reply(StreamHead(request) + Chunk(EventText(1)), Ending::kKeep);
+  };
+  Client client = d.Ask(*d.node, "POST", "/talk/x", kTool, "q");
+  cr_assert(d.Until([&] { return !client.body().empty(); }));
+  client.Leave();
+  cr_assert(
+      d.Until([&] { return d.model->service->open_connections() == 0; }, 100));
+}
+
+Test(Manifest, OlderOneReadLater_DoesNotComeIntoForce) {
+  // Version 3 drops nothing; a late record brings version 2 again, in which the
+  // routes of a probe are gone. The node keeps to version 3.
+  OneNode d;
+  d.store.Put("keyed.op", "config", ManifestText(3));
+  d.Pass(1000);
+  const std::string empty =
+      R"({"version":2,"routes":[],"services":[],"limits":{)"
+      R"("maxHeaderBytes":2000,"maxBodyBytes":4000,"headerTimeoutMs":3000,)"
+      R"("idleTimeoutMs":15000}})";
+  d.store.Put("keyed.op", "config", empty);
+  d.Pass(1000);
+  Client client = d.Ask(*d.node, "GET", "/tool/x", kTool);
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 200);
+}
+
+Test(Manifest, ChangedWhileItsHistoryIsForgotten_IsStillFollowed) {
+  OneNode           d;
+  const std::string empty =
+      R"({"version":9,"routes":[],"services":[],"limits":{)"
+      R"("maxHeaderBytes":2000,"maxBodyBytes":4000,"headerTimeoutMs":3000,)"
+      R"("idleTimeoutMs":15000}})";
+  d.store.SetMode(StoreMode::kSilent);
+  d.Pass(3000);
+  d.store.Put("keyed.op", "config", empty);
+  d.store.Put("keyed.op", "other", "x");
+  d.store.ForgetHistory("keyed.op");
+  d.store.SetMode(StoreMode::kUp);
+  d.Pass(3000);
+  Client client = d.Ask(*d.node, "GET", "/tool/x", kTool);
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 404);
+}
+
+Test(Discovery, ServerDraining_GetsNoNewWorkWithinTwoSeconds) {
+  OneNode d;
+  Server& other = d.AddServer("app", "a");
+  d.Pass(1000);
+  d.store.Put("keyed.servers", "i-0",
+              R"({"service":"app","address":")" +
+                  Address(100, kServerPort).Text() +
+                  R"(","zone":"a","slots":4,"state":"draining","seq":2})");
+  d.Pass(2000);
+  for (int i = 0; i < 4; ++i) {
+    Client client = d.Ask(*d.node, "GET", "/tool/x", kTool);
+    cr_assert(d.Finish(client));
+    cr_assert_eq(client.status(), 200);
+  }
+  cr_assert_eq(d.app->runs.size(), 0);
+  cr_assert_eq(other.runs.size(), 4);
+}
+
+Test(Stop, RequestUnderWay_IsFinishedAndTheNodeIsNotReady) {
+  // SIGTERM comes while a stream runs. The node says at once that it is not
+  // ready; the stream ends whole; a request on a new connection is still
+  // served until the balancer has turned away.
+  OneNode            d;
+  HttpService::Reply open;
+  d.model->behave = [&](const Request&            request,
+                        const HttpService::Reply& reply) {
+    reply(StreamHead(request) + Chunk(EventText(1)), Ending::kKeep);
+    open = reply;
+  };
+  Client stream = d.Ask(*d.node, "POST", "/talk/x", kTool, "q");
+  cr_assert(d.Until([&] { return !stream.body().empty(); }));
+  d.node->gateway->Stop();
+  Client ready(&d.loop, d.node->settings.readiness,
+               "GET /yuccawick/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(d.Finish(ready));
+  cr_assert_eq(ready.status(), 503);
+  Client late = d.Ask(*d.node, "GET", "/tool/x", "Attempt-Id: b\r\n");
+  cr_assert(d.Finish(late));
+  cr_assert_eq(late.status(), 200);
+  open(Chunk(EventText(2)) + std::string(net::kLastChunk), Ending::kKeep);
+  cr_assert(d.Finish(stream) && stream.complete());
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/gateway_turns_test.cc
@@ -0,0 +1,242 @@
+// Turns and token budgets of the gateway, through outages and restarts.
+#include <criterion/criterion.h>
+
+#include "gateway_fixture.h"
+
+namespace yuccawick::tests {
+namespace {
+
+constexpr const char* kFirstOutput = "word1\nword2\n";
+
+struct ThreeNodes : Deployment {
+  ThreeNodes() {
+    server = &AddServer("llm", "a");
+    for (int i = 0; i < 3; ++i) AddNode();
+    Settle();
+  }
+  Client Turn(int node, const std::string& id, const std::string& program,
+              const std::string& previous, const std::string& input,
+              int budget = 1000) {
+    return Ask(*nodes[static_cast<std::size_t>(node)], "POST", "/chat/x",
+               TurnHeaders(id, program, previous, budget), input);
+  }
+  // A whole turn; its status.
+  int Run(int node, const std::string& id, const std::string& program,
+          const std::string& previous, const std::string& input,
+          int budget = 1000) {
+    Client client = Turn(node, id, program, previous, input, budget);
+    return Finish(client) ? client.status() : -1;
+  }
+  // Power goes from all nodes at once; they start again with nothing.
+  void RestartAll() {
+    for (auto& node : nodes) PowerOff(*node);
+    for (auto& node : nodes) Start(*node);
+  }
+  Server* server = nullptr;
+};
+
+Test(Turn, ContinuedAtAnotherNode_ServerReceivesTheWholeChain) {
+  ThreeNodes d;
+  cr_assert_eq(d.Run(0, "t1", "p", "", "hello "), 200);
+  cr_assert_eq(d.Run(1, "t2", "p", "t1", "more "), 200);
+  cr_assert_eq(d.Run(2, "t3", "p", "t2", "last"), 200);
+  const std::string body = d.server->runs.back().body;
+  cr_assert(body == std::string("hello ") + kFirstOutput + "more " +
+                        kFirstOutput + "last");
+}
+
+Test(Turn, ContinuedAfterAllNodesLostPower_IsFoundInTheLog) {
+  // A client has the whole answer of a turn. All nodes lose power and start
+  // with empty memories. The next turn names the first, from a new program, so
+  // its partition cannot be told from the program.
+  ThreeNodes d;
+  cr_assert_eq(d.Run(0, "t1", "p", "", "hello "), 200);
+  d.RestartAll();
+  d.Settle();
+  cr_assert_eq(d.Run(1, "t2", "another", "t1", "more"), 200);
+  cr_assert(d.server->runs.back().body ==
+            std::string("hello ") + kFirstOutput + "more");
+}
+
+Test(Turn, ChainOverSeveralPartitions_IsFoundAfterAllNodesRestart) {
+  // Half of the log's partitions refuse appends from the middle of a program,
+  // so its turns lie in different ones. No reader of one partition can build
+  // the chain; each brings what it has. Three nodes share a zone, so that they
+  // read for each other.
+  ThreeNodes d;
+  for (int i = 0; i < 4; ++i) d.AddNode();
+  d.Settle();
+  for (const auto* program : {"p0", "p1", "p2", "p3", "p4", "p5"}) {
+    const std::string name(program);
+    cr_assert_eq(d.Run(0, name + "-1", name, "", "hello "), 200);
+  }
+  d.store.RejectAppends("turns", 0);
+  d.store.RejectAppends("turns", 1);
+  for (const auto* program : {"p0", "p1", "p2", "p3", "p4", "p5"}) {
+    const std::string name(program);
+    cr_assert_eq(d.Run(1, name + "-2", name, name + "-1", "more "), 200);
+  }
+  d.Pass(2000);
+  for (const auto* program : {"p0", "p1", "p2", "p3", "p4", "p5"}) {
+    for (const int node : {0, 3, 6}) {
+      d.RestartAll();
+      d.Settle();
+      const std::string name(program);
+      const std::string id = name + "-" + std::to_string(node) + "x";
+      cr_assert_eq(d.Run(node, id, name, name + "-2", "last"), 200);
+      cr_assert(d.server->runs.back().body == std::string("hello ") +
+                                                  kFirstOutput + "more " +
+                                                  kFirstOutput + "last");
+    }
+  }
+}
+
+Test(Turn, NamedButNeverThere_Is404AndNotSent) {
+  ThreeNodes d;
+  cr_assert_eq(d.Run(0, "t2", "p", "nothing", "more"), 404);
+  cr_assert_eq(d.server->runs.size(), 0);
+}
+
+Test(Turn, UnknownHereWhileTheLogIsAway_Is503NotUnknown) {
+  // No node holds the turn and the log does not answer: it may exist. The
+  // client is told to come back, and nothing was run.
+  ThreeNodes d;
+  d.store.SetMode(StoreMode::kRejecting);
+  Client client = d.Turn(0, "t2", "p", "maybe", "more");
+  cr_assert(d.Finish(client));
+  cr_assert_eq(client.status(), 503);
+  cr_assert_not_null(client.headers().Find("Retry-After"));
+  cr_assert_eq(d.server->runs.size(), 0);
+}
+
+Test(Turn, EndedWhileTheLogIsAway_IsHeldByTwoOthersAndAppendedLater) {
+  // The log goes away after the program's tokens are claimed. The turn ends
+  // with copies at two other nodes; another node continues from it during the
+  // outage. When the log is back it holds the turn, though all nodes restart.
+  ThreeNodes d;
+  cr_assert_eq(d.Run(0, "t1", "p", "", "hello "), 200);
+  d.store.SetMode(StoreMode::kRejecting);
+  cr_assert_eq(d.Run(0, "t2", "p", "t1", "two "), 200);
+  cr_assert_eq(d.Run(1, "t3", "p", "t2", "three "), 200);
+  d.store.SetMode(StoreMode::kUp);
+  d.Pass(3000);
+  d.RestartAll();
+  d.Settle();
+  cr_assert_eq(d.Run(2, "t4", "q", "t3", "four"), 200);
+}
+
+Test(Turn, LogAwayAndNobodyToHoldCopies_AnswerDoesNotLookWhole) {
+  // A node alone without the log cannot keep a turn. Its events arrive, but the
+  // answer must not end as complete: the client would rely on the turn.
+  Deployment d;
+  d.AddServer("llm", "a");
+  d.AddNode();
+  d.Settle();
+  Client first =
+      d.Ask(*d.nodes[0], "POST", "/chat/x", TurnHeaders("t1", "p"), "hello");
+  cr_assert(d.Finish(first) && first.complete());
+  d.store.SetMode(StoreMode::kRejecting);
+  Client second = d.Ask(*d.nodes[0], "POST", "/chat/x",
+                        TurnHeaders("t2", "p", "t1"), "more");
+  cr_assert(d.Finish(second));
+  cr_assert(second.closed() && !second.complete());
+  cr_assert_neq(second.body().find("word1"), std::string::npos);
+}
+
+Test(Turn, AppendAnsweredNever_IsRepeatedAndEndsByCopies) {
+  // The log carries appends out and loses the answers. The turn's end goes out
+  // with copies at peers; that it lies in the log several times changes
+  // nothing.
+  ThreeNodes d;
+  cr_assert_eq(d.Run(0, "t1", "p", "", "hello "), 200);
+  d.store.SetMode(StoreMode::kLosingAnswers);
+  cr_assert_eq(d.Run(0, "t2", "p", "t1", "two "), 200);
+  d.Pass(2000);
+  d.store.SetMode(StoreMode::kUp);
+  d.Pass(2000);
+  cr_assert_eq(d.Run(1, "t3", "p", "t2", "three"), 200);
+  cr_assert(d.server->runs.back().body == std::string("hello ") + kFirstOutput +
+                                              "two " + kFirstOutput + "three");
+}
+
+// A turn uses 2 events of 10 tokens and may use 20; one turn may go beyond.
+Test(Budget, SpentOverSeveralNodes_NextTurnIs402Anywhere) {
+  ThreeNodes  d;
+  std::string previous;
+  int         served = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    const int         status = d.Run(i % 3, id, "p", previous, "x", 40);
+    if (status == 402) continue;
+    cr_assert_eq(status, 200);
+    previous = id;
+    ++served;
+  }
+  cr_assert_geq(served, 2);  // the budget holds two whole turns
+  cr_assert_leq(served, 3);  // and one more at the most
+}
+
+Test(Budget, SpentBeforeAllNodesLostPower_StaysSpent) {
+  ThreeNodes d;
+  for (int i = 0; i < 4; ++i) {
+    d.Run(i % 3, "t" + std::to_string(i), "p", "", "x", 40);
+  }
+  const std::size_t before = d.server->runs.size();
+  d.RestartAll();
+  d.Settle();
+  for (int i = 0; i < 3; ++i) {
+    cr_assert_eq(d.Run(i, "u" + std::to_string(i), "p", "", "x", 40), 402);
+  }
+  cr_assert_eq(d.server->runs.size(), before);
+}
+
+Test(Budget, ProgramBegunWhileTheLogIsAway_IsServedWithinItsBudget) {
+  // Every node finds the log away. The home of the program uses an allowance;
+  // asked through all nodes, again and again, the program gets no more than its
+  // budget and one turn, also after the log is back.
+  ThreeNodes d;
+  d.store.SetMode(StoreMode::kRejecting);
+  int served = 0;
+  for (int i = 0; i < 6; ++i) {
+    served += d.Run(i % 3, "t" + std::to_string(i), "p", "", "x", 40) == 200;
+  }
+  cr_assert_geq(served, 1);
+  d.store.SetMode(StoreMode::kUp);
+  d.Pass(2000);
+  for (int i = 6; i < 12; ++i) {
+    served += d.Run(i % 3, "t" + std::to_string(i), "p", "", "x", 40) == 200;
+  }
+  cr_assert_leq(served, 3);
+}
+
+Test(Budget, HomeLostInAnOutage_NextHomeKnowsWhatWasUsed) {
+  // The home uses tokens without a record and loses power before the log is
+  // back. The next home was told, so both together stay within the budget.
+  ThreeNodes d;
+  d.store.SetMode(StoreMode::kRejecting);
+  int served = 0;
+  for (int i = 0; i < 3; ++i) {
+    served += d.Run(i, "t" + std::to_string(i), "p", "", "x", 40) == 200;
+  }
+  const std::size_t home = [&] {
+    const auto           homes = programs::Membership({"node-0", "", {}, ""});
+    programs::Membership all = homes;
+    all.Put({"node-1", "", {}, ""});
+    all.Put({"node-2", "", {}, ""});
+    return static_cast<std::size_t>(all.HomesOf("p", 0).front().name.back() -
+                                    '0');
+  }();
+  d.PowerOff(*d.nodes[home]);
+  d.store.SetMode(StoreMode::kUp);
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (node == home) continue;
+      const std::string id = "u" + std::to_string(round) + std::to_string(node);
+      served += d.Run(static_cast<int>(node), id, "p", "", "x", 40) == 200;
+    }
+  }
+  cr_assert_leq(served, 3);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/programs_test.cc
@@ -0,0 +1,221 @@
+// Histories, token ledgers and the choice of homes, without any node.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <set>
+
+#include "yuccawick/programs/membership.h"
+#include "yuccawick/programs/record.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using programs::TokenAccount;
+using programs::TokenAnswer;
+using programs::TokenClaim;
+using programs::TokenLedger;
+using programs::Tokens;
+using programs::Turn;
+using programs::TurnHistory;
+
+constexpr net::Duration kMinute = 60'000;
+
+Test(TurnHistory, ChainOfTurns_IsBuiltOldestFirst) {
+  TurnHistory history;
+  history.Add({"1", "", "p", "a", "A\n"}, 0, kMinute);
+  history.Add({"2", "1", "p", "b", "B\n"}, 0, kMinute);
+  const auto chain = history.Build("2", "c", 0, kMinute);
+  cr_assert(chain.missing.empty());
+  cr_assert_str_eq(chain.body.c_str(), "aA\nbB\nc");
+}
+
+Test(TurnHistory, AncestorNotHeld_IsNamed) {
+  TurnHistory history;
+  history.Add({"3", "2", "p", "c", "C\n"}, 0, kMinute);
+  cr_assert_str_eq(history.Build("3", "d", 0, kMinute).missing.c_str(), "2");
+  cr_assert_str_eq(history.Missing("x").c_str(), "x");
+  cr_assert_not(history.HoldsChain("3"));
+}
+
+Test(TurnHistory, ChainThatIsUsed_IsKeptWhole) {
+  TurnHistory history;
+  history.Add({"1", "", "p", "a", ""}, 0, kMinute);
+  history.Add({"2", "1", "p", "b", ""}, 0, kMinute);
+  history.Build("2", "", kMinute / 2, kMinute);
+  history.Expire(kMinute + 1);
+  cr_assert(history.HoldsChain("2"));
+  history.Expire(2 * kMinute);
+  cr_assert_eq(history.size(), 0);
+}
+
+Test(TurnHistory, TurnAddedTwice_StaysAsItWas) {
+  TurnHistory history;
+  history.Add({"1", "", "p", "a", "A"}, 0, kMinute);
+  history.Add({"1", "", "p", "other", "X"}, 0, kMinute);
+  cr_assert_str_eq(history.Build("1", "", 0, kMinute).body.c_str(), "aA");
+}
+
+Test(Record, TurnAndClaim_SurviveTheLog) {
+  const Turn turn{"1", "0", "p", std::string("a\0b", 3), "out\n"};
+  const auto read = programs::DecodeTurn(programs::EncodeTurn(turn));
+  cr_assert(read && read->input == turn.input && read->output == turn.output);
+  cr_assert_not(programs::DecodeTurn("no record").has_value());
+  TokenClaim claim{7, "n", "p", 100, 10, 50, true};
+  const auto back = programs::DecodeClaim(programs::EncodeClaim(claim));
+  cr_assert(back && back->number == 7 && back->taken && back->wish == 50);
+}
+
+TokenClaim MakeClaim(std::uint64_t number, const std::string& node, Tokens need,
+                     Tokens wish) {
+  return {number, node, "p", 100, need, wish, false};
+}
+
+Test(TokenLedger, ClaimsInLogOrder_GetHalfOfTheRestOrTheirNeed) {
+  TokenLedger ledger;
+  cr_assert_eq(ledger.Apply(MakeClaim(1, "a", 10, 50), 0), 50);
+  cr_assert_eq(ledger.Apply(MakeClaim(1, "b", 10, 50), 0), 25);
+  cr_assert_eq(ledger.Apply(MakeClaim(1, "c", 20, 50), 0), 20);
+  cr_assert_eq(ledger.Apply(MakeClaim(1, "d", 10, 50), 0), 0);
+  cr_assert_eq(ledger.Rest("p", 100), 5);
+}
+
+Test(TokenLedger, RecordOfAnOutageTwiceInTheLog_CountsOnce) {
+  TokenLedger ledger;
+  TokenClaim  taken = MakeClaim(1, "a", 0, 40);
+  taken.taken = true;
+  cr_assert(ledger.Foretell(taken, 0));
+  cr_assert_eq(ledger.Rest("p", 100), 60);
+  ledger.Apply(taken, 0);
+  ledger.Apply(taken, 0);
+  cr_assert_eq(ledger.Rest("p", 100), 60);
+  cr_assert_not(ledger.Foretell(taken, 0));
+}
+
+Test(TokenAccount, TurnsUnderWayFillTheRest_WaitsInsteadOfRefusing) {
+  // A turn is counted at its most until it ends; it usually ends with less. A
+  // program whose budget is only reserved is asked to wait.
+  TokenAccount account(40);
+  cr_assert(account.Reserve(20) == TokenAnswer::kClaim);
+  account.Granted(20);
+  cr_assert(account.Reserve(20) == TokenAnswer::kStart);
+  cr_assert(account.Reserve(20) == TokenAnswer::kClaim);
+  account.Granted(0);
+  cr_assert(account.Reserve(20) == TokenAnswer::kWait);
+  account.EndTurn(20, 0);
+  cr_assert(account.Reserve(20) == TokenAnswer::kStart);
+  account.EndTurn(20, 20);
+  cr_assert(account.Reserve(20) == TokenAnswer::kSpent);
+}
+
+// Nodes claim, run turns, die and take allowances in any order; records of
+// allowances come late, twice and out of turn. What all turns together use is
+// never more than the budget and one turn.
+// The same cases each time; more with RC_PARAMS from outside.
+void FixSeeds() { setenv("RC_PARAMS", "seed=20261202 max_success=300", 0); }
+
+Test(TokenLedger, AnyOrderOfClaimsAndDeaths_NeverGrantsMoreThanTheBudget) {
+  FixSeeds();
+  const bool held = rc::check([] {
+    const Tokens most = *rc::gen::inRange<Tokens>(1, 50);
+    const Tokens budget = most * *rc::gen::inRange<Tokens>(1, 9);
+    const auto   steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+    TokenLedger               log;
+    std::vector<TokenAccount> nodes(4, TokenAccount(budget));
+    std::uint64_t             number = 0;
+    Tokens                    used = 0;
+    for (const int step : steps) {
+      TokenAccount& node = nodes[static_cast<std::size_t>(step) % 4];
+      if (step >= 90) {
+        node = TokenAccount(budget);  // died; a new start knows nothing
+        continue;
+      }
+      auto answer = node.Reserve(most);
+      if (answer == TokenAnswer::kClaim) {
+        TokenClaim claim = node.NextClaim(most);
+        claim.number = ++number;
+        claim.node = std::to_string(step % 4);
+        claim.program = "p";
+        node.Granted(log.Apply(claim, 0));
+        answer = node.Reserve(most);
+      }
+      if (answer != TokenAnswer::kStart) continue;
+      const Tokens spent = step % 2 == 0 ? most : most / 2;
+      node.EndTurn(most, spent);
+      used += spent;
+    }
+    RC_ASSERT(used <= budget + most);
+  });
+  cr_assert(held);
+}
+
+Test(TokenLedger, AllowancesOfTwoHomesInOneOutage_StayWithinTheRest) {
+  FixSeeds();
+  const bool held = rc::check([] {
+    const Tokens most = *rc::gen::inRange<Tokens>(1, 50);
+    const Tokens budget = most * *rc::gen::inRange<Tokens>(1, 9);
+    TokenLedger  log;
+    Tokens       total = 0;
+    const auto   claims = *rc::gen::inRange<std::uint64_t>(0, 4);
+    for (std::uint64_t i = 1; i <= claims; ++i) {
+      TokenAccount account(budget);
+      TokenClaim   claim = account.NextClaim(most);
+      claim.number = i;
+      claim.program = "p";
+      total += log.Apply(claim, 0);
+    }
+    for (std::uint64_t home = 10; home < 13; ++home) {
+      TokenAccount account(budget);
+      const Tokens rest = log.Rest("p", budget + most);
+      const Tokens allowance = account.TakeAllowance(most, rest);
+      TokenClaim   record{home, "h", "p", budget + most, 0, allowance, true};
+      log.Foretell(record, 0);
+      total += allowance;
+    }
+    RC_ASSERT(total <= budget + most);
+  });
+  cr_assert(held);
+}
+
+programs::NodeInfo MakeNode(const std::string& name) {
+  return {name, name + "/1", {}, "z"};
+}
+
+Test(Membership, EveryNode_ChoosesTheSameHomes) {
+  const std::vector<std::string> names{"a", "b", "c", "d", "e"};
+  std::vector<std::string>       first;
+  for (const std::string& self : names) {
+    programs::Membership members(MakeNode(self));
+    for (const std::string& other : names) members.Put(MakeNode(other));
+    std::vector<std::string> homes;
+    for (int key = 0; key < 50; ++key) {
+      homes.push_back(members.HomesOf(std::to_string(key), 0).front().name);
+    }
+    if (first.empty()) first = homes;
+    cr_assert(homes == first);
+  }
+  cr_assert_eq(std::set<std::string>(first.begin(), first.end()).size(), 5);
+}
+
+Test(Membership, NodeSuspected_OnlyItsOwnKeysMove) {
+  programs::Membership members(MakeNode("a"));
+  for (const auto* name : {"b", "c", "d"}) members.Put(MakeNode(name));
+  std::vector<std::string> before;
+  for (int key = 0; key < 50; ++key) {
+    before.push_back(members.HomesOf(std::to_string(key), 0).front().name);
+  }
+  members.Suspect("c", 0);
+  for (int key = 0; key < 50; ++key) {
+    const auto now = members.HomesOf(std::to_string(key), 1).front().name;
+    const auto was = before[static_cast<std::size_t>(key)];
+    cr_assert(was == "c" ? now != "c" : now == was);
+  }
+  const auto later = programs::kSuspicion + 1;
+  cr_assert_str_eq(members.HomesOf("1", later).front().name.c_str(),
+                   before[1].c_str());
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
--- /dev/null
+++ b/tests/traffic_test.cc
@@ -0,0 +1,277 @@
+// The pure decisions about traffic: routes, losses, discovery, placement,
+// events, settings and what the operator publishes.
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "gateway_fixture.h"
+#include "platform/manifest_codec.h"
+#include "yuccawick/traffic/attempt.h"
+#include "yuccawick/traffic/event_stream.h"
+#include "yuccawick/traffic/placement.h"
+#include "yuccawick/traffic/refusal.h"
+
+namespace yuccawick::tests {
+namespace {
+
+using traffic::LossCause;
+using traffic::NextStep;
+
+traffic::ManifestPtr TwoRoutes() {
+  auto           manifest = std::make_shared<traffic::Manifest>();
+  traffic::Route route;
+  route.host = "h";
+  route.path_prefix = "/a/";
+  route.name = "short";
+  manifest->routes.push_back(route);
+  route.path_prefix = "/a/b/";
+  route.name = "long";
+  manifest->routes.push_back(route);
+  return manifest;
+}
+
+Test(Routes, SeveralPrefixesFit_LongestIsTaken) {
+  const traffic::RouteTable table(TwoRoutes());
+  cr_assert_str_eq(table.Find("h", "/a/b/c")->name.c_str(), "long");
+  cr_assert_str_eq(table.Find("h", "/a/bc")->name.c_str(), "short");
+  cr_assert_null(table.Find("h", "/b"));
+  cr_assert_null(table.Find("g", "/a/b/c"));
+}
+
+Test(Routes, Split_FollowsTheWeights) {
+  traffic::Route route;
+  route.services = {{"x", 90}, {"y", 10}};
+  cr_assert_str_eq(PickService(route, 0.0).c_str(), "x");
+  cr_assert_str_eq(PickService(route, 0.89).c_str(), "x");
+  cr_assert_str_eq(PickService(route, 0.91).c_str(), "y");
+  cr_assert_str_eq(PickService(route, 0.9999).c_str(), "y");
+}
+
+Test(Manifest, Published_IsDecodedWithItsUnits) {
+  const auto manifest = platform::DecodeManifest(ManifestText(7));
+  cr_assert(manifest.has_value());
+  cr_assert_eq((*manifest)->version, 7);
+  const traffic::RouteTable table(*manifest);
+  const traffic::Route*     chat = table.Find("h", "/chat/x");
+  cr_assert(chat->keeps_turns);
+  cr_assert_eq(chat->retention, 60'000);
+  cr_assert_not(chat->Repeatable());
+  cr_assert(table.Find("h", "/talk/x")->Repeatable());
+  cr_assert(table.Find("h", "/tool/x")->Repeatable());
+  cr_assert_not(table.Find("h", "/post/x")->Repeatable());
+  cr_assert_eq((*manifest)->FindService("llm")->engine->tokens_per_event, 10);
+}
+
+Test(Manifest, NotDecodable_IsATypedError) {
+  cr_assert(platform::DecodeManifest("{").error().fault ==
+            platform::DecodeFault::kSyntax);
+  cr_assert(platform::DecodeManifest("{\"version\":1}").error().fault ==
+            platform::DecodeFault::kField);
+  cr_assert(platform::DecodeManifest(
+                R"({"version":1,"routes":[{"name":"x"}],"limits":{}})")
+                .error()
+                .fault == platform::DecodeFault::kField);
+}
+
+Test(Settings, MissingField_IsNamed) {
+  const auto settings = platform::ParseSettings("nodeName = \"n\"\n");
+  cr_assert(settings.error().fault == platform::SettingsFault::kMissing);
+  cr_assert_str_eq(settings.error().field.c_str(), "zone");
+  cr_assert(platform::ParseSettings("nodeName = ").error().fault ==
+            platform::SettingsFault::kSyntax);
+}
+
+struct LossCase {
+  const char*   name;
+  bool          repeatable;
+  traffic::Loss loss;
+  NextStep      next;
+};
+
+traffic::Loss MakeLoss(LossCause cause, bool in_doubt, bool answering,
+                       int sent = 1, net::Duration left = 1000) {
+  traffic::Loss loss;
+  loss.cause = cause;
+  loss.servers_sent = sent;
+  loss.in_doubt = in_doubt;
+  loss.answering = answering;
+  loss.other_server = true;
+  loss.left = left;
+  return loss;
+}
+
+Test(Loss, EveryCause_IsFollowedByWhatTheKindAllows) {
+  const std::vector<LossCase> cases{
+      {"unsafe, nothing sent", false,
+       MakeLoss(LossCause::kNotConnected, false, false, 0),
+       NextStep::kOtherServer},
+      {"unsafe, not run, one server allowed", false,
+       MakeLoss(LossCause::kNotRun, false, false), NextStep::kRefuse},
+      {"unsafe, broken", false, MakeLoss(LossCause::kBroken, false, false),
+       NextStep::kFail},
+      {"unsafe, broken while answering", false,
+       MakeLoss(LossCause::kBroken, false, true), NextStep::kCutOff},
+      {"unsafe, refused elsewhere after doubt", false,
+       MakeLoss(LossCause::kNotRun, true, false), NextStep::kFail},
+      {"safe, broken, one server allowed", true,
+       MakeLoss(LossCause::kBroken, true, false), NextStep::kSameServer},
+      {"safe, bad answer", true, MakeLoss(LossCause::kBadAnswer, true, false),
+       NextStep::kSameServer},
+      {"resumable, broken while answering", true,
+       MakeLoss(LossCause::kBroken, true, true), NextStep::kSameServer},
+      {"resumable, its server is gone", true,
+       MakeLoss(LossCause::kNotConnected, true, true), NextStep::kOtherServer},
+      {"safe, out of time", true,
+       MakeLoss(LossCause::kBroken, true, false, 1, 5), NextStep::kFail},
+      {"nothing sent, out of time", true,
+       MakeLoss(LossCause::kNotConnected, false, false, 0, 5),
+       NextStep::kRefuse},
+      {"safe, not run by the only server allowed", true,
+       MakeLoss(LossCause::kNotRun, false, false), NextStep::kRefuse},
+  };
+  for (const LossCase& c : cases) {
+    traffic::Route route;
+    route.kind = c.repeatable ? traffic::RequestKind::kSafe
+                              : traffic::RequestKind::kUnsafe;
+    route.max_attempts = 1;
+    const NextStep next = AfterLoss(route, c.loss);
+    cr_assert(next == c.next, "%s: %s", c.name, Name(next).data());
+  }
+}
+
+Test(Loss, RouteAllowsMoreServers_NextOneIsTriedAfterAPromise) {
+  traffic::Route route;
+  route.kind = traffic::RequestKind::kUnsafe;
+  route.max_attempts = 2;
+  cr_assert(AfterLoss(route, MakeLoss(LossCause::kNotRun, false, false)) ==
+            NextStep::kOtherServer);
+  cr_assert(AfterLoss(route, MakeLoss(LossCause::kNotRun, false, false, 2)) ==
+            NextStep::kRefuse);
+}
+
+Test(Refusal, StatusThatPromisesNotRun_IsNeverUsedAfterASend) {
+  using traffic::Refusal;
+  const std::set<int> promises{408, 421, 429, 503};
+  cr_assert_not(promises.contains(Status(Refusal::kLateSent)));
+  cr_assert_not(promises.contains(Status(Refusal::kServerFailed)));
+  cr_assert(promises.contains(Status(Refusal::kLateUnsent)));
+}
+
+Test(AttemptChart, EveryPhase_MayEnd) {
+  using traffic::AttemptEvent;
+  using traffic::AttemptPhase;
+  for (int i = 0; i < static_cast<int>(AttemptPhase::kDone); ++i) {
+    const auto phase = static_cast<AttemptPhase>(i);
+    cr_assert(traffic::GetAttemptChart().Allows(phase, AttemptEvent::kFinish));
+  }
+}
+
+traffic::BackendServer MakeServer(const std::string& id) {
+  traffic::BackendServer server;
+  server.id = id;
+  server.slots = 8;
+  return server;
+}
+
+Test(Directory, EntryRemoved_IsGoneAtOnce) {
+  traffic::Directory directory;
+  directory.Put(MakeServer("a"));
+  directory.Remove("a", 1000);
+  cr_assert(directory.List()->empty());
+}
+
+Test(Directory, EntriesLapseInAnOutage_StayUntilTheGraceEnds) {
+  // Discovery is away for ten seconds and its entries lapse. One server
+  // registers again a second after its return; the other is gone for good.
+  traffic::Directory directory;
+  directory.Put(MakeServer("back"));
+  directory.Put(MakeServer("gone"));
+  directory.SetReachable(false, 1000);
+  directory.SetReachable(true, 11'000);
+  directory.ReplaceAll({}, 11'000);
+  directory.Expire(11'000);
+  cr_assert_eq(directory.List()->size(), 2);
+  directory.Put(MakeServer("back"));
+  directory.Expire(11'000 + traffic::kReturnGrace);
+  cr_assert_eq(directory.List()->size(), 1);
+  cr_assert_str_eq(directory.List()->front().id.c_str(), "back");
+}
+
+Test(Directory, RenewalThatSaysNothingNew_IsNoChange) {
+  traffic::Directory directory;
+  directory.Put(MakeServer("a"));
+  cr_assert(directory.TakeChange());
+  directory.Put(MakeServer("a"));
+  cr_assert_not(directory.TakeChange());
+}
+
+struct PlacementCase {
+  const char*                     name;
+  std::vector<traffic::Candidate> candidates;
+  std::size_t                     zone_and_prefix;
+};
+
+Test(Placement, LoadZoneAndPrefix_AreWeighed) {
+  const traffic::BackendServer     server = MakeServer("x");
+  const std::vector<PlacementCase> cases{
+      {"equal load: same zone",
+       {{&server, 2, 0, false, false, 0}, {&server, 2, 0, true, false, 0}},
+       1},
+      {"equal load and zone: warm",
+       {{&server, 2, 0, true, false, 0}, {&server, 2, 0, true, true, 0}},
+       1},
+      {"warm but much fuller: cold",
+       {{&server, 1, 0, true, false, 0}, {&server, 8, 0, true, true, 0}},
+       0},
+      {"zone full: other zone",
+       {{&server, 1, 0, false, false, 0}, {&server, 9, 0, true, false, 0}},
+       0},
+      {"peers' load counts",
+       {{&server, 0, 6, true, false, 0}, {&server, 3, 0, true, false, 0}},
+       1},
+      {"failing: any other",
+       {{&server, 0, 0, true, true, 1}, {&server, 16, 0, false, false, 0}},
+       1},
+  };
+  const auto placement = MakePlacement(traffic::PlacementKind::kZoneAndPrefix);
+  for (const PlacementCase& c : cases) {
+    cr_assert_eq(placement->Choose(c.candidates, 0.5), c.zone_and_prefix, "%s",
+                 c.name);
+  }
+}
+
+Test(Placement, EqualCandidates_AreSpreadByTheDraw) {
+  const traffic::BackendServer          server = MakeServer("x");
+  const std::vector<traffic::Candidate> same(4, {&server});
+  std::set<std::size_t>                 chosen;
+  const auto placement = MakePlacement(traffic::PlacementKind::kLeastLoaded);
+  for (const double draw : {0.1, 0.3, 0.6, 0.9}) {
+    chosen.insert(placement->Choose(same, draw));
+  }
+  cr_assert_eq(chosen.size(), 4);
+}
+
+Test(EventSplitter, PiecesOfAnySize_GiveTheSameWholeEvents) {
+  const std::string stream =
+      "id: 1\ndata: a\ndata: b\n\nversion: 2\r\nid:2\r\ndata:c\r\n\r\nid: "
+      "3\nda";
+  for (std::size_t step = 1; step <= stream.size(); ++step) {
+    traffic::EventSplitter splitter;
+    std::string            ids;
+    std::string            data;
+    for (std::size_t at = 0; at < stream.size(); at += step) {
+      cr_assert(splitter.Add(std::string_view(stream).substr(at, step)));
+      traffic::StreamEvent event;
+      while (splitter.Next(&event)) {
+        ids += event.id;
+        data += event.data + "|";
+      }
+    }
+    cr_assert_str_eq(ids.c_str(), "12");
+    cr_assert_str_eq(data.c_str(), "a\nb|c|");
+    cr_assert(splitter.has_partial());
+  }
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
