--- a/tests/gateway_requests_test.cc
+++ b/tests/gateway_requests_test.cc
@@ -27,10 +27,10 @@
       d.Ask(*d.node, "GET", "/tool/x?q=1", kTool + "X-Extra: kept\r\n");
   cr_assert(d.Finish(client));
   cr_assert_eq(client.status(), 200);
-  cr_assert_str_eq(client.body().c_str(), "done");
+  cr_assert(client.body() == "done");
   cr_assert_not_null(client.headers().Find("Response-Stamp"));
   const Request& run = d.app->runs.at(0);
-  cr_assert_str_eq(run.head.target.c_str(), "/tool/x?q=1");
+  cr_assert(run.head.target == "/tool/x?q=1");
   cr_assert_str_eq(run.head.headers.Find("X-Extra")->c_str(), "kept");
   cr_assert_str_eq(run.head.headers.Find("Expect-Instance")->c_str(), "i-0");
   cr_assert_leq(std::stoi(*run.head.headers.Find("Deadline-Ms")), 1000);
@@ -106,8 +106,8 @@
       "GET /tool/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a2\r\n\r\n";
   Client client = d.AskRaw(*d.node, first + second);
   cr_assert(d.Until([&] { return d.app->runs.size() == 2; }));
-  cr_assert_str_eq(d.app->runs[0].head.target.c_str(), "/tool/1");
-  cr_assert_str_eq(d.app->runs[1].head.target.c_str(), "/tool/2");
+  cr_assert(d.app->runs[0].head.target == "/tool/1");
+  cr_assert(d.app->runs[1].head.target == "/tool/2");
 }
 
 using Behave = std::function<void(const Request&, const HttpService::Reply&)>;
@@ -218,7 +218,7 @@
     Client            client = d.Ask(*d.node, "POST", "/post/x", id, "body");
     cr_assert(d.Finish(client));
     cr_assert_eq(client.status(), 200);
-    cr_assert_str_eq(client.body().c_str(), "mine");
+    cr_assert(client.body() == "mine");
   }
 }
 
@@ -232,7 +232,7 @@
   Client client =
       d.Ask(*d.node, "POST", "/post/x", "Attempt-Id: a\r\n", "body");
   cr_assert(d.Finish(client));
-  cr_assert_str_eq(client.body().c_str(), "mine");
+  cr_assert(client.body() == "mine");
 }
 
 Test(UnsafeRequest, NoServerTakesConnections_IsRefusedAsNotRun) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -44,8 +44,8 @@
     Reading reading(HttpRole::kRequests);
     reading.Feed(request, step);
     cr_assert_eq(reading.ended, 1, "step %zu", step);
-    cr_assert_str_eq(reading.body.c_str(), "abcde");
-    cr_assert_str_eq(reading.heads[0].target.c_str(), "/a?b=c");
+    cr_assert(reading.body == "abcde");
+    cr_assert(reading.heads[0].target == "/a?b=c");
     cr_assert_str_eq(reading.heads[0].headers.Find("x")->c_str(), "v");
   }
 }
@@ -100,7 +100,7 @@
   cr_assert_eq(reading.ended, 0);
   cr_assert(reading.heads[0].ends_with_connection);
   cr_assert(reading.reader.FeedEnd());
-  cr_assert_str_eq(reading.body.c_str(), "abc");
+  cr_assert(reading.body == "abc");
 }
 
 Test(HttpReader, ResponseCutShort_DoesNotEnd) {
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -28,14 +28,14 @@
   history.Add({"2", "1", "p", "b", "B\n"}, 0, kMinute);
   const auto chain = history.Build("2", "c", 0, kMinute);
   cr_assert(chain.missing.empty());
-  cr_assert_str_eq(chain.body.c_str(), "aA\nbB\nc");
+  cr_assert(chain.body == "aA\nbB\nc");
 }
 
 Test(TurnHistory, AncestorNotHeld_IsNamed) {
   TurnHistory history;
   history.Add({"3", "2", "p", "c", "C\n"}, 0, kMinute);
-  cr_assert_str_eq(history.Build("3", "d", 0, kMinute).missing.c_str(), "2");
-  cr_assert_str_eq(history.Missing("x").c_str(), "x");
+  cr_assert(history.Build("3", "d", 0, kMinute).missing == "2");
+  cr_assert(history.Missing("x") == "x");
   cr_assert_not(history.HoldsChain("3"));
 }
 
@@ -54,7 +54,7 @@
   TurnHistory history;
   history.Add({"1", "", "p", "a", "A"}, 0, kMinute);
   history.Add({"1", "", "p", "other", "X"}, 0, kMinute);
-  cr_assert_str_eq(history.Build("1", "", 0, kMinute).body.c_str(), "aA");
+  cr_assert(history.Build("1", "", 0, kMinute).body == "aA");
 }
 
 Test(Record, TurnAndClaim_SurviveTheLog) {
@@ -213,8 +213,7 @@
     cr_assert(was == "c" ? now != "c" : now == was);
   }
   const auto later = programs::kSuspicion + 1;
-  cr_assert_str_eq(members.HomesOf("1", later).front().name.c_str(),
-                   before[1].c_str());
+  cr_assert(members.HomesOf("1", later).front().name == before[1]);
 }
 
 }  // namespace
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -32,8 +32,8 @@
 
 Test(Routes, SeveralPrefixesFit_LongestIsTaken) {
   const traffic::RouteTable table(TwoRoutes());
-  cr_assert_str_eq(table.Find("h", "/a/b/c")->name.c_str(), "long");
-  cr_assert_str_eq(table.Find("h", "/a/bc")->name.c_str(), "short");
+  cr_assert(table.Find("h", "/a/b/c")->name == "long");
+  cr_assert(table.Find("h", "/a/bc")->name == "short");
   cr_assert_null(table.Find("h", "/b"));
   cr_assert_null(table.Find("g", "/a/b/c"));
 }
@@ -41,10 +41,10 @@
 Test(Routes, Split_FollowsTheWeights) {
   traffic::Route route;
   route.services = {{"x", 90}, {"y", 10}};
-  cr_assert_str_eq(PickService(route, 0.0).c_str(), "x");
-  cr_assert_str_eq(PickService(route, 0.89).c_str(), "x");
-  cr_assert_str_eq(PickService(route, 0.91).c_str(), "y");
-  cr_assert_str_eq(PickService(route, 0.9999).c_str(), "y");
+  cr_assert(PickService(route, 0.0) == "x");
+  cr_assert(PickService(route, 0.89) == "x");
+  cr_assert(PickService(route, 0.91) == "y");
+  cr_assert(PickService(route, 0.9999) == "y");
 }
 
 Test(Manifest, Published_IsDecodedWithItsUnits) {
@@ -76,7 +76,7 @@
 Test(Settings, MissingField_IsNamed) {
   const auto settings = platform::ParseSettings("nodeName = \"n\"\n");
   cr_assert(settings.error().fault == platform::SettingsFault::kMissing);
-  cr_assert_str_eq(settings.error().field.c_str(), "zone");
+  cr_assert(settings.error().field == "zone");
   cr_assert(platform::ParseSettings("nodeName = ").error().fault ==
             platform::SettingsFault::kSyntax);
 }
@@ -194,7 +194,7 @@
   directory.Put(MakeServer("back"));
   directory.Expire(11'000 + traffic::kReturnGrace);
   cr_assert_eq(directory.List()->size(), 1);
-  cr_assert_str_eq(directory.List()->front().id.c_str(), "back");
+  cr_assert(directory.List()->front().id == "back");
 }
 
 Test(Directory, RenewalThatSaysNothingNew_IsNoChange) {
@@ -267,8 +267,8 @@
         data += event.data + "|";
       }
     }
-    cr_assert_str_eq(ids.c_str(), "12");
-    cr_assert_str_eq(data.c_str(), "a\nb|c|");
+    cr_assert(ids == "12");
+    cr_assert(data == "a\nb|c|");
     cr_assert(splitter.has_partial());
   }
 }
