--- a/src/yuccawick/platform/backend_client.cc
+++ b/src/yuccawick/backends/backend_client.cc
@@ -1,4 +1,4 @@
-#include "yuccawick/platform/backend_client.h"
+#include "yuccawick/backends/backend_client.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -7,7 +7,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Timespan.h>
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 namespace {
 
 constexpr std::string_view kDataPrefix = "data: ";
@@ -173,4 +173,4 @@
 
 void ServiceClient::Release(const core::ReleasePrefix& /*order*/) const {}
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/platform/backend_client.h
+++ b/src/yuccawick/backends/backend_client.h
@@ -19,9 +19,9 @@
 #include <functional>
 
 #include "yuccawick/core/messages.h"
-#include "yuccawick/platform/http.h"
+#include "yuccawick/backends/http.h"
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 
 using ChunkSink = std::function<void(const std::string& text)>;
 
@@ -69,4 +69,4 @@
 // What a failed exchange says about the call.
 core::Failure FailureOf(HttpError error);
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/platform/http.cc
+++ b/src/yuccawick/backends/http.cc
@@ -1,4 +1,4 @@
-#include "yuccawick/platform/http.h"
+#include "yuccawick/backends/http.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
@@ -11,7 +11,7 @@
 #include <charconv>
 #include <sstream>
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 namespace {
 
 constexpr int kMicrosPerMilli = 1000;
@@ -101,4 +101,4 @@
   return out.str();
 }
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/platform/http.h
+++ b/src/yuccawick/backends/http.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 
 struct Endpoint {
   std::string   host;
@@ -49,4 +49,4 @@
 // Reads the error of a status code; only for codes from 400 on.
 HttpError ErrorOf(int status);
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/platform/log_client.cc
+++ b/src/yuccawick/backends/log_client.cc
@@ -1,11 +1,11 @@
-#include "yuccawick/platform/log_client.h"
+#include "yuccawick/backends/log_client.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 
 #include "yuccawick/rpc/convert.h"
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 namespace {
 
 std::string RecordsPath(const std::string& stream) {
@@ -93,4 +93,4 @@
   return list;
 }
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/platform/log_client.h
+++ b/src/yuccawick/backends/log_client.h
@@ -10,9 +10,9 @@
 #pragma once
 
 #include "yuccawick/core/messages.h"
-#include "yuccawick/platform/http.h"
+#include "yuccawick/backends/http.h"
 
-namespace yuccawick::platform {
+namespace yuccawick::backends {
 
 class LogClient {
  public:
@@ -41,4 +41,4 @@
   HttpSettings m_settings;
 };
 
-}  // namespace yuccawick::platform
+}  // namespace yuccawick::backends
--- a/src/yuccawick/cli/main.cc
+++ b/src/yuccawick/cli/main.cc
@@ -10,10 +10,11 @@
 #include <sstream>
 
 #include "yuccawick/cli/contract_file.h"
+#include "yuccawick/cli/explain.h"
 #include "yuccawick/cli/operator.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
-#include "yuccawick/platform/log_client.h"
+#include "yuccawick/backends/log_client.h"
 
 DEFINE_string(log_service, "", "host:port of the platform's log");
 DEFINE_int64(amends, -2, "version to amend; the one in force if not given");
@@ -31,12 +32,14 @@
   members                 nodes, zones, replicas, claims
   budget NAME             what is granted of a customer's totals
   drain VM                have the agent there finish, hand over and stop
+  explain ID [FILE]       tell a request's or program's story from the gateways'
+                          logs, in FILE or on standard input
 YUCCAWICK_LOG_SERVICE may name the log instead of the flag.
 )";
 
 class ClientLog : public LogAccess {
  public:
-  explicit ClientLog(const platform::LogClient& client) : m_client(client) {}
+  explicit ClientLog(const backends::LogClient& client) : m_client(client) {}
   core::AppendDone Append(const core::AppendRecords& command) override {
     return m_client.Append(command);
   }
@@ -45,7 +48,7 @@
   }
 
  private:
-  const platform::LogClient& m_client;
+  const backends::LogClient& m_client;
 };
 
 int Fail(const core::Failure& failure) {
@@ -142,6 +145,19 @@
   return 0;
 }
 
+int ExplainId(Operator& /*op*/, const Arguments& arguments) {
+  std::ifstream file;
+  if (arguments.size() > 1) file.open(arguments[1]);
+  const auto story =
+      Explain(arguments.size() > 1 ? file : std::cin, arguments.at(0));
+  if (!story) {
+    std::cerr << Name(story.error()) << " " << arguments[0] << "\n";
+    return kRefused;
+  }
+  for (const std::string& line : *story) std::cout << line << "\n";
+  return 0;
+}
+
 struct Subcommand {
   const char* group;
   const char* name;  // empty: the group is the whole command
@@ -149,13 +165,14 @@
   std::size_t most;
   int (*run)(Operator&, const Arguments&);
 };
-constexpr std::array<Subcommand, 6> kCommands{{
+constexpr std::array<Subcommand, 7> kCommands{{
     {"contract", "check", 1, 1, CheckContract},
     {"contract", "publish", 1, 1, PublishContract},
     {"contract", "show", 0, 1, ShowContracts},
     {"members", "", 0, 0, ShowMembers},
     {"budget", "", 1, 1, ShowBudget},
     {"drain", "", 1, 1, Drain},
+    {"explain", "", 1, 2, ExplainId},
 }};
 
 const Subcommand* Find(const Arguments& words, Arguments* arguments) {
@@ -186,14 +203,16 @@
   const cli::Arguments   words(argv + 1, argv + argc);
   cli::Arguments         arguments;
   const cli::Subcommand* command = cli::Find(words, &arguments);
-  const auto endpoint = yuccawick::platform::ParseEndpoint(FLAGS_log_service);
-  const bool offline = command != nullptr && command->run == cli::CheckContract;
+  const auto endpoint = yuccawick::backends::ParseEndpoint(FLAGS_log_service);
+  const bool offline =
+      command != nullptr && (command->run == cli::CheckContract ||
+                             command->run == cli::ExplainId);
   if (command == nullptr || (!endpoint && !offline)) {
     std::cerr << cli::kHelp;
     return cli::kUsage;
   }
-  const yuccawick::platform::LogClient client(
-      endpoint.value_or(yuccawick::platform::Endpoint{}), {});
+  const yuccawick::backends::LogClient client(
+      endpoint.value_or(yuccawick::backends::Endpoint{}), {});
   cli::ClientLog log(client);
   cli::Operator  op(log, std::to_string(yuccawick::daemon::MintIncarnation()));
   return command->run(op, arguments);
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -18,7 +18,7 @@
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
 #include "yuccawick/daemon/status_server.h"
-#include "yuccawick/platform/backend_client.h"
+#include "yuccawick/backends/backend_client.h"
 
 DEFINE_string(backend, "", "host:port of the backend server beside this agent");
 DEFINE_string(kind, "model", "kind of backend server: model or service");
@@ -145,7 +145,7 @@
 // Gives the backend server its orders, each in a thread of a pool.
 class BackendRunner {
  public:
-  BackendRunner(const platform::BackendClient& client, std::size_t threads)
+  BackendRunner(const backends::BackendClient& client, std::size_t threads)
       : m_client(client), m_pool(threads) {}
 
   void SetShell(NodeShell* shell) { m_shell = shell; }
@@ -185,19 +185,19 @@
     if (it != m_runs.end()) *it->second = true;
   }
 
-  const platform::BackendClient& m_client;
+  const backends::BackendClient& m_client;
   NodeShell*                     m_shell = nullptr;
   std::mutex                     m_mutex;
   std::map<std::uint64_t, Flag>  m_runs;
   WorkerPool                     m_pool;
 };
 
-std::unique_ptr<platform::BackendClient> MakeClient() {
-  const auto endpoint = *platform::ParseEndpoint(FLAGS_backend);
-  const platform::HttpSettings http{1000, FLAGS_call_timeout_ms};
+std::unique_ptr<backends::BackendClient> MakeClient() {
+  const auto endpoint = *backends::ParseEndpoint(FLAGS_backend);
+  const backends::HttpSettings http{1000, FLAGS_call_timeout_ms};
   if (IsService())
-    return std::make_unique<platform::ServiceClient>(endpoint, http);
-  return std::make_unique<platform::EngineClient>(endpoint, http);
+    return std::make_unique<backends::ServiceClient>(endpoint, http);
+  return std::make_unique<backends::EngineClient>(endpoint, http);
 }
 
 int Run() {
@@ -216,7 +216,7 @@
        MakeShellSettings(self), decider, log, metrics,
        [&](const core::Command& command) { runner->Carry(command); });
   runner->SetShell(&shell);
-  const auto   http = *platform::ParseEndpoint(FLAGS_http);
+  const auto   http = *backends::ParseEndpoint(FLAGS_http);
   StatusServer server(
       {http.host, http.port, kStatusThreads}, metrics,
       [&] { return shell.Status(); }, [](const auto&) { return nullptr; });
--- a/src/yuccawick/daemon/entry_main.cc
+++ b/src/yuccawick/daemon/entry_main.cc
@@ -91,7 +91,7 @@
       static_cast<std::size_t>(FLAGS_max_body_kb) * kBytesPerKb;
   api_settings.default_deadline = FLAGS_default_deadline_ms;
   api = std::make_unique<CallerApi>(api_settings, shell, metrics);
-  const auto   http = *platform::ParseEndpoint(FLAGS_http);
+  const auto   http = *backends::ParseEndpoint(FLAGS_http);
   StatusServer server(
       {http.host, http.port, FLAGS_threads, FLAGS_client_timeout_ms}, metrics,
       [&] { return shell.Status(); },
--- a/src/yuccawick/daemon/node_flags.cc
+++ b/src/yuccawick/daemon/node_flags.cc
@@ -73,8 +73,8 @@
   ShellSettings settings;
   settings.self = self;
   settings.listen = FLAGS_listen;
-  settings.log = *platform::ParseEndpoint(FLAGS_log_service);
-  settings.vm_list = *platform::ParseEndpoint(FLAGS_vm_list);
+  settings.log = *backends::ParseEndpoint(FLAGS_log_service);
+  settings.vm_list = *backends::ParseEndpoint(FLAGS_vm_list);
   return settings;
 }
 
--- a/src/yuccawick/daemon/node_shell.h
+++ b/src/yuccawick/daemon/node_shell.h
@@ -20,7 +20,7 @@
 #include "yuccawick/core/messages.h"
 #include "yuccawick/daemon/telemetry.h"
 #include "yuccawick/daemon/worker_pool.h"
-#include "yuccawick/platform/log_client.h"
+#include "yuccawick/backends/log_client.h"
 #include "yuccawick/rpc/convert.h"
 
 namespace yuccawick::daemon {
@@ -39,9 +39,9 @@
 struct ShellSettings {
   core::NodeRef          self;
   std::string            listen;  // host:port of the RPC listener
-  platform::Endpoint     log;
-  platform::Endpoint     vm_list;
-  platform::HttpSettings http;
+  backends::Endpoint     log;
+  backends::Endpoint     vm_list;
+  backends::HttpSettings http;
   core::Duration         tick = 50;                // ms
   core::Duration         vm_list_interval = 1000;  // ms
 };
@@ -74,8 +74,8 @@
   JsonLog&               m_log;
   Metrics&               m_metrics;
   CommandSink            m_on_command;
-  platform::LogClient    m_log_client;
-  platform::VmListClient m_vm_client;
+  backends::LogClient    m_log_client;
+  backends::VmListClient m_vm_client;
   std::unique_ptr<Loop>  m_loop;
 };
 
--- a/src/yuccawick/daemon/settings.cc
+++ b/src/yuccawick/daemon/settings.cc
@@ -10,7 +10,7 @@
 #include <iostream>
 
 #include "yuccawick/core/types.h"
-#include "yuccawick/platform/http.h"
+#include "yuccawick/backends/http.h"
 
 DEFINE_bool(check, false, "check the settings and leave");
 
@@ -50,7 +50,7 @@
 
 void CheckEndpoint(const SettingRule& rule, const std::string& value,
                    std::vector<SettingError>* errors) {
-  if (!platform::ParseEndpoint(value))
+  if (!backends::ParseEndpoint(value))
     errors->push_back({SettingFault::kNotAnEndpoint, rule.flag,
                        "want host:port, have " + value});
 }
--- /dev/null
+++ b/tests/explain_test.cc
@@ -0,0 +1,51 @@
+// A request's story, told from lines of several nodes.
+#include "yuccawick/cli/explain.h"
+
+#include <criterion/criterion.h>
+
+#include <sstream>
+#include <string>
+
+namespace yuccawick::tests {
+namespace {
+
+const std::string kLogs =
+    "  1.5 node-a {\"time_ms\":5000,\"event\":\"refused\",\"node\":\"a\","
+    "\"request\":\"r1\",\"reason\":\"budget_unsure\",\"status\":503}\n"
+    "{\"time_ms\":4000,\"event\":\"accepted\",\"node\":\"a\","
+    "\"request\":\"r1\",\"program\":\"p\",\"left_ms\":900}\n"
+    "{\"time_ms\":3500,\"event\":\"log_lost\",\"node\":\"a\","
+    "\"partition\":\"claims 0\"}\n"
+    "{\"time_ms\":100,\"event\":\"log_lost\",\"node\":\"a\"}\n"
+    "{\"time_ms\":4200,\"event\":\"log_lost\",\"node\":\"other\"}\n"
+    "{\"time_ms\":4300,\"event\":\"claim\",\"node\":\"h\","
+    "\"program\":\"p\",\"granted\":0}\n"
+    "{\"time_ms\":4400,\"event\":\"sent\",\"node\":\"a\","
+    "\"request\":\"r2\"}\n"
+    "{\"time_ms\":45";
+
+Test(Explain, RefusedRequest_TellsItsCauseInOrder) {
+  std::istringstream logs(kLogs);
+  const auto         story = cli::Explain(logs, "r1");
+  cr_assert(story.has_value());
+  cr_assert_eq(story->size(), 4);
+  cr_assert(story->at(0).find("log_lost  partition=claims 0") !=
+            std::string::npos);
+  cr_assert(story->at(1).find("accepted") != std::string::npos);
+  cr_assert(story->at(2).find("claim  granted=0") != std::string::npos);
+  cr_assert(story->at(3).find("reason=budget_unsure") != std::string::npos);
+}
+
+Test(Explain, Program_TellsAllItsRequests) {
+  std::istringstream logs(kLogs);
+  cr_assert_eq(cli::Explain(logs, "p")->size(), 4);
+}
+
+Test(Explain, UnknownId_IsATypedFailure) {
+  std::istringstream logs(kLogs);
+  cr_assert(cli::Explain(logs, "none").error() ==
+            cli::ExplainFault::kNotFound);
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
