--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -22,12 +22,16 @@
 }
 
 void Membership::Suspect(const std::string& name, Time now) {
-  m_suspects[name] = now + kSuspicion;
+  Suspicion& suspicion = m_suspects[name];
+  if (now < suspicion.until) return;  // several questions failed at once
+  suspicion.length = std::clamp(2 * suspicion.length, kSuspicion,
+                                kLongestSuspicion);
+  suspicion.until = now + suspicion.length;
 }
 
 bool Membership::Suspected(const std::string& name, Time now) const {
   const auto found = m_suspects.find(name);
-  return found != m_suspects.end() && now < found->second;
+  return found != m_suspects.end() && now < found->second.until;
 }
 
 std::vector<NodeInfo> Membership::HomesOf(std::string_view key,
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -35,7 +35,8 @@
 
   void Put(const NodeInfo& node);
   void Remove(const std::string& name) { m_nodes.erase(name); }
-  // The node did not answer: it is no home for `kSuspicion`.
+  // The node did not answer: it is no home for `kSuspicion`, and for twice as
+  // long each further time until it is heard of, up to `kLongestSuspicion`.
   void Suspect(const std::string& name, Time now);
   void Trust(const std::string& name) { m_suspects.erase(name); }
   // The nodes that are not suspected, self included, the home of the key first
@@ -47,16 +48,23 @@
   std::vector<NodeInfo> All() const;             // but self
 
  private:
+  struct Suspicion {
+    Time     until = 0;
+    Duration length = 0;  // of the present one
+  };
   bool Suspected(const std::string& name, Time now) const;
 
   NodeInfo                        m_self;
   std::map<std::string, NodeInfo> m_nodes;     // others, by name
-  std::map<std::string, Time>     m_suspects;  // until when
+  std::map<std::string, Suspicion> m_suspects;  // by name
 };
 
 // How long a node that did not answer is left alone, in ms: long enough that a
 // dead node costs few requests a timeout, short enough that a restarted one is
 // used soon.
 inline constexpr Duration kSuspicion = 1500;
+// A node that is gone for good stays announced. Asking it again and again would
+// cost one program in so many a timeout each time.
+inline constexpr Duration kLongestSuspicion = 24'000;
 
 }  // namespace yuccawick::programs
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -216,5 +216,22 @@
   cr_assert(members.HomesOf("1", later).front().name == before[1]);
 }
 
+Test(Membership, NodeGoneForGood_IsAskedLessAndLessUntilItIsHeardOf) {
+  // A node that lost power for good stays in the list of nodes. Each question
+  // to it costs a timeout, so the pauses between them grow; once it is heard of
+  // they start from the first again.
+  programs::Membership members(MakeNode("a"));
+  members.Put(MakeNode("b"));
+  members.Suspect("b", 0);
+  cr_assert(members.Others(programs::kSuspicion - 1).empty());
+  cr_assert_eq(members.Others(programs::kSuspicion).size(), 1);
+  members.Suspect("b", programs::kSuspicion);
+  cr_assert(members.Others(3 * programs::kSuspicion - 1).empty());
+  members.Suspect("b", 3 * programs::kSuspicion);
+  members.Trust("b");
+  members.Suspect("b", 100'000);
+  cr_assert_eq(members.Others(100'000 + programs::kSuspicion).size(), 1);
+}
+
 }  // namespace
 }  // namespace yuccawick::tests
