Probe silent nodes; homes without the log answer at once; send clients away when cut off

Homes that waited for turns to end looked unsure, and a second home split the tokens. Silent nodes were tried again with requests. Ruled out: engines (first events within 80 ms until the burst). Change: no claim is tried while its partition is away, probes look for its return; a home that waits says hold; suspected nodes are probed and not used; a node that neither the log nor most nodes answer is not ready and closes kept connections after an answer.

--- a/src/yuccawick/backends/backend_client.h
+++ b/src/yuccawick/backends/backend_client.h
@@ -18,8 +18,8 @@
 #include <atomic>
 #include <functional>
 
-#include "yuccawick/core/messages.h"
 #include "yuccawick/backends/http.h"
+#include "yuccawick/core/messages.h"
 
 namespace yuccawick::backends {
 
--- a/src/yuccawick/backends/log_client.h
+++ b/src/yuccawick/backends/log_client.h
@@ -9,8 +9,8 @@
 // knows.
 #pragma once
 
-#include "yuccawick/core/messages.h"
 #include "yuccawick/backends/http.h"
+#include "yuccawick/core/messages.h"
 
 namespace yuccawick::backends {
 
--- a/src/yuccawick/cli/explain.cc
+++ b/src/yuccawick/cli/explain.cc
@@ -44,8 +44,7 @@
   try {
     Poco::JSON::Parser parser;
     Line               line;
-    line.fields =
-        parser.parse(text.substr(brace)).extract<Object::Ptr>();
+    line.fields = parser.parse(text.substr(brace)).extract<Object::Ptr>();
     line.time = line.fields->getValue<std::int64_t>("time_ms");
     line.event = line.fields->getValue<std::string>("event");
     line.node = line.fields->getValue<std::string>("node");
--- a/src/yuccawick/cli/main.cc
+++ b/src/yuccawick/cli/main.cc
@@ -9,12 +9,12 @@
 #include <random>
 #include <sstream>
 
+#include "yuccawick/backends/log_client.h"
 #include "yuccawick/cli/contract_file.h"
 #include "yuccawick/cli/explain.h"
 #include "yuccawick/cli/operator.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
-#include "yuccawick/backends/log_client.h"
 
 DEFINE_string(log_service, "", "host:port of the platform's log");
 DEFINE_int64(amends, -2, "version to amend; the one in force if not given");
@@ -205,8 +205,8 @@
   const cli::Subcommand* command = cli::Find(words, &arguments);
   const auto endpoint = yuccawick::backends::ParseEndpoint(FLAGS_log_service);
   const bool offline =
-      command != nullptr && (command->run == cli::CheckContract ||
-                             command->run == cli::ExplainId);
+      command != nullptr &&
+      (command->run == cli::CheckContract || command->run == cli::ExplainId);
   if (command == nullptr || (!endpoint && !offline)) {
     std::cerr << cli::kHelp;
     return cli::kUsage;
--- a/src/yuccawick/daemon/agent_main.cc
+++ b/src/yuccawick/daemon/agent_main.cc
@@ -13,12 +13,12 @@
 #include <mutex>
 #include <sstream>
 
+#include "yuccawick/backends/backend_client.h"
 #include "yuccawick/core/agent.h"
 #include "yuccawick/daemon/node_flags.h"
 #include "yuccawick/daemon/node_shell.h"
 #include "yuccawick/daemon/settings.h"
 #include "yuccawick/daemon/status_server.h"
-#include "yuccawick/backends/backend_client.h"
 
 DEFINE_string(backend, "", "host:port of the backend server beside this agent");
 DEFINE_string(kind, "model", "kind of backend server: model or service");
--- a/src/yuccawick/daemon/node_shell.h
+++ b/src/yuccawick/daemon/node_shell.h
@@ -16,11 +16,11 @@
 #include <string>
 #include <vector>
 
+#include "yuccawick/backends/log_client.h"
 #include "yuccawick/core/control.h"
 #include "yuccawick/core/messages.h"
 #include "yuccawick/daemon/telemetry.h"
 #include "yuccawick/daemon/worker_pool.h"
-#include "yuccawick/backends/log_client.h"
 #include "yuccawick/rpc/convert.h"
 
 namespace yuccawick::daemon {
--- a/src/yuccawick/daemon/settings.cc
+++ b/src/yuccawick/daemon/settings.cc
@@ -9,8 +9,8 @@
 #include <charconv>
 #include <iostream>
 
-#include "yuccawick/core/types.h"
 #include "yuccawick/backends/http.h"
+#include "yuccawick/core/types.h"
 
 DEFINE_bool(check, false, "check the settings and leave");
 
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -133,7 +133,8 @@
 }
 
 bool Gateway::Ready() const {
-  return m_routes != nullptr && m_servers_known && !m_stopping;
+  return m_routes != nullptr && m_servers_known && !m_stopping &&
+         !m_peers.IsIsolated();
 }
 
 SmallAnswer Gateway::AnswerReadiness() const {
@@ -167,6 +168,7 @@
   m_metrics->Set(Gauge::kConnections, static_cast<double>(m_clients.size()));
   m_metrics->Set(Gauge::kTurns, static_cast<double>(m_turns.history().size()));
   m_metrics->Set(Gauge::kServers, static_cast<double>(m_backends.servers()));
+  if (m_peers.IsIsolated()) CloseIdle();
   m_log->Flush();
   m_loop->After(kTick, [this] { Tick(); });
 }
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -36,8 +36,10 @@
     return m_routes;
   }
   traffic::ClientLimits Limits() const override;
-  bool                  Closing() const override { return m_closing; }
-  void                  Forget(ClientConnection* connection) override;
+  // Also while this node is cut off: a kept connection would hold its client
+  // here, a new one is led to another node.
+  bool Closing() const override { return m_closing || m_peers.IsIsolated(); }
+  void Forget(ClientConnection* connection) override;
 
   void OnReadable() override;
   void OnWritable() override {}
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxMessage = 16UL << 20;  // a long chain of turns
 constexpr int         kSilence = 1000;           // ms of unacknowledged bytes
-constexpr Duration    kConnectTimeout = 250;     // ms; ten round trips
+constexpr Duration    kConnectTimeout = 150;     // ms; ten round trips
 constexpr int         kBitsPerByte = 8;
 // A peer that reads this slowly is as good as gone.
 constexpr std::size_t kMaxBacklog = 4UL << 20;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -19,8 +19,9 @@
 constexpr Duration    kReserveTimeout = 700;  // ms
 constexpr Duration    kCopyTimeout = 250;  // ms; a round trip and a busy peer
 constexpr Duration    kFindTimeout = 250;  // ms
-// A home answers within this time, in ms; "unsure" if it does not know yet. The
-// asker asks again, and what was claimed meanwhile is there then.
+// A home answers within this time, in ms; "hold" if it waits for the log or for
+// turns to end. The asker asks again, and what was claimed meanwhile is there
+// then; another home would only split the tokens.
 constexpr Duration    kAnswerWithin = 350;
 // How long a turn waits for tokens while the log is away or its outage is not
 // yet agreed on, in ms, and the pause between two tries.
@@ -30,6 +31,9 @@
 // for this long.
 constexpr Duration    kTellOutage = 200;
 constexpr Duration    kOutageMemory = 600;
+// How long the log and most nodes must be silent, in ms, before this node takes
+// itself for cut off: longer than a connection attempt and a lost answer.
+constexpr Duration    kIsolationDelay = 500;
 // Homes that are asked one after the other for one turn.
 constexpr std::size_t kMaxHomes = 3;
 constexpr int         kNoPartition = -1;
@@ -87,7 +91,7 @@
 
 void PeerService::ReserveUnsure(const TurnBudget& turn, Time until,
                                 const ReserveDone& done) {
-  if (m_loop->now() + kReservePause >= until) {
+  if (IsIsolated() || m_loop->now() + kReservePause >= until) {
     done({ReserveOutcome::kUnsure, turn, {}});
     return;
   }
@@ -98,7 +102,7 @@
 
 void PeerService::ReserveFrom(const TurnBudget& turn, std::size_t rank,
                               Time until, const ReserveDone& done) {
-  const auto homes = m_members->HomesOf(turn.program, m_loop->now());
+  const auto homes = m_members->HomesOf(turn.program);
   if (rank >= std::min(homes.size(), kMaxHomes)) {
     ReserveUnsure(turn, until, done);
     return;
@@ -201,7 +205,7 @@
     });
     return true;
   };
-  m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kUnsure); });
+  m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kHold); });
   const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
                                            : TokenDesk::Outage::kRefuse;
   DeskOf(turn.program)
@@ -247,7 +251,7 @@
 
 std::vector<NodeInfo> PeerService::Holders(const std::string& key) const {
   // Other zones first: a zone's nodes fail together more often than not.
-  auto       others = m_members->Others(m_loop->now());
+  auto       others = m_members->Others();
   const auto rank = [&](const NodeInfo& node) {
     return std::pair(node.zone == m_members->self().zone,
                      XXH3_64bits_withSeed(node.name.data(), node.name.size(),
@@ -327,8 +331,7 @@
 bool PeerService::AskReader(int partition, const std::string& id,
                             std::function<void(const Lookup&)> done) {
   const NodeInfo* reader = nullptr;
-  const auto      ranked =
-      m_members->HomesOf("turns " + std::to_string(partition), m_loop->now());
+  const auto ranked = m_members->HomesOf("turns " + std::to_string(partition));
   for (const NodeInfo& node : ranked) {
     if (node.zone != m_members->self().zone) continue;
     reader = &node;
@@ -387,10 +390,41 @@
 // News -----------------------------------------------------------------------
 
 void PeerService::TellNews() {
+  WatchIsolation();
+  for (const NodeInfo& node : m_members->TakeDueProbes(m_loop->now())) {
+    Probe(node);
+  }
   TellLoads();
   TellOutage();
 }
 
+void PeerService::WatchIsolation() {
+  const bool log_away =
+      std::all_of(m_desks->begin(), m_desks->end(),
+                  [](const TokenDesk& desk) { return desk.log_away(); });
+  const std::size_t known = m_members->All().size();
+  const std::size_t silent = known - m_members->Others().size();
+  if (!log_away || 2 * silent <= known) {
+    m_alone_since.reset();
+  } else if (!m_alone_since) {
+    m_alone_since = m_loop->now();
+  }
+}
+
+bool PeerService::IsIsolated() const {
+  return m_alone_since && m_loop->now() - *m_alone_since >= kIsolationDelay;
+}
+
+void PeerService::Probe(const NodeInfo& node) {
+  // Any answer will do; the network trusts a node that it hears of.
+  m_network->Ask(
+      node,
+      [](PeerMessage::Builder message) {
+        message.initFindTurn().setPartition(kNoPartition);
+      },
+      kFindTimeout, [](std::optional<PeerMessage::Reader>) {});
+}
+
 void PeerService::TellOutage() {
   for (TokenDesk& desk : *m_desks) {
     if (desk.log_away()) desk.Probe();
@@ -405,7 +439,7 @@
     }
   }
   if (away.empty()) return;
-  for (const NodeInfo& node : m_members->Others(m_loop->now())) {
+  for (const NodeInfo& node : m_members->Others()) {
     m_network->Tell(node, [&away](PeerMessage::Builder message) {
       auto list = message.initLogAway(static_cast<unsigned>(away.size()));
       for (unsigned i = 0; i < list.size(); ++i) list.set(i, away[i]);
@@ -437,8 +471,7 @@
 
 void PeerService::TellRecord(const programs::TokenClaim& record) {
   std::size_t told = 0;
-  for (const NodeInfo& node :
-       m_members->HomesOf(record.program, m_loop->now())) {
+  for (const NodeInfo& node : m_members->HomesOf(record.program)) {
     if (node.name == m_members->self().name) continue;
     m_network->Tell(node, [&record](PeerMessage::Builder message) {
       programs::Write(record, message.initClaimTaken());
@@ -454,7 +487,7 @@
   if (loads == m_told && !due) return;
   m_told = loads;
   m_told_at = m_loop->now();
-  for (const NodeInfo& node : m_members->Others(m_loop->now())) {
+  for (const NodeInfo& node : m_members->Others()) {
     if (node.zone != m_members->self().zone) continue;
     m_network->Tell(node, [&](PeerMessage::Builder message) {
       auto list = message.initLoads(static_cast<unsigned>(loads.size()));
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,9 @@
   // Every node of the deployment is known that has announced itself.
   void SetMembersKnown() { m_members_known = true; }
   bool LogIsAwayForMost(int partition) const override;
+  // Neither the log nor most nodes answer: this node is cut off, and clients
+  // are better served by others.
+  bool IsIsolated() const;
   void TellRecord(const programs::TokenClaim& record) override;
 
   void AskForTurn(const std::string&                 id,
@@ -71,6 +75,8 @@
                TokenDesk::Outage outage, const ReserveDone& done);
   void ReserveUnsure(const TurnBudget& turn, Time until,
                      const ReserveDone& done);
+  void Probe(const programs::NodeInfo& node);
+  void WatchIsolation();
   void TellLoads();
   void TellOutage();
   void ServeReserve(PeerNetwork::SessionId session, PeerMessage::Reader message,
@@ -101,6 +107,7 @@
   Time                                               m_told_at = 0;
   Time                                               m_outage_told_at = 0;
   bool                                               m_members_known = false;
+  std::optional<Time>                                m_alone_since;
   // By partition: when each node last said that it is away.
   std::vector<std::unordered_map<std::string, Time>> m_away_nodes;
 };
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -95,9 +95,11 @@
   claim.node = m_incarnation;
   claim.program = request.turn.program;
   m_claims.emplace(claim.number, request);
+  // While the log is away, probes look for its return; a claim that tried would
+  // keep its program waiting for a timeout, and the next home from serving it.
   // Tokens that homes used during an outage are recorded first when it ends; a
   // claim before them would be granted tokens that are gone.
-  if (!m_health.WorthCalling() || m_health.JustReturned()) {
+  if (m_health.away() || m_health.JustReturned()) {
     ClaimFailed(claim.number);
     return;
   }
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -133,7 +133,9 @@
 
 void TurnKeeper::ScanPartition(int partition, std::function<void(bool)> done) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
-  if (!scan.busy && !scan.health->WorthCalling()) {
+  // Probes look for the return of a partition; a question would only wait for a
+  // timeout before the peers are asked.
+  if (scan.health->away()) {
     done(false);
     return;
   }
@@ -141,6 +143,14 @@
   if (!scan.busy) BeginScan(partition);
 }
 
+void TurnKeeper::Sweep() {
+  m_history.Expire(m_loop->now());
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    const Scan& scan = m_scans[static_cast<std::size_t>(i)];
+    if (scan.health->away() && !scan.busy) BeginScan(i);
+  }
+}
+
 void TurnKeeper::BeginScan(int partition) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
   scan.busy = true;
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -96,7 +96,8 @@
   // How long turns read from the log are kept, in ms: the longest of the
   // routes.
   void SetRetention(Duration retention) { m_retention = retention; }
-  void Sweep() { m_history.Expire(m_loop->now()); }
+  // Forgets old turns and looks for partitions that were away. Call often.
+  void Sweep();
 
  private:
   struct Question {
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -22,21 +22,25 @@
 }
 
 void Membership::Suspect(const std::string& name, Time now) {
-  Suspicion& suspicion = m_suspects[name];
-  if (now < suspicion.until) return;  // several questions failed at once
-  suspicion.length = std::clamp(2 * suspicion.length, kSuspicion,
-                                kLongestSuspicion);
-  suspicion.until = now + suspicion.length;
+  const auto [suspicion, added] = m_suspects.try_emplace(name);
+  if (!added) return;  // several questions failed at once, or a probe
+  suspicion->second = {now + kFirstProbePause, kFirstProbePause};
 }
 
-bool Membership::Suspected(const std::string& name, Time now) const {
-  const auto found = m_suspects.find(name);
-  return found != m_suspects.end() && now < found->second.until;
+std::vector<NodeInfo> Membership::TakeDueProbes(Time now) {
+  std::vector<NodeInfo> due;
+  for (auto& [name, suspicion] : m_suspects) {
+    const auto node = m_nodes.find(name);
+    if (now < suspicion.probe_at || node == m_nodes.end()) continue;
+    suspicion.pause = std::min(2 * suspicion.pause, kLongestProbePause);
+    suspicion.probe_at = now + suspicion.pause;
+    due.push_back(node->second);
+  }
+  return due;
 }
 
-std::vector<NodeInfo> Membership::HomesOf(std::string_view key,
-                                          Time             now) const {
-  std::vector<NodeInfo> homes = Others(now);
+std::vector<NodeInfo> Membership::HomesOf(std::string_view key) const {
+  std::vector<NodeInfo> homes = Others();
   homes.push_back(m_self);
   std::sort(homes.begin(), homes.end(),
             [key](const NodeInfo& a, const NodeInfo& b) {
@@ -50,10 +54,10 @@
   return found == m_nodes.end() ? nullptr : &found->second;
 }
 
-std::vector<NodeInfo> Membership::Others(Time now) const {
+std::vector<NodeInfo> Membership::Others() const {
   std::vector<NodeInfo> others;
   for (const auto& [name, node] : m_nodes) {
-    if (!Suspected(name, now)) others.push_back(node);
+    if (!Suspected(name)) others.push_back(node);
   }
   return others;
 }
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -35,36 +35,39 @@
 
   void Put(const NodeInfo& node);
   void Remove(const std::string& name) { m_nodes.erase(name); }
-  // The node did not answer: it is no home for `kSuspicion`, and for twice as
-  // long each further time until it is heard of, up to `kLongestSuspicion`.
+  // The node did not answer. It is no home until it is heard of again; nothing
+  // that a client waits for is sent there meanwhile.
   void Suspect(const std::string& name, Time now);
   void Trust(const std::string& name) { m_suspects.erase(name); }
+  // Suspected nodes that are to be asked for a sign of life now; each is due
+  // again after a pause that doubles.
+  std::vector<NodeInfo> TakeDueProbes(Time now);
   // The nodes that are not suspected, self included, the home of the key first
   // and then who takes its place if it cannot serve.
-  std::vector<NodeInfo> HomesOf(std::string_view key, Time now) const;
+  std::vector<NodeInfo> HomesOf(std::string_view key) const;
   const NodeInfo&       self() const { return m_self; }
   const NodeInfo*       Find(const std::string& name) const;
-  std::vector<NodeInfo> Others(Time now) const;  // not suspected
-  std::vector<NodeInfo> All() const;             // but self
+  std::vector<NodeInfo> Others() const;  // not suspected
+  std::vector<NodeInfo> All() const;     // but self
 
  private:
   struct Suspicion {
-    Time     until = 0;
-    Duration length = 0;  // of the present one
+    Time     probe_at = 0;
+    Duration pause = 0;  // before that
   };
-  bool Suspected(const std::string& name, Time now) const;
+  bool Suspected(const std::string& name) const {
+    return m_suspects.contains(name);
+  }
 
-  NodeInfo                        m_self;
-  std::map<std::string, NodeInfo> m_nodes;     // others, by name
+  NodeInfo                         m_self;
+  std::map<std::string, NodeInfo>  m_nodes;     // others, by name
   std::map<std::string, Suspicion> m_suspects;  // by name
 };
 
-// How long a node that did not answer is left alone, in ms: long enough that a
-// dead node costs few requests a timeout, short enough that a restarted one is
-// used soon.
-inline constexpr Duration kSuspicion = 1500;
-// A node that is gone for good stays announced. Asking it again and again would
-// cost one program in so many a timeout each time.
-inline constexpr Duration kLongestSuspicion = 24'000;
+// Pauses between two questions to a node that does not answer, in ms. They cost
+// a connection attempt and nobody waits for them; the longest bounds how late a
+// node that nobody hears of otherwise is used again.
+inline constexpr Duration kFirstProbePause = 500;
+inline constexpr Duration kLongestProbePause = 4000;
 
 }  // namespace yuccawick::programs
