--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -101,6 +101,11 @@
     TakeCopies(search.turns);
     // The node that finished a turn holds it beside its copies.
     const bool ruled_out = log_complete && search.silent <= kTurnCopies;
+    m_log->Write(LogEvent::kScan, {{"asked_for", question.id},
+                                   {"missing", missing},
+                                   {"complete", log_complete ? "yes" : "no"},
+                                   {"turns_found", search.turns.size()},
+                                   {"nodes_silent", search.silent}});
     if (m_history.Missing(question.id) != missing) {
       Search(question);
     } else {
@@ -175,10 +180,13 @@
         }
         TakeTurns(result->records);
         scan.next = std::max(scan.next, result->next);
-        if (scan.next < result->end && !result->records.empty()) {
-          ReadPart(partition);
-        } else {
+        if (scan.next >= result->end) {
           EndScan(partition, true);
+        } else if (result->records.empty()) {
+          // Records that are there and do not come: no turn is ruled out.
+          EndScan(partition, false);
+        } else {
+          ReadPart(partition);
         }
       });
 }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -29,7 +29,8 @@
   void Feed(const std::string& bytes, std::size_t step) {
     std::size_t at = 0;
     while (at < bytes.size() && !reader.fault()) {
-      at += reader.Feed(std::string_view(bytes).substr(at, step));
+      std::string_view rest = bytes;
+      at += reader.Feed(rest.substr(at, step));
     }
   }
   HttpReader reader;
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -190,6 +190,7 @@
     programs::Membership members(MakeNode(self));
     for (const std::string& other : names) members.Put(MakeNode(other));
     std::vector<std::string> homes;
+    homes.reserve(50);
     for (int key = 0; key < 50; ++key) {
       homes.push_back(members.HomesOf(std::to_string(key)).front().name);
     }
@@ -203,6 +204,7 @@
   programs::Membership members(MakeNode("a"));
   for (const auto* name : {"b", "c", "d"}) members.Put(MakeNode(name));
   std::vector<std::string> before;
+  before.reserve(50);
   for (int key = 0; key < 50; ++key) {
     before.push_back(members.HomesOf(std::to_string(key)).front().name);
   }
