--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -35,12 +35,15 @@
 }  // namespace
 
 TopicFollower::TopicFollower(net::EventLoop* loop, platform::Store* store,
-                             Topic topic, Pace pace, Callbacks callbacks)
+                             Log* log, Topic topic, std::string name, Pace pace,
+                             Callbacks callbacks)
     : m_loop(loop),
       m_store(store),
       m_topic(topic),
       m_pace(pace),
-      m_callbacks(std::move(callbacks)) {}
+      m_callbacks(std::move(callbacks)),
+      m_log(log),
+      m_name(std::move(name)) {}
 
 void TopicFollower::Start() { Restart(); }
 
@@ -55,6 +58,10 @@
 
 void TopicFollower::NoteReachable(bool reachable) {
   m_callbacks.on_reachable(reachable);
+  if (reachable == m_reachable) return;
+  m_reachable = reachable;
+  m_log->Write(reachable ? LogEvent::kLogBack : LogEvent::kLogLost,
+               {{"partition", m_name}, {"call", "follow"}});
 }
 
 void TopicFollower::List(const std::string& after) {
@@ -115,10 +122,12 @@
     : m_loop(loop),
       m_log(log),
       m_outputs(std::move(outputs)),
-      m_operator(loop, store, Topic::kOperator, {kWait, kManifestPause},
+      m_operator(loop, store, log, Topic::kOperator, "manifest",
+                 {kWait, kManifestPause},
                  {[this](const LogRecord& record) { TakeManifest(record); },
                   [] {}, [] {}, [](bool) {}}),
-      m_servers(loop, store, Topic::kServers, {kWait, kServersPause},
+      m_servers(loop, store, log, Topic::kServers, "servers",
+                {kWait, kServersPause},
                 {[this](const LogRecord& record) { TakeServer(record); },
                  [this] {
                    m_listing_servers = true;
@@ -128,7 +137,8 @@
                  [this](bool reachable) {
                    m_directory.SetReachable(reachable, m_loop->now());
                  }}),
-      m_nodes(loop, store, Topic::kNodes, {kNodesWait, kNodesPause},
+      m_nodes(loop, store, log, Topic::kNodes, "nodes",
+              {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { TakeNode(record); }, [] {},
                [this] { m_outputs.nodes_listed(); }, [](bool) {}}) {}
 
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -38,8 +38,10 @@
     Duration wait = 0;
     Duration pause = 0;
   };
-  TopicFollower(net::EventLoop* loop, platform::Store* store,
-                platform::Topic topic, Pace pace, Callbacks callbacks);
+  // `name` says in logs what the topic holds.
+  TopicFollower(net::EventLoop* loop, platform::Store* store, Log* log,
+                platform::Topic topic, std::string name, Pace pace,
+                Callbacks callbacks);
   void Start();
 
  private:
@@ -54,6 +56,9 @@
   platform::Topic  m_topic;
   Pace             m_pace;
   Callbacks        m_callbacks;
+  Log*             m_log;
+  std::string      m_name;
+  bool             m_reachable = true;
   std::int64_t     m_next = 0;
   bool             m_first_page = true;
 };
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -79,7 +79,6 @@
 
  private:
   class Sink;
-  bool TakeRate(net::Time now);
 
   std::string           m_node;
   std::string           m_zone;
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -121,7 +121,7 @@
 
   void OnConnected() override { m_network->m_loop->Cancel(&m_connect_timer); }
   void OnBytes(std::string_view bytes) override {
-    m_network->m_members->Trust(m_node.name);
+    m_network->HeardOf(m_node.name);
     const bool sound = m_frames.Feed(
         bytes, [this](PeerMessage::Reader message) { TakeAnswer(message); });
     if (!sound) m_network->DropLink(m_node.name, true);
@@ -187,7 +187,7 @@
     if (message.isHello()) {
       m_node = message.getHello().getIncarnation().cStr();
       m_node = m_node.substr(0, m_node.find('/'));
-      m_network->m_members->Trust(m_node);
+      m_network->HeardOf(m_node);
       return;
     }
     // The reply may come after this session has ended.
@@ -273,6 +273,11 @@
   if (link != nullptr) link->Send(Encode(fill, 0));
 }
 
+void PeerNetwork::HeardOf(const std::string& node) {
+  if (!m_members->Trust(node)) return;
+  m_log->Write(LogEvent::kPeer, {{"peer", node}, {"state", "back"}});
+}
+
 void PeerNetwork::DropLink(const std::string& node, bool suspect) {
   auto entry = m_links.extract(node);
   if (entry.empty()) return;
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -67,6 +67,7 @@
  private:
   class Link;     // made by this node
   class Session;  // made by a peer
+  void  HeardOf(const std::string& node);
   Link* LinkTo(const programs::NodeInfo& node);
   void  DropLink(const std::string& node, bool suspect);
   void  DropSession(SessionId id);
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -38,7 +38,8 @@
   // The node did not answer. It is no home until it is heard of again; nothing
   // that a client waits for is sent there meanwhile.
   void Suspect(const std::string& name, Time now);
-  void Trust(const std::string& name) { m_suspects.erase(name); }
+  // The node was heard of; true if it had been suspected.
+  bool Trust(const std::string& name) { return m_suspects.erase(name) > 0; }
   // Suspected nodes that are to be asked for a sign of life now; each is due
   // again after a pause that doubles.
   std::vector<NodeInfo> TakeDueProbes(Time now);
