--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -64,7 +64,7 @@
     const std::size_t taken = m_reader.Feed(m_input);
     m_input.erase(0, taken);
     if (m_reader.fault()) {
-      RefuseBytes(*m_reader.fault());
+      Refuse(RefusalOf(*m_reader.fault()));
     } else if (std::exchange(m_whole, false)) {
       StartExchange();
     }
@@ -96,8 +96,7 @@
   exchange->Start();
 }
 
-void ClientConnection::RefuseBytes(net::HttpFault fault) {
-  const traffic::Refusal refusal = RefusalOf(fault);
+void ClientConnection::Refuse(traffic::Refusal refusal) {
   m_parts.metrics->CountRefusal(refusal);
   m_parts.log->Write(LogEvent::kRefused,
                      {{"reason", Name(refusal)}, {"status", Status(refusal)}});
@@ -176,13 +175,7 @@
     Drop();
     return;
   }
-  const auto refusal = traffic::Refusal::kTooSlow;
-  m_parts.metrics->CountRefusal(refusal);
-  m_parts.log->Write(LogEvent::kRefused,
-                     {{"reason", Name(refusal)}, {"status", Status(refusal)}});
-  m_stream.Write(
-      platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {}, -1, true));
-  Linger();
+  Refuse(traffic::Refusal::kTooSlow);
 }
 
 void ClientConnection::Linger() {
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -54,7 +54,8 @@
  private:
   void ReadOn();
   void StartExchange();
-  void RefuseBytes(net::HttpFault fault);
+  // Answers bytes that no exchange can be made of, and ends the connection.
+  void Refuse(traffic::Refusal refusal);
   void WatchTime();
   void TimeUp();
   void Linger();
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -8,6 +8,8 @@
 
 #include "yuccawick/programs/record.h"
 
+// Index: Tokens, Turns, News.
+
 namespace yuccawick::gateway {
 namespace {
 
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -7,6 +7,8 @@
 
 #include "yuccawick/programs/record.h"
 
+// Index: Finding, Keeping.
+
 namespace yuccawick::gateway {
 namespace {
 
--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -11,6 +11,14 @@
 
 constexpr std::size_t kReadBytes = 64UL * 1024;  // one read of the kernel
 
+// The failure that waits at a socket; 0: none.
+int PendingError(int fd) {
+  int       error = 0;
+  socklen_t size = sizeof error;
+  getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 }  // namespace
@@ -100,10 +108,7 @@
 
 void Stream::OnWritable() {
   if (m_connecting) {
-    int       error = 0;
-    socklen_t size = sizeof error;
-    getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) {
+    if (PendingError(m_fd) != 0) {
       Fail(CloseCause::kReset);
       return;
     }
@@ -117,10 +122,7 @@
 }
 
 void Stream::OnHangup() {
-  int       error = 0;
-  socklen_t size = sizeof error;
-  getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
-  if (error != 0) {
+  if (PendingError(m_fd) != 0) {
     Fail(CloseCause::kReset);
     return;
   }
