--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/standin/answers.h"
+#include "platform/standin/client.h"
 #include "platform/standin/http_service.h"
 #include "platform/standin/log_store.h"
 #include "yuccawick/gateway/follower.h"
@@ -20,12 +22,22 @@
 
 namespace yuccawick::tests {
 
+using platform::standin::AnswerPlain;
+using platform::standin::AnswerStream;
+using platform::standin::Chunk;
+using platform::standin::Client;
 using platform::standin::Ending;
+using platform::standin::EventText;
 using platform::standin::HttpService;
+using platform::standin::Id;
 using platform::standin::LogStore;
+using platform::standin::ManifestText;
 using platform::standin::PlainAnswer;
 using platform::standin::Request;
+using platform::standin::Signed;
 using platform::standin::StoreMode;
+using platform::standin::StreamHead;
+using platform::standin::TurnHeaders;
 
 constexpr std::uint16_t kClientPort = 8000;
 constexpr std::uint16_t kReadyPort = 8001;
@@ -42,39 +54,6 @@
           port};
 }
 
-// One request on a connection of its own.
-class Client final : public net::StreamOwner, public net::HttpSink {
- public:
-  Client(net::EventLoop* loop, const net::Endpoint& to, std::string request)
-      : m_request(std::move(request)),
-        m_stream(loop, this, net::Connect(to, 60'000), true),
-        m_reader(net::HttpRole::kResponses, {64UL * 1024, 64UL << 20}, this) {}
-
-  void                Leave() { m_stream.Close(); }
-  bool                done() const { return m_complete || m_closed; }
-  bool                complete() const { return m_complete; }
-  bool                closed() const { return m_closed; }
-  int                 status() const { return m_head.status; }
-  const std::string&  body() const { return m_body; }
-  const net::Headers& headers() const { return m_head.headers; }
-
-  void OnConnected() override { m_stream.Write(m_request); }
-  void OnBytes(std::string_view bytes) override { m_reader.Feed(bytes); }
-  void OnClosed(net::CloseCause /*cause*/) override { m_closed = true; }
-  void OnHead(net::Head head) override { m_head = std::move(head); }
-  void OnBody(std::string_view bytes) override { m_body += bytes; }
-  void OnMessageEnd() override { m_complete = m_head.status >= 200; }
-
- private:
-  std::string     m_request;
-  net::Stream     m_stream;
-  net::HttpReader m_reader;
-  net::Head       m_head;
-  std::string     m_body;
-  bool            m_complete = false;
-  bool            m_closed = false;
-};
-
 struct Server {
   std::string                                                    id;
   std::unique_ptr<HttpService>                                   service;
@@ -93,68 +72,6 @@
   std::unique_ptr<gateway::Follower> follower;
 };
 
-inline std::string Id(const Request& request) {
-  return *request.head.headers.Find("Attempt-Id");
-}
-
-// What a sound server adds to each answer.
-inline std::string Signed(const Request& request) {
-  return "Attempt-Id: " + Id(request) + "\r\nResponse-Stamp: s\r\n";
-}
-
-inline void AnswerPlain(const Request&            request,
-                        const HttpService::Reply& reply) {
-  reply(PlainAnswer(200, Signed(request), "done"), Ending::kKeep);
-}
-
-inline std::string EventText(int number) {
-  return "id: " + std::to_string(number) + "\ndata: word" +
-         std::to_string(number) + "\n\n";
-}
-
-inline std::string StreamHead(const Request& request) {
-  return "HTTP/1.1 200 OK\r\n" + Signed(request) +
-         "Content-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-inline std::string Chunk(const std::string& bytes) {
-  std::string chunk;
-  net::AppendChunk(&chunk, bytes);
-  return chunk;
-}
-
-inline void AnswerStream(const Request&            request,
-                         const HttpService::Reply& reply) {
-  reply(StreamHead(request) + Chunk(EventText(1)) + Chunk(EventText(2)) +
-            std::string(net::kLastChunk),
-        Ending::kKeep);
-}
-
-// Routes: /tool/ safe, /post/ unsafe, /chat/ kept turns, /talk/ resumable
-// streams. A turn may generate 20 tokens, an event counts 10.
-inline std::string ManifestText(int version) {
-  const auto route = [](const std::string& name, const std::string& more) {
-    return R"({"name":")" + name + R"(","host":"h","pathPrefix":"/)" + name +
-           R"(/","timeoutMs":3000,"targetLatencyMs":250,"priority":1,)"
-           R"("maxAttempts":1,)" +
-           more + "}";
-  };
-  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
-         route("tool", R"("kind":"safe","service":"app")") + "," +
-         route("post", R"("kind":"unsafe","service":"app")") + "," +
-         route("chat", R"("kind":"streaming","service":"llm","retain":true,)"
-                       R"("retentionS":60,"sticky":true)") +
-         "," +
-         route("talk", R"("kind":"streaming","service":"llm",)"
-                       R"("resumable":true)") +
-         R"(],"services":[{"name":"app","healthPath":"/h","maxConns":50},)"
-         R"({"name":"llm","healthPath":"/h","maxConns":50,"engine":{)"
-         R"("slots":4,"kvCapacityTokens":1000,"eventTokens":10}}],)"
-         R"("limits":{"maxHeaderBytes":2000,"maxBodyBytes":4000,)"
-         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-}
-
 class Deployment {
  public:
   Deployment()
@@ -294,16 +211,4 @@
   std::vector<std::unique_ptr<Node>>   nodes;
 };
 
-inline std::string TurnHeaders(const std::string& id,
-                               const std::string& program,
-                               const std::string& previous = "",
-                               int                budget = 1000) {
-  std::string headers =
-      "Attempt-Id: " + id + "\r\nProgram-Id: " + program +
-      "\r\nSession-Id: l\r\nToken-Budget: " + std::to_string(budget) +
-      "\r\nToken-Counts: 5,20\r\nDeadline-Ms: 2500\r\n";
-  if (!previous.empty()) headers += "Previous-Turn: " + previous + "\r\n";
-  return headers;
-}
-
 }  // namespace yuccawick::tests
