--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -8,16 +8,23 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <random>
 #include <thread>
 
 #include "platform/settings.h"
 #include "yuccawick/gateway/follower.h"
 #include "yuccawick/gateway/gateway.h"
+#include "yuccawick/gateway/thresholds.h"
 
-DEFINE_bool(check, false, "check the settings file and leave");
+DEFINE_bool(check, false,
+            "check the settings file and the thresholds, list them and leave");
+DEFINE_string(thresholds, "",
+              "name=value, separated by commas; over those of the environment "
+              "variable YUCCAWICK_THRESHOLDS; --check lists them");
 DEFINE_string(settings, "",
               "settings file; by default where the platform "
               "puts it");
@@ -25,6 +32,9 @@
 namespace yuccawick::daemon {
 namespace {
 
+constexpr int         kExitBadSettings = 2;
+constexpr const char* kThresholdsVariable = "YUCCAWICK_THRESHOLDS";
+
 // Reads signals as bytes, so that they are handled between two events.
 class Signals final : public net::SocketHandler {
  public:
@@ -78,7 +88,8 @@
   }
 }
 
-int Serve(const platform::Settings& settings, const std::string& path) {
+int Serve(const platform::Settings& settings, const std::string& path,
+          const gateway::Thresholds& thresholds) {
   const std::string incarnation = NewIncarnation(settings.node);
   net::EventLoop    traffic;
   net::EventLoop    control;
@@ -86,7 +97,8 @@
   gateway::Metrics  metrics;
   log.Write(gateway::LogEvent::kStarted,
             {{"incarnation", incarnation}, {"settings", path}});
-  gateway::Gateway gateway(&traffic, settings, &log, &metrics, incarnation);
+  gateway::Gateway gateway(&traffic, &thresholds, settings, &log, &metrics,
+                           incarnation);
   const Signals    signals(&traffic, [&](int signal) {
     if (signal == SIGHUP) {
       ReloadSettings(path, &log);
@@ -126,20 +138,41 @@
   return 0;
 }
 
-}  // namespace
-}  // namespace yuccawick::daemon
+// The thresholds of the environment and, over them, of the command line. Every
+// fault is listed on standard error.
+std::optional<gateway::Thresholds> ReadThresholds() {
+  const char* variable = std::getenv(kThresholdsVariable);
+  auto result = gateway::ParseThresholds(variable == nullptr ? "" : variable,
+                                         gateway::Thresholds());
+  if (result) result = gateway::ParseThresholds(FLAGS_thresholds, *result);
+  if (result) return *result;
+  for (const auto& error : result.error()) {
+    std::cerr << "threshold " << error.threshold << ": " << Name(error.fault)
+              << ": " << error.detail << "\n";
+  }
+  return std::nullopt;
+}
 
-int main(int argc, char** argv) {
-  gflags::SetUsageMessage("takes clients' traffic on the users' platform");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+int Main() {
   const std::string path =
       FLAGS_settings.empty() ? platform::SettingsPath() : FLAGS_settings;
   const auto settings = platform::ReadSettings(path);
   if (!settings) {
     std::cerr << path << ": " << Name(settings.error().fault) << " "
               << settings.error().field << "\n";
-    return 2;
   }
-  if (FLAGS_check) return 0;
-  return yuccawick::daemon::Serve(*settings, path);
+  const auto thresholds = ReadThresholds();
+  if (!settings || !thresholds) return kExitBadSettings;
+  if (!FLAGS_check) return Serve(*settings, path, *thresholds);
+  std::cout << "settings are fine; thresholds:\n" << Describe(*thresholds);
+  return 0;
+}
+
+}  // namespace
+}  // namespace yuccawick::daemon
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("takes clients' traffic on the users' platform");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return yuccawick::daemon::Main();
 }
--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -8,16 +8,15 @@
 
 using net::Duration;
 
-// An append takes some 6 ms; in a slow spell of the log a quarter of a second.
-constexpr Duration    kTimeout = 600;              // ms
-constexpr Duration    kRetryDelay = 80;            // ms
 constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // the log takes 2 MB a call
 
 }  // namespace
 
-Appender::Appender(net::EventLoop* loop, platform::Store* store,
-                   LogHealth* health, platform::Topic topic, int partition)
+Appender::Appender(net::EventLoop* loop, const Thresholds* thresholds,
+                   platform::Store* store, LogHealth* health,
+                   platform::Topic topic, int partition)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_store(store),
       m_health(health),
       m_topic(topic),
@@ -43,7 +42,7 @@
   m_flying.assign(std::make_move_iterator(m_waiting.begin()),
                   std::make_move_iterator(end));
   m_waiting.erase(m_waiting.begin(), end);
-  m_store->Append(m_topic, m_partition, records, kTimeout,
+  m_store->Append(m_topic, m_partition, records, m_thresholds->log_timeout,
                   [this](const Result& result) { Finish(result); });
 }
 
@@ -51,7 +50,7 @@
   m_health->Note(result.has_value(), "append");
   auto              flown = std::exchange(m_flying, {});
   std::vector<Item> again;
-  m_loop->After(result ? 0 : kRetryDelay, [this] {
+  m_loop->After(result ? 0 : m_thresholds->log_retry_delay, [this] {
     m_busy = false;
     Pump();
   });
--- a/src/yuccawick/gateway/appender.h
+++ b/src/yuccawick/gateway/appender.h
@@ -18,8 +18,9 @@
   using Result = platform::StoreResult<platform::Appended>;
   using Done = std::function<void(const Result&)>;
 
-  Appender(net::EventLoop* loop, platform::Store* store, LogHealth* health,
-           platform::Topic topic, int partition);
+  Appender(net::EventLoop* loop, const Thresholds* thresholds,
+           platform::Store* store, LogHealth* health, platform::Topic topic,
+           int partition);
   // `done` is called once, with the append that carried the record. With
   // `insist`, failed appends are repeated until one succeeds: use it for
   // records that may be there twice.
@@ -35,6 +36,7 @@
   void Finish(const Result& result);
 
   net::EventLoop*   m_loop;
+  const Thresholds* m_thresholds;
   platform::Store*  m_store;
   LogHealth*        m_health;
   platform::Topic   m_topic;
--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -7,33 +7,19 @@
 namespace yuccawick::gateway {
 namespace {
 
-// How long bytes may stay unacknowledged, in ms. A server that lost power or
-// was cut off sends no reset; with this bound a request on a kept connection to
-// it fails within the shortest route timeout.
-constexpr int      kSilence = 1000;
-constexpr Duration kConnectTimeout = 400;  // ms; a round trip is below 30
 constexpr net::HttpLimits kAnswerLimits{64UL * 1024, 64UL << 20};
-// How long a connection may rest and be used again, in ms, where the server
-// does not say when it closes idle ones; and the share of it where it does.
-constexpr Duration        kDefaultIdle = 600;
-constexpr double          kIdleShare = 0.6;
 constexpr Duration        kMillisPerSecond = 1000;
-// A failed server is avoided for this long, in ms, then tried again.
-constexpr Duration        kFailureMemory = 1500;
-constexpr Duration    kLineMemory = 20'000;   // ms; a cached prompt lasts less
-constexpr Duration    kPeerLoadMemory = 700;  // ms; older news is worth nothing
-constexpr std::size_t kMaxIdlePerServer = 16;
 
-Duration IdleLimit(const net::Headers& headers) {
+Duration IdleLimit(const net::Headers& headers, const Thresholds& thresholds) {
   const std::string* keep = headers.Find("Keep-Alive");
-  if (keep == nullptr) return kDefaultIdle;
+  if (keep == nullptr) return thresholds.idle_limit;
   constexpr std::string_view kField = "timeout=";
   const auto                 at = keep->find(kField);
-  if (at == std::string::npos) return kDefaultIdle;
+  if (at == std::string::npos) return thresholds.idle_limit;
   Duration    seconds = 0;
   const char* digits = keep->data() + at + kField.size();
   std::from_chars(digits, keep->data() + keep->size(), seconds);
-  return static_cast<Duration>(kIdleShare *
+  return static_cast<Duration>(thresholds.idle_share *
                                static_cast<double>(seconds * kMillisPerSecond));
 }
 
@@ -44,14 +30,15 @@
 }  // namespace
 
 BackendConnection::BackendConnection(
-    net::EventLoop* loop, int fd, std::string server_id,
-    std::function<void(BackendConnection*)> on_idle_lost)
+    net::EventLoop* loop, const Thresholds* thresholds, int fd,
+    std::string server_id, std::function<void(BackendConnection*)> on_idle_lost)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_server_id(std::move(server_id)),
       m_on_idle_lost(std::move(on_idle_lost)),
       m_stream(loop, this, fd, true),
       m_reader(net::HttpRole::kResponses, kAnswerLimits, this) {
-  m_connect_timer = loop->After(kConnectTimeout, [this] {
+  m_connect_timer = loop->After(m_thresholds->connect_timeout, [this] {
     m_connect_timer = 0;
     m_stream.Close();
     OnClosed(net::CloseCause::kReset);
@@ -150,7 +137,7 @@
   m_skipping = head.status < kFirstFinalStatus ||
                (m_user != nullptr && !m_user->OnBackendHead(head));
   m_keep_alive = head.keep_alive && !head.ends_with_connection;
-  m_max_idle = IdleLimit(head.headers);
+  m_max_idle = IdleLimit(head.headers, *m_thresholds);
 }
 
 void BackendConnection::OnBody(std::string_view bytes) {
@@ -159,9 +146,11 @@
 
 void BackendConnection::OnMessageEnd() { m_ended = !m_skipping; }
 
-Backends::Backends(net::EventLoop* loop, std::string zone,
+Backends::Backends(net::EventLoop* loop, const Thresholds* thresholds,
+                   std::string                         zone,
                    std::unique_ptr<traffic::Placement> placement)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_zone(std::move(zone)),
       m_placement(std::move(placement)),
       m_random(std::random_device{}()) {}
@@ -191,7 +180,7 @@
 int Backends::OthersLoad(const std::string& id) const {
   int load = 0;
   for (const auto& [peer, news] : m_peers) {
-    if (m_loop->now() - news.heard > kPeerLoadMemory) continue;
+    if (m_loop->now() - news.heard > m_thresholds->load_memory) continue;
     const auto found = news.loads.find(id);
     if (found != news.loads.end()) load += found->second;
   }
@@ -210,7 +199,8 @@
         state.server.service != service || Contains(avoid, id)) {
       continue;
     }
-    const bool failing = m_loop->now() - state.failed_at < kFailureMemory;
+    const bool failing =
+        m_loop->now() - state.failed_at < m_thresholds->failure_memory;
     candidates.push_back({&state.server, state.load, OthersLoad(id),
                           state.server.zone == m_zone, id == warm,
                           failing ? state.failures : 0});
@@ -250,10 +240,11 @@
     }
     Destroy(kept);
   }
-  const int fd = net::Connect(state.server.endpoint, kSilence);
+  const int fd = net::Connect(state.server.endpoint,
+                              static_cast<int>(m_thresholds->server_silence));
   if (fd < 0) return nullptr;
   auto connection = std::make_unique<BackendConnection>(
-      m_loop, fd, id, [this](BackendConnection* lost) {
+      m_loop, m_thresholds, fd, id, [this](BackendConnection* lost) {
         const auto owner = m_servers.find(lost->server_id());
         if (owner != m_servers.end()) std::erase(owner->second.idle, lost);
         Destroy(lost);
@@ -274,7 +265,8 @@
   State& state = found->second;
   --state.load;
   const bool keep = connection->usable_again() && state.listed &&
-                    state.idle.size() < kMaxIdlePerServer;
+                    static_cast<std::int64_t>(state.idle.size()) <
+                        m_thresholds->idle_connections;
   if (keep) {
     state.idle.push_back(connection);
   } else {
@@ -317,11 +309,11 @@
 
 void Backends::Sweep() {
   const Time now = m_loop->now();
-  std::erase_if(m_lines, [now](const auto& entry) {
-    return now - entry.second.used > kLineMemory;
+  std::erase_if(m_lines, [this, now](const auto& entry) {
+    return now - entry.second.used > m_thresholds->prefix_memory;
   });
-  std::erase_if(m_peers, [now](const auto& entry) {
-    return now - entry.second.heard > kPeerLoadMemory;
+  std::erase_if(m_peers, [this, now](const auto& entry) {
+    return now - entry.second.heard > m_thresholds->load_memory;
   });
   for (auto& [id, state] : m_servers) {
     std::vector<BackendConnection*> stale;
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/net/http.h"
 #include "yuccawick/net/stream.h"
 #include "yuccawick/traffic/attempt.h"
@@ -40,7 +41,8 @@
 
 class BackendConnection final : public net::StreamOwner, public net::HttpSink {
  public:
-  BackendConnection(net::EventLoop* loop, int fd, std::string server_id,
+  BackendConnection(net::EventLoop* loop, const Thresholds* thresholds, int fd,
+                    std::string                             server_id,
                     std::function<void(BackendConnection*)> on_idle_lost);
   ~BackendConnection() override;
 
@@ -66,6 +68,7 @@
   void Lose(traffic::LossCause cause);
 
   net::EventLoop*                         m_loop;
+  const Thresholds*                       m_thresholds;
   std::string                             m_server_id;
   std::function<void(BackendConnection*)> m_on_idle_lost;
   net::Stream                             m_stream;
@@ -83,7 +86,7 @@
 
 class Backends {
  public:
-  Backends(net::EventLoop* loop, std::string zone,
+  Backends(net::EventLoop* loop, const Thresholds* thresholds, std::string zone,
            std::unique_ptr<traffic::Placement> placement);
   ~Backends();
 
@@ -139,6 +142,7 @@
   void DropIdle(State* state);
 
   net::EventLoop*                            m_loop;
+  const Thresholds*                          m_thresholds;
   std::string                                m_zone;
   std::unique_ptr<traffic::Placement>        m_placement;
   std::mt19937_64                            m_random;
--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -5,13 +5,6 @@
 namespace yuccawick::gateway {
 namespace {
 
-// How long bytes to a client may stay unacknowledged, in ms; a client that went
-// silent gives up on its own well before.
-constexpr int      kSilence = 5000;
-// After an answer that ends the connection, what the client still sends is read
-// and dropped for this long, in ms. Closing with unread bytes would reset the
-// connection, and the reset can overtake the answer.
-constexpr Duration kLinger = 1000;
 // A body may take this many times as long as a head.
 constexpr Duration kBodyPatience = 3;
 
@@ -183,7 +176,7 @@
   m_input.clear();
   m_stream.EndWriting();
   m_parts.loop->Cancel(&m_timer);
-  m_timer = m_parts.loop->After(kLinger, [this] {
+  m_timer = m_parts.loop->After(m_parts.thresholds->linger, [this] {
     m_timer = 0;
     m_stream.Close();
     Drop();
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -28,13 +28,6 @@
 // Plain answers up to this size are passed on whole, so that one that breaks
 // off is still an honest failure or can be fetched again.
 constexpr std::size_t        kMaxWhole = 256UL * 1024;
-// Given up this long before the client stops listening, in ms, so that the
-// answer still reaches it.
-constexpr Duration           kAnswerWay = 5;
-// Clients come back after this many ms on average: a turn's length, the time
-// in which a place at a server comes free.
-constexpr Duration           kReturnDelay = 150;
-constexpr Duration           kNotReadyDelay = 300;
 constexpr double             kMillisPerSecond = 1000.0;
 // Urgencies that servers know: 0 is first, 9 last.
 constexpr int                kLeastUrgent = 9;
@@ -117,7 +110,8 @@
 
 void Exchange::StartTimer() {
   Duration limit = m_route->timeout;
-  if (m_info.deadline) limit = std::min(limit, *m_info.deadline - kAnswerWay);
+  if (m_info.deadline)
+    limit = std::min(limit, *m_info.deadline - m_parts.thresholds->answer_way);
   m_due = m_began + limit;
   m_timer = m_parts.loop->After(limit, [this] {
     m_timer = 0;
@@ -498,8 +492,9 @@
 
 Duration Exchange::RetryAfter(Refusal refusal) const {
   if (!traffic::InvitesReturn(refusal)) return -1;
-  const Duration mean =
-      refusal == Refusal::kNotReady ? kNotReadyDelay : kReturnDelay;
+  const Duration mean = refusal == Refusal::kNotReady
+                            ? m_parts.thresholds->start_delay
+                            : m_parts.thresholds->return_delay;
   // Spread over half to one and a half of the mean: clients refused together
   // would otherwise come back together.
   return static_cast<Duration>(static_cast<double>(mean) * (0.5 + Draw()));
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -42,12 +42,13 @@
 
 // What all exchanges of a node share.
 struct GatewayParts {
-  net::EventLoop* loop = nullptr;
-  Backends*       backends = nullptr;
-  TurnKeeper*     turns = nullptr;
-  PeerService*    peers = nullptr;
-  Log*            log = nullptr;
-  Metrics*        metrics = nullptr;
+  net::EventLoop*   loop = nullptr;
+  const Thresholds* thresholds = nullptr;
+  Backends*         backends = nullptr;
+  TurnKeeper*       turns = nullptr;
+  PeerService*      peers = nullptr;
+  Log*              log = nullptr;
+  Metrics*          metrics = nullptr;
 };
 
 class Exchange final : public BackendUser,
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -10,24 +10,11 @@
 namespace yuccawick::gateway {
 namespace {
 
-constexpr int           kClientSilence = 5000;  // ms of unacknowledged bytes
-constexpr Duration      kTick = 500;            // ms between sweeps
-// The balancer asks once a second and turns away after two misses.
-constexpr Duration      kBalancerLag = 2600;  // ms
-constexpr Duration      kStopMargin = 700;  // ms before the kill after SIGTERM
-constexpr Duration      kStopCheck = 50;    // ms
-// No new connection for this long, in ms, after the balancer's lag: it asks
-// once a second, so it has turned away.
-constexpr Duration      kQuietBeforeStop = 1200;
-// Left for the last requests, in ms: a turn's time at a busy server.
-constexpr Duration      kLastRequests = 1800;
+constexpr Duration      kTick = 500;       // ms between sweeps
+constexpr Duration      kStopCheck = 50;   // ms
 constexpr Duration      kLastCalls = 100;  // ms for the last appends to go out
-constexpr Duration      kAnnounceTimeout = 600;  // ms
-constexpr Duration      kAnnounceRetry = 200;    // ms
-// Loads are told this often, in ms: a turn takes some 200 ms, so peers learn of
-// most turns while they run.
-constexpr Duration      kTellNews = 50;
-constexpr std::uint16_t kMetricsPort = 9464;  // the usual one of exporters
+constexpr Duration      kAnnounceRetry = 200;  // ms
+constexpr std::uint16_t kMetricsPort = 9464;   // the usual one of exporters
 // What clients may send until a manifest says.
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
                                              15'000};
@@ -36,37 +23,42 @@
 // carry some 300 claiming nodes' batches a second at a third of that.
 constexpr int kClaimPartitions = 2;
 
-std::vector<TokenDesk> MakeDesks(net::EventLoop* loop, platform::Store* store,
-                                 Log* log, Metrics* metrics,
+std::vector<TokenDesk> MakeDesks(net::EventLoop*   loop,
+                                 const Thresholds* thresholds,
+                                 platform::Store* store, Log* log,
+                                 Metrics*           metrics,
                                  const std::string& incarnation) {
   std::vector<TokenDesk> desks;
   desks.reserve(kClaimPartitions);  // desks hand out pointers to themselves
   for (int i = 0; i < kClaimPartitions; ++i) {
-    desks.emplace_back(loop, store, log, metrics, incarnation, i);
+    desks.emplace_back(loop, thresholds, store, log, metrics, incarnation, i);
   }
   return desks;
 }
 
 }  // namespace
 
-Gateway::Gateway(net::EventLoop* loop, const platform::Settings& settings,
-                 Log* log, Metrics* metrics, const std::string& incarnation)
+Gateway::Gateway(net::EventLoop* loop, const Thresholds* thresholds,
+                 const platform::Settings& settings, Log* log, Metrics* metrics,
+                 const std::string& incarnation)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_settings(settings),
       m_log(log),
       m_metrics(metrics),
       m_store(loop, settings.store),
-      m_backends(
-          loop, settings.zone,
-          traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix)),
-      m_turns(loop, &m_store, log, metrics),
-      m_desks(MakeDesks(loop, &m_store, log, metrics, incarnation)),
+      m_backends(loop, thresholds, settings.zone,
+                 traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix,
+                                        thresholds->placement)),
+      m_turns(loop, thresholds, &m_store, log, metrics),
+      m_desks(MakeDesks(loop, thresholds, &m_store, log, metrics, incarnation)),
       m_members({settings.node,
                  incarnation,
                  {settings.address, settings.inner_ports.front()},
                  settings.zone}),
-      m_network(loop, &m_members, log),
-      m_peers(loop, &m_members, &m_network, &m_desks, &m_turns, &m_backends),
+      m_network(loop, thresholds, &m_members, log),
+      m_peers(loop, thresholds, &m_members, &m_network, &m_desks, &m_turns,
+              &m_backends),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
       m_metrics_server(loop, [metrics](std::string_view) {
         return SmallAnswer{200, metrics->Text()};
@@ -92,7 +84,7 @@
 
 void Gateway::Announce() {
   m_store.Put(platform::Topic::kNodes, m_settings.node,
-              programs::EncodeNode(m_members.self()), kAnnounceTimeout,
+              programs::EncodeNode(m_members.self()), m_thresholds->log_timeout,
               [this](const platform::StoreResult<platform::Appended>& result) {
                 m_metrics->CountStoreCall(result.has_value());
                 if (result || m_stopping) return;
@@ -111,7 +103,7 @@
 
 void Gateway::TellNews() {
   m_peers.TellNews();
-  m_loop->After(kTellNews, [this] { TellNews(); });
+  m_loop->After(m_thresholds->news_pause, [this] { TellNews(); });
 }
 
 void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
@@ -142,11 +134,12 @@
 }
 
 void Gateway::OnReadable() {
-  for (int fd = net::Accept(m_listener, kClientSilence); fd >= 0;
-       fd = net::Accept(m_listener, kClientSilence)) {
+  const auto silence = static_cast<int>(m_thresholds->client_silence);
+  for (int fd = net::Accept(m_listener, silence); fd >= 0;
+       fd = net::Accept(m_listener, silence)) {
     m_accepted_at = m_loop->now();
-    const GatewayParts parts{m_loop,   &m_backends, &m_turns,
-                             &m_peers, m_log,       m_metrics};
+    const GatewayParts parts{m_loop,   m_thresholds, &m_backends, &m_turns,
+                             &m_peers, m_log,        m_metrics};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
     m_clients.emplace(raw, std::move(connection));
@@ -176,9 +169,10 @@
 void Gateway::Stop() {
   if (m_stopping) return;
   m_stopping = true;
-  m_stop_due = m_loop->now() + m_settings.stop_limit - kStopMargin;
+  m_stop_due =
+      m_loop->now() + m_settings.stop_limit - m_thresholds->stop_margin;
   m_log->Write(LogEvent::kStopping, {{"connections", m_clients.size()}});
-  m_loop->After(kBalancerLag, [this] {
+  m_loop->After(m_thresholds->balancer_lag, [this] {
     m_closing = true;
     CloseIdle();
     FinishWhenIdle();
@@ -202,8 +196,9 @@
   // The balancer may go on sending clients, if many nodes of the zone are away.
   // Whoever connected before the end is still served: a connection that was
   // accepted and then dropped is a lost request.
-  const bool quiet = m_loop->now() - m_accepted_at >= kQuietBeforeStop;
-  if (quiet || m_loop->now() >= m_stop_due - kLastRequests) StopListening();
+  const bool quiet = m_loop->now() - m_accepted_at >= m_thresholds->stop_quiet;
+  if (quiet || m_loop->now() >= m_stop_due - m_thresholds->last_requests)
+    StopListening();
   CloseIdle();
   const bool served =
       m_listener < 0 && m_clients.empty() && m_turns.unkept() == 0;
@@ -214,7 +209,7 @@
     // Only now: until its end this node may hold turns that the log does not
     // have, and others ask only the nodes that they know.
     m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
-                kAnnounceTimeout,
+                m_thresholds->log_timeout,
                 [](const platform::StoreResult<platform::Appended>&) {});
     m_loop->After(kLastCalls, [this] { m_loop->Stop(); });
     return;
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -17,8 +17,9 @@
 
 class Gateway final : public ClientHost, public net::SocketHandler {
  public:
-  Gateway(net::EventLoop* loop, const platform::Settings& settings, Log* log,
-          Metrics* metrics, const std::string& incarnation);
+  Gateway(net::EventLoop* loop, const Thresholds* thresholds,
+          const platform::Settings& settings, Log* log, Metrics* metrics,
+          const std::string& incarnation);
   ~Gateway() override;
 
   bool Listen();  // false: an address is not to be had
@@ -56,6 +57,7 @@
   bool        Ready() const;
 
   net::EventLoop*        m_loop;
+  const Thresholds*      m_thresholds;
   platform::Settings     m_settings;
   Log*                   m_log;
   Metrics*               m_metrics;
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -14,7 +14,6 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxMessage = 16UL << 20;  // a long chain of turns
 constexpr int         kSilence = 1000;           // ms of unacknowledged bytes
-constexpr Duration    kConnectTimeout = 150;     // ms; ten round trips
 constexpr int         kBitsPerByte = 8;
 // A peer that reads this slowly is as good as gone.
 constexpr std::size_t kMaxBacklog = 4UL << 20;
@@ -82,10 +81,11 @@
       : m_network(network),
         m_node(std::move(node)),
         m_stream(network->m_loop, this, fd, true) {
-    m_connect_timer = network->m_loop->After(kConnectTimeout, [this] {
-      m_connect_timer = 0;
-      m_network->DropLink(m_node.name, true);
-    });
+    m_connect_timer = network->m_loop->After(
+        network->m_thresholds->peer_connect_timeout, [this] {
+          m_connect_timer = 0;
+          m_network->DropLink(m_node.name, true);
+        });
   }
   ~Link() override {
     m_network->m_loop->Cancel(&m_connect_timer);
@@ -207,9 +207,9 @@
   std::string  m_node;
 };
 
-PeerNetwork::PeerNetwork(net::EventLoop* loop, programs::Membership* members,
-                         Log* log)
-    : m_loop(loop), m_members(members), m_log(log) {}
+PeerNetwork::PeerNetwork(net::EventLoop* loop, const Thresholds* thresholds,
+                         programs::Membership* members, Log* log)
+    : m_loop(loop), m_thresholds(thresholds), m_members(members), m_log(log) {}
 
 PeerNetwork::~PeerNetwork() {
   if (m_listener < 0) return;
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 
 #include "yuccawick/gateway/log.h"
+#include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/net/endpoint.h"
 #include "yuccawick/net/stream.h"
 #include "yuccawick/programs/membership.h"
@@ -50,7 +51,8 @@
                               std::uint64_t       number) = 0;
   };
 
-  PeerNetwork(net::EventLoop* loop, programs::Membership* members, Log* log);
+  PeerNetwork(net::EventLoop* loop, const Thresholds* thresholds,
+              programs::Membership* members, Log* log);
   ~PeerNetwork() override;
   void SetService(Service* service) { m_service = service; }
   bool Listen(const net::Endpoint& at);
@@ -73,6 +75,7 @@
   void  DropSession(SessionId id);
 
   net::EventLoop*                                         m_loop;
+  const Thresholds*                                       m_thresholds;
   programs::Membership*                                   m_members;
   Log*                                                    m_log;
   Service*                                                m_service = nullptr;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -16,35 +16,9 @@
 using programs::NodeInfo;
 using programs::Turn;
 
-// A home that must claim first takes two calls of the log, some 12 ms, half a
-// second in a slow spell.
-constexpr Duration    kReserveTimeout = 700;  // ms
-constexpr Duration    kCopyTimeout = 250;  // ms; a round trip and a busy peer
-constexpr Duration    kFindTimeout = 250;  // ms
-// A home answers within this time, in ms; "hold" if it waits for the log or for
-// turns to end. The asker asks again, and what was claimed meanwhile is there
-// then; another home would only split the tokens.
-constexpr Duration    kAnswerWithin = 350;
-// How long a turn waits for tokens while the log is away or its outage is not
-// yet agreed on, in ms, and the pause between two tries.
-constexpr Duration    kReservePatience = 1200;
-constexpr Duration    kReservePause = 80;
-// A node says that the log is away for it this often, in ms, and is believed
-// for this long.
-constexpr Duration    kTellOutage = 200;
-constexpr Duration    kOutageMemory = 600;
-// How long the log and most nodes must be silent, in ms, before this node takes
-// itself for cut off: longer than a connection attempt and a lost answer.
-constexpr Duration    kIsolationDelay = 500;
 // Homes that are asked one after the other for one turn.
 constexpr std::size_t kMaxHomes = 3;
 constexpr int         kNoPartition = -1;
-// A reader answers after one read of the log's end, some 10 ms; after a restart
-// it has a minute of records to read first.
-constexpr Duration    kReaderTimeout = 500;  // ms
-// Loads are told again after this time even if they did not change, in ms; news
-// older than 700 ms is not used.
-constexpr Duration    kTellAnyway = 400;
 constexpr std::size_t kMaxGivenUp = 256;
 
 programs::wire::Reserved ToWire(ReserveOutcome outcome) {
@@ -57,10 +31,12 @@
 
 }  // namespace
 
-PeerService::PeerService(net::EventLoop* loop, programs::Membership* members,
-                         PeerNetwork* network, std::vector<TokenDesk>* desks,
-                         TurnKeeper* turns, Backends* backends)
+PeerService::PeerService(net::EventLoop* loop, const Thresholds* thresholds,
+                         programs::Membership* members, PeerNetwork* network,
+                         std::vector<TokenDesk>* desks, TurnKeeper* turns,
+                         Backends* backends)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_members(members),
       m_network(network),
       m_desks(desks),
@@ -88,16 +64,16 @@
 }
 
 void PeerService::Reserve(const TurnBudget& turn, const ReserveDone& done) {
-  ReserveFrom(turn, 0, m_loop->now() + kReservePatience, done);
+  ReserveFrom(turn, 0, m_loop->now() + m_thresholds->reserve_patience, done);
 }
 
 void PeerService::ReserveUnsure(const TurnBudget& turn, Time until,
                                 const ReserveDone& done) {
-  if (IsIsolated() || m_loop->now() + kReservePause >= until) {
+  if (IsIsolated() || m_loop->now() + m_thresholds->reserve_pause >= until) {
     done({ReserveOutcome::kUnsure, turn, {}});
     return;
   }
-  m_loop->After(kReservePause, [this, turn, until, done] {
+  m_loop->After(m_thresholds->reserve_pause, [this, turn, until, done] {
     ReserveFrom(turn, 0, until, done);
   });
 }
@@ -153,7 +129,7 @@
         reserve.setMost(turn.most);
         reserve.setFirstHome(outage == TokenDesk::Outage::kUseAllowance);
       },
-      kReserveTimeout, answered);
+      m_thresholds->reserve_timeout, answered);
 }
 
 void PeerService::EndTurn(const Reservation& reservation,
@@ -207,7 +183,8 @@
     });
     return true;
   };
-  m_loop->After(kAnswerWithin, [answer] { answer(ReserveOutcome::kHold); });
+  m_loop->After(m_thresholds->home_answer,
+                [answer] { answer(ReserveOutcome::kHold); });
   const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
                                            : TokenDesk::Outage::kRefuse;
   DeskOf(turn.program)
@@ -284,7 +261,7 @@
           programs::Write(turn, keep.initTurn());
           keep.setRetentionMs(retention);
         },
-        kCopyTimeout,
+        m_thresholds->copy_timeout,
         [left, kept, done,
          wanted = holders.size()](std::optional<PeerMessage::Reader> answer) {
           if (answer && answer->isTurnKept()) ++*kept;
@@ -312,7 +289,7 @@
           find.setId(id);
           find.setPartition(kNoPartition);
         },
-        kFindTimeout,
+        m_thresholds->find_timeout,
         [left, ended, search, done](std::optional<PeerMessage::Reader> answer) {
           --*left;
           if (*ended) return;
@@ -347,7 +324,7 @@
         find.setId(id);
         find.setPartition(partition);
       },
-      kReaderTimeout,
+      m_thresholds->reader_timeout,
       [done](std::optional<PeerMessage::Reader> answer) {
         Lookup lookup;
         if (answer && answer->isTurnFound()) {
@@ -414,7 +391,8 @@
 }
 
 bool PeerService::IsIsolated() const {
-  return m_alone_since && m_loop->now() - *m_alone_since >= kIsolationDelay;
+  return m_alone_since &&
+         m_loop->now() - *m_alone_since >= m_thresholds->isolation_delay;
 }
 
 void PeerService::Probe(const NodeInfo& node) {
@@ -424,14 +402,14 @@
       [](PeerMessage::Builder message) {
         message.initFindTurn().setPartition(kNoPartition);
       },
-      kFindTimeout, [](std::optional<PeerMessage::Reader>) {});
+      m_thresholds->find_timeout, [](std::optional<PeerMessage::Reader>) {});
 }
 
 void PeerService::TellOutage() {
   for (TokenDesk& desk : *m_desks) {
     if (desk.log_away()) desk.Probe();
   }
-  if (m_loop->now() - m_outage_told_at < kTellOutage) return;
+  if (m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) return;
   m_outage_told_at = m_loop->now();
   std::vector<std::uint16_t> away;
   for (TokenDesk& desk : *m_desks) {
@@ -464,7 +442,7 @@
   const auto  index = static_cast<std::size_t>(partition);
   std::size_t away = (*m_desks)[index].log_away() ? 1 : 0;
   for (const auto& [name, said] : m_away_nodes[index]) {
-    const bool fresh = m_loop->now() - said < kOutageMemory;
+    const bool fresh = m_loop->now() - said < m_thresholds->outage_memory;
     if (fresh && m_members->Find(name) != nullptr) ++away;
   }
   const std::size_t nodes = m_members->All().size() + 1;
@@ -485,7 +463,7 @@
 void PeerService::TellLoads() {
   auto loads = m_backends->OwnLoads();
   std::sort(loads.begin(), loads.end());
-  const bool due = m_loop->now() - m_told_at >= kTellAnyway;
+  const bool due = m_loop->now() - m_told_at >= m_thresholds->news_anyway;
   if (loads == m_told && !due) return;
   m_told = loads;
   m_told_at = m_loop->now();
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -33,9 +33,10 @@
                           public TurnPeers,
                           public OutagePeers {
  public:
-  PeerService(net::EventLoop* loop, programs::Membership* members,
-              PeerNetwork* network, std::vector<TokenDesk>* desks,
-              TurnKeeper* turns, Backends* backends);
+  PeerService(net::EventLoop* loop, const Thresholds* thresholds,
+              programs::Membership* members, PeerNetwork* network,
+              std::vector<TokenDesk>* desks, TurnKeeper* turns,
+              Backends* backends);
 
   using ReserveDone = std::function<void(const Reservation&)>;
   void Reserve(const TurnBudget& turn, const ReserveDone& done);
@@ -93,6 +94,7 @@
   std::vector<programs::NodeInfo> Holders(const std::string& key) const;
 
   net::EventLoop*         m_loop;
+  const Thresholds*       m_thresholds;
   programs::Membership*   m_members;
   PeerNetwork*            m_network;
   std::vector<TokenDesk>* m_desks;  // by partition of the claims
--- /dev/null
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -0,0 +1,203 @@
+#include "yuccawick/gateway/thresholds.h"
+
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace yuccawick::gateway {
+namespace {
+
+using Field = std::variant<Duration Thresholds::*, double Thresholds::*,
+                           double traffic::PlacementWeights::*>;
+
+struct Entry {
+  std::string_view name;
+  Field            field;
+  double           low;
+  double           high;
+};
+
+using T = Thresholds;
+using W = traffic::PlacementWeights;
+
+// Bounds keep a slip of the keyboard from stopping a node; within them every
+// value serves, well or badly.
+constexpr std::array kEntries{
+    Entry{"connect_timeout", &T::connect_timeout, 10, 60'000},
+    Entry{"server_silence", &T::server_silence, 50, 60'000},
+    Entry{"idle_limit", &T::idle_limit, 0, 600'000},
+    Entry{"idle_share", &T::idle_share, 0, 1},
+    Entry{"idle_connections", &T::idle_connections, 0, 10'000},
+    Entry{"failure_memory", &T::failure_memory, 0, 60'000},
+    Entry{"prefix_memory", &T::prefix_memory, 0, 3'600'000},
+    Entry{"load_memory", &T::load_memory, 0, 60'000},
+    Entry{"cross_zone_weight", &W::cross_zone, 0, 100},
+    Entry{"cold_prefix_weight", &W::cold_prefix, 0, 100},
+    Entry{"failure_weight", &W::failure, 0, 100},
+    Entry{"answer_way", &T::answer_way, 0, 1000},
+    Entry{"return_delay", &T::return_delay, 1, 60'000},
+    Entry{"start_delay", &T::start_delay, 1, 60'000},
+    Entry{"client_silence", &T::client_silence, 50, 600'000},
+    Entry{"linger", &T::linger, 0, 60'000},
+    Entry{"log_timeout", &T::log_timeout, 10, 60'000},
+    Entry{"log_retry_delay", &T::log_retry_delay, 1, 10'000},
+    Entry{"log_patience", &T::log_patience, 0, 10'000},
+    Entry{"log_away_pause", &T::log_away_pause, 1, 10'000},
+    Entry{"log_outage", &T::log_outage, 0, 60'000},
+    Entry{"log_return_quiet", &T::log_return_quiet, 0, 60'000},
+    Entry{"late_claim", &T::late_claim, 10, 60'000},
+    Entry{"claims_reread", &T::claims_reread, 10, 60'000},
+    Entry{"turns_wait", &T::turns_wait, 0, 60'000},
+    Entry{"reserve_timeout", &T::reserve_timeout, 10, 60'000},
+    Entry{"home_answer", &T::home_answer, 1, 60'000},
+    Entry{"reserve_patience", &T::reserve_patience, 0, 60'000},
+    Entry{"reserve_pause", &T::reserve_pause, 1, 10'000},
+    Entry{"peer_connect_timeout", &T::peer_connect_timeout, 5, 60'000},
+    Entry{"copy_timeout", &T::copy_timeout, 5, 60'000},
+    Entry{"find_timeout", &T::find_timeout, 5, 60'000},
+    Entry{"reader_timeout", &T::reader_timeout, 5, 60'000},
+    Entry{"outage_pause", &T::outage_pause, 10, 60'000},
+    Entry{"outage_memory", &T::outage_memory, 10, 60'000},
+    Entry{"isolation_delay", &T::isolation_delay, 10, 60'000},
+    Entry{"news_pause", &T::news_pause, 5, 10'000},
+    Entry{"news_anyway", &T::news_anyway, 5, 10'000},
+    Entry{"balancer_lag", &T::balancer_lag, 0, 60'000},
+    Entry{"stop_margin", &T::stop_margin, 0, 60'000},
+    Entry{"stop_quiet", &T::stop_quiet, 0, 60'000},
+    Entry{"last_requests", &T::last_requests, 0, 60'000},
+};
+
+// What two thresholds must keep between them, and why.
+struct Order {
+  std::string_view name;
+  Duration Thresholds::*small;
+  Duration Thresholds::*large;
+  std::string_view      why;
+};
+constexpr std::array kOrders{
+    Order{"outage_memory", &T::outage_pause, &T::outage_memory,
+          "must exceed outage_pause, or an outage is forgotten between two "
+          "messages"},
+    Order{"load_memory", &T::news_anyway, &T::load_memory,
+          "must exceed news_anyway, or loads are forgotten between two "
+          "messages"},
+    Order{"reserve_timeout", &T::home_answer, &T::reserve_timeout,
+          "must exceed home_answer, or a home that holds a request looks dead"},
+    Order{"late_claim", &T::log_timeout, &T::late_claim,
+          "must exceed log_timeout, or claims that were answered are not used"},
+};
+
+// Calls `use` with the value that the field stands for.
+template <class AnyThresholds, class Use>
+void Visit(const Field& field, AnyThresholds& thresholds, Use use) {
+  if (const auto* time = std::get_if<Duration T::*>(&field)) {
+    use(thresholds.**time);
+  } else if (const auto* number = std::get_if<double T::*>(&field)) {
+    use(thresholds.**number);
+  } else {
+    use(thresholds.placement.*std::get<double W::*>(field));
+  }
+}
+
+const Entry* FindEntry(std::string_view name) {
+  for (const Entry& entry : kEntries) {
+    if (entry.name == name) return &entry;
+  }
+  return nullptr;
+}
+
+// All of `text` as a number of the type of `value`.
+template <class Number>
+bool ReadNumber(std::string_view text, Number* value) {
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, *value);
+  return error == std::errc() && last == end;
+}
+
+std::string Bounds(const Entry& entry) {
+  std::ostringstream text;
+  text << "want " << entry.low << " to " << entry.high;
+  return text.str();
+}
+
+class Parser {
+ public:
+  explicit Parser(const Thresholds& base) : m_thresholds(base) {}
+
+  void Take(std::string_view pair) {
+    const auto   equals = pair.find('=');
+    const auto   name = pair.substr(0, equals);
+    const Entry* entry = FindEntry(name);
+    if (entry == nullptr) {
+      Fault(ThresholdFault::kUnknownName, name, "no such threshold");
+    } else if (equals == std::string_view::npos) {
+      Fault(ThresholdFault::kBadValue, name, "want name=value");
+    } else {
+      Set(*entry, pair.substr(equals + 1));
+    }
+  }
+
+  tl::expected<Thresholds, std::vector<ThresholdError>> Finish() {
+    for (const Order& order : kOrders) {
+      if (m_thresholds.*order.small < m_thresholds.*order.large) continue;
+      Fault(ThresholdFault::kContradiction, order.name, order.why);
+    }
+    if (!m_errors.empty()) return tl::unexpected(m_errors);
+    return m_thresholds;
+  }
+
+ private:
+  void Set(const Entry& entry, std::string_view text) {
+    Visit(entry.field, m_thresholds, [&](auto& value) {
+      auto number = value;
+      if (!ReadNumber(text, &number)) {
+        Fault(ThresholdFault::kBadValue, entry.name, Bounds(entry));
+      } else if (!(static_cast<double>(number) >= entry.low &&
+                   static_cast<double>(number) <= entry.high)) {
+        Fault(ThresholdFault::kOutOfRange, entry.name, Bounds(entry));
+      } else {
+        value = number;
+      }
+    });
+  }
+  void Fault(ThresholdFault fault, std::string_view name,
+             std::string_view detail) {
+    m_errors.push_back({fault, std::string(name), std::string(detail)});
+  }
+
+  Thresholds                  m_thresholds;
+  std::vector<ThresholdError> m_errors;
+};
+
+}  // namespace
+
+std::string_view Name(ThresholdFault fault) {
+  constexpr std::array<std::string_view, 4> kNames{
+      "unknown name", "bad value", "out of range", "contradiction"};
+  return kNames[static_cast<std::size_t>(fault)];
+}
+
+tl::expected<Thresholds, std::vector<ThresholdError>> ParseThresholds(
+    std::string_view text, const Thresholds& base) {
+  Parser parser(base);
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    parser.Take(text.substr(0, comma));
+    if (comma == std::string_view::npos) break;
+    text.remove_prefix(comma + 1);
+  }
+  return parser.Finish();
+}
+
+std::string Describe(const Thresholds& thresholds) {
+  std::ostringstream text;
+  for (const Entry& entry : kEntries) {
+    text << entry.name << "=";
+    Visit(entry.field, thresholds,
+          [&text](const auto& value) { text << value; });
+    text << "  (" << entry.low << " to " << entry.high << ")\n";
+  }
+  return text.str();
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/thresholds.h
@@ -0,0 +1,146 @@
+// What an operator may tune on a node: times, counts and weights, each with its
+// unit, the value that runs by default and where that comes from.
+//
+// Every threshold can be set by name, on the command line or in the
+// environment; see daemon/gateway_main.cc. Sizes of formats and bounds of the
+// protocols are not here: changing them on one node breaks it.
+//
+// Pass one `const Thresholds*` to all parts of a node; it must outlive them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+#include "yuccawick/net/event_loop.h"
+#include "yuccawick/traffic/placement.h"
+
+namespace yuccawick::gateway {
+
+using net::Duration;
+
+// All durations in ms.
+struct Thresholds {
+  // Backend servers ----------------------------------------------------------
+  Duration     connect_timeout = 400;  // a round trip is below 30
+  // How long bytes may stay unacknowledged. A server that lost power or was cut
+  // off sends no reset; with this bound a request on a kept connection to it
+  // fails within the shortest route timeout.
+  Duration     server_silence = 1000;
+  // How long a connection may rest and be used again where the server does not
+  // say when it closes idle ones; and the share of it where it does.
+  Duration     idle_limit = 600;
+  double       idle_share = 0.6;
+  std::int64_t idle_connections = 16;  // kept for one server
+  Duration     failure_memory = 1500;  // a failed server is avoided for so long
+  Duration     prefix_memory = 20'000;  // a cached prompt lasts less
+  Duration     load_memory = 700;  // what peers said of loads; older is noise
+  // Load per slot at which a near or a warm server is no better any more, and
+  // the load that a failure counts as: any healthy server goes first.
+  traffic::PlacementWeights placement;
+
+  // Requests -----------------------------------------------------------------
+  // Given up this long before the client stops listening, so that the answer
+  // still reaches it.
+  Duration answer_way = 5;
+  // Clients come back after this time on average: a turn's length, the time in
+  // which a place at a server comes free.
+  Duration return_delay = 150;
+  Duration start_delay = 300;  // the same while this node starts
+  Duration client_silence =
+      5000;  // unacknowledged bytes; clients give up sooner
+  // After an answer that ends the connection, what the client still sends is
+  // read and dropped for this long. Closing with unread bytes would reset the
+  // connection, and the reset can overtake the answer.
+  Duration linger = 1000;
+
+  // The platform's log -------------------------------------------------------
+  Duration log_timeout = 600;  // a call takes 6, in a slow spell 250
+  Duration log_retry_delay = 80;
+  // How long an append may take before copies at peers are made as well; a
+  // client's patience between two turns is above 100.
+  Duration log_patience = 40;
+  // Between two calls while the log is away: a few a second find its return
+  // early enough, since nothing waits for it by then.
+  Duration log_away_pause = 150;
+  Duration log_outage = 300;  // an absence this long is no lost answer
+  // How long the return of an outage is recent: a few retries of whoever has
+  // something to append from the time of the outage.
+  Duration log_return_quiet = 400;
+
+  // Tokens -------------------------------------------------------------------
+  // A claim that took longer is not used any more; above the time of a call
+  // that was answered.
+  Duration late_claim = 1200;
+  // Claims of others are read at least this often. A node that becomes home of
+  // a program in an outage knows what was granted until shortly before.
+  Duration claims_reread = 800;
+  // A turn waits this long for others of its program to end: about as long as
+  // the longest turn takes at a busy server.
+  Duration turns_wait = 900;
+  // A home that must claim first takes two calls of the log.
+  Duration reserve_timeout = 700;
+  // A home answers within this time; "hold" if it waits for the log or for
+  // turns to end. The asker asks again, and what was claimed meanwhile is there
+  // then; another home would only split the tokens.
+  Duration home_answer = 350;
+  // How long a turn waits for tokens while the log is away or its outage is not
+  // yet agreed on, and the pause between two tries.
+  Duration reserve_patience = 1200;
+  Duration reserve_pause = 80;
+
+  // Other nodes --------------------------------------------------------------
+  Duration peer_connect_timeout = 150;  // ten round trips
+  Duration copy_timeout = 250;          // a round trip and a busy peer
+  Duration find_timeout = 250;
+  // A reader answers after one read of the log's end, some 10; after a restart
+  // it has a minute of records to read first.
+  Duration reader_timeout = 500;
+  // A node says that the log is away for it this often, and is believed for
+  // this long.
+  Duration outage_pause = 200;
+  Duration outage_memory = 600;
+  // How long the log and most nodes must be silent before this node takes
+  // itself for cut off: longer than a connection attempt and a lost answer.
+  Duration isolation_delay = 500;
+  // Loads are told this often if they changed: a turn takes some 200, so peers
+  // learn of most turns while they run. And this often if they did not.
+  Duration news_pause = 50;
+  Duration news_anyway = 400;
+
+  // Stopping -----------------------------------------------------------------
+  // The balancer asks once a second and turns away after two misses.
+  Duration balancer_lag = 2600;
+  Duration stop_margin = 700;  // before the kill after SIGTERM
+  // No new connection for this long after the balancer's lag: it asks once a
+  // second, so it has turned away.
+  Duration stop_quiet = 1200;
+  Duration last_requests = 1800;  // left for them: a turn at a busy server
+};
+
+enum class ThresholdFault : std::uint8_t {
+  kUnknownName,
+  kBadValue,       // not a number
+  kOutOfRange,     // outside its bounds
+  kContradiction,  // excludes another one
+};
+std::string_view Name(ThresholdFault fault);
+
+struct ThresholdError {
+  ThresholdFault fault;
+  std::string    threshold;  // its name, as given
+  std::string    detail;     // what would be right
+};
+
+// Sets what `text` lists as name=value, separated by commas, over `base`. All
+// faults are returned, not only the first.
+tl::expected<Thresholds, std::vector<ThresholdError>> ParseThresholds(
+    std::string_view text, const Thresholds& base);
+
+// One line for each threshold: name, value, lowest, highest.
+std::string Describe(const Thresholds& thresholds);
+
+}  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -15,19 +15,8 @@
 using platform::Topic;
 using programs::TokenAnswer;
 
-constexpr Duration         kReadTimeout = 600;  // ms
-constexpr Duration         kRetryDelay = 80;    // ms
 constexpr programs::Tokens kNoTokens = 0;
-// A claim that took longer than this, in ms, is not used any more; above the
-// time of a call that was answered.
-constexpr Duration         kLateClaim = 1200;
-// Claims of others are read at least this often, in ms. A node that becomes
-// home of a program in an outage knows what was granted until shortly before.
-constexpr Duration         kReadAnyway = 800;
 constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
-// A turn waits this long for others of its program to end, in ms: about as long
-// as the longest turn takes at a busy server.
-constexpr Duration kWaitForTurns = 900;
 
 Time SentAt(const programs::TokenClaim& claim) {
   return static_cast<Time>(claim.number);
@@ -41,15 +30,19 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
-TokenDesk::TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
-                     Metrics* metrics, std::string incarnation, int partition)
+TokenDesk::TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
+                     platform::Store* store, Log* log, Metrics* metrics,
+                     std::string incarnation, int partition)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_store(store),
-      m_health(loop, log, metrics, "claims " + std::to_string(partition)),
+      m_health(loop, thresholds, log, metrics,
+               "claims " + std::to_string(partition)),
       m_log(log),
       m_incarnation(std::move(incarnation)),
       m_partition(partition),
-      m_appender(loop, store, &m_health, Topic::kClaims, partition) {}
+      m_appender(loop, thresholds, store, &m_health, Topic::kClaims,
+                 partition) {}
 
 void TokenDesk::Start() {
   if (!m_caught_up && !m_reading) ReadPage();
@@ -62,7 +55,8 @@
 void TokenDesk::Reserve(const TurnBudget& turn, Outage outage, Done done) {
   m_accounts.try_emplace(
       turn.program, Account{programs::TokenAccount(turn.budget), 0, {}, 0});
-  Answer({turn, outage, std::move(done), m_loop->now() + kWaitForTurns});
+  Answer({turn, outage, std::move(done),
+          m_loop->now() + m_thresholds->turns_wait});
 }
 
 void TokenDesk::Answer(const Waiting& request) {
@@ -140,7 +134,7 @@
   m_reading = true;
   m_read_at = m_loop->now();
   m_store->Read(
-      Topic::kClaims, m_partition, m_next, 0, kReadTimeout,
+      Topic::kClaims, m_partition, m_next, 0, m_thresholds->log_timeout,
       [this](const StoreResult<platform::ReadPage>& result) {
         m_reading = false;
         if (!result && result.error().failure == StoreFailure::kExpired) {
@@ -169,7 +163,7 @@
   std::vector<std::uint64_t> open;
   for (const auto& [number, request] : m_claims) open.push_back(number);
   for (const std::uint64_t number : open) ClaimFailed(number);
-  m_loop->After(kRetryDelay, [this] {
+  m_loop->After(m_thresholds->log_retry_delay, [this] {
     ReadClaims();
     Start();
   });
@@ -186,7 +180,7 @@
   if (claim->node != m_incarnation || claim->taken) return;
   // An append that got no answer may be carried out seconds later. By then this
   // node may have used an allowance instead, so it forgoes what came late.
-  const bool late = m_loop->now() - SentAt(*claim) > kLateClaim;
+  const bool late = m_loop->now() - SentAt(*claim) > m_thresholds->late_claim;
   const auto account = m_accounts.find(claim->program);
   // Records that are on their way may take part of what the log grants.
   const auto rest = m_ledger.Rest(claim->program, claim->budget);
@@ -311,7 +305,7 @@
 
 void TokenDesk::Sweep() {
   const Time now = m_loop->now();
-  if (now - m_read_at >= kReadAnyway) Probe();
+  if (now - m_read_at >= m_thresholds->claims_reread) Probe();
   m_ledger.Expire(now);
   std::vector<std::string> overdue;
   for (const auto& [program, account] : m_accounts) {
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -57,8 +57,9 @@
   using Done = std::function<void(ReserveOutcome)>;
 
   // One desk counts the programs whose claims lie in one partition.
-  TokenDesk(net::EventLoop* loop, platform::Store* store, Log* log,
-            Metrics* metrics, std::string incarnation, int partition);
+  TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
+            platform::Store* store, Log* log, Metrics* metrics,
+            std::string incarnation, int partition);
   void SetPeers(OutagePeers* peers) { m_peers = peers; }
 
   // Reads the claims of before this node started; allowances wait for that.
@@ -116,6 +117,7 @@
   void             WakeWaiting(const std::string& program);
 
   net::EventLoop*                            m_loop;
+  const Thresholds*                          m_thresholds;
   platform::Store*                           m_store;
   LogHealth                                  m_health;
   OutagePeers*                               m_peers = nullptr;
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -18,13 +18,9 @@
 using platform::StoreResult;
 using platform::Topic;
 
-constexpr Duration kReadTimeout = 600;  // ms
 // Turns are kept longer than a client may name them, so that answers on the way
 // and the time of a search do not matter.
 constexpr Duration kRetentionSlack = 15'000;  // ms
-// How long the log may take, in ms, before copies at peers are made as well. It
-// takes some 6 ms; a client's patience between two turns is above 100 ms.
-constexpr Duration kLogPatience = 40;
 constexpr double   kMillisPerSecond = 1000.0;
 
 int PartitionOf(const std::string& program) {
@@ -34,18 +30,20 @@
 
 }  // namespace
 
-TurnKeeper::TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
-                       Metrics* metrics)
+TurnKeeper::TurnKeeper(net::EventLoop* loop, const Thresholds* thresholds,
+                       platform::Store* store, Log* log, Metrics* metrics)
     : m_loop(loop),
+      m_thresholds(thresholds),
       m_store(store),
       m_log(log),
       m_metrics(metrics),
       m_scans(kTurnPartitions) {
   for (int i = 0; i < kTurnPartitions; ++i) {
     auto& health = m_scans[static_cast<std::size_t>(i)].health;
-    health = std::make_unique<LogHealth>(loop, log, metrics,
+    health = std::make_unique<LogHealth>(loop, thresholds, log, metrics,
                                          "turns " + std::to_string(i));
-    m_appenders.emplace_back(loop, store, health.get(), Topic::kTurns, i);
+    m_appenders.emplace_back(loop, thresholds, store, health.get(),
+                             Topic::kTurns, i);
   }
 }
 
@@ -168,7 +166,7 @@
 void TurnKeeper::ReadPart(int partition) {
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
   m_store->Read(
-      Topic::kTurns, partition, scan.next, 0, kReadTimeout,
+      Topic::kTurns, partition, scan.next, 0, m_thresholds->log_timeout,
       [this, partition, &scan](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           scan.next = result.error().first;
@@ -260,7 +258,7 @@
   const int first = PlaceFor(turn);
   Append(turn, first, in_log);
   const bool away = m_scans[static_cast<std::size_t>(first)].health->away();
-  m_loop->After(away ? 0 : kLogPatience,
+  m_loop->After(away ? 0 : m_thresholds->log_patience,
                 [this, turn, retention, first, open, settle, in_log] {
                   if (!*open) return;
                   const int second = PlaceFor(turn);
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -73,8 +73,8 @@
 
 class TurnKeeper {
  public:
-  TurnKeeper(net::EventLoop* loop, platform::Store* store, Log* log,
-             Metrics* metrics);
+  TurnKeeper(net::EventLoop* loop, const Thresholds* thresholds,
+             platform::Store* store, Log* log, Metrics* metrics);
   void SetPeers(TurnPeers* peers) { m_peers = peers; }
 
   // Makes sure that the chain of the turn is in history().
@@ -134,6 +134,7 @@
   void Append(const programs::Turn& turn, int partition, Appender::Done done);
 
   net::EventLoop*       m_loop;
+  const Thresholds*     m_thresholds;
   platform::Store*      m_store;
   Log*                  m_log;
   Metrics*              m_metrics;
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -32,35 +32,45 @@
 
 class LeastLoaded final : public Placement {
  public:
+  explicit LeastLoaded(const PlacementWeights& weights) : m_weights(weights) {}
   std::size_t Choose(const std::vector<Candidate>& candidates,
                      double                        draw) const override {
-    return Cheapest(candidates, draw, [](const Candidate& candidate) {
+    return Cheapest(candidates, draw, [this](const Candidate& candidate) {
       return LoadPerSlot(candidate) +
-             kFailurePenalty * candidate.recent_failures;
+             m_weights.failure * candidate.recent_failures;
     });
   }
+
+ private:
+  PlacementWeights m_weights;
 };
 
 class ZoneAndPrefix final : public Placement {
  public:
+  explicit ZoneAndPrefix(const PlacementWeights& weights)
+      : m_weights(weights) {}
   std::size_t Choose(const std::vector<Candidate>& candidates,
                      double                        draw) const override {
-    return Cheapest(candidates, draw, [](const Candidate& candidate) {
+    return Cheapest(candidates, draw, [this](const Candidate& candidate) {
       double cost = LoadPerSlot(candidate);
-      if (!candidate.same_zone) cost += kCrossZonePenalty;
-      if (!candidate.holds_prefix) cost += kColdPrefixPenalty;
-      return cost + kFailurePenalty * candidate.recent_failures;
+      if (!candidate.same_zone) cost += m_weights.cross_zone;
+      if (!candidate.holds_prefix) cost += m_weights.cold_prefix;
+      return cost + m_weights.failure * candidate.recent_failures;
     });
   }
+
+ private:
+  PlacementWeights m_weights;
 };
 
 }  // namespace
 
-std::unique_ptr<Placement> MakePlacement(PlacementKind kind) {
+std::unique_ptr<Placement> MakePlacement(PlacementKind           kind,
+                                         const PlacementWeights& weights) {
   if (kind == PlacementKind::kLeastLoaded) {
-    return std::make_unique<LeastLoaded>();
+    return std::make_unique<LeastLoaded>(weights);
   }
-  return std::make_unique<ZoneAndPrefix>();
+  return std::make_unique<ZoneAndPrefix>(weights);
 }
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -34,13 +34,16 @@
                              double                        draw) const = 0;
 };
 
-enum class PlacementKind : std::uint8_t { kLeastLoaded, kZoneAndPrefix };
-std::unique_ptr<Placement> MakePlacement(PlacementKind kind);
-
 // Load, in requests waiting or running per slot, at which the advantages of a
-// near or warm server stop to count.
-inline constexpr double kCrossZonePenalty = 0.45;  // per slot; see docs/design
-inline constexpr double kColdPrefixPenalty = 0.15;
-inline constexpr double kFailurePenalty = 4.0;  // any healthy server first
+// near or warm server stop to count; see docs/design.
+struct PlacementWeights {
+  double cross_zone = 0.45;
+  double cold_prefix = 0.15;
+  double failure = 4.0;  // any healthy server first
+};
+
+enum class PlacementKind : std::uint8_t { kLeastLoaded, kZoneAndPrefix };
+std::unique_ptr<Placement> MakePlacement(PlacementKind           kind,
+                                         const PlacementWeights& weights);
 
 }  // namespace yuccawick::traffic
