--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 Appender::Appender(net::EventLoop* loop, const Thresholds* thresholds,
-                   platform::Store* store, LogHealth* health,
+                   platform::RecordLog* store, LogHealth* health,
                    platform::Topic topic, int partition)
     : m_loop(loop),
       m_thresholds(thresholds),
--- a/src/yuccawick/gateway/appender.h
+++ b/src/yuccawick/gateway/appender.h
@@ -19,7 +19,7 @@
   using Done = std::function<void(const Result&)>;
 
   Appender(net::EventLoop* loop, const Thresholds* thresholds,
-           platform::Store* store, LogHealth* health, platform::Topic topic,
+           platform::RecordLog* store, LogHealth* health, platform::Topic topic,
            int partition);
   // `done` is called once, with the append that carried the record. With
   // `insist`, failed appends are repeated until one succeeds: use it for
@@ -35,15 +35,15 @@
   void Pump();
   void Finish(const Result& result);
 
-  net::EventLoop*   m_loop;
-  const Thresholds* m_thresholds;
-  platform::Store*  m_store;
-  LogHealth*        m_health;
-  platform::Topic   m_topic;
-  int               m_partition;
-  std::vector<Item> m_waiting;
-  std::vector<Item> m_flying;
-  bool              m_busy = false;
+  net::EventLoop*      m_loop;
+  const Thresholds*    m_thresholds;
+  platform::RecordLog* m_store;
+  LogHealth*           m_health;
+  platform::Topic      m_topic;
+  int                  m_partition;
+  std::vector<Item>    m_waiting;
+  std::vector<Item>    m_flying;
+  bool                 m_busy = false;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -23,9 +23,9 @@
 // carry some 300 claiming nodes' batches a second at a third of that.
 constexpr int kClaimPartitions = 2;
 
-std::vector<TokenDesk> MakeDesks(net::EventLoop*   loop,
-                                 const Thresholds* thresholds,
-                                 platform::Store* store, Log* log,
+std::vector<TokenDesk> MakeDesks(net::EventLoop*      loop,
+                                 const Thresholds*    thresholds,
+                                 platform::RecordLog* store, Log* log,
                                  Metrics*           metrics,
                                  const std::string& incarnation) {
   std::vector<TokenDesk> desks;
--- a/src/yuccawick/gateway/log.cc
+++ b/src/yuccawick/gateway/log.cc
@@ -126,6 +126,10 @@
   BOOST_LOG(logger) << Format(m_node, m_zone, event, fields);
 }
 
+void Log::SetEnabled(bool enabled) {
+  boost::log::core::get()->set_logging_enabled(enabled);
+}
+
 void Log::Flush() {
   const std::size_t dropped = m_sink->TakeDropped();
   if (dropped > 0) Write(LogEvent::kDropped, {{"lines", dropped}});
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -73,9 +73,11 @@
   Log& operator=(const Log&) = delete;
 
   // From any thread.
-  void Write(LogEvent event, std::initializer_list<LogField> fields);
+  void        Write(LogEvent event, std::initializer_list<LogField> fields);
+  // Whether lines are written at all, for the whole process.
+  static void SetEnabled(bool enabled);
   // Hands waiting lines to standard output; call once a turn of the loop.
-  void Flush();
+  void        Flush();
 
  private:
   class Sink;
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -31,7 +31,7 @@
 }
 
 TokenDesk::TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
-                     platform::Store* store, Log* log, Metrics* metrics,
+                     platform::RecordLog* store, Log* log, Metrics* metrics,
                      std::string incarnation, int partition)
     : m_loop(loop),
       m_thresholds(thresholds),
@@ -187,6 +187,7 @@
   granted = std::max<programs::Tokens>(0, granted + std::min(rest, kNoTokens));
   if (account != m_accounts.end() && !late) {
     account->second.tokens.Granted(granted);
+    if (granted > 0) TellGrant(*claim, granted);
   }
   ClaimDecided(claim->number, granted);
 }
@@ -202,6 +203,15 @@
   Answer(request);
 }
 
+// Whoever is home next may be so in an outage, and use half of what it last
+// read was left. It reads too seldom to know of the last grants; with several
+// that it did not know of, the program would end above its budget.
+void TokenDesk::TellGrant(programs::TokenClaim claim,
+                          programs::Tokens     granted) {
+  claim.wish = granted;
+  m_peers->TellRecord(claim);
+}
+
 void TokenDesk::ClaimFailed(std::uint64_t number) {
   auto node = m_claims.extract(number);
   if (node.empty()) return;
@@ -254,7 +264,9 @@
 }
 
 void TokenDesk::TakePeerRecord(const programs::TokenClaim& record) {
-  if (m_ledger.Foretell(record, m_loop->now())) Insist(record);
+  const bool news = m_ledger.Foretell(record, m_loop->now());
+  // A grant lies in the log already.
+  if (news && record.taken) Insist(record);
 }
 
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -48,7 +48,7 @@
   virtual ~OutagePeers() = default;
   // Most nodes agree that the partition does not answer.
   virtual bool LogIsAwayForMost(int partition) const = 0;
-  // Tells a record to those who would be home of its program after this node.
+  // Tells a record, or a grant of the log, to the other homes of its program.
   virtual void TellRecord(const programs::TokenClaim& record) = 0;
 };
 
@@ -58,7 +58,7 @@
 
   // One desk counts the programs whose claims lie in one partition.
   TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
-            platform::Store* store, Log* log, Metrics* metrics,
+            platform::RecordLog* store, Log* log, Metrics* metrics,
             std::string incarnation, int partition);
   void SetPeers(OutagePeers* peers) { m_peers = peers; }
 
@@ -73,8 +73,9 @@
   enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
   void Reserve(const TurnBudget& turn, Outage outage, Done done);
   void EndTurn(const TurnBudget& turn, programs::Tokens used);
-  // A record of another node that used tokens while the log is away. It is
-  // appended from here too, in case that node does not live to do it.
+  // A grant of the log to another node, or the record of one that used tokens
+  // while the log is away. Such a record is appended from here too, in case
+  // that node does not live to do it.
   void TakePeerRecord(const programs::TokenClaim& record);
   // Tells the records again that the log does not have yet: their homes may
   // have changed or started anew. Call a few times a second.
@@ -100,6 +101,7 @@
   void Answer(const Waiting& request);
   void Claim(const Waiting& request);
   void ClaimDecided(std::uint64_t number, programs::Tokens granted);
+  void TellGrant(programs::TokenClaim claim, programs::Tokens granted);
   void ClaimFailed(std::uint64_t number);
   programs::TokenClaim TakenRecord(const std::string& program,
                                    programs::Tokens   budget,
@@ -118,7 +120,7 @@
 
   net::EventLoop*                            m_loop;
   const Thresholds*                          m_thresholds;
-  platform::Store*                           m_store;
+  platform::RecordLog*                       m_store;
   LogHealth                                  m_health;
   OutagePeers*                               m_peers = nullptr;
   Log*                                       m_log;
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -31,7 +31,7 @@
 }  // namespace
 
 TurnKeeper::TurnKeeper(net::EventLoop* loop, const Thresholds* thresholds,
-                       platform::Store* store, Log* log, Metrics* metrics)
+                       platform::RecordLog* store, Log* log, Metrics* metrics)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_store(store),
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -74,7 +74,7 @@
 class TurnKeeper {
  public:
   TurnKeeper(net::EventLoop* loop, const Thresholds* thresholds,
-             platform::Store* store, Log* log, Metrics* metrics);
+             platform::RecordLog* store, Log* log, Metrics* metrics);
   void SetPeers(TurnPeers* peers) { m_peers = peers; }
 
   // Makes sure that the chain of the turn is in history().
@@ -135,7 +135,7 @@
 
   net::EventLoop*       m_loop;
   const Thresholds*     m_thresholds;
-  platform::Store*      m_store;
+  platform::RecordLog*  m_store;
   Log*                  m_log;
   Metrics*              m_metrics;
   TurnPeers*            m_peers = nullptr;
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -15,11 +15,12 @@
 }
 
 Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
-  Entry& entry = EntryOf(claim, now);
+  Entry&         entry = EntryOf(claim, now);
+  const RecordId id(claim.node, claim.number);
+  entry.foretold.erase(id);
+  const bool first = entry.applied.insert(id).second;
   if (claim.taken) {
-    const RecordId id(claim.node, claim.number);
-    entry.foretold.erase(id);
-    if (!entry.taken.insert(id).second) return 0;
+    if (!first) return 0;
     entry.granted += claim.wish;
     return claim.wish;
   }
@@ -33,7 +34,7 @@
 bool TokenLedger::Foretell(const TokenClaim& claim, Time now) {
   Entry&         entry = EntryOf(claim, now);
   const RecordId id(claim.node, claim.number);
-  if (entry.taken.contains(id)) return false;
+  if (entry.applied.contains(id)) return false;
   return entry.foretold.emplace(id, claim.wish).second;
 }
 
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -46,7 +46,8 @@
   // Applies the next claim in log order; returns the tokens granted. A record
   // that was taken without the log and lies there twice counts once.
   Tokens Apply(const TokenClaim& claim, Time now);
-  // A record that will come in the log. It lowers Rest() from now on; what
+  // A record that will come in the log, or lies there and was not read yet: of
+  // a claim, `wish` is what it was granted. It lowers Rest() from now on; what
   // others are granted stays a matter of the log's order alone. False if it is
   // known already.
   bool   Foretell(const TokenClaim& claim, Time now);
@@ -61,7 +62,7 @@
     Tokens                     granted = 0;
     Time                       until = 0;
     std::map<RecordId, Tokens> foretold;
-    std::set<RecordId>         taken;  // applied
+    std::set<RecordId>         applied;  // records that lie in the log
   };
   Entry& EntryOf(const TokenClaim& claim, Time now);
 
