--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -408,6 +408,7 @@
 void PeerService::TellOutage() {
   for (TokenDesk& desk : *m_desks) {
     if (desk.log_away()) desk.Probe();
+    if (LogIsAwayForMost(desk.partition())) desk.NoteOutageGoesOn();
   }
   if (m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) return;
   m_outage_told_at = m_loop->now();
@@ -450,13 +451,15 @@
 }
 
 void PeerService::TellRecord(const programs::TokenClaim& record) {
+  // A suspected home may be one that was frozen, and is home again at once when
+  // it wakes. It must know by then, and does not count as told.
   std::size_t told = 0;
-  for (const NodeInfo& node : m_members->HomesOf(record.program)) {
+  for (const NodeInfo& node : m_members->RankedFor(record.program)) {
     if (node.name == m_members->self().name) continue;
     m_network->Tell(node, [&record](PeerMessage::Builder message) {
       programs::Write(record, message.initClaimTaken());
     });
-    if (++told == kTurnCopies) break;
+    if (!m_members->Suspected(node.name) && ++told == kTurnCopies) break;
   }
 }
 
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -47,6 +47,7 @@
     Entry{"log_return_quiet", &T::log_return_quiet, 0, 60'000},
     Entry{"late_claim", &T::late_claim, 10, 60'000},
     Entry{"claims_reread", &T::claims_reread, 10, 60'000},
+    Entry{"reading_memory", &T::reading_memory, 10, 60'000},
     Entry{"turns_wait", &T::turns_wait, 0, 60'000},
     Entry{"reserve_timeout", &T::reserve_timeout, 10, 60'000},
     Entry{"home_answer", &T::home_answer, 1, 60'000},
@@ -83,6 +84,8 @@
           "messages"},
     Order{"reserve_timeout", &T::home_answer, &T::reserve_timeout,
           "must exceed home_answer, or a home that holds a request looks dead"},
+    Order{"reading_memory", &T::claims_reread, &T::reading_memory,
+          "must exceed claims_reread, or no reading is fresh"},
     Order{"late_claim", &T::log_timeout, &T::late_claim,
           "must exceed log_timeout, or claims that were answered are not used"},
 };
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -78,6 +78,10 @@
   // Claims of others are read at least this often. A node that becomes home of
   // a program in an outage knows what was granted until shortly before.
   Duration claims_reread = 800;
+  // How old a reading of the claims may be when most nodes have lost the log:
+  // it is read every 800, a call fails after 600, and the others say so within
+  // another 800.
+  Duration reading_memory = 2500;
   // A turn waits this long for others of its program to end: about as long as
   // the longest turn takes at a busy server.
   Duration turns_wait = 900;
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -149,7 +149,10 @@
         }
         m_next = result->next;
         for (const auto& record : result->records) TakeRecord(record.value);
-        m_caught_up = m_caught_up || m_next >= result->end;
+        if (m_next >= result->end) {
+          m_caught_up = true;
+          m_sure_at = m_read_at;
+        }
         if (!m_caught_up) m_goal = std::max(m_goal, result->end);
         // Not there: it failed, or comes late.
         if (m_unsure_claim != 0) ClaimFailed(std::exchange(m_unsure_claim, 0));
@@ -269,8 +272,21 @@
   if (news && record.taken) Insist(record);
 }
 
+void TokenDesk::NoteOutageGoesOn() {
+  // Nobody is granted anything while it goes on.
+  if (KnowsTheLog()) m_sure_at = m_loop->now();
+}
+
+// A node that was frozen, or alone cut off from the log, and finds most nodes
+// without the log when it is back: what it read is from before. Others claimed
+// meanwhile, and told it, if at all, only what they were granted last.
+bool TokenDesk::KnowsTheLog() const {
+  return m_caught_up &&
+         m_loop->now() - m_sure_at <= m_thresholds->reading_memory;
+}
+
 programs::Tokens TokenDesk::Allowance(const Waiting& request) {
-  if (request.outage == Outage::kRefuse || !m_caught_up) return 0;
+  if (request.outage == Outage::kRefuse || !KnowsTheLog()) return 0;
   if (!m_peers->LogIsAwayForMost(m_partition)) return 0;
   auto&      tokens = m_accounts.at(request.turn.program).tokens;
   const auto rest =
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -68,6 +68,8 @@
   void Probe();
   bool log_away() const { return m_health.away(); }
   int  partition() const { return m_partition; }
+  // Most nodes agree that the log is away; call many times a second meanwhile.
+  void NoteOutageGoesOn();
 
   // What to do if a claim is needed and the log does not answer.
   enum class Outage : std::uint8_t { kRefuse, kUseAllowance };
@@ -114,6 +116,7 @@
   void ReadClaims();
   void ReadPage();
   void ReadFailed();
+  bool KnowsTheLog() const;
   programs::Tokens Allowance(const Waiting& request);
   void             TakeRecord(const std::string& record);
   void             WakeWaiting(const std::string& program);
@@ -138,6 +141,9 @@
   Time          m_read_at = 0;       // began to read then
   bool          m_reading = false;
   bool          m_caught_up = false;  // read whole since the start
+  // When all that the log holds was last known here, but for what others were
+  // granted at that moment.
+  Time          m_sure_at = 0;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -40,13 +40,20 @@
 }
 
 std::vector<NodeInfo> Membership::HomesOf(std::string_view key) const {
-  std::vector<NodeInfo> homes = Others();
-  homes.push_back(m_self);
-  std::sort(homes.begin(), homes.end(),
+  auto homes = RankedFor(key);
+  std::erase_if(homes,
+                [this](const NodeInfo& node) { return Suspected(node.name); });
+  return homes;
+}
+
+std::vector<NodeInfo> Membership::RankedFor(std::string_view key) const {
+  std::vector<NodeInfo> nodes = All();
+  nodes.push_back(m_self);
+  std::sort(nodes.begin(), nodes.end(),
             [key](const NodeInfo& a, const NodeInfo& b) {
               return Weight(key, a.name) > Weight(key, b.name);
             });
-  return homes;
+  return nodes;
 }
 
 const NodeInfo* Membership::Find(const std::string& name) const {
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -46,6 +46,11 @@
   // The nodes that are not suspected, self included, the home of the key first
   // and then who takes its place if it cannot serve.
   std::vector<NodeInfo> HomesOf(std::string_view key) const;
+  // The same with suspected nodes in their places.
+  std::vector<NodeInfo> RankedFor(std::string_view key) const;
+  bool                  Suspected(const std::string& name) const {
+                     return m_suspects.contains(name);
+  }
   const NodeInfo&       self() const { return m_self; }
   const NodeInfo*       Find(const std::string& name) const;
   std::vector<NodeInfo> Others() const;  // not suspected
@@ -56,10 +61,6 @@
     Time     probe_at = 0;
     Duration pause = 0;  // before that
   };
-  bool Suspected(const std::string& name) const {
-    return m_suspects.contains(name);
-  }
-
   NodeInfo                         m_self;
   std::map<std::string, NodeInfo>  m_nodes;     // others, by name
   std::map<std::string, Suspicion> m_suspects;  // by name
