Count a server's failed answers as load

Only connections that broke counted against a server; a whole answer with a 500 did not. Ruled out: the own answers of each node alone. A node of 38 sends a server 0.6 requests a second, and learns too late.

Change: traffic/outcomes.h counts answers and failures with a half-life of a second; the news between the nodes of a zone carries those of servers that failed; the share beyond one in ten counts as load, up to four times a full server. "Not run" and no answer in time count too. The log line of a send tells load and failures of the server chosen.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace yuccawick::gateway {
@@ -177,17 +178,19 @@
   for (BackendConnection* connection : idle) Destroy(connection);
 }
 
-int Backends::OthersLoad(const std::string& id) const {
-  int load = 0;
-  for (const auto& [peer, news] : m_peers) {
-    if (m_loop->now() - news.heard > m_thresholds->load_memory) continue;
-    const auto found = news.loads.find(id);
-    if (found != news.loads.end()) load += found->second;
+Backends::ServerNews Backends::FromOthers(const std::string& id) const {
+  ServerNews sum;
+  for (const auto& [peer, told] : m_peers) {
+    if (m_loop->now() - told.heard > m_thresholds->load_memory) continue;
+    const auto found = told.news.find(id);
+    if (found == told.news.end()) continue;
+    sum.requests += found->second.requests;
+    sum.outcomes += found->second.outcomes;
   }
-  return load;
+  return sum;
 }
 
-std::optional<traffic::BackendServer> Backends::Choose(
+std::optional<Backends::Choice> Backends::Choose(
     const std::string& service, const std::string& line,
     const std::vector<std::string>& avoid) {
   const auto        home = m_lines.find(line);
@@ -199,22 +202,41 @@
         state.server.service != service || Contains(avoid, id)) {
       continue;
     }
-    const bool failing =
-        m_loop->now() - state.failed_at < m_thresholds->failure_memory;
-    candidates.push_back({&state.server, state.load, OthersLoad(id),
-                          state.server.zone == m_zone, id == warm,
-                          failing ? state.failures : 0});
+    candidates.push_back(Look(id, state));
+    candidates.back().holds_prefix = id == warm;
   }
   if (candidates.empty()) return std::nullopt;
   const double draw =
       std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
-  return *candidates[m_placement->Choose(candidates, draw)].server;
+  return AsChoice(candidates[m_placement->Choose(candidates, draw)]);
 }
 
-const traffic::BackendServer* Backends::Find(const std::string& id) const {
+traffic::Candidate Backends::Look(const std::string& id,
+                                  const State&       state) const {
+  const Time       now = m_loop->now();
+  const ServerNews others = FromOthers(id);
+  const bool failing = now - state.failed_at < m_thresholds->failure_memory;
+  auto       outcomes = state.outcomes.At(now);
+  outcomes += others.outcomes;
+  traffic::Candidate candidate;
+  candidate.server = &state.server;
+  candidate.own_load = state.load;
+  candidate.others_load = others.requests;
+  candidate.same_zone = state.server.zone == m_zone;
+  candidate.recent_failures = failing ? state.failures : 0;
+  candidate.failure_share = traffic::FailureShare(outcomes);
+  return candidate;
+}
+
+Backends::Choice Backends::AsChoice(const traffic::Candidate& candidate) {
+  const auto slots = static_cast<double>(std::max(1, candidate.server->slots));
+  return {*candidate.server, candidate.load() / slots, candidate.failure_share};
+}
+
+std::optional<Backends::Choice> Backends::Find(const std::string& id) const {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end() || !found->second.listed) return nullptr;
-  return &found->second.server;
+  if (found == m_servers.end() || !found->second.listed) return std::nullopt;
+  return AsChoice(Look(id, found->second));
 }
 
 bool Backends::AnyIn(const std::string&              service,
@@ -297,7 +319,9 @@
 
 void Backends::NoteSuccess(const std::string& id) {
   const auto found = m_servers.find(id);
-  if (found != m_servers.end()) found->second.failures = 0;
+  if (found == m_servers.end()) return;
+  found->second.failures = 0;
+  found->second.outcomes.Note(false, m_loop->now());
 }
 
 void Backends::NoteFailure(const std::string& id) {
@@ -305,6 +329,13 @@
   if (found == m_servers.end()) return;
   ++found->second.failures;
   found->second.failed_at = m_loop->now();
+  found->second.outcomes.Note(true, m_loop->now());
+}
+
+void Backends::NoteBadAnswer(const std::string& id) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  found->second.outcomes.Note(true, m_loop->now());
 }
 
 void Backends::Sweep() {
@@ -330,28 +361,26 @@
   });
 }
 
-void Backends::SetPeerLoads(const std::string&                          peer,
-                            const std::unordered_map<std::string, int>& loads) {
-  m_peers[peer] = {loads, m_loop->now()};
+bool Backends::ServerNews::operator==(const ServerNews& other) const {
+  // Answers without failures are no news, and failures fade by themselves.
+  constexpr double kSame = 0.5;
+  return requests == other.requests &&
+         std::abs(outcomes.failures - other.outcomes.failures) < kSame;
 }
 
-std::vector<std::pair<std::string, int>> Backends::OwnLoads() const {
-  std::vector<std::pair<std::string, int>> loads;
-  for (const auto& [id, state] : m_servers) {
-    if (state.load > 0) loads.emplace_back(id, state.load);
-  }
-  return loads;
+void Backends::SetPeerNews(const std::string& peer, const News& news) {
+  m_peers[peer] = {news, m_loop->now()};
 }
 
-double Backends::LoadOf(const std::string& service) const {
-  int load = 0;
-  int slots = 0;
+Backends::News Backends::OwnNews() const {
+  constexpr double kWorthTelling = 0.25;  // of a failure
+  News             news;
   for (const auto& [id, state] : m_servers) {
-    if (!state.listed || state.server.service != service) continue;
-    load += state.load + OthersLoad(id);
-    slots += state.server.slots;
+    ServerNews told{state.load, state.outcomes.At(m_loop->now())};
+    if (told.outcomes.failures < kWorthTelling) told.outcomes = {};
+    if (told.requests > 0 || told.outcomes.failures > 0) news[id] = told;
   }
-  return slots == 0 ? 0.0 : static_cast<double>(load) / slots;
+  return news;
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -20,6 +20,7 @@
 #include "yuccawick/net/stream.h"
 #include "yuccawick/traffic/attempt.h"
 #include "yuccawick/traffic/directory.h"
+#include "yuccawick/traffic/outcomes.h"
 #include "yuccawick/traffic/placement.h"
 
 namespace yuccawick::gateway {
@@ -91,14 +92,20 @@
   ~Backends();
 
   void Update(const traffic::ServerListPtr& servers);
+  struct Choice {
+    traffic::BackendServer server;
+    double                 load = 0;  // requests per slot, as far as known
+    double                 failure_share = 0;  // of its latest answers
+  };
   // The server for a request, or nothing. `line`: requests of one line share a
   // cached prompt; empty: none. `avoid`: ids of servers that were tried.
-  std::optional<traffic::BackendServer> Choose(
-      const std::string& service, const std::string& line,
-      const std::vector<std::string>& avoid);
-  const traffic::BackendServer* Find(const std::string& id) const;
-  bool                          AnyIn(const std::string&              service,
-                                      const std::vector<std::string>& avoid) const;
+  std::optional<Choice> Choose(const std::string&              service,
+                               const std::string&              line,
+                               const std::vector<std::string>& avoid);
+  // The same of a server that is known, if it still runs.
+  std::optional<Choice> Find(const std::string& id) const;
+  bool                  AnyIn(const std::string&              service,
+                              const std::vector<std::string>& avoid) const;
 
   // A connection to the server, kept or new; nullptr if none can be made.
   // `fresh`: a new one.
@@ -108,23 +115,31 @@
 
   void RememberLine(const std::string& line, const std::string& id);
   void NoteSuccess(const std::string& id);
+  // The server could not be reached, broke off or answered nonsense.
   void NoteFailure(const std::string& id);
+  // A whole answer that says that the server failed, or did not want to.
+  void NoteBadAnswer(const std::string& id);
   void Sweep();  // forgets what is old; call about once a second
 
-  // What other nodes say they have under way at each server.
-  void                                     SetPeerLoads(const std::string&                          peer,
-                                                        const std::unordered_map<std::string, int>& loads);
-  std::vector<std::pair<std::string, int>> OwnLoads() const;
+  // What a node knows of a server and tells others.
+  struct ServerNews {
+    int                    requests = 0;  // under way there from the node
+    traffic::OutcomeCounts outcomes;
+
+    bool operator==(const ServerNews& other) const;
+  };
+  using News = std::map<std::string, ServerNews>;  // by server
+  void        SetPeerNews(const std::string& peer, const News& news);
+  News        OwnNews() const;
   std::size_t connections() const { return m_connections.size(); }
   std::size_t servers() const { return m_servers.size(); }
-  // Requests here and elsewhere per slot of a service.
-  double      LoadOf(const std::string& service) const;
 
  private:
   struct State {
     traffic::BackendServer          server;
     bool                            listed = true;
     int                             load = 0;
+    traffic::Outcomes               outcomes;
     int                             failures = 0;
     Time                            failed_at = 0;
     std::vector<BackendConnection*> idle;
@@ -133,22 +148,25 @@
     std::string server;
     Time        used = 0;
   };
-  struct PeerLoads {
-    std::unordered_map<std::string, int> loads;
-    Time                                 heard = 0;
+  struct PeerNews {
+    News news;
+    Time heard = 0;
   };
-  int  OthersLoad(const std::string& id) const;
-  void Destroy(BackendConnection* connection);
-  void DropIdle(State* state);
-
-  net::EventLoop*                            m_loop;
-  const Thresholds*                          m_thresholds;
-  std::string                                m_zone;
-  std::unique_ptr<traffic::Placement>        m_placement;
-  std::mt19937_64                            m_random;
-  std::unordered_map<std::string, State>     m_servers;  // by id
-  std::unordered_map<std::string, LineHome>  m_lines;
-  std::unordered_map<std::string, PeerLoads> m_peers;
+  traffic::Candidate Look(const std::string& id, const State& state) const;
+  static Choice      AsChoice(const traffic::Candidate& candidate);
+  // What all fresh news together say of a server.
+  ServerNews         FromOthers(const std::string& id) const;
+  void               Destroy(BackendConnection* connection);
+  void               DropIdle(State* state);
+
+  net::EventLoop*                           m_loop;
+  const Thresholds*                         m_thresholds;
+  std::string                               m_zone;
+  std::unique_ptr<traffic::Placement>       m_placement;
+  std::mt19937_64                           m_random;
+  std::unordered_map<std::string, State>    m_servers;  // by id
+  std::unordered_map<std::string, LineHome> m_lines;
+  std::unordered_map<std::string, PeerNews> m_peers;
   std::unordered_map<BackendConnection*, std::unique_ptr<BackendConnection>>
       m_connections;
 };
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -29,6 +29,7 @@
 // off is still an honest failure or can be fetched again.
 constexpr std::size_t        kMaxWhole = 256UL * 1024;
 constexpr double             kMillisPerSecond = 1000.0;
+constexpr double             kPercent = 100.0;
 // Urgencies that servers know: 0 is first, 9 last.
 constexpr int                kLeastUrgent = 9;
 
@@ -185,15 +186,16 @@
 // Sending --------------------------------------------------------------------
 
 void Exchange::Dispatch() {
-  const auto server = m_parts.backends->Choose(m_service, LineKey(), m_tried);
-  if (!server) {
+  const auto choice = m_parts.backends->Choose(m_service, LineKey(), m_tried);
+  if (!choice) {
     Refuse(m_in_doubt ? Refusal::kServerFailed : Refusal::kNoServer);
-    return;
+  } else {
+    SendTo(*choice, m_repeats > 0);
   }
-  SendTo(*server, m_repeats > 0);
 }
 
-void Exchange::SendTo(const traffic::BackendServer& server, bool fresh) {
+void Exchange::SendTo(const Backends::Choice& choice, bool fresh) {
+  const traffic::BackendServer& server = choice.server;
   m_server_id = server.id;
   m_has_answer = false;
   m_events = {};
@@ -217,8 +219,8 @@
       {{"request", m_info.attempt},
        {"server", server.id},
        {"server_zone", server.zone},
-       {"load_per_slot_pct",
-        static_cast<int>(m_parts.backends->LoadOf(m_service) * 100)},
+       {"load_per_slot_pct", static_cast<int>(choice.load * kPercent)},
+       {"failures_pct", static_cast<int>(choice.failure_share * kPercent)},
        {"repeats", m_repeats},
        {"tokens_counted_by", m_reservation.home},
        {"after_event", forwarding.last_event},
@@ -302,14 +304,13 @@
     Dispatch();
     return;
   }
-  const traffic::BackendServer* server = m_parts.backends->Find(m_server_id);
-  if (server == nullptr) {
+  const auto same = m_parts.backends->Find(m_server_id);
+  if (!same) {
     // It has ended meanwhile, so another one costs the route nothing.
     Dispatch();
     return;
   }
-  const traffic::BackendServer same = *server;
-  SendTo(same, true);
+  SendTo(*same, true);
 }
 
 // Answering ------------------------------------------------------------------
@@ -391,6 +392,7 @@
   if (m_client == nullptr) return;
   if (m_answer_info.not_run) {
     LeaveServer(true);
+    m_parts.backends->NoteBadAnswer(m_server_id);
     Lost(LossCause::kNotRun);
     return;
   }
@@ -405,7 +407,7 @@
     return;
   }
   LeaveServer(true);
-  if (success) m_parts.backends->NoteSuccess(m_server_id);
+  NoteOutcome();
   if (m_is_stream) {
     EndStream();
   } else {
@@ -413,6 +415,15 @@
   }
 }
 
+void Exchange::NoteOutcome() {
+  constexpr int kFirstServerError = 500;
+  if (m_answer.status >= kFirstServerError) {
+    m_parts.backends->NoteBadAnswer(m_server_id);
+  } else {
+    m_parts.backends->NoteSuccess(m_server_id);
+  }
+}
+
 void Exchange::EndPlain() {
   // These would promise the client that its request did not run, and the server
   // did not say so.
@@ -482,6 +493,7 @@
   if (m_client == nullptr) return;
   const bool sent = m_in_doubt || m_phase == AttemptPhase::kSent ||
                     m_phase == AttemptPhase::kAnswering;
+  if (sent && !m_passed_head) m_parts.backends->NoteBadAnswer(m_server_id);
   LeaveServer(false);
   if (m_passed_head) {
     CutOff("out_of_time");
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -79,7 +79,7 @@
   void Prepared();
   // Sending
   void Dispatch();
-  void SendTo(const traffic::BackendServer& server, bool fresh);
+  void SendTo(const Backends::Choice& choice, bool fresh);
   void LeaveServer(bool keep);
   void Lost(traffic::LossCause cause);
   void SendAgain(traffic::NextStep step);
@@ -88,6 +88,7 @@
   void WriteAnswer(std::string_view bytes);
   void BeginAnswer(std::int64_t length);
   void EndStream();
+  void NoteOutcome();
   void EndPlain();
   void RecordTurn();
   void FinishAnswer(std::string_view last_bytes);
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -464,19 +464,22 @@
 }
 
 void PeerService::TellLoads() {
-  auto loads = m_backends->OwnLoads();
-  std::sort(loads.begin(), loads.end());
+  auto       news = m_backends->OwnNews();
   const bool due = m_loop->now() - m_told_at >= m_thresholds->news_anyway;
-  if (loads == m_told && !due) return;
-  m_told = loads;
+  if (news == m_told && !due) return;
+  m_told = std::move(news);
   m_told_at = m_loop->now();
   for (const NodeInfo& node : m_members->Others()) {
     if (node.zone != m_members->self().zone) continue;
     m_network->Tell(node, [&](PeerMessage::Builder message) {
-      auto list = message.initLoads(static_cast<unsigned>(loads.size()));
-      for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setServer(loads[i].first);
-        list[i].setRequests(static_cast<std::uint16_t>(loads[i].second));
+      auto     list = message.initLoads(static_cast<unsigned>(m_told.size()));
+      unsigned i = 0;
+      for (const auto& [server, told] : m_told) {
+        list[i].setServer(server);
+        list[i].setRequests(static_cast<std::uint16_t>(told.requests));
+        list[i].setAnswers(static_cast<float>(told.outcomes.answers));
+        list[i].setFailures(static_cast<float>(told.outcomes.failures));
+        ++i;
       }
     });
   }
@@ -484,11 +487,12 @@
 
 void PeerService::TakeLoads(const std::string&  node,
                             PeerMessage::Reader message) {
-  std::unordered_map<std::string, int> loads;
+  Backends::News news;
   for (const auto& load : message.getLoads()) {
-    loads.emplace(load.getServer().cStr(), load.getRequests());
+    news[load.getServer().cStr()] = {load.getRequests(),
+                                     {load.getAnswers(), load.getFailures()}};
   }
-  m_backends->SetPeerLoads(node, loads);
+  m_backends->SetPeerNews(node, news);
 }
 
 void PeerService::OnMessage(PeerNetwork::SessionId session,
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -105,7 +105,7 @@
                                                      m_reserved;
   // Questions for a reservation that were given up, by number.
   std::map<std::uint64_t, TurnBudget>                m_given_up;
-  std::vector<std::pair<std::string, int>>           m_told;
+  Backends::News                                     m_told;
   Time                                               m_told_at = 0;
   Time                                               m_outage_told_at = 0;
   bool                                               m_members_known = false;
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -90,8 +90,7 @@
   // then; another home would only split the tokens. A claim takes some 12.
   Duration home_answer = 100;
   // A home that is silent for longer is gone: twice the time of an answer and a
-  // round trip. All programs of a lost home wait that long. With 700, the loss
-  // of one node of eight halved the answers of all for a second.
+  // round trip. All its programs wait that long when it loses power.
   Duration reserve_timeout = 250;
   // How long a turn waits for tokens while the log is away or its outage is not
   // yet agreed on, and the pause between two tries.
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -33,6 +33,9 @@
 struct ServerLoad {
   server   @0 :Text;    # id of the backend server
   requests @1 :UInt16;  # under way there from the sender
+  # Of its latest answers to the sender; older ones count less.
+  answers  @2 :Float32;
+  failures @3 :Float32;
 }
 
 # Tokens of a program, asked of the node that counts them.
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -95,7 +95,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c9f77a471cb6f694, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c9f77a471cb6f694, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -569,6 +569,10 @@
 
   inline  ::uint16_t getRequests() const;
 
+  inline float getAnswers() const;
+
+  inline float getFailures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -607,6 +611,12 @@
   inline  ::uint16_t getRequests();
   inline void setRequests( ::uint16_t value);
 
+  inline float getAnswers();
+  inline void setAnswers(float value);
+
+  inline float getFailures();
+  inline void setFailures(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1740,6 +1750,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ServerLoad::Reader::getAnswers() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getAnswers() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setAnswers(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServerLoad::Reader::getFailures() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float ServerLoad::Builder::getFailures() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setFailures(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Reserve::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -10,6 +10,11 @@
          std::max(1, candidate.server->slots);
 }
 
+double Failing(const Candidate& candidate, const PlacementWeights& weights) {
+  return weights.failure *
+         (candidate.recent_failures + candidate.failure_share);
+}
+
 // Lowest cost; among equals, the one that the draw falls on.
 template <class Cost>
 std::size_t Cheapest(const std::vector<Candidate>& candidates, double draw,
@@ -36,8 +41,7 @@
   std::size_t Choose(const std::vector<Candidate>& candidates,
                      double                        draw) const override {
     return Cheapest(candidates, draw, [this](const Candidate& candidate) {
-      return LoadPerSlot(candidate) +
-             m_weights.failure * candidate.recent_failures;
+      return LoadPerSlot(candidate) + Failing(candidate, m_weights);
     });
   }
 
@@ -55,7 +59,7 @@
       double cost = LoadPerSlot(candidate);
       if (!candidate.same_zone) cost += m_weights.cross_zone;
       if (!candidate.holds_prefix) cost += m_weights.cold_prefix;
-      return cost + m_weights.failure * candidate.recent_failures;
+      return cost + Failing(candidate, m_weights);
     });
   }
 
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -17,10 +17,11 @@
 struct Candidate {
   const BackendServer* server = nullptr;
   int                  own_load = 0;  // requests this node has under way there
-  int  others_load = 0;               // the same of other nodes, as last heard
-  bool same_zone = false;             // as this node
-  bool holds_prefix = false;          // served the request's line of turns last
-  int  recent_failures = 0;           // since its last success
+  int    others_load = 0;             // the same of other nodes, as last heard
+  bool   same_zone = false;           // as this node
+  bool   holds_prefix = false;        // served the request's line of turns last
+  int    recent_failures = 0;         // since its last success
+  double failure_share = 0;           // of its latest answers, 0 to 1
 
   int load() const { return own_load + others_load; }
 };
@@ -39,7 +40,7 @@
 struct PlacementWeights {
   double cross_zone = 0.45;
   double cold_prefix = 0.15;
-  double failure = 4.0;  // any healthy server first
+  double failure = 4.0;  // any healthy server first; also of a share of one
 };
 
 enum class PlacementKind : std::uint8_t { kLeastLoaded, kZoneAndPrefix };
