Split what nodes do for turns from the peer service

Change: PeerTurns holds the second (copies, searches, reading for the zone), asks and serves; PeerService keeps tokens and news. Nothing decides otherwise.

--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -17,8 +17,8 @@
 
 #include "yuccawick/gateway/backends.h"
 #include "yuccawick/gateway/peer_network.h"
+#include "yuccawick/gateway/peer_turns.h"
 #include "yuccawick/gateway/token_desk.h"
-#include "yuccawick/gateway/turn_keeper.h"
 
 namespace yuccawick::gateway {
 
@@ -29,9 +29,7 @@
   std::string    home;  // name of the node that counts; empty: this one
 };
 
-class PeerService final : public PeerNetwork::Service,
-                          public TurnPeers,
-                          public OutagePeers {
+class PeerService final : public PeerNetwork::Service, public OutagePeers {
  public:
   PeerService(net::EventLoop* loop, const Thresholds* thresholds,
               programs::Membership* members, PeerNetwork* network,
@@ -52,13 +50,6 @@
   bool IsIsolated() const;
   void TellRecord(const programs::TokenClaim& record) override;
 
-  void AskForTurn(const std::string&                 id,
-                  std::function<void(const Search&)> done) override;
-  bool AskReader(int partition, const std::string& id,
-                 std::function<void(const Lookup&)> done) override;
-  void CopyTurn(const programs::Turn& turn, Duration retention,
-                std::function<void(bool)> done) override;
-
   void OnMessage(PeerNetwork::SessionId session, const std::string& node,
                  PeerMessage::Reader message,
                  PeerNetwork::Reply  reply) override;
@@ -83,22 +74,18 @@
   void ServeReserve(PeerNetwork::SessionId session, PeerMessage::Reader message,
                     PeerNetwork::Reply reply);
   void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
-  void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
-  void AnswerFind(const std::string& id, bool complete,
-                  const PeerNetwork::Reply& reply);
   TokenDesk& DeskOf(const std::string& program);
   void       TakeLogAway(const std::string& node, PeerMessage::Reader message);
   void       TakeLoads(const std::string& node, PeerMessage::Reader message);
   void       TellSettle(const std::string& home, const TurnBudget& turn,
                         programs::Tokens used);
-  std::vector<programs::NodeInfo> Holders(const std::string& key) const;
 
   net::EventLoop*         m_loop;
   const Thresholds*       m_thresholds;
   programs::Membership*   m_members;
   PeerNetwork*            m_network;
   std::vector<TokenDesk>* m_desks;  // by partition of the claims
-  TurnKeeper*             m_turns;
+  PeerTurns               m_turns;
   Backends*               m_backends;
   // Turns reserved here for other nodes, by the session they came over.
   std::unordered_map<PeerNetwork::SessionId, std::vector<TurnBudget>>
