Look at a third of many servers for a request

Cause: on the grown sites each node sees the loads of its zone's nodes, up to 50 ms old, and sends to the least loaded of 35 servers; so do the 37 others. The server that was idle when news came is filled by all, engines put turns back, and less urgent ones wait 1.4 s. Ruled out: too little news.

Change: of more than 16 servers, LeaveSome keeps a third by chance and the one that holds the prefix; two thresholds.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -206,6 +206,7 @@
     candidates.back().holds_prefix = id == warm;
   }
   if (candidates.empty()) return std::nullopt;
+  traffic::LeaveSome(&candidates, m_thresholds->sampling, &m_random);
   const double draw =
       std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
   return AsChoice(candidates[m_placement->Choose(candidates, draw)]);
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -8,7 +8,9 @@
 namespace {
 
 using Field = std::variant<Duration Thresholds::*, double Thresholds::*,
-                           double traffic::PlacementWeights::*>;
+                           double       traffic::PlacementWeights::*,
+                           double       traffic::Sampling::*,
+                           std::int64_t traffic::Sampling::*>;
 
 struct Entry {
   std::string_view name;
@@ -19,6 +21,7 @@
 
 using T = Thresholds;
 using W = traffic::PlacementWeights;
+using S = traffic::Sampling;
 
 // Bounds keep a slip of the keyboard from stopping a node; within them every
 // value serves, well or badly.
@@ -34,6 +37,8 @@
     Entry{"cross_zone_weight", &W::cross_zone, 0, 100},
     Entry{"cold_prefix_weight", &W::cold_prefix, 0, 100},
     Entry{"failure_weight", &W::failure, 0, 100},
+    Entry{"sampling_share", &S::share, 0, 1},
+    Entry{"sampling_few", &S::few, 0, 100'000},
     Entry{"answer_way", &T::answer_way, 0, 1000},
     Entry{"return_delay", &T::return_delay, 1, 60'000},
     Entry{"start_delay", &T::start_delay, 1, 60'000},
@@ -97,6 +102,10 @@
     use(thresholds.**time);
   } else if (const auto* number = std::get_if<double T::*>(&field)) {
     use(thresholds.**number);
+  } else if (const auto* share = std::get_if<double S::*>(&field)) {
+    use(thresholds.sampling.**share);
+  } else if (const auto* few = std::get_if<std::int64_t S::*>(&field)) {
+    use(thresholds.sampling.**few);
   } else {
     use(thresholds.placement.*std::get<double W::*>(field));
   }
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -41,6 +41,7 @@
   // Load per slot at which a near or a warm server is no better any more, and
   // the load that a failure counts as: any healthy server goes first.
   traffic::PlacementWeights placement;
+  traffic::Sampling         sampling;
 
   // Requests -----------------------------------------------------------------
   // Given up this long before the client stops listening, so that the answer
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -1,6 +1,7 @@
 #include "yuccawick/traffic/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccawick::traffic {
 namespace {
@@ -69,6 +70,17 @@
 
 }  // namespace
 
+void LeaveSome(std::vector<Candidate>* candidates, const Sampling& sampling,
+               std::mt19937_64* random) {
+  if (static_cast<std::int64_t>(candidates->size()) <= sampling.few) return;
+  std::bernoulli_distribution stays(sampling.share);
+  std::vector<Candidate>      some;
+  for (const Candidate& candidate : *candidates) {
+    if (candidate.holds_prefix || stays(*random)) some.push_back(candidate);
+  }
+  if (!some.empty()) *candidates = std::move(some);
+}
+
 std::unique_ptr<Placement> MakePlacement(PlacementKind           kind,
                                          const PlacementWeights& weights) {
   if (kind == PlacementKind::kLeastLoaded) {
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <random>
 #include <string_view>
 #include <vector>
 
@@ -43,6 +44,19 @@
   double failure = 4.0;  // any healthy server first; also of a share of one
 };
 
+// How many of the servers a node looks at for one request.
+struct Sampling {
+  double       share = 0.34;  // of the candidates, each by chance
+  std::int64_t few = 16;      // so many or fewer are all looked at
+};
+
+// Leaves some of the candidates. What nodes know of each other's load is older
+// than a turn at its start: if all looked at all servers, they would all find
+// the same one idle, and fill it before they hear of each other. The one that
+// holds the prefix stays.
+void LeaveSome(std::vector<Candidate>* candidates, const Sampling& sampling,
+               std::mt19937_64* random);
+
 enum class PlacementKind : std::uint8_t { kLeastLoaded, kZoneAndPrefix };
 std::unique_ptr<Placement> MakePlacement(PlacementKind           kind,
                                          const PlacementWeights& weights);
