Log the loss of a peer once, also when it is found by a timeout

A peer that did not answer in time was suspected without a line. Change: PeerNetwork logs when the suspicion is news, whichever way it arose. Measured: the new test of Membership fails to compile before and passes after; schedules of whole nodes, turns and requests pass.

--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -104,7 +104,7 @@
     const net::TimerId timer =
         m_network->m_loop->After(timeout, [this, number] {
           Answered late = Take(number);
-          m_network->m_members->Suspect(m_node.name, m_network->m_loop->now());
+          m_network->Suspect(m_node.name);
           late(std::nullopt);
         });
     m_questions.emplace(number, Question{std::move(done), timer});
@@ -278,13 +278,15 @@
   m_log->Write(LogEvent::kPeer, {{"peer", node}, {"state", "back"}});
 }
 
+void PeerNetwork::Suspect(const std::string& node) {
+  if (!m_members->Suspect(node, m_loop->now())) return;
+  m_log->Write(LogEvent::kPeer, {{"peer", node}, {"state", "lost"}});
+}
+
 void PeerNetwork::DropLink(const std::string& node, bool suspect) {
   auto entry = m_links.extract(node);
   if (entry.empty()) return;
-  if (suspect) {
-    m_members->Suspect(node, m_loop->now());
-    m_log->Write(LogEvent::kPeer, {{"peer", node}, {"state", "lost"}});
-  }
+  if (suspect) Suspect(node);
   const std::shared_ptr<Link> dying = std::move(entry.mapped());
   dying->Close();
   // Questions fail later: whoever asked may ask again at once, and the link may
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -71,6 +71,8 @@
   class Session;  // made by a peer
   void  HeardOf(const std::string& node);
   Link* LinkTo(const programs::NodeInfo& node);
+  // A node did not answer, or its connection broke.
+  void  Suspect(const std::string& node);
   void  DropLink(const std::string& node, bool suspect);
   void  DropSession(SessionId id);
 
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -21,10 +21,11 @@
   known = node;
 }
 
-void Membership::Suspect(const std::string& name, Time now) {
+bool Membership::Suspect(const std::string& name, Time now) {
   const auto [suspicion, added] = m_suspects.try_emplace(name);
-  if (!added) return;  // several questions failed at once, or a probe
-  suspicion->second = {now + kFirstProbePause, kFirstProbePause};
+  // Otherwise several questions failed at once, or a probe.
+  if (added) suspicion->second = {now + kFirstProbePause, kFirstProbePause};
+  return added;
 }
 
 std::vector<NodeInfo> Membership::TakeDueProbes(Time now) {
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -36,8 +36,8 @@
   void Put(const NodeInfo& node);
   void Remove(const std::string& name) { m_nodes.erase(name); }
   // The node did not answer. It is no home until it is heard of again; nothing
-  // that a client waits for is sent there meanwhile.
-  void Suspect(const std::string& name, Time now);
+  // that a client waits for is sent there meanwhile. True if that is news.
+  bool Suspect(const std::string& name, Time now);
   // The node was heard of; true if it had been suspected.
   bool Trust(const std::string& name) { return m_suspects.erase(name) > 0; }
   // Suspected nodes that are to be asked for a sign of life now; each is due
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -183,6 +183,17 @@
   return {name, name + "/1", {}, "z"};
 }
 
+Test(Membership, SuspectedTwice_IsNewsOnce) {
+  // Nodes that tell a lost node something again and again would otherwise log
+  // its loss each time.
+  programs::Membership members({"a", "a/1", {}, "z"});
+  members.Put({"b", "b/1", {}, "z"});
+  cr_assert(members.Suspect("b", 0));
+  cr_assert_not(members.Suspect("b", 10));
+  cr_assert(members.Trust("b"));
+  cr_assert(members.Suspect("b", 20));
+}
+
 Test(Membership, EveryNode_ChoosesTheSameHomes) {
   const std::vector<std::string> names{"a", "b", "c", "d", "e"};
   std::vector<std::string>       first;
