--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -51,8 +51,8 @@
   // which a place at a server comes free.
   Duration return_delay = 150;
   Duration start_delay = 300;  // the same while this node starts
-  Duration client_silence =
-      5000;  // unacknowledged bytes; clients give up sooner
+  // How long bytes to a client may stay unacknowledged; it gives up sooner.
+  Duration client_silence = 5000;
   // After an answer that ends the connection, what the client still sends is
   // read and dropped for this long. Closing with unread bytes would reset the
   // connection, and the reset can overtake the answer.
