Give a silent home up after 700 ms again

Suspected, not proved: homes on small, slow nodes (0.09 of a core) are given up after 250 ms while they work, the next home claims half of what is left, and so on until the rest is below one turn.

A home that falls silent is again waited for once, for 700 ms.

--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -86,13 +86,13 @@
   // A turn waits this long for others of its program to end: about as long as
   // the longest turn takes at a busy server.
   Duration turns_wait = 900;
+  // A home that must claim first takes two calls of the log. A home given up too
+  // early splits its programs' tokens: another claims half of what is left.
+  Duration reserve_timeout = 700;
   // A home answers within this time; "hold" if it waits for the log or for
   // turns to end. The asker asks again, and what was claimed meanwhile is there
-  // then; another home would only split the tokens. A claim takes some 12.
-  Duration home_answer = 100;
-  // A home that is silent for longer is gone: twice the time of an answer and a
-  // round trip. All its programs wait that long when it loses power.
-  Duration reserve_timeout = 250;
+  // then; another home would only split the tokens.
+  Duration home_answer = 350;
   // How long a turn waits for tokens while the log is away or its outage is not
   // yet agreed on, and the pause between two tries.
   Duration reserve_patience = 1200;
