--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -86,8 +86,8 @@
   // A turn waits this long for others of its program to end: about as long as
   // the longest turn takes at a busy server.
   Duration turns_wait = 900;
-  // A home that must claim first takes two calls of the log. A home given up too
-  // early splits its programs' tokens: another claims half of what is left.
+  // A home that must claim first takes two calls of the log. A home given up
+  // too early splits its programs' tokens: another claims half of what is left.
   Duration reserve_timeout = 700;
   // A home answers within this time; "hold" if it waits for the log or for
   // turns to end. The asker asks again, and what was claimed meanwhile is there
