Say what the peer service still does, and what Find() returns

Cause: reading the diff as a newcomer; the head of peer_service.h still promised copies of turns, which moved to peer_turns.h, and the comment of Find() named a thing that stands elsewhere. Change: two comments, no code.

--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -102,7 +102,7 @@
   std::optional<Choice> Choose(const std::string&              service,
                                const std::string&              line,
                                const std::vector<std::string>& avoid);
-  // The same of a server that is known, if it still runs.
+  // What Choose() would say of this server; nothing if it is not listed.
   std::optional<Choice> Find(const std::string& id) const;
   bool                  AnyIn(const std::string&              service,
                               const std::vector<std::string>& avoid) const;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -1,5 +1,6 @@
-// What nodes do for each other: count tokens, hold copies of turns, tell their
-// load.
+// What nodes do for each other: count tokens and tell what they know of servers
+// and of the log. What they do for each other's turns is in peer_turns.h; this
+// passes such messages on.
 //
 // Each program has a home, the node that counts its tokens in memory; asking it
 // costs one round trip instead of two calls of the log. Homes are a matter of
