Log what a kept turn rests on, whole scans, numbers of claims; count copies and allowances

Cause: after the loss of all nodes neither logs nor metrics told which of five hypotheses held: an answered turn did not say what its end rested on, a scan did not say how much it read, a claim had no number, and nothing counted turns that ended by copies or tokens used without a record. Change: answered lines carry partition and offset of a kept turn (-1: copies), scans end and records, claims their number and how late they came; counters turns_kept_total by log or copies, allowances_total. No decision changes. Measured: turns, schedule, requests and process tests of the gateway pass.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -456,16 +456,17 @@
 void Exchange::RecordTurn() {
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
-  m_parts.turns->Keep(turn, m_route->retention,
-                      [self = shared_from_this()](TurnKeeper::Kept kept) {
-                        if (self->m_client == nullptr) return;
-                        if (kept == TurnKeeper::Kept::kAtPeers) {
-                          self->m_parts.log->Write(
-                              LogEvent::kTurnAtPeers,
-                              {{"request", self->m_info.attempt}});
-                        }
-                        self->FinishAnswer(net::kLastChunk);
-                      });
+  m_parts.turns->Keep(
+      turn, m_route->retention,
+      [self = shared_from_this()](const TurnKeeper::Kept& kept) {
+        if (self->m_client == nullptr) return;
+        self->m_kept = kept;
+        if (!kept.in_log) {
+          self->m_parts.log->Write(LogEvent::kTurnAtPeers,
+                                   {{"request", self->m_info.attempt}});
+        }
+        self->FinishAnswer(net::kLastChunk);
+      });
 }
 
 void Exchange::FinishAnswer(std::string_view last_bytes) {
@@ -480,6 +481,8 @@
        {"status", m_answer.status},
        {"events", m_event_count},
        {"first_event_ms", m_first_event == 0 ? 0 : m_first_event - m_began},
+       {"turn_partition", m_kept.partition},
+       {"turn_offset", m_kept.offset},
        {"took_ms", took}});
   ClientSide* client = m_client;
   End();
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -140,6 +140,7 @@
   std::string            m_output;      // for the turn's record
   std::int64_t           m_event_count = 0;
   Time                   m_first_event = 0;
+  TurnKeeper::Kept       m_kept;  // of a turn that is kept
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -38,6 +38,7 @@
       m_store(store),
       m_health(loop, thresholds, log, metrics,
                "claims " + std::to_string(partition)),
+      m_metrics(metrics),
       m_log(log),
       m_incarnation(std::move(incarnation)),
       m_partition(partition),
@@ -184,6 +185,12 @@
   // An append that got no answer may be carried out seconds later. By then this
   // node may have used an allowance instead, so it forgoes what came late.
   const bool late = m_loop->now() - SentAt(*claim) > m_thresholds->late_claim;
+  if (late) {
+    m_log->Write(LogEvent::kClaim,
+                 {{"program", claim->program},
+                  {"number", static_cast<std::int64_t>(claim->number)},
+                  {"late_ms", m_loop->now() - SentAt(*claim)}});
+  }
   const auto account = m_accounts.find(claim->program);
   // Records that are on their way may take part of what the log grants.
   const auto rest = m_ledger.Rest(claim->program, claim->budget);
@@ -200,6 +207,7 @@
   if (node.empty()) return;
   const Waiting& request = node.mapped();
   m_log->Write(LogEvent::kClaim, {{"program", request.turn.program},
+                                  {"number", static_cast<std::int64_t>(number)},
                                   {"granted", granted},
                                   {"most", request.turn.most}});
   // Asks again rather than taking it: other turns may have used it meanwhile.
@@ -232,6 +240,7 @@
   if (allowance <= 0) return;
   const std::string& program = request.turn.program;
   Account&           account = m_accounts.at(program);
+  m_metrics->CountAllowance();
   m_log->Write(LogEvent::kClaim, {{"program", program},
                                   {"log", "away"},
                                   {"allowance", allowance},
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -125,6 +125,7 @@
   const Thresholds*                          m_thresholds;
   platform::RecordLog*                       m_store;
   LogHealth                                  m_health;
+  Metrics*                                   m_metrics;
   OutagePeers*                               m_peers = nullptr;
   Log*                                       m_log;
   std::string                                m_incarnation;
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -160,6 +160,7 @@
   Scan& scan = m_scans[static_cast<std::size_t>(partition)];
   scan.busy = true;
   scan.served = std::exchange(scan.waiting, {});
+  scan.taken = 0;
   ReadPart(partition);
 }
 
@@ -179,6 +180,8 @@
           return;
         }
         TakeTurns(result->records);
+        scan.end = result->end;
+        scan.taken += result->records.size();
         scan.next = std::max(scan.next, result->next);
         if (scan.next >= result->end) {
           EndScan(partition, true);
@@ -198,6 +201,8 @@
   m_log->Write(LogEvent::kScan, {{"partition", partition},
                                  {"complete", complete ? "yes" : "no"},
                                  {"offset", scan.next},
+                                 {"end", scan.end},
+                                 {"records", scan.taken},
                                  {"questions", served.size()}});
   // Whoever asked while this search ran needs one that starts now.
   if (!scan.waiting.empty()) BeginScan(partition);
@@ -246,26 +251,30 @@
   const Time began = m_loop->now();
   m_history.Add(turn, began, retention + kRetentionSlack);
   auto       open = std::make_shared<bool>(true);
-  const auto settle = [this, began, open, done = std::move(done)](Kept kept) {
+  const auto settle = [this, began, open,
+                       done = std::move(done)](const Kept& kept) {
     if (!std::exchange(*open, false)) return;
+    m_metrics->CountTurnKept(kept.in_log);
     m_metrics->ObserveTurnKept(static_cast<double>(m_loop->now() - began) /
                                kMillisPerSecond);
     done(kept);
   };
-  const auto in_log = [settle](const Appender::Result&) {
-    settle(Kept::kInLog);
+  const auto in_log = [settle](int partition) {
+    return [settle, partition](const Appender::Result& result) {
+      settle({true, partition, result->offset});
+    };
   };
   const int first = PlaceFor(turn);
-  Append(turn, first, in_log);
+  Append(turn, first, in_log(first));
   const bool away = m_scans[static_cast<std::size_t>(first)].health->away();
   m_loop->After(away ? 0 : m_thresholds->log_patience,
                 [this, turn, retention, first, open, settle, in_log] {
                   if (!*open) return;
                   const int second = PlaceFor(turn);
                   // A turn that lies in the log twice is the same turn.
-                  if (second != first) Append(turn, second, in_log);
+                  if (second != first) Append(turn, second, in_log(second));
                   m_peers->CopyTurn(turn, retention, [settle](bool copied) {
-                    if (copied) settle(Kept::kAtPeers);
+                    if (copied) settle({});
                   });
                 });
 }
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -81,8 +81,13 @@
   using FindDone = std::function<void(FindOutcome)>;
   void Find(const std::string& id, const std::string& program, FindDone done);
 
-  enum class Kept : std::uint8_t { kInLog, kAtPeers };
-  using KeepDone = std::function<void(Kept)>;
+  // What the end of the turn's answer rests on.
+  struct Kept {
+    bool         in_log = false;  // else: copies at peers
+    int          partition = -1;  // of the log
+    std::int64_t offset = -1;     // of the append that carried it
+  };
+  using KeepDone = std::function<void(const Kept&)>;
   // `done` once the turn is durable; never, if that cannot be had.
   void Keep(const programs::Turn& turn, Duration retention, KeepDone done);
   // A peer's turn, kept here and appended to the log when it answers.
@@ -109,6 +114,8 @@
   struct Scan {
     std::unique_ptr<LogHealth>             health;
     std::int64_t                           next = 0;
+    std::int64_t                           end = 0;    // as last heard
+    std::size_t                            taken = 0;  // records, in this scan
     bool                                   busy = false;
     std::vector<std::function<void(bool)>> served;
     std::vector<std::function<void(bool)>> waiting;
