--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -128,8 +128,7 @@
              [&gateway, name = std::move(name), node = std::move(node)] {
                gateway.TakeNode(name, node);
              });
-       },
-       [&] { traffic.Post([&gateway] { gateway.TakeNodesKnown(); }); }});
+       }});
   control.Post([&] { follower.Start(); });
   std::thread control_thread([&] { control.Run(); });
   traffic.Run();
--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -50,7 +50,7 @@
   m_health->Note(result.has_value(), "append");
   auto              flown = std::exchange(m_flying, {});
   std::vector<Item> again;
-  m_loop->After(result ? 0 : m_thresholds->log_retry_delay, [this] {
+  m_loop->After(result ? 0 : m_thresholds->log_away_pause, [this] {
     m_busy = false;
     Pump();
   });
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -88,7 +88,7 @@
                       {"service", m_service},
                       {"manifest", m_routes->manifest()->version},
                       {"left_ms", Left()}});
-  FindHistory();
+  AwaitLog();
 }
 
 bool Exchange::CheckRequest() {
@@ -120,6 +120,30 @@
   });
 }
 
+// A turn whose end no node can keep would be read to its last event and then
+// broken off, at the cost of its tokens and of a server's time; the next
+// attempt would have no tokens to run on. So it waits before it is sent, not
+// after.
+void Exchange::AwaitLog() {
+  if (m_client == nullptr) return;
+  if (!m_route->keeps_turns || m_parts.turns->MayKeep()) {
+    FindHistory();
+    return;
+  }
+  const Duration waited = m_parts.loop->now() - m_began;
+  if (waited >= m_parts.thresholds->log_wait) {
+    Refuse(Refusal::kLogAway);
+    return;
+  }
+  if (waited == 0) {
+    m_parts.log->Write(LogEvent::kWaiting,
+                       {{"request", m_info.attempt},
+                        {"log_away_ms", m_parts.turns->AwayFor()}});
+  }
+  m_parts.loop->After(m_parts.thresholds->log_wait_pause,
+                      [self = shared_from_this()] { self->AwaitLog(); });
+}
+
 void Exchange::FindHistory() {
   if (!m_route->keeps_turns) {
     m_chain = std::move(m_body);
@@ -456,17 +480,12 @@
 void Exchange::RecordTurn() {
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
-  m_parts.turns->Keep(
-      turn, m_route->retention,
-      [self = shared_from_this()](const TurnKeeper::Kept& kept) {
-        if (self->m_client == nullptr) return;
-        self->m_kept = kept;
-        if (!kept.in_log) {
-          self->m_parts.log->Write(LogEvent::kTurnAtPeers,
-                                   {{"request", self->m_info.attempt}});
-        }
-        self->FinishAnswer(net::kLastChunk);
-      });
+  m_parts.turns->Keep(turn, m_route->retention,
+                      [self = shared_from_this()](const Kept& kept) {
+                        if (self->m_client == nullptr) return;
+                        self->m_kept = kept;
+                        self->FinishAnswer(net::kLastChunk);
+                      });
 }
 
 void Exchange::FinishAnswer(std::string_view last_bytes) {
@@ -507,9 +526,14 @@
 
 Duration Exchange::RetryAfter(Refusal refusal) const {
   if (!traffic::InvitesReturn(refusal)) return -1;
-  const Duration mean = refusal == Refusal::kNotReady
-                            ? m_parts.thresholds->start_delay
-                            : m_parts.thresholds->return_delay;
+  const Thresholds& limits = *m_parts.thresholds;
+  Duration          mean = limits.return_delay;
+  if (refusal == Refusal::kNotReady) mean = limits.start_delay;
+  if (refusal == Refusal::kLogAway || refusal == Refusal::kHistoryUnsure ||
+      refusal == Refusal::kBudgetUnsure) {
+    mean = std::clamp(m_parts.peers->LogAwayFor(), limits.return_delay,
+                      limits.outage_return);
+  }
   // Spread over half to one and a half of the mean: clients refused together
   // would otherwise come back together.
   return static_cast<Duration>(static_cast<double>(mean) * (0.5 + Draw()));
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -73,6 +73,7 @@
   // Preparing
   bool CheckRequest();
   void StartTimer();
+  void AwaitLog();
   void FindHistory();
   void ReserveTokens();
   void TakeReservation(const Reservation& reservation);
@@ -140,7 +141,7 @@
   std::string            m_output;      // for the turn's record
   std::int64_t           m_event_count = 0;
   Time                   m_first_event = 0;
-  TurnKeeper::Kept       m_kept;  // of a turn that is kept
+  Kept                   m_kept;  // where the log holds the turn
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -140,7 +140,7 @@
       m_nodes(loop, store, log, Topic::kNodes, "nodes",
               {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { TakeNode(record); }, [] {},
-               [this] { m_outputs.nodes_listed(); }, [](bool) {}}) {}
+               [] {}, [](bool) {}}) {}
 
 void Follower::Start() {
   m_operator.Start();
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -71,7 +71,6 @@
     std::function<void(traffic::ServerListPtr)> servers;
     // A node announced itself, or, without a value, left.
     std::function<void(std::string, std::optional<programs::NodeInfo>)> node;
-    std::function<void()> nodes_listed;  // every node so far was given
   };
   Follower(net::EventLoop* loop, platform::Store* store, Log* log,
            Outputs outputs);
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -206,8 +206,6 @@
     m_log->Write(LogEvent::kStopped, {{"connections_cut", m_clients.size()},
                                       {"turns_not_durable", m_turns.unkept()}});
     for (TokenDesk& desk : m_desks) desk.GiveBackAll();
-    // Only now: until its end this node may hold turns that the log does not
-    // have, and others ask only the nodes that they know.
     m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
                 m_thresholds->log_timeout,
                 [](const platform::StoreResult<platform::Appended>&) {});
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -25,8 +25,6 @@
   bool Listen();  // false: an address is not to be had
   void TakeManifest(const traffic::ManifestPtr& manifest);
   void TakeServers(const traffic::ServerListPtr& servers);
-  // The nodes that announced themselves so far have all been taken.
-  void TakeNodesKnown() { m_peers.SetMembersKnown(); }
   // A node announced itself, or, without a value, left.
   void TakeNode(const std::string&                       name,
                 const std::optional<programs::NodeInfo>& node);
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -37,12 +37,12 @@
   kRefused,   // answered without an answer of a server
   kCutOff,    // the answer was broken off
   kClientLeft,
-  kTurnAtPeers,  // a turn is durable by copies; the log does not have it
-  kClaim,        // tokens of a program were claimed
-  kScan,         // the log was searched for turns
-  kPeer,         // a peer came or went
-  kDropped,      // log lines were dropped
-  kFault,        // something that should not happen
+  kWaiting,  // the log is away: the turn waits before it is sent
+  kClaim,    // tokens of a program were claimed
+  kScan,     // the log was searched for turns
+  kPeer,     // a peer came or went
+  kDropped,  // log lines were dropped
+  kFault,    // something that should not happen
 };
 std::string_view Name(LogEvent event);
 
--- a/src/yuccawick/gateway/log_health.cc
+++ b/src/yuccawick/gateway/log_health.cc
@@ -1,22 +1,19 @@
 #include "yuccawick/gateway/log_health.h"
 
 namespace yuccawick::gateway {
-namespace {}  // namespace
 
 void LogHealth::Note(bool answered, std::string_view call) {
   m_metrics->CountStoreCall(answered);
   if (!answered) m_retry_at = m_loop->now() + m_thresholds->log_away_pause;
   if (answered != m_away) return;
   m_away = !answered;
-  if (m_away) {
-    m_away_since = m_loop->now();
-  } else if (m_loop->now() - m_away_since >= m_thresholds->log_outage) {
-    m_quiet_until = m_loop->now() + m_thresholds->log_return_quiet;
-  }
+  if (m_away) m_away_since = m_loop->now();
   m_log->Write(answered ? LogEvent::kLogBack : LogEvent::kLogLost,
                {{"partition", m_name}, {"call", call}});
 }
 
-bool LogHealth::JustReturned() const { return m_loop->now() < m_quiet_until; }
+net::Duration LogHealth::AwayFor() const {
+  return m_away ? m_loop->now() - m_away_since : 0;
+}
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/log_health.h
+++ b/src/yuccawick/gateway/log_health.h
@@ -28,11 +28,11 @@
         m_name(std::move(name)) {}
 
   // The outcome of one call; `call` says which, for the log line.
-  void Note(bool answered, std::string_view call);
-  bool away() const { return m_away; }
-  bool WorthCalling() const { return m_loop->now() >= m_retry_at; }
-  // It has just come back after an outage that others may have noticed too.
-  bool JustReturned() const;
+  void          Note(bool answered, std::string_view call);
+  bool          away() const { return m_away; }
+  bool          WorthCalling() const { return m_loop->now() >= m_retry_at; }
+  // Since the first call that failed, in ms; 0: it answers.
+  net::Duration AwayFor() const;
 
  private:
   net::EventLoop*   m_loop;
@@ -43,7 +43,6 @@
   bool              m_away = false;
   net::Time         m_retry_at = 0;
   net::Time         m_away_since = 0;
-  net::Time         m_quiet_until = 0;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -55,14 +55,10 @@
                               "Calls to the platform's log, by outcome");
   m_store_calls = {&calls.Add({{"outcome", "failed"}}),
                    &calls.Add({{"outcome", "succeeded"}})};
-  auto& kept =
-      CounterFamily(registry, "yuccawick_turns_kept_total",
-                    "Turns whose answer ended, by what its end rests on");
-  m_turns_kept = {&kept.Add({{"by", "copies"}}), &kept.Add({{"by", "log"}})};
-  m_allowances =
-      &CounterFamily(registry, "yuccawick_allowances_total",
-                     "Times that tokens were used without a record in the log")
-           .Add({});
+  auto& kept = CounterFamily(registry, "yuccawick_turns_kept_total",
+                             "Turns that the log has, by who appended them");
+  m_turns_kept = {&kept.Add({{"by", "this_node"}}),
+                  &kept.Add({{"by", "another_node"}})};
   constexpr std::array<const char*, kGaugeCount> kGauges{
       "requests", "connections", "turns", "servers"};
   auto& gauges = prometheus::BuildGauge()
@@ -99,12 +95,10 @@
   m_answers[static_cast<std::size_t>(kind)]->Increment();
 }
 
-void Metrics::CountTurnKept(bool in_log) {
-  m_turns_kept[in_log ? 1 : 0]->Increment();
+void Metrics::CountTurnKept(bool by_peer) {
+  m_turns_kept[by_peer ? 1 : 0]->Increment();
 }
 
-void Metrics::CountAllowance() { m_allowances->Increment(); }
-
 void Metrics::CountStoreCall(bool succeeded) {
   m_store_calls[succeeded ? 1 : 0]->Increment();
 }
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -30,8 +30,7 @@
   void        CountRepeat(traffic::LossCause cause);
   void        CountAnswer(traffic::RequestKind kind);
   void        CountStoreCall(bool succeeded);
-  void        CountTurnKept(bool in_log);
-  void        CountAllowance();
+  void        CountTurnKept(bool by_peer);
   void        ObserveAnswer(double seconds);
   void        ObserveFirstEvent(double seconds);
   void        ObserveTurnKept(double seconds);
@@ -47,7 +46,6 @@
   std::array<prometheus::Counter*, 3>                      m_answers{};
   std::array<prometheus::Counter*, 2>                      m_store_calls{};
   std::array<prometheus::Counter*, 2>                      m_turns_kept{};
-  prometheus::Counter*                                     m_allowances{};
   std::array<prometheus::Gauge*, kGaugeCount>              m_gauges{};
   prometheus::Histogram* m_answer_seconds = nullptr;
   prometheus::Histogram* m_first_event_seconds = nullptr;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -38,11 +38,10 @@
       m_members(members),
       m_network(network),
       m_desks(desks),
-      m_turns(thresholds, members, network, turns),
+      m_keeper(turns),
+      m_turns(loop, thresholds, members, network, turns),
       m_backends(backends) {
   network->SetService(this);
-  m_away_nodes.resize(desks->size());
-  for (TokenDesk& desk : *desks) desk.SetPeers(this);
 }
 
 // Tokens ---------------------------------------------------------------------
@@ -52,10 +51,10 @@
   return (*m_desks)[hash % m_desks->size()];
 }
 
-void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
+void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Rank rank,
                               const ReserveDone& done) {
   DeskOf(turn.program)
-      .Reserve(turn, outage, [turn, done](ReserveOutcome outcome) {
+      .Reserve(turn, rank, [turn, done](ReserveOutcome outcome) {
         done({outcome, turn, {}});
       });
 }
@@ -94,18 +93,17 @@
       done(result);
     }
   };
-  // Only the first home may do without the log: two that do so spend twice.
-  const auto outage =
-      rank == 0 ? TokenDesk::Outage::kUseAllowance : TokenDesk::Outage::kRefuse;
+  const auto home_rank =
+      rank == 0 ? TokenDesk::Rank::kFirstHome : TokenDesk::Rank::kOther;
   if (home.name == m_members->self().name) {
-    ReserveHere(turn, outage, decided);
+    ReserveHere(turn, home_rank, decided);
   } else {
-    AskHome(home, turn, outage, decided);
+    AskHome(home, turn, home_rank, decided);
   }
 }
 
 void PeerService::AskHome(const NodeInfo& home, const TurnBudget& turn,
-                          TokenDesk::Outage outage, const ReserveDone& done) {
+                          TokenDesk::Rank rank, const ReserveDone& done) {
   auto       number = std::make_shared<std::uint64_t>(0);
   const auto answered = [this, number, turn, name = home.name,
                          done](std::optional<PeerMessage::Reader> answer) {
@@ -119,12 +117,12 @@
   };
   *number = m_network->Ask(
       home,
-      [&turn, outage](PeerMessage::Builder message) {
+      [&turn, rank](PeerMessage::Builder message) {
         auto reserve = message.initReserve();
         reserve.setProgram(turn.program);
         reserve.setBudget(turn.budget);
         reserve.setMost(turn.most);
-        reserve.setFirstHome(outage == TokenDesk::Outage::kUseAllowance);
+        reserve.setFirstHome(rank == TokenDesk::Rank::kFirstHome);
       },
       m_thresholds->reserve_timeout, answered);
 }
@@ -182,10 +180,10 @@
   };
   m_loop->After(m_thresholds->home_answer,
                 [answer] { answer(ReserveOutcome::kHold); });
-  const auto outage = asked.getFirstHome() ? TokenDesk::Outage::kUseAllowance
-                                           : TokenDesk::Outage::kRefuse;
+  const auto rank = asked.getFirstHome() ? TokenDesk::Rank::kFirstHome
+                                         : TokenDesk::Rank::kOther;
   DeskOf(turn.program)
-      .Reserve(turn, outage,
+      .Reserve(turn, rank,
                [this, session, turn, answer](ReserveOutcome outcome) {
                  const auto held = m_reserved.find(session);
                  const bool heard = held != m_reserved.end() && answer(outcome);
@@ -252,6 +250,14 @@
          m_loop->now() - *m_alone_since >= m_thresholds->isolation_delay;
 }
 
+Duration PeerService::LogAwayFor() const {
+  Duration longest = m_keeper->AwayFor();
+  for (const TokenDesk& desk : *m_desks) {
+    longest = std::max(longest, desk.LogAwayFor());
+  }
+  return longest;
+}
+
 void PeerService::Probe(const NodeInfo& node) {
   // Any answer will do; the network trusts a node that it hears of.
   m_network->Ask(
@@ -265,58 +271,15 @@
 void PeerService::TellOutage() {
   for (TokenDesk& desk : *m_desks) {
     if (desk.log_away()) desk.Probe();
-    if (LogIsAwayForMost(desk.partition())) desk.NoteOutageGoesOn();
   }
-  if (m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) return;
-  m_outage_told_at = m_loop->now();
-  std::vector<std::uint16_t> away;
-  for (TokenDesk& desk : *m_desks) {
-    desk.TellRecords();
-    if (desk.log_away()) {
-      away.push_back(static_cast<std::uint16_t>(desk.partition()));
-    }
+  if (m_keeper->AwayFor() == 0 ||
+      m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) {
+    return;
   }
-  if (away.empty()) return;
+  m_outage_told_at = m_loop->now();
   for (const NodeInfo& node : m_members->Others()) {
-    m_network->Tell(node, [&away](PeerMessage::Builder message) {
-      auto list = message.initLogAway(static_cast<unsigned>(away.size()));
-      for (unsigned i = 0; i < list.size(); ++i) list.set(i, away[i]);
-    });
-  }
-}
-
-void PeerService::TakeLogAway(const std::string&  node,
-                              PeerMessage::Reader message) {
-  for (const std::uint16_t partition : message.getLogAway()) {
-    if (partition >= m_away_nodes.size()) continue;
-    m_away_nodes[partition][node] = m_loop->now();
-    // This node may not have noticed yet.
-    (*m_desks)[partition].Probe();
-  }
-}
-
-bool PeerService::LogIsAwayForMost(int partition) const {
-  if (!m_members_known) return false;
-  const auto  index = static_cast<std::size_t>(partition);
-  std::size_t away = (*m_desks)[index].log_away() ? 1 : 0;
-  for (const auto& [name, said] : m_away_nodes[index]) {
-    const bool fresh = m_loop->now() - said < m_thresholds->outage_memory;
-    if (fresh && m_members->Find(name) != nullptr) ++away;
-  }
-  const std::size_t nodes = m_members->All().size() + 1;
-  return 2 * away > nodes;
-}
-
-void PeerService::TellRecord(const programs::TokenClaim& record) {
-  // A suspected home may be one that was frozen, and is home again at once when
-  // it wakes. It must know by then, and does not count as told.
-  std::size_t told = 0;
-  for (const NodeInfo& node : m_members->RankedFor(record.program)) {
-    if (node.name == m_members->self().name) continue;
-    m_network->Tell(node, [&record](PeerMessage::Builder message) {
-      programs::Write(record, message.initClaimTaken());
-    });
-    if (!m_members->Suspected(node.name) && ++told == kTurnCopies) break;
+    m_network->Tell(node,
+                    [](PeerMessage::Builder message) { message.setLogAway(); });
   }
 }
 
@@ -370,13 +333,8 @@
       m_turns.ServeFind(message, reply);
       break;
     case PeerMessage::LOG_AWAY:
-      TakeLogAway(node, message);
+      m_turns.NoteLogAway(node);
       break;
-    case PeerMessage::CLAIM_TAKEN: {
-      const auto record = programs::Read(message.getClaimTaken());
-      DeskOf(record.program).TakePeerRecord(record);
-      break;
-    }
     case PeerMessage::LOADS:
       TakeLoads(node, message);
       break;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -6,8 +6,6 @@
 // costs one round trip instead of two calls of the log. Homes are a matter of
 // cost only: if the home is out of reach, or the log is out of its reach, the
 // next in rank counts, and the claims in the log keep both within the budget.
-// Only the first home uses tokens without a record while the log is away for
-// most nodes, so that they are used once and not once a node.
 #pragma once
 
 #include <map>
@@ -30,7 +28,7 @@
   std::string    home;  // name of the node that counts; empty: this one
 };
 
-class PeerService final : public PeerNetwork::Service, public OutagePeers {
+class PeerService final : public PeerNetwork::Service {
  public:
   PeerService(net::EventLoop* loop, const Thresholds* thresholds,
               programs::Membership* members, PeerNetwork* network,
@@ -38,18 +36,16 @@
               Backends* backends);
 
   using ReserveDone = std::function<void(const Reservation&)>;
-  void Reserve(const TurnBudget& turn, const ReserveDone& done);
-  void EndTurn(const Reservation& reservation, programs::Tokens used);
+  void     Reserve(const TurnBudget& turn, const ReserveDone& done);
+  void     EndTurn(const Reservation& reservation, programs::Tokens used);
   // Tells the nodes of this zone what this node has under way, and all nodes
   // whether the log is away for it. Call often.
-  void TellNews();
-  // Every node of the deployment is known that has announced itself.
-  void SetMembersKnown() { m_members_known = true; }
-  bool LogIsAwayForMost(int partition) const override;
+  void     TellNews();
+  // How long the log has been away, as this node sees it, in ms; 0: it answers.
+  Duration LogAwayFor() const;
   // Neither the log nor most nodes answer: this node is cut off, and clients
   // are better served by others.
-  bool IsIsolated() const;
-  void TellRecord(const programs::TokenClaim& record) override;
+  bool     IsIsolated() const;
 
   void OnMessage(PeerNetwork::SessionId session, const std::string& node,
                  PeerMessage::Reader message,
@@ -59,13 +55,13 @@
                     std::uint64_t number) override;
 
  private:
-  void ReserveHere(const TurnBudget& turn, TokenDesk::Outage outage,
+  void ReserveHere(const TurnBudget& turn, TokenDesk::Rank rank,
                    const ReserveDone& done);
   // `rank`: of the home to ask, 0 first. `until`: no further tries then.
   void ReserveFrom(const TurnBudget& turn, std::size_t rank, Time until,
                    const ReserveDone& done);
   void AskHome(const programs::NodeInfo& home, const TurnBudget& turn,
-               TokenDesk::Outage outage, const ReserveDone& done);
+               TokenDesk::Rank rank, const ReserveDone& done);
   void ReserveUnsure(const TurnBudget& turn, Time until,
                      const ReserveDone& done);
   void Probe(const programs::NodeInfo& node);
@@ -76,7 +72,6 @@
                     PeerNetwork::Reply reply);
   void ServeSettle(PeerNetwork::SessionId session, PeerMessage::Reader message);
   TokenDesk& DeskOf(const std::string& program);
-  void       TakeLogAway(const std::string& node, PeerMessage::Reader message);
   void       TakeLoads(const std::string& node, PeerMessage::Reader message);
   void       TellSettle(const std::string& home, const TurnBudget& turn,
                         programs::Tokens used);
@@ -86,20 +81,18 @@
   programs::Membership*   m_members;
   PeerNetwork*            m_network;
   std::vector<TokenDesk>* m_desks;  // by partition of the claims
+  TurnKeeper*             m_keeper;
   PeerTurns               m_turns;
   Backends*               m_backends;
   // Turns reserved here for other nodes, by the session they came over.
   std::unordered_map<PeerNetwork::SessionId, std::vector<TurnBudget>>
-                                                     m_reserved;
+                                      m_reserved;
   // Questions for a reservation that were given up, by number.
-  std::map<std::uint64_t, TurnBudget>                m_given_up;
-  Backends::News                                     m_told;
-  Time                                               m_told_at = 0;
-  Time                                               m_outage_told_at = 0;
-  bool                                               m_members_known = false;
-  std::optional<Time>                                m_alone_since;
-  // By partition: when each node last said that it is away.
-  std::vector<std::unordered_map<std::string, Time>> m_away_nodes;
+  std::map<std::uint64_t, TurnBudget> m_given_up;
+  Backends::News                      m_told;
+  Time                                m_told_at = 0;
+  Time                                m_outage_told_at = 0;
+  std::optional<Time>                 m_alone_since;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -1,7 +1,5 @@
 #include "yuccawick/gateway/peer_turns.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -13,60 +11,65 @@
 using programs::NodeInfo;
 using programs::Turn;
 
-PeerTurns::PeerTurns(const Thresholds*     thresholds,
+PeerTurns::PeerTurns(net::EventLoop* loop, const Thresholds* thresholds,
                      programs::Membership* members, PeerNetwork* network,
                      TurnKeeper* turns)
-    : m_thresholds(thresholds),
+    : m_loop(loop),
+      m_thresholds(thresholds),
       m_members(members),
       m_network(network),
       m_turns(turns) {
   turns->SetPeers(this);
 }
 
-std::vector<NodeInfo> PeerTurns::Holders(const std::string& key) const {
-  // Other zones first: a zone's nodes fail together more often than not.
-  auto       others = m_members->Others();
-  const auto rank = [&](const NodeInfo& node) {
-    return std::pair(node.zone == m_members->self().zone,
-                     XXH3_64bits_withSeed(node.name.data(), node.name.size(),
-                                          XXH3_64bits(key.data(), key.size())));
-  };
-  std::sort(
-      others.begin(), others.end(),
-      [&](const NodeInfo& a, const NodeInfo& b) { return rank(a) < rank(b); });
-  return others;
+void PeerTurns::NoteLogAway(const std::string& node) {
+  m_without_log[node] = m_loop->now();
+}
+
+std::vector<NodeInfo> PeerTurns::WhoReachLog() const {
+  auto nodes = m_members->Others();
+  std::erase_if(nodes, [this](const NodeInfo& node) {
+    const auto said = m_without_log.find(node.name);
+    return said != m_without_log.end() &&
+           m_loop->now() - said->second < m_thresholds->outage_memory;
+  });
+  // Bytes between zones are dear.
+  std::stable_partition(nodes.begin(), nodes.end(),
+                        [this](const NodeInfo& node) {
+                          return node.zone == m_members->self().zone;
+                        });
+  return nodes;
 }
 
-void PeerTurns::CopyTurn(const Turn& turn, Duration retention,
-                         std::function<void(bool)> done) {
-  auto holders = Holders(turn.id);
-  if (holders.size() < kTurnCopies) {
-    // Fewer copies could all be silent when the turn is asked for.
-    done(false);
+void PeerTurns::AppendFor(const Turn& turn, Duration retention,
+                          AppendDone done) {
+  const auto nodes = WhoReachLog();
+  if (nodes.empty()) {
+    done(std::nullopt);
     return;
   }
-  holders.resize(kTurnCopies);
-  auto left = std::make_shared<std::size_t>(holders.size());
-  auto kept = std::make_shared<std::size_t>(0);
-  for (const NodeInfo& holder : holders) {
-    m_network->Ask(
-        holder,
-        [&](PeerMessage::Builder message) {
-          auto keep = message.initKeepTurn();
-          programs::Write(turn, keep.initTurn());
-          keep.setRetentionMs(retention);
-        },
-        m_thresholds->copy_timeout,
-        [left, kept, done,
-         wanted = holders.size()](std::optional<PeerMessage::Reader> answer) {
-          if (answer && answer->isTurnKept()) ++*kept;
-          if (--*left == 0) done(*kept == wanted);
-        });
-  }
+  m_network->Ask(
+      nodes.front(),
+      [&](PeerMessage::Builder message) {
+        auto keep = message.initKeepTurn();
+        programs::Write(turn, keep.initTurn());
+        keep.setRetentionMs(retention);
+      },
+      m_thresholds->relay_timeout,
+      [this, node = nodes.front().name,
+       done = std::move(done)](std::optional<PeerMessage::Reader> answer) {
+        if (answer && answer->isTurnKept()) {
+          const auto kept = answer->getTurnKept();
+          done(Kept{kept.getPartition(), kept.getOffset(), true});
+          return;
+        }
+        NoteLogAway(node);
+        done(std::nullopt);
+      });
 }
 
-void PeerTurns::AskForTurn(const std::string&                 id,
-                           std::function<void(const Search&)> done) {
+void PeerTurns::AskForTurn(const std::string&                id,
+                           std::function<void(const Turns&)> done) {
   // Suspected nodes may hold it as well, and may answer by now.
   const auto others = m_members->All();
   if (others.empty()) {
@@ -75,7 +78,7 @@
   }
   auto left = std::make_shared<std::size_t>(others.size());
   auto ended = std::make_shared<bool>(false);
-  auto search = std::make_shared<Search>();
+  auto found = std::make_shared<Turns>();
   for (const NodeInfo& node : others) {
     m_network->Ask(
         node,
@@ -85,19 +88,17 @@
           find.setPartition(kNoPartition);
         },
         m_thresholds->find_timeout,
-        [left, ended, search, done](std::optional<PeerMessage::Reader> answer) {
+        [left, ended, found, done](std::optional<PeerMessage::Reader> answer) {
           --*left;
           if (*ended) return;
-          if (!answer || !answer->isTurnFound()) {
-            ++search->silent;
-          } else {
+          if (answer && answer->isTurnFound()) {
             for (const auto& turn : answer->getTurnFound().getTurns()) {
-              search->turns.push_back(programs::Read(turn));
+              found->push_back(programs::Read(turn));
             }
           }
-          if (search->turns.empty() && *left > 0) return;
+          if (found->empty() && *left > 0) return;
           *ended = true;
-          done(*search);
+          done(*found);
         });
   }
 }
@@ -138,8 +139,18 @@
 void PeerTurns::ServeKeep(PeerMessage::Reader       message,
                           const PeerNetwork::Reply& reply) {
   const auto keep = message.getKeepTurn();
-  m_turns->KeepCopy(programs::Read(keep.getTurn()), keep.getRetentionMs());
-  reply([](PeerMessage::Builder answer) { answer.setTurnKept(); });
+  m_turns->KeepFor(programs::Read(keep.getTurn()), keep.getRetentionMs(),
+                   [reply](std::optional<Kept> kept) {
+                     reply([kept](PeerMessage::Builder answer) {
+                       if (!kept) {
+                         answer.setTurnNotKept();
+                         return;
+                       }
+                       auto turn_kept = answer.initTurnKept();
+                       turn_kept.setPartition(kept->partition);
+                       turn_kept.setOffset(kept->offset);
+                     });
+                   });
 }
 
 void PeerTurns::ServeFind(PeerMessage::Reader       message,
--- a/src/yuccawick/gateway/peer_turns.h
+++ b/src/yuccawick/gateway/peer_turns.h
@@ -1,5 +1,6 @@
-// What nodes do for each other's turns: keep copies while the log is away, look
-// for a turn in memory, and read a partition of the log for their zone.
+// What nodes do for each other's turns: append one for a node that the log does
+// not answer, look for a turn in memory, and read a partition of the log for
+// their zone.
 //
 // Asking: the functions of TurnPeers, for this node's TurnKeeper. Serving: the
 // questions of others, from the same TurnKeeper.
@@ -7,6 +8,7 @@
 
 #include <functional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "yuccawick/gateway/peer_network.h"
@@ -20,15 +22,19 @@
 
 class PeerTurns final : public TurnPeers {
  public:
-  PeerTurns(const Thresholds* thresholds, programs::Membership* members,
-            PeerNetwork* network, TurnKeeper* turns);
+  PeerTurns(net::EventLoop* loop, const Thresholds* thresholds,
+            programs::Membership* members, PeerNetwork* network,
+            TurnKeeper* turns);
 
-  void AskForTurn(const std::string&                 id,
-                  std::function<void(const Search&)> done) override;
+  void AskForTurn(const std::string&                id,
+                  std::function<void(const Turns&)> done) override;
   bool AskReader(int partition, const std::string& id,
                  std::function<void(const Lookup&)> done) override;
-  void CopyTurn(const programs::Turn& turn, Duration retention,
-                std::function<void(bool)> done) override;
+  bool AnyReachesLog() const override { return !WhoReachLog().empty(); }
+  void AppendFor(const programs::Turn& turn, Duration retention,
+                 AppendDone done) override;
+  // The node said that the log does not answer it, or could not append.
+  void NoteLogAway(const std::string& node);
 
   void ServeKeep(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
   void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
@@ -36,13 +42,16 @@
  private:
   void AnswerFind(const std::string& id, bool complete,
                   const PeerNetwork::Reply& reply);
-  // Who is asked to hold copies of a key, best first.
-  std::vector<programs::NodeInfo> Holders(const std::string& key) const;
-
-  const Thresholds*     m_thresholds;
-  programs::Membership* m_members;
-  PeerNetwork*          m_network;
-  TurnKeeper*           m_turns;
+  // Nodes that the log seems to answer, those of this zone first.
+  std::vector<programs::NodeInfo> WhoReachLog() const;
+
+  net::EventLoop*                       m_loop;
+  const Thresholds*                     m_thresholds;
+  programs::Membership*                 m_members;
+  PeerNetwork*                          m_network;
+  TurnKeeper*                           m_turns;
+  // When each node was last without the log.
+  std::unordered_map<std::string, Time> m_without_log;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -60,29 +60,34 @@
 
   // The platform's log -------------------------------------------------------
   Duration log_timeout = 600;  // a call takes 6, in a slow spell 250
-  Duration log_retry_delay = 80;
-  // How long an append may take before copies at peers are made as well; a
-  // client's patience between two turns is above 100.
-  Duration log_patience = 40;
+  // How long an append may take before another partition, then another node,
+  // is tried as well: longer than in a slow spell, shorter than the pause in
+  // which a client gives a stream up.
+  Duration log_patience = 280;
+  // How often, and for how long, other nodes are asked to append a turn: the
+  // client has given it up after that. A node answers after one append.
+  Duration relay_pause = 150;
+  Duration relay_patience = 4000;
+  Duration relay_timeout = 700;
   // Between two calls while the log is away: a few a second find its return
   // early enough, since nothing waits for it by then.
   Duration log_away_pause = 150;
-  Duration log_outage = 300;  // an absence this long is no lost answer
-  // How long the return of an outage is recent: a few retries of whoever has
-  // something to append from the time of the outage.
-  Duration log_return_quiet = 400;
+  // How long a turn whose end could not be kept waits for the log before it is
+  // refused: a third of a client's time, so that it can come back later.
+  Duration log_wait = 1000;
+  Duration log_wait_pause = 50;
+  // Clients that are refused for the log come back after as long as it has been
+  // away, within these bounds: an outage goes on about as long as it has
+  // lasted, and clients wait a third of their time at the most.
+  Duration outage_return = 900;
 
   // Tokens -------------------------------------------------------------------
-  // A claim that took longer is not used any more; above the time of a call
-  // that was answered.
-  Duration late_claim = 1200;
-  // Claims of others are read at least this often. A node that becomes home of
-  // a program in an outage knows what was granted until shortly before.
-  Duration claims_reread = 800;
-  // How old a reading of the claims may be when most nodes have lost the log:
-  // it is read every 800, a call fails after 600, and the others say so within
-  // another 800.
-  Duration reading_memory = 2500;
+  // Claims made ahead gather this long before they are read: less than a tool
+  // pause, and one read brings several.
+  Duration claims_gather = 40;
+  // Claims of others are read at least this often, so that a node that becomes
+  // home of a program has little to read first.
+  Duration claims_reread = 2000;
   // A turn waits this long for others of its program to end: about as long as
   // the longest turn takes at a busy server.
   Duration turns_wait = 900;
@@ -100,13 +105,12 @@
 
   // Other nodes --------------------------------------------------------------
   Duration peer_connect_timeout = 150;  // ten round trips
-  Duration copy_timeout = 250;          // a round trip and a busy peer
   Duration find_timeout = 250;
   // A reader answers after one read of the log's end, some 10; after a restart
   // it has a minute of records to read first.
   Duration reader_timeout = 500;
-  // A node says that the log is away for it this often, and is believed for
-  // this long.
+  // A node that no partition of the log answers says so this often, and is
+  // believed for this long.
   Duration outage_pause = 200;
   Duration outage_memory = 600;
   // How long the log and most nodes must be silent before this node takes
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -52,8 +52,7 @@
 void TurnKeeper::Find(const std::string& id, const std::string& program,
                       FindDone done) {
   // A turn usually continues one of its own program, whose partition is known.
-  const Question question{id, PartitionOf(program), std::move(done)};
-  Search(question);
+  Search({id, PartitionOf(program), false, std::move(done)});
 }
 
 void TurnKeeper::Search(const Question& question) {
@@ -79,7 +78,7 @@
   auto       complete = std::make_shared<bool>(first_complete);
   const auto end = [this, question, missing, complete] {
     if (m_history.Missing(question.id) == missing) {
-      AskPeers(question, missing, *complete);
+      EndSearch(question, missing, *complete);
     } else {
       // An ancestor may lie in yet another partition.
       Search(question);
@@ -94,24 +93,38 @@
   }
 }
 
-void TurnKeeper::AskPeers(const Question& question, const std::string& missing,
-                          bool log_complete) {
-  m_peers->AskForTurn(missing, [this, question, missing,
-                                log_complete](const TurnPeers::Search& search) {
-    TakeCopies(search.turns);
-    // The node that finished a turn holds it beside its copies.
-    const bool ruled_out = log_complete && search.silent <= kTurnCopies;
-    m_log->Write(LogEvent::kScan, {{"asked_for", question.id},
-                                   {"missing", missing},
-                                   {"complete", log_complete ? "yes" : "no"},
-                                   {"turns_found", search.turns.size()},
-                                   {"nodes_silent", search.silent}});
-    if (m_history.Missing(question.id) != missing) {
-      Search(question);
-    } else {
-      question.done(ruled_out ? FindOutcome::kUnknown : FindOutcome::kUnsure);
-    }
-  });
+// Only the log can rule a turn out, and only the turn that was asked for: that
+// an ancestor is not at hand says that it has left this node's memory since it
+// was read, so it is read again.
+void TurnKeeper::EndSearch(Question question, const std::string& missing,
+                           bool complete) {
+  m_log->Write(LogEvent::kScan, {{"asked_for", question.id},
+                                 {"missing", missing},
+                                 {"complete", complete ? "yes" : "no"}});
+  if (!complete) {
+    AskPeers(question, missing);
+  } else if (missing == question.id) {
+    question.done(FindOutcome::kUnknown);
+  } else if (!question.reread) {
+    question.reread = true;
+    for (Scan& scan : m_scans) scan.next = 0;
+    Search(question);
+  } else {
+    question.done(FindOutcome::kUnsure);
+  }
+}
+
+void TurnKeeper::AskPeers(const Question&    question,
+                          const std::string& missing) {
+  m_peers->AskForTurn(missing,
+                      [this, question, missing](const TurnPeers::Turns& turns) {
+                        TakeCopies(turns);
+                        if (m_history.Missing(question.id) != missing) {
+                          Search(question);
+                        } else {
+                          question.done(FindOutcome::kUnsure);
+                        }
+                      });
 }
 
 void TurnKeeper::TakeCopies(const std::vector<programs::Turn>& turns) {
@@ -182,7 +195,12 @@
         TakeTurns(result->records);
         scan.end = result->end;
         scan.taken += result->records.size();
-        scan.next = std::max(scan.next, result->next);
+        if (result->end < scan.next) {
+          // An answer from before what was read already: it rules nothing out.
+          EndScan(partition, false);
+          return;
+        }
+        scan.next = result->next;
         if (scan.next >= result->end) {
           EndScan(partition, true);
         } else if (result->records.empty()) {
@@ -224,67 +242,123 @@
 
 // Keeping --------------------------------------------------------------------
 
-int TurnKeeper::PlaceFor(const programs::Turn& turn) const {
-  const int own = PartitionOf(turn.program);
+bool TurnKeeper::Away(int partition) const {
+  return m_scans[static_cast<std::size_t>(partition)].health->away();
+}
+
+Duration TurnKeeper::AwayFor() const {
+  Duration least = m_scans.front().health->AwayFor();
+  for (const Scan& scan : m_scans) {
+    least = std::min(least, scan.health->AwayFor());
+  }
+  return least;
+}
+
+bool TurnKeeper::MayKeep() const {
   for (int i = 0; i < kTurnPartitions; ++i) {
-    const int partition = (own + i) % kTurnPartitions;
-    if (!m_scans[static_cast<std::size_t>(partition)].health->away()) {
-      return partition;
-    }
+    if (!Away(i)) return true;
   }
-  return own;
+  return m_peers->AnyReachesLog();
 }
 
-void TurnKeeper::Append(const programs::Turn& turn, int partition,
+int TurnKeeper::PlaceFrom(int first) const {
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    const int partition = (first + i) % kTurnPartitions;
+    if (!Away(partition)) return partition;
+  }
+  return first;
+}
+
+int TurnKeeper::PlaceFor(const programs::Turn& turn) const {
+  return PlaceFrom(PartitionOf(turn.program));
+}
+
+void TurnKeeper::Append(const programs::Turn& turn, int partition, bool insist,
                         Appender::Done done) {
   ++m_unkept;
   m_appenders[static_cast<std::size_t>(partition)].Add(
-      programs::EncodeTurn(turn), true,
+      programs::EncodeTurn(turn), insist,
       [this, done = std::move(done)](const Appender::Result& result) {
         --m_unkept;
         done(result);
       });
 }
 
+void TurnKeeper::Settle(const std::shared_ptr<Keeping>& keeping,
+                        const Kept&                     kept) {
+  if (!std::exchange(keeping->open, false)) return;
+  m_history.Add(keeping->turn, m_loop->now(),
+                keeping->retention + kRetentionSlack);
+  m_metrics->CountTurnKept(kept.by_peer);
+  m_metrics->ObserveTurnKept(
+      static_cast<double>(m_loop->now() - keeping->began) / kMillisPerSecond);
+  std::exchange(keeping->done, nullptr)(kept);
+}
+
+void TurnKeeper::Send(const std::shared_ptr<Keeping>& keeping) {
+  const int partition = keeping->partition;
+  keeping->tried.insert(partition);
+  Append(keeping->turn, partition, true,
+         [this, keeping, partition](const Appender::Result& result) {
+           Settle(keeping, {partition, result->offset});
+         });
+}
+
 void TurnKeeper::Keep(const programs::Turn& turn, Duration retention,
                       KeepDone done) {
-  const Time began = m_loop->now();
-  m_history.Add(turn, began, retention + kRetentionSlack);
-  auto       open = std::make_shared<bool>(true);
-  const auto settle = [this, began, open,
-                       done = std::move(done)](const Kept& kept) {
-    if (!std::exchange(*open, false)) return;
-    m_metrics->CountTurnKept(kept.in_log);
-    m_metrics->ObserveTurnKept(static_cast<double>(m_loop->now() - began) /
-                               kMillisPerSecond);
-    done(kept);
-  };
-  const auto in_log = [settle](int partition) {
-    return [settle, partition](const Appender::Result& result) {
-      settle({true, partition, result->offset});
-    };
+  const auto keeping = std::make_shared<Keeping>(Keeping{turn,
+                                                         retention,
+                                                         m_loop->now(),
+                                                         PlaceFor(turn),
+                                                         {},
+                                                         true,
+                                                         std::move(done)});
+  Send(keeping);
+  m_loop->After(Away(keeping->partition) ? 0 : m_thresholds->log_patience,
+                [this, keeping] { TryElsewhere(keeping); });
+}
+
+// Another partition, then a node that the log may answer. Partitions fail one
+// by one, and that this one does is known only after a timeout: so the next one
+// is taken whatever is known of this one. A turn that lies in the log twice is
+// the same turn.
+void TurnKeeper::TryElsewhere(const std::shared_ptr<Keeping>& keeping) {
+  const bool given_up =
+      m_loop->now() - keeping->began > m_thresholds->relay_patience;
+  if (!keeping->open || given_up) return;
+  const auto again = [this, keeping](Duration pause) {
+    m_loop->After(pause, [this, keeping] { TryElsewhere(keeping); });
   };
-  const int first = PlaceFor(turn);
-  Append(turn, first, in_log(first));
-  const bool away = m_scans[static_cast<std::size_t>(first)].health->away();
-  m_loop->After(away ? 0 : m_thresholds->log_patience,
-                [this, turn, retention, first, open, settle, in_log] {
-                  if (!*open) return;
-                  const int second = PlaceFor(turn);
-                  // A turn that lies in the log twice is the same turn.
-                  if (second != first) Append(turn, second, in_log(second));
-                  m_peers->CopyTurn(turn, retention, [settle](bool copied) {
-                    if (copied) settle({});
-                  });
-                });
+  const int next = PlaceFrom((keeping->partition + 1) % kTurnPartitions);
+  if (!Away(next) && !keeping->tried.contains(next)) {
+    keeping->partition = next;
+    Send(keeping);
+    again(m_thresholds->log_patience);
+    return;
+  }
+  m_peers->AppendFor(keeping->turn, keeping->retention,
+                     [this, keeping, again](std::optional<Kept> kept) {
+                       if (kept) {
+                         Settle(keeping, *kept);
+                       } else {
+                         again(m_thresholds->relay_pause);
+                       }
+                     });
 }
 
-void TurnKeeper::KeepCopy(const programs::Turn& turn, Duration retention) {
-  if (m_history.Holds(turn.id)) return;
-  m_history.Add(turn, m_loop->now(), retention + kRetentionSlack);
-  // The sender appends it as well; a turn that lies in the log twice is the
-  // same turn, and this copy counts if the sender dies first.
-  Append(turn, PlaceFor(turn), [](const Appender::Result&) {});
+void TurnKeeper::KeepFor(const programs::Turn& turn, Duration retention,
+                         TurnPeers::AppendDone done) {
+  const int partition = PlaceFor(turn);
+  Append(turn, partition, false,
+         [this, turn, retention, partition,
+          done = std::move(done)](const Appender::Result& result) {
+           if (!result) {
+             done(std::nullopt);
+             return;
+           }
+           m_history.Add(turn, m_loop->now(), retention + kRetentionSlack);
+           done(Kept{partition, result->offset});
+         });
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -5,20 +5,23 @@
 //         search starts after the question came. One node of each zone reads
 //         a partition for the others: if all read all of it, a restart of every
 //         node would keep the log busy for longer than the nodes' recovery.
-//         What it does not find may still lie at nodes that finished it while
-//         the log was away, so they are asked too. A turn is unknown only if
-//         the log was read whole and fewer nodes are silent than hold a turn
-//         that the log does not have.
+//         A turn is unknown only if every partition was read up to its end.
+//         If the log does not answer, the memories of other nodes are asked:
+//         what they hold may be used, what they do not hold proves nothing.
 //   Keep  a finished turn is appended to the log before the client sees the end
 //         of its answer, to its program's partition or, if that is away, to
-//         another: whoever misses a turn searches all. If the whole log is
-//         away, copies at two other nodes have to do until it is back; they
-//         append it too, in case this node dies.
+//         another: whoever misses a turn searches all. If the log is away for
+//         this node, a node that reaches it appends the turn for it. If it is
+//         away for all, the end waits: all nodes may lose power at any moment,
+//         and a turn that only memories held would be unknown after that,
+//         though its client has the whole answer.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,33 +45,37 @@
   kUnsure,   // the log does not answer, and no peer holds it
 };
 
-// Copies that make a turn durable without the log; two losses at once are rarer
-// than the outages of the log that they bridge.
-inline constexpr std::size_t kTurnCopies = 2;
+// Where the log holds a turn.
+struct Kept {
+  int          partition = -1;
+  std::int64_t offset = -1;      // of the append that carried it
+  bool         by_peer = false;  // the log did not answer this node
+};
 
 // What other nodes can do for turns; see peer_service.h.
 class TurnPeers {
  public:
   virtual ~TurnPeers() = default;
-  struct Search {
-    std::vector<programs::Turn> turns;  // it and its ancestors; empty: not held
-    std::size_t                 silent = 0;  // nodes that did not answer
-  };
-  // Asks the others for a turn.
-  virtual void AskForTurn(const std::string&                 id,
-                          std::function<void(const Search&)> done) = 0;
+  // Asks the others' memories for a turn; it and its ancestors, or nothing.
+  using Turns = std::vector<programs::Turn>;
+  virtual void AskForTurn(const std::string&                id,
+                          std::function<void(const Turns&)> done) = 0;
   // Has the node that reads the partition for this zone look for a turn there.
   // False, and `done` is not called, if that is this node.
   struct Lookup {
-    bool                        answered = false;
-    bool                        complete = false;  // it read up to the end
-    std::vector<programs::Turn> turns;
+    bool  answered = false;
+    bool  complete = false;  // it read up to the end
+    Turns turns;
   };
   virtual bool AskReader(int partition, const std::string& id,
                          std::function<void(const Lookup&)> done) = 0;
-  // Has two others keep the turn; `done(true)` once both do.
-  virtual void CopyTurn(const programs::Turn& turn, Duration retention,
-                        std::function<void(bool)> done) = 0;
+  // A node that the log seems to answer, as far as is known here.
+  virtual bool AnyReachesLog() const = 0;
+  // Has such a node append the turn; nothing if there is no such node or it
+  // could not.
+  using AppendDone = std::function<void(std::optional<Kept>)>;
+  virtual void AppendFor(const programs::Turn& turn, Duration retention,
+                         AppendDone done) = 0;
 };
 
 class TurnKeeper {
@@ -81,17 +88,17 @@
   using FindDone = std::function<void(FindOutcome)>;
   void Find(const std::string& id, const std::string& program, FindDone done);
 
-  // What the end of the turn's answer rests on.
-  struct Kept {
-    bool         in_log = false;  // else: copies at peers
-    int          partition = -1;  // of the log
-    std::int64_t offset = -1;     // of the append that carried it
-  };
   using KeepDone = std::function<void(const Kept&)>;
-  // `done` once the turn is durable; never, if that cannot be had.
-  void Keep(const programs::Turn& turn, Duration retention, KeepDone done);
-  // A peer's turn, kept here and appended to the log when it answers.
-  void KeepCopy(const programs::Turn& turn, Duration retention);
+  // `done` once the log has acknowledged the turn; never, if it does not.
+  void     Keep(const programs::Turn& turn, Duration retention, KeepDone done);
+  // Appends a peer's turn, once; nothing if the log did not acknowledge it.
+  void     KeepFor(const programs::Turn& turn, Duration retention,
+                   TurnPeers::AppendDone done);
+  // Whether a turn that ends now could be kept: a partition answers this node,
+  // or some other node.
+  bool     MayKeep() const;
+  // How long no partition has answered this node, in ms; 0: one does.
+  Duration AwayFor() const;
 
   // Reads the partition up to its end; `done` with whether that worked.
   void ScanPartition(int partition, std::function<void(bool)> done);
@@ -107,9 +114,20 @@
  private:
   struct Question {
     std::string id;
-    int         partition = 0;  // where it most likely lies
+    int         partition = 0;   // where it most likely lies
+    bool        reread = false;  // the log was read from its start for it
     FindDone    done;
   };
+  // A turn on its way into the log.
+  struct Keeping {
+    programs::Turn turn;
+    Duration       retention = 0;
+    Time           began = 0;
+    int            partition = 0;  // where it was sent last
+    std::set<int>  tried;          // partitions it was sent to
+    bool           open = true;
+    KeepDone       done;
+  };
   // Reads one partition up to its end, for those who asked before it began.
   struct Scan {
     std::unique_ptr<LogHealth>             health;
@@ -132,13 +150,20 @@
   void Search(const Question& question);
   void SearchElsewhere(const Question& question, const std::string& missing,
                        bool first_complete);
-  void AskPeers(const Question& question, const std::string& missing,
-                bool log_complete);
+  void AskPeers(const Question& question, const std::string& missing);
+  void EndSearch(Question question, const std::string& missing, bool complete);
   void TakeCopies(const std::vector<programs::Turn>& turns);
   void TakeTurns(const std::vector<platform::LogRecord>& records);
-  // The turn's own partition, or another if that one does not answer.
+  // The first partition from `first` on that answers, as far as is known.
+  int  PlaceFrom(int first) const;
   int  PlaceFor(const programs::Turn& turn) const;
-  void Append(const programs::Turn& turn, int partition, Appender::Done done);
+  bool Away(int partition) const;
+  void Append(const programs::Turn& turn, int partition, bool insist,
+              Appender::Done done);
+  void TryElsewhere(const std::shared_ptr<Keeping>& keeping);
+  // Appends it to the partition where it is to be sent next.
+  void Send(const std::shared_ptr<Keeping>& keeping);
+  void Settle(const std::shared_ptr<Keeping>& keeping, const Kept& kept);
 
   net::EventLoop*       m_loop;
   const Thresholds*     m_thresholds;
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -20,7 +20,7 @@
   budget  @3 :Int64;
   need    @4 :Int64;
   wish    @5 :Int64;
-  taken   @6 :Bool;
+  taken   @6 :Bool;  # counts whether it fits or not; below zero: given back
 }
 
 # A node that takes traffic, as it announces itself to the others.
@@ -43,15 +43,14 @@
   program @0 :Text;
   budget  @1 :Int64;
   most    @2 :Int64;  # that the turn may generate
-  # The asker knows no node that counts before this one.
-  firstHome @3 :Bool;
+  firstHome @3 :Bool;  # the asker knows no node that counts before this one
 }
 
 enum Reserved {
-  unsure @0;  # the log does not answer, and there is no allowance
+  unsure @0;  # the log does not answer
   start  @1;
   spent  @2;
-  hold   @3;  # as unsure, and the asker may not claim for itself
+  hold   @3;  # not decided yet; another home would only split the tokens
 }
 
 struct Settle {
@@ -71,11 +70,18 @@
   complete @1 :Bool;        # the partition was read up to its end
 }
 
+# A turn to append to the log, by a node that the log answers.
 struct KeepTurn {
   turn        @0 :Turn;
   retentionMs @1 :Int64;
 }
 
+# The log has acknowledged the turn there.
+struct TurnKept {
+  partition @0 :Int32;
+  offset    @1 :Int64;
+}
+
 # One message between two nodes. An answer carries its question's number.
 struct PeerMessage {
   number @0 :UInt64;
@@ -86,12 +92,10 @@
     reserved  @4 :Reserved;
     settle    @5 :Settle;
     keepTurn  @6 :KeepTurn;
-    turnKept  @7 :Void;
+    turnKept  @7 :TurnKept;
     findTurn  @8 :FindTurn;
     turnFound @9 :TurnFound;
-    # Claims cannot be made by the sender: these partitions do not answer it.
-    logAway   @10 :List(UInt16);
-    # Tokens that the sender used while the log is away.
-    claimTaken @11 :Claim;
+    logAway   @10 :Void;  # no partition of turns answers the sender
+    turnNotKept @11 :Void;  # the log did not answer the asked node either
   }
 }
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -5,25 +5,18 @@
 
 namespace yuccawick::programs {
 
-TokenLedger::Entry& TokenLedger::EntryOf(const TokenClaim& claim, Time now) {
+Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
   Entry& entry = m_entries[claim.program];
-  if (entry.budget == 0) entry.budget = claim.budget;
-  // Clients state the same budget each time; the least is the safe reading.
-  entry.budget = std::min(entry.budget, claim.budget);
   entry.until = now + kLedgerRetention;
-  return entry;
-}
-
-Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
-  Entry&         entry = EntryOf(claim, now);
-  const RecordId id(claim.node, claim.number);
-  entry.foretold.erase(id);
-  const bool first = entry.applied.insert(id).second;
   if (claim.taken) {
-    if (!first) return 0;
-    entry.granted += claim.wish;
-    return claim.wish;
+    const bool first =
+        entry.given_back.insert(RecordId(claim.node, claim.number)).second;
+    if (first) entry.granted += claim.wish;
+    return 0;
   }
+  if (entry.budget == 0) entry.budget = claim.budget;
+  // Clients state the same budget each time; the least is the safe reading.
+  entry.budget = std::min(entry.budget, claim.budget);
   const Tokens rest = entry.budget - entry.granted;
   if (rest < claim.need) return 0;
   const Tokens granted = std::max(claim.need, std::min(claim.wish, rest / 2));
@@ -31,59 +24,38 @@
   return granted;
 }
 
-bool TokenLedger::Foretell(const TokenClaim& claim, Time now) {
-  Entry&         entry = EntryOf(claim, now);
-  const RecordId id(claim.node, claim.number);
-  if (entry.applied.contains(id)) return false;
-  return entry.foretold.emplace(id, claim.wish).second;
-}
-
-Tokens TokenLedger::Rest(const std::string& program, Tokens budget) const {
-  const auto found = m_entries.find(program);
-  if (found == m_entries.end()) return budget;
-  Tokens rest = std::min(budget, found->second.budget) - found->second.granted;
-  for (const auto& [id, tokens] : found->second.foretold) rest -= tokens;
-  return rest;
-}
-
 void TokenLedger::Expire(Time now) {
   std::erase_if(m_entries,
                 [now](const auto& entry) { return entry.second.until < now; });
 }
 
 TokenAnswer TokenAccount::Reserve(Tokens most) {
-  if (m_used + m_running + most <= m_granted) {
-    m_running += most;
-    return TokenAnswer::kStart;
-  }
-  if (!m_denied) return TokenAnswer::kClaim;
-  // Turns under way are counted at their most; they usually end with less.
-  const bool may_fit_later = m_used + most <= m_granted;
-  return may_fit_later ? TokenAnswer::kWait : TokenAnswer::kSpent;
+  if (Spare() < most) return TokenAnswer::kClaim;
+  m_running += most;
+  return TokenAnswer::kStart;
+}
+
+bool TokenAccount::MayFitLater(Tokens most) const {
+  return m_running > 0 && m_used + most <= m_granted;
 }
 
 TokenClaim TokenAccount::NextClaim(Tokens most) const {
   TokenClaim claim;
   // One turn may go beyond the budget.
   claim.budget = m_budget + most;
-  claim.need = std::max<Tokens>(1, m_used + m_running + most - m_granted);
-  claim.wish = std::max(claim.need, m_budget / kWishDivisor);
+  claim.need = std::max<Tokens>(1, most - Spare());
+  claim.wish = claim.need;
   return claim;
 }
 
-void TokenAccount::Granted(Tokens granted) {
-  m_granted += granted;
-  m_denied = granted == 0;
+std::optional<TokenClaim> TokenAccount::ClaimAhead(Tokens most) const {
+  if (Spare() >= most) return std::nullopt;
+  TokenClaim claim = NextClaim(most);
+  claim.wish = std::max(claim.need, m_budget / kAheadDivisor - Spare());
+  return claim;
 }
 
-Tokens TokenAccount::TakeAllowance(Tokens most, Tokens rest) {
-  if (m_allowance_taken) return 0;
-  m_allowance_taken = true;
-  const Tokens allowance =
-      rest < most ? 0 : std::max(most, rest / kAllowanceDivisor);
-  m_granted += allowance;
-  return allowance;
-}
+void TokenAccount::Granted(Tokens granted) { m_granted += granted; }
 
 void TokenAccount::EndTurn(Tokens most, Tokens used) {
   m_running -= most;
@@ -91,7 +63,7 @@
 }
 
 Tokens TokenAccount::GiveBack() {
-  const Tokens spare = m_granted - m_used - m_running;
+  const Tokens spare = Spare();
   m_granted -= spare;
   return spare;
 }
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -9,13 +9,17 @@
 // TokenLedger is that computation. TokenAccount is one node's side of one
 // program: what it was granted, what its turns used, what they may still use.
 //
+// A turn runs on granted tokens only, so whatever is lost, and whenever, what
+// clients were handed stays within what the log has granted. What a node was
+// granted and had not used is lost with it; so nodes claim little ahead.
+//
 // The ledger grants up to the budget and one turn beyond it: a program may end
 // its budget in the middle of a turn. Counting turns at the most they may
 // generate, nothing that was granted can exceed that.
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -36,35 +40,26 @@
   Tokens        budget = 0;  // of the program, as its client states it
   Tokens        need = 0;    // less than this is of no use
   Tokens        wish = 0;    // taken if half of the rest allows it
-  // Counts whether it fits or not: `wish` was used while the log was away, or,
-  // below zero, is given back by a node that stops.
+  // Counts whether it fits or not: `wish` is below zero and given back by a
+  // node that stops.
   bool          taken = false;
 };
 
 class TokenLedger {
  public:
-  // Applies the next claim in log order; returns the tokens granted. A record
-  // that was taken without the log and lies there twice counts once.
+  // Applies the next claim in log order; returns the tokens granted. What is
+  // given back counts once, though it lies in the log twice.
   Tokens Apply(const TokenClaim& claim, Time now);
-  // A record that will come in the log, or lies there and was not read yet: of
-  // a claim, `wish` is what it was granted. It lowers Rest() from now on; what
-  // others are granted stays a matter of the log's order alone. False if it is
-  // known already.
-  bool   Foretell(const TokenClaim& claim, Time now);
-  // Not granted and not foretold; below zero if more was used.
-  Tokens Rest(const std::string& program, Tokens budget) const;
   void   Expire(Time now);
 
  private:
   using RecordId = std::pair<std::string, std::uint64_t>;  // node, number
   struct Entry {
-    Tokens                     budget = 0;
-    Tokens                     granted = 0;
-    Time                       until = 0;
-    std::map<RecordId, Tokens> foretold;
-    std::set<RecordId>         applied;  // records that lie in the log
+    Tokens             budget = 0;
+    Tokens             granted = 0;
+    Time               until = 0;
+    std::set<RecordId> given_back;
   };
-  Entry& EntryOf(const TokenClaim& claim, Time now);
 
   std::unordered_map<std::string, Entry> m_entries;  // by program
 };
@@ -72,8 +67,6 @@
 enum class TokenAnswer : std::uint8_t {
   kStart,  // reserved; the turn may run
   kClaim,  // claim NextClaim() first, then ask again
-  kWait,   // ask again when a turn under way has ended
-  kSpent,  // the budget does not hold this turn
 };
 
 class TokenAccount {
@@ -81,41 +74,37 @@
   explicit TokenAccount(Tokens budget) : m_budget(budget) {}
 
   // Asks to run a turn of at most `most` tokens.
-  TokenAnswer Reserve(Tokens most);
-  // A claim for such a turn; `number` and `node` are the caller's to fill.
-  TokenClaim  NextClaim(Tokens most) const;
-  void        Granted(Tokens granted);
-  // The log does not answer: tokens that may be used without its record, for
-  // this turn and others; 0 if there are none. `rest`: not yet granted, as last
-  // read.
-  Tokens      TakeAllowance(Tokens most, Tokens rest);
+  TokenAnswer               Reserve(Tokens most);
+  // Whether that turn may fit once turns under way have ended with less than
+  // their most. Ask after a claim for it was granted nothing.
+  bool                      MayFitLater(Tokens most) const;
+  // A claim for such a turn; `number`, `node` and `program` are the caller's
+  // to fill.
+  TokenClaim                NextClaim(Tokens most) const;
+  // A claim between two turns, so that the next one, of the size of the last,
+  // need not wait for the log, nor be refused if the log is away by then.
+  // Nothing if there is no need.
+  std::optional<TokenClaim> ClaimAhead(Tokens most) const;
+  void                      Granted(Tokens granted);
   // The turn ended and `used` of its tokens were handed to the client.
-  void        EndTurn(Tokens most, Tokens used);
+  void                      EndTurn(Tokens most, Tokens used);
   // What is granted and not needed is given up; returns how much.
-  Tokens      GiveBack();
+  Tokens                    GiveBack();
 
   Tokens budget() const { return m_budget; }
-  Tokens granted() const { return m_granted; }
-  Tokens used() const { return m_used; }
-  Tokens running() const { return m_running; }
 
  private:
+  Tokens Spare() const { return m_granted - m_used - m_running; }
+
   Tokens m_budget;
   Tokens m_granted = 0;
   Tokens m_used = 0;
   Tokens m_running = 0;  // the most that turns under way may use
-  bool   m_allowance_taken = false;
-  bool   m_denied = false;  // the last claim was granted nothing
 };
 
-// A claim asks for half of the budget, and gets at most half of what is left: a
-// program that stays with one counting node costs one claim, and enough is left
-// for the node that counts after it.
-inline constexpr Tokens   kWishDivisor = 2;
-// Part of the tokens left in the log that a home may use while the log is away.
-// One node is the home of a program; a second one comes in only if the first
-// fails during the outage, and both together stay within what was left.
-inline constexpr Tokens   kAllowanceDivisor = 2;
+// Claimed ahead: one turn, or this part of a large budget. It is what a program
+// loses each time that the node which counts it loses power.
+inline constexpr Tokens   kAheadDivisor = 16;
 // How long an idle program's entry is kept, in ms: well above the retention of
 // turns, within which a stopped program may come back.
 inline constexpr Duration kLedgerRetention = 180'000;
--- a/src/yuccawick/traffic/refusal.cc
+++ b/src/yuccawick/traffic/refusal.cc
@@ -22,6 +22,7 @@
     {"not_ready", 503, true},
     {"no_server", 503, true},
     {"overloaded", 503, true},
+    {"log_away", 503, true},
     {"history_unsure", 503, true},
     {"budget_unsure", 503, true},
     {"late_unsent", 503, true},
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -21,6 +21,7 @@
   kNotReady,       // this node knows no manifest yet
   kNoServer,       // no backend server can take it now
   kOverloaded,     // the server that was asked is full
+  kLogAway,        // the log does not answer any node: no turn can be kept
   kHistoryUnsure,  // the turn may exist, and the log does not answer
   kBudgetUnsure,   // the budget cannot be claimed now
   kLateUnsent,     // out of time before it was sent
