Count tokens exactly: claim what waiting turns need, once, and give back what they left

A claim that got no answer was made anew, at up to three homes, and carried out each time; what a home had claimed ahead was lost with it. Ruled out: claiming ahead less (each loss still costs a turn); reading claims back after a timeout (a late one comes after the reading). Change: appends of claims are numbered, and sent again until answered, so each is carried out once and its home hears of it. An account has one claim under way, for all turns that wait; what turns left is given back 60 ms after the last. One node counts a whole partition of eight, so its own append tells what it decides without a read. A home answers within 350 ms itself; a given-up request is forgotten. Isolation is seen by the manifest's follower.

--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -128,6 +128,10 @@
              [&gateway, name = std::move(name), node = std::move(node)] {
                gateway.TakeNode(name, node);
              });
+       },
+       [&](bool reachable) {
+         traffic.Post(
+             [&gateway, reachable] { gateway.TakeLogReachable(reachable); });
        }});
   control.Post([&] { follower.Start(); });
   std::thread control_thread([&] { control.Run(); });
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -122,10 +122,11 @@
     : m_loop(loop),
       m_log(log),
       m_outputs(std::move(outputs)),
-      m_operator(loop, store, log, Topic::kOperator, "manifest",
-                 {kWait, kManifestPause},
-                 {[this](const LogRecord& record) { TakeManifest(record); },
-                  [] {}, [] {}, [](bool) {}}),
+      m_operator(
+          loop, store, log, Topic::kOperator, "manifest",
+          {kWait, kManifestPause},
+          {[this](const LogRecord& record) { TakeManifest(record); }, [] {},
+           [] {}, [this](bool reachable) { NoteLogReachable(reachable); }}),
       m_servers(loop, store, log, Topic::kServers, "servers",
                 {kWait, kServersPause},
                 {[this](const LogRecord& record) { TakeServer(record); },
@@ -142,6 +143,12 @@
               {[this](const LogRecord& record) { TakeNode(record); }, [] {},
                [] {}, [](bool) {}}) {}
 
+void Follower::NoteLogReachable(bool reachable) {
+  if (std::exchange(m_log_reachable, reachable) != reachable) {
+    m_outputs.log_reachable(reachable);
+  }
+}
+
 void Follower::Start() {
   m_operator.Start();
   m_servers.Start();
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -71,12 +71,15 @@
     std::function<void(traffic::ServerListPtr)> servers;
     // A node announced itself, or, without a value, left.
     std::function<void(std::string, std::optional<programs::NodeInfo>)> node;
+    // Whether the log answers; told when that changes.
+    std::function<void(bool)> log_reachable;
   };
   Follower(net::EventLoop* loop, platform::Store* store, Log* log,
            Outputs outputs);
   void Start();
 
  private:
+  void NoteLogReachable(bool reachable);
   void TakeManifest(const platform::LogRecord& record);
   void TakeNode(const platform::LogRecord& record);
   void TakeServer(const platform::LogRecord& record);
@@ -92,6 +95,7 @@
   bool                m_listing_servers = false;
   bool                m_servers_known = false;
   std::int64_t        m_version = -1;  // of the manifest in force
+  bool                m_log_reachable = true;
   TopicFollower       m_operator;
   TopicFollower       m_servers;
   TopicFollower       m_nodes;
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -19,10 +19,6 @@
 constexpr traffic::ClientLimits kFirstLimits{16UL * 1024, 1UL << 20, 3000,
                                              15'000};
 
-// Partitions of the claims. Each takes an append every two milliseconds; two
-// carry some 300 claiming nodes' batches a second at a third of that.
-constexpr int kClaimPartitions = 2;
-
 std::vector<TokenDesk> MakeDesks(net::EventLoop*      loop,
                                  const Thresholds*    thresholds,
                                  platform::RecordLog* store, Log* log,
@@ -78,7 +74,6 @@
   Announce();
   Tick();
   TellNews();
-  for (TokenDesk& desk : m_desks) desk.Start();
   return true;
 }
 
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -25,6 +25,8 @@
   bool Listen();  // false: an address is not to be had
   void TakeManifest(const traffic::ManifestPtr& manifest);
   void TakeServers(const traffic::ServerListPtr& servers);
+  // The log began or ceased to answer.
+  void TakeLogReachable(bool reachable) { m_peers.SetLogReachable(reachable); }
   // A node announced itself, or, without a value, left.
   void TakeNode(const std::string&                       name,
                 const std::optional<programs::NodeInfo>& node);
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -1,7 +1,5 @@
 #include "yuccawick/gateway/peer_service.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -47,16 +45,13 @@
 // Tokens ---------------------------------------------------------------------
 
 TokenDesk& PeerService::DeskOf(const std::string& program) {
-  const auto hash = XXH3_64bits(program.data(), program.size());
-  return (*m_desks)[hash % m_desks->size()];
+  return (*m_desks)[static_cast<std::size_t>(ClaimPartitionOf(program))];
 }
 
-void PeerService::ReserveHere(const TurnBudget& turn, TokenDesk::Rank rank,
-                              const ReserveDone& done) {
-  DeskOf(turn.program)
-      .Reserve(turn, rank, [turn, done](ReserveOutcome outcome) {
-        done({outcome, turn, {}});
-      });
+void PeerService::ReserveHere(const TurnBudget& turn, const ReserveDone& done) {
+  DeskOf(turn.program).Reserve(turn, [turn, done](ReserveOutcome outcome) {
+    done({outcome, turn, {}});
+  });
 }
 
 void PeerService::Reserve(const TurnBudget& turn, const ReserveDone& done) {
@@ -76,7 +71,8 @@
 
 void PeerService::ReserveFrom(const TurnBudget& turn, std::size_t rank,
                               Time until, const ReserveDone& done) {
-  const auto homes = m_members->HomesOf(turn.program);
+  const auto homes =
+      m_members->HomesOf(ClaimHomeKey(ClaimPartitionOf(turn.program)));
   if (rank >= std::min(homes.size(), kMaxHomes)) {
     ReserveUnsure(turn, until, done);
     return;
@@ -93,17 +89,15 @@
       done(result);
     }
   };
-  const auto home_rank =
-      rank == 0 ? TokenDesk::Rank::kFirstHome : TokenDesk::Rank::kOther;
   if (home.name == m_members->self().name) {
-    ReserveHere(turn, home_rank, decided);
+    ReserveHere(turn, decided);
   } else {
-    AskHome(home, turn, home_rank, decided);
+    AskHome(home, turn, decided);
   }
 }
 
 void PeerService::AskHome(const NodeInfo& home, const TurnBudget& turn,
-                          TokenDesk::Rank rank, const ReserveDone& done) {
+                          const ReserveDone& done) {
   auto       number = std::make_shared<std::uint64_t>(0);
   const auto answered = [this, number, turn, name = home.name,
                          done](std::optional<PeerMessage::Reader> answer) {
@@ -117,12 +111,11 @@
   };
   *number = m_network->Ask(
       home,
-      [&turn, rank](PeerMessage::Builder message) {
+      [&turn](PeerMessage::Builder message) {
         auto reserve = message.initReserve();
         reserve.setProgram(turn.program);
         reserve.setBudget(turn.budget);
         reserve.setMost(turn.most);
-        reserve.setFirstHome(rank == TokenDesk::Rank::kFirstHome);
       },
       m_thresholds->reserve_timeout, answered);
 }
@@ -169,31 +162,21 @@
   const TurnBudget turn{asked.getProgram().cStr(), asked.getBudget(),
                         asked.getMost()};
   m_reserved.try_emplace(session);
-  // A home that waits for the log must not look dead to the asker.
-  auto       open = std::make_shared<bool>(true);
-  const auto answer = [open, reply = std::move(reply)](ReserveOutcome outcome) {
-    if (!std::exchange(*open, false)) return false;
-    reply([outcome](PeerMessage::Builder reserved) {
-      reserved.setReserved(ToWire(outcome));
-    });
-    return true;
-  };
-  m_loop->After(m_thresholds->home_answer,
-                [answer] { answer(ReserveOutcome::kHold); });
-  const auto rank = asked.getFirstHome() ? TokenDesk::Rank::kFirstHome
-                                         : TokenDesk::Rank::kOther;
   DeskOf(turn.program)
-      .Reserve(turn, rank,
-               [this, session, turn, answer](ReserveOutcome outcome) {
-                 const auto held = m_reserved.find(session);
-                 const bool heard = held != m_reserved.end() && answer(outcome);
-                 if (outcome != ReserveOutcome::kStart) return;
-                 if (heard) {
-                   held->second.push_back(turn);
-                 } else {
-                   DeskOf(turn.program).EndTurn(turn, 0);  // nobody will run it
-                 }
-               });
+      .Reserve(turn, [this, session, turn,
+                      reply = std::move(reply)](ReserveOutcome outcome) {
+        const auto held = m_reserved.find(session);
+        if (held == m_reserved.end()) {
+          // Nobody will run it.
+          if (outcome == ReserveOutcome::kStart)
+            DeskOf(turn.program).EndTurn(turn, 0);
+          return;
+        }
+        if (outcome == ReserveOutcome::kStart) held->second.push_back(turn);
+        reply([outcome](PeerMessage::Builder reserved) {
+          reserved.setReserved(ToWire(outcome));
+        });
+      });
 }
 
 void PeerService::ServeSettle(PeerNetwork::SessionId session,
@@ -233,12 +216,9 @@
 }
 
 void PeerService::WatchIsolation() {
-  const bool log_away =
-      std::all_of(m_desks->begin(), m_desks->end(),
-                  [](const TokenDesk& desk) { return desk.log_away(); });
   const std::size_t known = m_members->All().size();
   const std::size_t silent = known - m_members->Others().size();
-  if (!log_away || 2 * silent <= known) {
+  if (m_log_reachable || 2 * silent <= known) {
     m_alone_since.reset();
   } else if (!m_alone_since) {
     m_alone_since = m_loop->now();
@@ -269,9 +249,6 @@
 }
 
 void PeerService::TellOutage() {
-  for (TokenDesk& desk : *m_desks) {
-    if (desk.log_away()) desk.Probe();
-  }
   if (m_keeper->AwayFor() == 0 ||
       m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) {
     return;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -2,10 +2,10 @@
 // and of the log. What they do for each other's turns is in peer_turns.h; this
 // passes such messages on.
 //
-// Each program has a home, the node that counts its tokens in memory; asking it
-// costs one round trip instead of two calls of the log. Homes are a matter of
-// cost only: if the home is out of reach, or the log is out of its reach, the
-// next in rank counts, and the claims in the log keep both within the budget.
+// Each program has a home, the node that counts the tokens of its partition of
+// the claims. Homes are a matter of cost only: if the home is out of reach, or
+// the log is out of its reach, the next in rank counts, and the claims in the
+// log keep both within the budget.
 #pragma once
 
 #include <map>
@@ -43,6 +43,8 @@
   void     TellNews();
   // How long the log has been away, as this node sees it, in ms; 0: it answers.
   Duration LogAwayFor() const;
+  // Whether the log answers what is always asked of it, the manifest.
+  void     SetLogReachable(bool reachable) { m_log_reachable = reachable; }
   // Neither the log nor most nodes answer: this node is cut off, and clients
   // are better served by others.
   bool     IsIsolated() const;
@@ -55,13 +57,12 @@
                     std::uint64_t number) override;
 
  private:
-  void ReserveHere(const TurnBudget& turn, TokenDesk::Rank rank,
-                   const ReserveDone& done);
+  void ReserveHere(const TurnBudget& turn, const ReserveDone& done);
   // `rank`: of the home to ask, 0 first. `until`: no further tries then.
   void ReserveFrom(const TurnBudget& turn, std::size_t rank, Time until,
                    const ReserveDone& done);
   void AskHome(const programs::NodeInfo& home, const TurnBudget& turn,
-               TokenDesk::Rank rank, const ReserveDone& done);
+               const ReserveDone& done);
   void ReserveUnsure(const TurnBudget& turn, Time until,
                      const ReserveDone& done);
   void Probe(const programs::NodeInfo& node);
@@ -92,6 +93,7 @@
   Backends::News                      m_told;
   Time                                m_told_at = 0;
   Time                                m_outage_told_at = 0;
+  bool                                m_log_reachable = true;
   std::optional<Time>                 m_alone_since;
 };
 
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -82,21 +82,15 @@
   Duration outage_return = 900;
 
   // Tokens -------------------------------------------------------------------
-  // Claims made ahead gather this long before they are read: less than a tool
-  // pause, and one read brings several.
-  Duration claims_gather = 40;
-  // Claims of others are read at least this often, so that a node that becomes
-  // home of a program has little to read first.
-  Duration claims_reread = 2000;
-  // A turn waits this long for others of its program to end: about as long as
-  // the longest turn takes at a busy server.
-  Duration turns_wait = 900;
+  // Tokens that a turn left are given back after this long: the next turn, or
+  // another that starts beside it, may need them by then.
+  Duration give_back_delay = 60;
   // A home that must claim first takes two calls of the log. A home given up
   // too early splits its programs' tokens: another claims half of what is left.
   Duration reserve_timeout = 700;
   // A home answers within this time; "hold" if it waits for the log or for
-  // turns to end. The asker asks again, and what was claimed meanwhile is there
-  // then; another home would only split the tokens.
+  // turns to end. The asker asks again; another home would only split the
+  // tokens.
   Duration home_answer = 350;
   // How long a turn waits for tokens while the log is away or its outage is not
   // yet agreed on, and the pause between two tries.
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -1,12 +1,15 @@
 #include "yuccawick/gateway/token_desk.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
-#include <vector>
 
 #include "yuccawick/programs/record.h"
 
+// Index: Asking, Claiming, Reading, Giving back.
+
 namespace yuccawick::gateway {
 namespace {
 
@@ -19,6 +22,15 @@
 
 }  // namespace
 
+int ClaimPartitionOf(const std::string& program) {
+  return static_cast<int>(XXH3_64bits(program.data(), program.size()) %
+                          kClaimPartitions);
+}
+
+std::string ClaimHomeKey(int partition) {
+  return "claims " + std::to_string(partition);
+}
+
 std::string_view Name(ReserveOutcome outcome) {
   constexpr std::array<std::string_view, 4> kNames{"unsure", "start", "spent",
                                                    "hold"};
@@ -31,126 +43,165 @@
     : m_loop(loop),
       m_thresholds(thresholds),
       m_store(store),
-      m_health(loop, thresholds, log, metrics,
-               "claims " + std::to_string(partition)),
+      m_health(loop, thresholds, log, metrics, ClaimHomeKey(partition)),
       m_log(log),
       m_incarnation(std::move(incarnation)),
       m_partition(partition),
-      m_appender(loop, thresholds, store, &m_health, Topic::kClaims,
-                 partition) {}
+      m_appender(loop, thresholds, store, &m_health, Topic::kClaims, partition,
+                 m_incarnation) {}
 
-void TokenDesk::Start() {
-  if (!m_caught_up && !m_reading) ReadPage();
-}
+// Asking ---------------------------------------------------------------------
 
-void TokenDesk::Probe() {
-  if (!m_reading && m_health.WorthCalling()) ReadPage();
-}
-
-void TokenDesk::Reserve(const TurnBudget& turn, Rank rank, Done done) {
+void TokenDesk::Reserve(const TurnBudget& turn, Done done) {
   const auto [account, added] = m_accounts.try_emplace(
       turn.program, Account{programs::TokenAccount(turn.budget), 0, {}});
-  account->second.rank = rank;
-  Answer({turn, std::move(done), m_loop->now() + m_thresholds->turns_wait});
+  const std::uint64_t number = ++m_last_request;
+  account->second.waiting.push_back({number, turn, std::move(done)});
+  m_loop->After(
+      m_thresholds->home_answer,
+      [this, program = turn.program, number] { GiveUp(program, number); });
+  Serve(turn.program);
 }
 
-void TokenDesk::Answer(const Waiting& request) {
-  Account& account = m_accounts.at(request.turn.program);
+void TokenDesk::Serve(const std::string& program) {
+  struct Answer {
+    Done           done;
+    ReserveOutcome outcome;
+  };
+  std::vector<Answer> answers;
+  Account&            account = m_accounts.at(program);
   account.used = m_loop->now();
-  if (account.tokens.Reserve(request.turn.most) == TokenAnswer::kStart) {
-    request.done(ReserveOutcome::kStart);
-  } else if (!request.denied) {
-    Claim(request);
-  } else if (account.tokens.MayFitLater(request.turn.most) &&
-             m_loop->now() < request.until) {
-    account.waiting.push_back(request);
-  } else {
-    request.done(ReserveOutcome::kSpent);
+  std::vector<Waiting> left;
+  for (Waiting& request : account.waiting) {
+    if (const auto outcome = Decide(&account, request)) {
+      answers.push_back({std::move(request.done), *outcome});
+    } else {
+      left.push_back(std::move(request));
+    }
   }
+  account.waiting = std::move(left);
+  Claim(program, &account);
+  // Last: whoever is answered may ask again at once.
+  for (const Answer& answer : answers) answer.done(answer.outcome);
 }
 
-void TokenDesk::Claim(const Waiting& request) {
-  Account& account = m_accounts.at(request.turn.program);
-  if (account.claiming_ahead) {
-    account.waiting.push_back(request);
-    ReadClaims();
-    return;
+std::optional<ReserveOutcome> TokenDesk::Decide(Account*       account,
+                                                const Waiting& request) const {
+  const programs::Tokens most = request.turn.most;
+  if (account->tokens.Reserve(most) == TokenAnswer::kStart) {
+    return ReserveOutcome::kStart;
   }
-  // While the log is away, probes look for its return; a claim that tried would
-  // keep its program waiting for a timeout, and the next home from serving it.
-  if (m_health.away()) {
-    request.done(ReserveOutcome::kUnsure);
-    return;
+  if (request.denied) {
+    if (account->tokens.MayFitLater(most)) return std::nullopt;
+    return ReserveOutcome::kSpent;
   }
-  SendClaim(account.tokens.NextClaim(request.turn.most),
-            {request.turn.program, request});
+  // A claim now would go behind one that hangs. The append under way is sent
+  // again until the log is back; who takes this node's place may reach it now.
+  if (m_health.away() && m_appender.busy()) return ReserveOutcome::kUnsure;
+  return std::nullopt;
 }
 
-// Its gain: turns that find their tokens granted wait for no call of the log,
-// and go on while it is away.
-void TokenDesk::ClaimAhead(const TurnBudget& turn) {
-  Account& account = m_accounts.at(turn.program);
-  if (account.rank != Rank::kFirstHome || account.claiming_ahead ||
-      account.spent || m_health.away()) {
-    return;
-  }
-  const auto claim = account.tokens.ClaimAhead(turn.most);
-  if (!claim) return;
-  account.claiming_ahead = true;
-  SendClaim(*claim, {turn.program, std::nullopt});
+// A home that waits for the log must not look dead to its asker. The request is
+// forgotten: a claim that comes through for it is given back.
+void TokenDesk::GiveUp(const std::string& program, std::uint64_t number) {
+  const auto account = m_accounts.find(program);
+  if (account == m_accounts.end()) return;
+  auto&      waiting = account->second.waiting;
+  const auto request = std::find_if(
+      waiting.begin(), waiting.end(),
+      [number](const auto& each) { return each.number == number; });
+  if (request == waiting.end()) return;
+  const Done done = std::move(request->done);
+  const bool undecided = !request->denied && m_health.away();
+  waiting.erase(request);
+  done(undecided ? ReserveOutcome::kUnsure : ReserveOutcome::kHold);
 }
 
-void TokenDesk::SendClaim(programs::TokenClaim claim, const OpenClaim& open) {
-  claim.number = NextNumber();
-  claim.node = m_incarnation;
-  claim.program = open.program;
-  m_claims.emplace(claim.number, open);
-  m_appender.Add(programs::EncodeClaim(claim), false,
-                 [this, number = claim.number](const Appender::Result& result) {
-                   if (result) {
-                     ClaimAppended(number, result->end);
-                   } else {
-                     ClaimLost(number, result.error());
-                   }
-                 });
+void TokenDesk::EndTurn(const TurnBudget& turn, programs::Tokens used) {
+  const auto found = m_accounts.find(turn.program);
+  if (found == m_accounts.end()) return;
+  found->second.tokens.EndTurn(turn.most, used);
+  Serve(turn.program);
 }
 
-void TokenDesk::ClaimAppended(std::uint64_t number, std::int64_t end) {
-  m_goal = std::max(m_goal, end);
-  const auto found = m_claims.find(number);
-  const bool awaited = found != m_claims.end() &&
-                       (found->second.request ||
-                        !m_accounts.at(found->second.program).waiting.empty());
-  // Nobody waits for a claim ahead yet; one read brings several.
-  m_loop->After(awaited ? 0 : m_thresholds->claims_gather,
-                [this] { ReadClaims(); });
+// Claiming -------------------------------------------------------------------
+
+// One claim at a time: what a second one should ask for depends on what the
+// first one brings.
+void TokenDesk::Claim(const std::string& program, Account* account) {
+  if (account->claiming) return;
+  programs::Tokens  wish = -account->tokens.Spare();
+  const TurnBudget* first = nullptr;
+  for (const Waiting& request : account->waiting) {
+    if (request.denied) continue;
+    if (first == nullptr) first = &request.turn;
+    wish += request.turn.most;
+  }
+  if (first == nullptr) {
+    if (account->waiting.empty() && account->tokens.Spare() > 0) {
+      m_spare.insert(program);
+      GiveBackSpare();
+    }
+    return;
+  }
+  programs::TokenClaim claim = account->tokens.NextClaim(first->most);
+  claim.wish = std::max(claim.need, wish);
+  claim.program = program;
+  claim.number = ++m_last_number;
+  account->claiming = true;
+  m_claims.emplace(claim.number, OpenClaim{program, claim.need});
+  SendRecord(std::move(claim));
 }
 
-// Numbers are times, so that a record tells how long it was on its way.
-std::uint64_t TokenDesk::NextNumber() {
-  m_last_number =
-      std::max(m_last_number + 1, static_cast<std::uint64_t>(m_loop->now()));
-  return m_last_number;
+void TokenDesk::SendRecord(programs::TokenClaim record) {
+  record.node = m_incarnation;
+  std::string encoded = programs::EncodeClaim(record);
+  m_appender.Add(encoded, true,
+                 [this, encoded](const Appender::Result& result) {
+                   RecordAppended(encoded, result->offset);
+                 });
 }
 
-void TokenDesk::ClaimLost(std::uint64_t               number,
-                          const platform::StoreError& error) {
-  if (error.failure != StoreFailure::kUnknown || m_reading) {
-    ClaimFailed(number);
+void TokenDesk::RecordAppended(const std::string& record, std::int64_t offset) {
+  if (offset == m_next && !m_reading) {
+    // Nobody wrote in between.
+    ++m_next;
+    TakeRecord(record);
     return;
   }
-  // It may be in the log all the same.
-  m_unsure_claim = number;
-  ReadPage();
+  m_goal = std::max(m_goal, offset + 1);
+  ReadClaims();
+}
+
+void TokenDesk::ClaimDecided(std::uint64_t number, programs::Tokens granted) {
+  const auto claim = m_claims.extract(number);
+  if (claim.empty()) return;
+  const auto& [program, need] = claim.mapped();
+  Account& account = m_accounts.at(program);
+  account.claiming = false;
+  account.tokens.Granted(granted);
+  m_log->Write(LogEvent::kClaim, {{"program", program},
+                                  {"number", static_cast<std::int64_t>(number)},
+                                  {"need", need},
+                                  {"granted", granted}});
+  if (granted == 0) {
+    // So would be any that needs as much.
+    for (Waiting& request : account.waiting) {
+      const auto lacks = request.turn.most - account.tokens.Spare();
+      request.denied = request.denied || lacks >= need;
+    }
+  }
+  Serve(program);
 }
 
+// Reading --------------------------------------------------------------------
+
 void TokenDesk::ReadClaims() {
   if (!m_reading && m_next < m_goal) ReadPage();
 }
 
 void TokenDesk::ReadPage() {
   m_reading = true;
-  m_read_at = m_loop->now();
   m_store->Read(
       Topic::kClaims, m_partition, m_next, 0, m_thresholds->log_timeout,
       [this](const StoreResult<platform::ReadPage>& result) {
@@ -162,31 +213,18 @@
         }
         m_health.Note(result.has_value(), "read");
         if (!result) {
-          ReadFailed();
+          m_loop->After(m_thresholds->log_away_pause, [this] { ReadClaims(); });
           return;
         }
+        // Taking a record may start the next reading: not from here again.
         m_next = result->next;
+        m_reading = true;
         for (const auto& record : result->records) TakeRecord(record.value);
-        if (m_next >= result->end) m_caught_up = true;
-        if (!m_caught_up) m_goal = std::max(m_goal, result->end);
-        // Not there: it failed, or comes late.
-        if (m_unsure_claim != 0) ClaimFailed(std::exchange(m_unsure_claim, 0));
+        m_reading = false;
         ReadClaims();
       });
 }
 
-void TokenDesk::ReadFailed() {
-  // Claims that are in the log stay decided; what they bring is credited when
-  // it can be read again. Nobody waits for that.
-  std::vector<std::uint64_t> open;
-  for (const auto& [number, claim] : m_claims) open.push_back(number);
-  for (const std::uint64_t number : open) ClaimFailed(number);
-  m_loop->After(m_thresholds->log_away_pause, [this] {
-    ReadClaims();
-    Start();
-  });
-}
-
 void TokenDesk::TakeRecord(const std::string& record) {
   const auto claim = programs::DecodeClaim(record);
   if (!claim) {
@@ -195,98 +233,46 @@
   }
   const auto granted = m_ledger.Apply(*claim, m_loop->now());
   if (claim->node != m_incarnation || claim->taken) return;
-  // Also one whose append got no answer and was carried out seconds later: the
-  // log holds the grant for this incarnation, once.
-  const auto account = m_accounts.find(claim->program);
-  if (account != m_accounts.end()) account->second.tokens.Granted(granted);
   ClaimDecided(claim->number, granted);
 }
 
-void TokenDesk::ClaimDecided(std::uint64_t number, programs::Tokens granted) {
-  auto node = m_claims.extract(number);
-  if (node.empty()) return;
-  OpenClaim& claim = node.mapped();
-  if (!claim.request) {
-    EndClaimAhead(claim.program, granted == 0);
-    return;
-  }
-  m_log->Write(LogEvent::kClaim, {{"program", claim.program},
-                                  {"number", static_cast<std::int64_t>(number)},
-                                  {"granted", granted},
-                                  {"most", claim.request->turn.most}});
-  claim.request->denied = granted == 0;
-  // Asks again rather than taking it: other turns may have used it meanwhile.
-  Answer(*claim.request);
-}
-
-void TokenDesk::ClaimFailed(std::uint64_t number) {
-  auto node = m_claims.extract(number);
-  if (node.empty()) return;
-  const OpenClaim& claim = node.mapped();
-  if (!claim.request) {
-    EndClaimAhead(claim.program, false);
-    return;
-  }
-  const TurnBudget& turn = claim.request->turn;
-  // A turn that has ended meanwhile may have left enough.
-  const auto answer = m_accounts.at(turn.program).tokens.Reserve(turn.most);
-  claim.request->done(answer == TokenAnswer::kStart ? ReserveOutcome::kStart
-                                                    : ReserveOutcome::kUnsure);
-}
-
-void TokenDesk::EndClaimAhead(const std::string& program, bool spent) {
-  const auto account = m_accounts.find(program);
-  if (account == m_accounts.end()) return;
-  account->second.claiming_ahead = false;
-  account->second.spent = spent;
-  WakeWaiting(program);
-}
+// Giving back ----------------------------------------------------------------
 
-void TokenDesk::EndTurn(const TurnBudget& turn, programs::Tokens used) {
-  const auto found = m_accounts.find(turn.program);
-  if (found == m_accounts.end()) return;
-  found->second.tokens.EndTurn(turn.most, used);
-  found->second.used = m_loop->now();
-  WakeWaiting(turn.program);
-  ClaimAhead(turn);
+// A little later: the next turn may need it, and one append takes several.
+void TokenDesk::GiveBackSpare() {
+  if (std::exchange(m_give_back_due, true)) return;
+  m_loop->After(m_thresholds->give_back_delay, [this] {
+    m_give_back_due = false;
+    for (const std::string& program : std::exchange(m_spare, {})) {
+      const auto account = m_accounts.find(program);
+      if (account != m_accounts.end()) GiveBack(program, &account->second);
+    }
+  });
 }
 
-void TokenDesk::WakeWaiting(const std::string& program) {
-  // Each asks again; those that still do not fit wait on, in order.
-  auto waiting = std::exchange(m_accounts.at(program).waiting, {});
-  for (const Waiting& request : waiting) Answer(request);
+void TokenDesk::GiveBack(const std::string& program, Account* account) {
+  if (account->claiming || !account->waiting.empty()) return;
+  const auto spare = account->tokens.GiveBack();
+  if (spare <= 0) return;
+  programs::TokenClaim back;
+  back.number = ++m_last_number;
+  back.program = program;
+  back.wish = -spare;
+  back.taken = true;
+  SendRecord(std::move(back));
 }
 
 void TokenDesk::GiveBackAll() {
-  for (auto& [program, account] : m_accounts) {
-    const auto spare = account.tokens.GiveBack();
-    if (spare <= 0) continue;
-    programs::TokenClaim back;
-    back.number = NextNumber();
-    back.node = m_incarnation;
-    back.program = program;
-    back.budget = account.tokens.budget();
-    back.wish = -spare;
-    back.taken = true;
-    m_appender.Add(programs::EncodeClaim(back), false,
-                   [](const Appender::Result&) {});
-  }
+  for (auto& [program, account] : m_accounts) GiveBack(program, &account);
 }
 
 void TokenDesk::Sweep() {
   const Time now = m_loop->now();
-  if (now - m_read_at >= m_thresholds->claims_reread) Probe();
   m_ledger.Expire(now);
-  std::vector<std::string> overdue;
-  for (const auto& [program, account] : m_accounts) {
-    if (!account.waiting.empty() && account.waiting.front().until <= now) {
-      overdue.push_back(program);
-    }
-  }
-  for (const std::string& program : overdue) WakeWaiting(program);
   std::erase_if(m_accounts, [now](const auto& entry) {
-    return now - entry.second.used > kAccountMemory &&
-           entry.second.waiting.empty();
+    const Account& account = entry.second;
+    return now - account.used > kAccountMemory && account.waiting.empty() &&
+           !account.claiming;
   });
 }
 
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -1,22 +1,25 @@
 // Counts the tokens of the agent programs that this node is home of.
 //
 // Accounts live in memory and claim from the platform's log. Whoever asks for a
-// turn gets an answer soon: at once if the account has room, after a claim (two
-// calls of the log) if not, when a turn of the program ends if only turns under
-// way stand in the way.
+// turn gets an answer soon: at once if the account has room, after one append
+// if not, "hold" if that takes longer than its asker should wait in silence.
 //
-// No turn runs on tokens that the log has not granted. All nodes may lose power
-// at any moment, also while the log is away; tokens used without a record would
-// be granted a second time then, and the program would end above its budget. So
-// the first home claims the next turn's tokens when a turn ends: a program has
-// one turn to go on with when the log goes away, and loses one turn's tokens at
-// the most when its home loses power.
+// No turn runs on tokens that the log has not granted, and an account keeps
+// none that no turn needs. All nodes may lose power at any moment, also while
+// the log is away. Tokens used without a record would be granted a second time
+// after that, and the program would end above its budget; tokens granted and
+// not used would be missing, and a program whose budget holds them would be
+// refused.
+//
+// One node counts all programs of a partition of the claims, so that nobody
+// else writes there as a rule: it knows what its append decides without
+// reading.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +33,13 @@
 using net::Duration;
 using net::Time;
 
+// Partitions of the claims; one of a dozen that a topic has on the smallest
+// platform, so that homes are spread over that many nodes.
+inline constexpr int kClaimPartitions = 8;
+int                  ClaimPartitionOf(const std::string& program);
+// What the homes of a partition are ranked by.
+std::string          ClaimHomeKey(int partition);
+
 enum class ReserveOutcome : std::uint8_t {
   kUnsure,  // the log does not answer
   kStart,
@@ -53,60 +63,50 @@
             platform::RecordLog* store, Log* log, Metrics* metrics,
             std::string incarnation, int partition);
 
-  // Reads the claims of before this node started.
-  void     Start();
-  // Finds out whether the log answers.
-  void     Probe();
-  bool     log_away() const { return m_health.away(); }
-  Duration LogAwayFor() const { return m_health.AwayFor(); }
-  int      partition() const { return m_partition; }
-
-  // Whether to claim ahead for the program: only the first home does, or each
-  // node that ever counted for it would keep tokens from the others.
-  enum class Rank : std::uint8_t { kFirstHome, kOther };
-  void Reserve(const TurnBudget& turn, Rank rank, Done done);
+  // `done` is called once, within `home_answer` ms.
+  void Reserve(const TurnBudget& turn, Done done);
+  // The turn ended; `used` of its tokens were handed to the client.
   void EndTurn(const TurnBudget& turn, programs::Tokens used);
   // The node stops: what it was granted and does not need goes back.
   void GiveBackAll();
+  // Forgets programs that were idle for long.
   void Sweep();
 
+  Duration LogAwayFor() const { return m_health.AwayFor(); }
+  int      partition() const { return m_partition; }
+
  private:
   struct Waiting {
-    TurnBudget turn;
-    Done       done;
-    Time       until = 0;
-    bool       denied = false;  // the log granted its claim nothing
+    std::uint64_t number = 0;
+    TurnBudget    turn;
+    Done          done;
+    bool          denied = false;  // the log granted its claim nothing
   };
   struct Account {
     programs::TokenAccount tokens;
     Time                   used = 0;
-    // For a turn under way to end, or for the claim ahead.
-    std::deque<Waiting>    waiting;
-    Rank                   rank = Rank::kOther;
-    bool                   claiming_ahead = false;
-    bool                   spent = false;  // a claim ahead was granted nothing
+    std::vector<Waiting>   waiting;
+    bool                   claiming = false;
   };
   struct OpenClaim {
-    std::string            program;
-    std::optional<Waiting> request;  // nothing: a claim ahead
+    std::string      program;
+    programs::Tokens need = 0;
   };
 
-  void Answer(const Waiting& request);
-  void Wait(const Waiting& request);
-  void Claim(const Waiting& request);
-  void ClaimAhead(const TurnBudget& turn);
-  void SendClaim(programs::TokenClaim claim, const OpenClaim& open);
-  void ClaimAppended(std::uint64_t number, std::int64_t end);
-  void ClaimLost(std::uint64_t number, const platform::StoreError& error);
+  // Answers whom it can, then claims for the others.
+  void                          Serve(const std::string& program);
+  std::optional<ReserveOutcome> Decide(Account*       account,
+                                       const Waiting& request) const;
+  void GiveUp(const std::string& program, std::uint64_t number);
+  void Claim(const std::string& program, Account* account);
+  void SendRecord(programs::TokenClaim record);
+  void RecordAppended(const std::string& record, std::int64_t offset);
   void ClaimDecided(std::uint64_t number, programs::Tokens granted);
-  void ClaimFailed(std::uint64_t number);
-  void EndClaimAhead(const std::string& program, bool spent);
-  std::uint64_t NextNumber();
-  void          ReadClaims();
-  void          ReadPage();
-  void          ReadFailed();
-  void          TakeRecord(const std::string& record);
-  void          WakeWaiting(const std::string& program);
+  void ReadClaims();
+  void ReadPage();
+  void TakeRecord(const std::string& record);
+  void GiveBackSpare();
+  void GiveBack(const std::string& program, Account* account);
 
   net::EventLoop*                              m_loop;
   const Thresholds*                            m_thresholds;
@@ -119,13 +119,13 @@
   Appender                                     m_appender;
   std::unordered_map<std::string, Account>     m_accounts;  // by program
   std::unordered_map<std::uint64_t, OpenClaim> m_claims;    // by number
-  std::uint64_t                                m_last_number = 0;
-  std::uint64_t m_unsure_claim = 0;  // sent, and its answer was lost
-  std::int64_t  m_next = 0;          // offset to read on from
-  std::int64_t  m_goal = 0;          // offset to read up to
-  Time          m_read_at = 0;       // began to read then
-  bool          m_reading = false;
-  bool          m_caught_up = false;  // read whole since the start
+  std::set<std::string> m_spare;                  // programs that may have some
+  bool                  m_give_back_due = false;  // a timer runs
+  std::uint64_t         m_last_number = 0;        // of records
+  std::uint64_t         m_last_request = 0;
+  std::int64_t          m_next = 0;  // offset to read on from
+  std::int64_t          m_goal = 0;  // offset to read up to
+  bool                  m_reading = false;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -43,7 +43,6 @@
   program @0 :Text;
   budget  @1 :Int64;
   most    @2 :Int64;  # that the turn may generate
-  firstHome @3 :Bool;  # the asker knows no node that counts before this one
 }
 
 enum Reserved {
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -111,7 +111,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0cb44f94be6ba58, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a0cb44f94be6ba58, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -683,8 +683,6 @@
 
   inline  ::int64_t getMost() const;
 
-  inline bool getFirstHome() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -726,9 +724,6 @@
   inline  ::int64_t getMost();
   inline void setMost( ::int64_t value);
 
-  inline bool getFirstHome();
-  inline void setFirstHome(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1931,20 +1926,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Reserve::Reader::getFirstHome() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Reserve::Builder::getFirstHome() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Reserve::Builder::setFirstHome(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Settle::Reader::hasProgram() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -8,10 +8,10 @@
 Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
   Entry& entry = m_entries[claim.program];
   entry.until = now + kLedgerRetention;
+  const bool first = entry.applied.emplace(claim.node, claim.number).second;
+  if (!first) return 0;
   if (claim.taken) {
-    const bool first =
-        entry.given_back.insert(RecordId(claim.node, claim.number)).second;
-    if (first) entry.granted += claim.wish;
+    entry.granted += claim.wish;
     return 0;
   }
   if (entry.budget == 0) entry.budget = claim.budget;
@@ -48,13 +48,6 @@
   return claim;
 }
 
-std::optional<TokenClaim> TokenAccount::ClaimAhead(Tokens most) const {
-  if (Spare() >= most) return std::nullopt;
-  TokenClaim claim = NextClaim(most);
-  claim.wish = std::max(claim.need, m_budget / kAheadDivisor - Spare());
-  return claim;
-}
-
 void TokenAccount::Granted(Tokens granted) { m_granted += granted; }
 
 void TokenAccount::EndTurn(Tokens most, Tokens used) {
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -11,7 +11,8 @@
 //
 // A turn runs on granted tokens only, so whatever is lost, and whenever, what
 // clients were handed stays within what the log has granted. What a node was
-// granted and had not used is lost with it; so nodes claim little ahead.
+// granted and had not used is lost with it; so a node claims what the turns
+// need that wait for it, and gives back what they left.
 //
 // The ledger grants up to the budget and one turn beyond it: a program may end
 // its budget in the middle of a turn. Counting turns at the most they may
@@ -19,7 +20,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -40,15 +40,14 @@
   Tokens        budget = 0;  // of the program, as its client states it
   Tokens        need = 0;    // less than this is of no use
   Tokens        wish = 0;    // taken if half of the rest allows it
-  // Counts whether it fits or not: `wish` is below zero and given back by a
-  // node that stops.
+  // Counts whether it fits or not: `wish` is below zero and given back.
   bool          taken = false;
 };
 
 class TokenLedger {
  public:
-  // Applies the next claim in log order; returns the tokens granted. What is
-  // given back counts once, though it lies in the log twice.
+  // Applies the next claim in log order; returns the tokens granted. A record
+  // that lies in the log twice counts once.
   Tokens Apply(const TokenClaim& claim, Time now);
   void   Expire(Time now);
 
@@ -58,7 +57,7 @@
     Tokens             budget = 0;
     Tokens             granted = 0;
     Time               until = 0;
-    std::set<RecordId> given_back;
+    std::set<RecordId> applied;
   };
 
   std::unordered_map<std::string, Entry> m_entries;  // by program
@@ -74,37 +73,29 @@
   explicit TokenAccount(Tokens budget) : m_budget(budget) {}
 
   // Asks to run a turn of at most `most` tokens.
-  TokenAnswer               Reserve(Tokens most);
+  TokenAnswer Reserve(Tokens most);
   // Whether that turn may fit once turns under way have ended with less than
   // their most. Ask after a claim for it was granted nothing.
-  bool                      MayFitLater(Tokens most) const;
+  bool        MayFitLater(Tokens most) const;
   // A claim for such a turn; `number`, `node` and `program` are the caller's
   // to fill.
-  TokenClaim                NextClaim(Tokens most) const;
-  // A claim between two turns, so that the next one, of the size of the last,
-  // need not wait for the log, nor be refused if the log is away by then.
-  // Nothing if there is no need.
-  std::optional<TokenClaim> ClaimAhead(Tokens most) const;
-  void                      Granted(Tokens granted);
+  TokenClaim  NextClaim(Tokens most) const;
+  void        Granted(Tokens granted);
   // The turn ended and `used` of its tokens were handed to the client.
-  void                      EndTurn(Tokens most, Tokens used);
+  void        EndTurn(Tokens most, Tokens used);
   // What is granted and not needed is given up; returns how much.
-  Tokens                    GiveBack();
-
-  Tokens budget() const { return m_budget; }
+  Tokens      GiveBack();
+  // Granted, and not used or reserved.
+  Tokens      Spare() const { return m_granted - m_used - m_running; }
+  Tokens      budget() const { return m_budget; }
 
  private:
-  Tokens Spare() const { return m_granted - m_used - m_running; }
-
   Tokens m_budget;
   Tokens m_granted = 0;
   Tokens m_used = 0;
   Tokens m_running = 0;  // the most that turns under way may use
 };
 
-// Claimed ahead: one turn, or this part of a large budget. It is what a program
-// loses each time that the node which counts it loses power.
-inline constexpr Tokens   kAheadDivisor = 16;
 // How long an idle program's entry is kept, in ms: well above the retention of
 // turns, within which a stopped program may come back.
 inline constexpr Duration kLedgerRetention = 180'000;
