Number all appends, remember the places of turns, and try the log's other ways at once

A turn larger than a record was appended for ever and held all others up; appends whose answers were lost were carried out each time (177 copies of a turn in 30 s); 404 rested on what memory had forgotten, and on records that were deleted unread; the ledger forgot grants after 180 s or with deleted records; a zone cut off from the log asked only its own nodes to append; nodes that waited for a slow log were taken for lost; a late removal hid a node. Change: every append has a number and is sent again with it, first after four usual answers, so one lies in the log once; a record that the log will never take fails alone; large turns lie in several records; records that nobody waits for any more are dropped. TurnReader is split from TurnKeeper: it remembers the place of each turn for as long as the log keeps it and reads it again; a scan that passed over deleted records is incomplete until their retention has passed. Claims carry what was granted before. A node of the own zone and one of another append at once, others at the next try, and answer within 500 ms, readers within 400. A node whose entry is taken back announces itself again. A node that has no manifest yet lets clients return later the longer that lasts.

--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -1,5 +1,6 @@
 #include "yuccawick/gateway/appender.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -7,8 +8,12 @@
 namespace {
 
 using net::Duration;
+using platform::StoreFailure;
 
 constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // the log takes 2 MB a call
+// The first try waits for so many usual answers.
+constexpr Duration    kPatience = 4;
+constexpr Duration    kSmoothing = 4;  // weight of the past against an answer
 
 }  // namespace
 
@@ -23,14 +28,23 @@
       m_partition(partition),
       m_id{std::move(producer), 0, 0} {}
 
-void Appender::Add(std::string record, bool insist, Done done) {
-  m_waiting.push_back({std::move(record), insist, std::move(done)});
+void Appender::Add(std::string record, Done done, Wanted wanted) {
+  m_waiting.push_back({std::move(record), std::move(done), std::move(wanted)});
   Pump();
 }
 
 void Appender::Pump() {
-  if (m_busy || m_waiting.empty()) return;
+  if (m_busy) return;
+  TakeBatch();
+  if (m_flying.empty()) return;
   m_busy = true;
+  m_timeout = FirstTimeout();
+  Send();
+}
+
+void Appender::TakeBatch() {
+  std::erase_if(m_waiting,
+                [](const Item& item) { return item.wanted && !item.wanted(); });
   std::size_t bytes = 0;
   std::size_t taken = 0;
   while (taken < m_waiting.size() && bytes < kMaxBatchBytes) {
@@ -40,54 +54,82 @@
   m_flying.assign(std::make_move_iterator(m_waiting.begin()),
                   std::make_move_iterator(end));
   m_waiting.erase(m_waiting.begin(), end);
-  Send();
+}
+
+Duration Appender::FirstTimeout() const {
+  return std::clamp(kPatience * m_usual, m_thresholds->append_first_timeout,
+                    m_thresholds->log_timeout);
 }
 
 void Appender::Send() {
   std::vector<std::string> records;
   records.reserve(m_flying.size());
   for (const Item& item : m_flying) records.push_back(item.record);
-  const auto id =
-      m_id.producer.empty() ? std::nullopt : std::make_optional(m_id);
-  m_store->Append(m_topic, m_partition, records, id, m_thresholds->log_timeout,
+  m_sent_at = m_loop->now();
+  m_store->Append(m_topic, m_partition, records, m_id, m_timeout,
                   [this](const Result& result) { Finish(result); });
 }
 
+void Appender::Finish(const Result& result) {
+  if (result) {
+    m_health->Note(true, "append");
+    const Duration took = m_loop->now() - m_sent_at;
+    m_usual = (kSmoothing * m_usual + took) / (kSmoothing + 1);
+  } else if (result.error().failure == StoreFailure::kUndecodable) {
+    Refused(result.error());
+    return;
+  } else {
+    SendAgain(result.error());
+    return;
+  }
+  ++m_id.number;
+  auto flown = std::exchange(m_flying, {});
+  m_loop->Defer([this] {
+    m_busy = false;
+    Pump();
+  });
+  Result own = result;
+  for (const Item& item : flown) {
+    item.done(own);
+    ++own->offset;
+  }
+}
+
 void Appender::SendAgain(const platform::StoreError& error) {
   // The log does not know this producer's last append any more, or knows of
   // another. An epoch of its own begins anew; should the records lie there
-  // twice, their readers count them as the log has them.
-  if (error.failure == platform::StoreFailure::kOutOfOrder) {
+  // twice, their readers count them once.
+  if (error.failure == StoreFailure::kOutOfOrder) {
     ++m_id.epoch;
     m_id.number = 0;
   }
-  m_loop->After(m_thresholds->log_away_pause, [this] { Send(); });
+  // A short try that got no answer says little about the log.
+  const bool waited_long = m_timeout >= m_thresholds->log_timeout;
+  const bool no_answer = error.failure == StoreFailure::kUnknown;
+  if (waited_long || !no_answer) m_health->Note(false, "append");
+  m_timeout = std::min(2 * m_timeout, m_thresholds->log_timeout);
+  m_loop->After(no_answer ? 0 : m_thresholds->log_away_pause,
+                [this] { Send(); });
 }
 
-void Appender::Finish(const Result& result) {
-  m_health->Note(result.has_value(), "append");
-  if (!result && !m_id.producer.empty()) {
-    SendAgain(result.error());
+// The log will not take this append, however often it is sent. One record of it
+// must not keep the others from it, nor those that come after.
+void Appender::Refused(const platform::StoreError& error) {
+  if (m_flying.size() > 1) {
+    m_waiting.insert(m_waiting.begin(),
+                     std::make_move_iterator(m_flying.begin() + 1),
+                     std::make_move_iterator(m_flying.end()));
+    m_flying.resize(1);
+    m_loop->Defer([this] { Send(); });
     return;
   }
-  ++m_id.number;
-  auto              flown = std::exchange(m_flying, {});
-  std::vector<Item> again;
-  m_loop->After(result ? 0 : m_thresholds->log_away_pause, [this] {
+  const Item item = std::move(m_flying.front());
+  m_flying.clear();
+  m_loop->After(m_thresholds->log_away_pause, [this] {
     m_busy = false;
     Pump();
   });
-  Result own = result;
-  for (Item& item : flown) {
-    if (!result && item.insist) {
-      again.push_back(std::move(item));
-    } else {
-      item.done(own);
-    }
-    if (own) ++own->offset;
-  }
-  m_waiting.insert(m_waiting.begin(), std::make_move_iterator(again.begin()),
-                   std::make_move_iterator(again.end()));
+  item.done(tl::unexpected(error));
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -138,7 +138,7 @@
   if (waited == 0) {
     m_parts.log->Write(LogEvent::kWaiting,
                        {{"request", m_info.attempt},
-                        {"log_away_ms", m_parts.turns->AwayFor()}});
+                        {"log_away_ms", m_parts.turns->reader().AwayFor()}});
   }
   m_parts.loop->After(m_parts.thresholds->log_wait_pause,
                       [self = shared_from_this()] { self->AwaitLog(); });
@@ -480,7 +480,7 @@
 void Exchange::RecordTurn() {
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
-  m_parts.turns->Keep(turn, m_route->retention,
+  m_parts.turns->Keep(turn, m_route->retention, m_due,
                       [self = shared_from_this()](const Kept& kept) {
                         if (self->m_client == nullptr) return;
                         self->m_kept = kept;
@@ -528,7 +528,10 @@
   if (!traffic::InvitesReturn(refusal)) return -1;
   const Thresholds& limits = *m_parts.thresholds;
   Duration          mean = limits.return_delay;
-  if (refusal == Refusal::kNotReady) mean = limits.start_delay;
+  if (refusal == Refusal::kNotReady) {
+    mean = std::clamp(m_parts.loop->now() - m_parts.started, limits.start_delay,
+                      limits.outage_return);
+  }
   if (refusal == Refusal::kLogAway || refusal == Refusal::kHistoryUnsure ||
       refusal == Refusal::kBudgetUnsure) {
     mean = std::clamp(m_parts.peers->LogAwayFor(), limits.return_delay,
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -49,6 +49,7 @@
   PeerService*      peers = nullptr;
   Log*              log = nullptr;
   Metrics*          metrics = nullptr;
+  Time              started = 0;  // of the node, on the loop's clock
 };
 
 class Exchange final : public BackendUser,
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -42,11 +42,12 @@
       m_settings(settings),
       m_log(log),
       m_metrics(metrics),
+      m_started(loop->now()),
       m_store(loop, settings.store),
       m_backends(loop, thresholds, settings.zone,
                  traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix,
                                         thresholds->placement)),
-      m_turns(loop, thresholds, &m_store, log, metrics),
+      m_turns(loop, thresholds, &m_store, log, metrics, incarnation),
       m_desks(MakeDesks(loop, thresholds, &m_store, log, metrics, incarnation)),
       m_members({settings.node,
                  incarnation,
@@ -89,7 +90,12 @@
 
 void Gateway::TakeNode(const std::string&                       name,
                        const std::optional<programs::NodeInfo>& node) {
-  if (node) {
+  if (name == m_settings.node) {
+    // A late call of an earlier start took the entry back, or put its own
+    // there.
+    const bool mine = node && node->incarnation == m_members.self().incarnation;
+    if (!mine && !m_stopping) Announce();
+  } else if (node) {
     m_members.Put(*node);
   } else {
     m_members.Remove(name);
@@ -107,7 +113,7 @@
   for (const traffic::Route& route : manifest->routes) {
     if (route.keeps_turns) longest = std::max(longest, route.retention);
   }
-  if (longest > 0) m_turns.SetRetention(longest);
+  if (longest > 0) m_turns.reader().SetRetention(longest);
 }
 
 void Gateway::TakeServers(const traffic::ServerListPtr& servers) {
@@ -134,7 +140,7 @@
        fd = net::Accept(m_listener, silence)) {
     m_accepted_at = m_loop->now();
     const GatewayParts parts{m_loop,   m_thresholds, &m_backends, &m_turns,
-                             &m_peers, m_log,        m_metrics};
+                             &m_peers, m_log,        m_metrics,   m_started};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
     m_clients.emplace(raw, std::move(connection));
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -61,6 +61,7 @@
   platform::Settings     m_settings;
   Log*                   m_log;
   Metrics*               m_metrics;
+  Time                   m_started;
   platform::Store        m_store;
   Backends               m_backends;
   TurnKeeper             m_turns;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -231,7 +231,7 @@
 }
 
 Duration PeerService::LogAwayFor() const {
-  Duration longest = m_keeper->AwayFor();
+  Duration longest = m_keeper->reader().AwayFor();
   for (const TokenDesk& desk : *m_desks) {
     longest = std::max(longest, desk.LogAwayFor());
   }
@@ -249,7 +249,7 @@
 }
 
 void PeerService::TellOutage() {
-  if (m_keeper->AwayFor() == 0 ||
+  if (m_keeper->reader().AwayFor() == 0 ||
       m_loop->now() - m_outage_told_at < m_thresholds->outage_pause) {
     return;
   }
--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -33,39 +33,64 @@
     return said != m_without_log.end() &&
            m_loop->now() - said->second < m_thresholds->outage_memory;
   });
-  // Bytes between zones are dear.
-  std::stable_partition(nodes.begin(), nodes.end(),
-                        [this](const NodeInfo& node) {
-                          return node.zone == m_members->self().zone;
-                        });
   return nodes;
 }
 
+// Bytes between zones are dear, but a zone may lose the log as a whole.
+std::vector<NodeInfo> PeerTurns::ChooseRelays(std::size_t attempt) const {
+  auto       nodes = WhoReachLog();
+  const auto far = std::stable_partition(
+      nodes.begin(), nodes.end(), [this](const NodeInfo& node) {
+        return node.zone == m_members->self().zone;
+      });
+  std::vector<NodeInfo> chosen;
+  const auto            choose = [&chosen, attempt](auto begin, auto end) {
+    const auto count = static_cast<std::size_t>(end - begin);
+    if (count == 0) return;
+    chosen.push_back(begin[static_cast<std::ptrdiff_t>(attempt % count)]);
+  };
+  choose(nodes.begin(), far);
+  choose(far, nodes.end());
+  return chosen;
+}
+
 void PeerTurns::AppendFor(const Turn& turn, Duration retention,
-                          AppendDone done) {
-  const auto nodes = WhoReachLog();
+                          std::size_t attempt, AppendDone done) {
+  const auto nodes = ChooseRelays(attempt);
   if (nodes.empty()) {
     done(std::nullopt);
     return;
   }
-  m_network->Ask(
-      nodes.front(),
-      [&](PeerMessage::Builder message) {
-        auto keep = message.initKeepTurn();
-        programs::Write(turn, keep.initTurn());
-        keep.setRetentionMs(retention);
-      },
-      m_thresholds->relay_timeout,
-      [this, node = nodes.front().name,
-       done = std::move(done)](std::optional<PeerMessage::Reader> answer) {
-        if (answer && answer->isTurnKept()) {
-          const auto kept = answer->getTurnKept();
-          done(Kept{kept.getPartition(), kept.getOffset(), true});
-          return;
-        }
-        NoteLogAway(node);
-        done(std::nullopt);
-      });
+  auto       left = std::make_shared<std::size_t>(nodes.size());
+  auto       waiting = std::make_shared<AppendDone>(std::move(done));
+  const auto answered = [this, left, waiting](
+                            const std::string&                 node,
+                            std::optional<PeerMessage::Reader> answer) {
+    --*left;
+    std::optional<Kept> kept;
+    if (answer && answer->isTurnKept()) {
+      const auto place = answer->getTurnKept();
+      kept = Kept{place.getPartition(), place.getOffset(), true};
+    } else {
+      NoteLogAway(node);
+    }
+    if (!kept && *left > 0) return;
+    if (const auto told = std::exchange(*waiting, nullptr)) told(kept);
+  };
+  for (const NodeInfo& node : nodes) {
+    m_network->Ask(
+        node,
+        [&](PeerMessage::Builder message) {
+          auto keep = message.initKeepTurn();
+          programs::Write(turn, keep.initTurn());
+          keep.setRetentionMs(retention);
+        },
+        m_thresholds->relay_timeout,
+        [answered,
+         name = node.name](std::optional<PeerMessage::Reader> answer) {
+          answered(name, answer);
+        });
+  }
 }
 
 void PeerTurns::AskForTurn(const std::string&                id,
@@ -162,9 +187,19 @@
     AnswerFind(id, partition != kNoPartition, reply);
     return;
   }
-  m_turns->ScanPartition(partition, [this, id, reply](bool complete) {
-    AnswerFind(id, complete, reply);
-  });
+  auto       open = std::make_shared<bool>(true);
+  const auto answer = [this, id, reply, open](bool complete) {
+    if (std::exchange(*open, false)) AnswerFind(id, complete, reply);
+  };
+  // An asker that hears nothing would take this node for lost.
+  m_loop->After(m_thresholds->reader_answer, [answer] { answer(false); });
+  TurnReader& reader = m_turns->reader();
+  if (reader.KnowsPlaceOf(id)) {
+    reader.Fetch(id,
+                 [this, id, answer] { answer(m_turns->history().Holds(id)); });
+  } else {
+    reader.Scan(partition, answer);
+  }
 }
 
 void PeerTurns::AnswerFind(const std::string& id, bool complete,
--- a/src/yuccawick/gateway/peer_turns.h
+++ b/src/yuccawick/gateway/peer_turns.h
@@ -32,7 +32,7 @@
                  std::function<void(const Lookup&)> done) override;
   bool AnyReachesLog() const override { return !WhoReachLog().empty(); }
   void AppendFor(const programs::Turn& turn, Duration retention,
-                 AppendDone done) override;
+                 std::size_t attempt, AppendDone done) override;
   // The node said that the log does not answer it, or could not append.
   void NoteLogAway(const std::string& node);
 
@@ -42,8 +42,11 @@
  private:
   void AnswerFind(const std::string& id, bool complete,
                   const PeerNetwork::Reply& reply);
-  // Nodes that the log seems to answer, those of this zone first.
+  // Nodes that the log seems to answer.
   std::vector<programs::NodeInfo> WhoReachLog() const;
+  // Two of them for an attempt: one of this zone and one of another, if there
+  // are such; others at the next attempt.
+  std::vector<programs::NodeInfo> ChooseRelays(std::size_t attempt) const;
 
   net::EventLoop*                       m_loop;
   const Thresholds*                     m_thresholds;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -46,9 +46,10 @@
     Entry{"linger", &T::linger, 0, 60'000},
     Entry{"log_timeout", &T::log_timeout, 10, 60'000},
     Entry{"log_patience", &T::log_patience, 0, 10'000},
-    Entry{"relay_pause", &T::relay_pause, 1, 10'000},
-    Entry{"relay_patience", &T::relay_patience, 0, 60'000},
+    Entry{"append_first_timeout", &T::append_first_timeout, 5, 60'000},
+    Entry{"relay_answer", &T::relay_answer, 5, 60'000},
     Entry{"relay_timeout", &T::relay_timeout, 10, 60'000},
+    Entry{"relay_pause", &T::relay_pause, 1, 10'000},
     Entry{"log_away_pause", &T::log_away_pause, 1, 10'000},
     Entry{"log_wait", &T::log_wait, 0, 60'000},
     Entry{"log_wait_pause", &T::log_wait_pause, 1, 10'000},
@@ -60,6 +61,7 @@
     Entry{"reserve_pause", &T::reserve_pause, 1, 10'000},
     Entry{"peer_connect_timeout", &T::peer_connect_timeout, 5, 60'000},
     Entry{"find_timeout", &T::find_timeout, 5, 60'000},
+    Entry{"reader_answer", &T::reader_answer, 5, 60'000},
     Entry{"reader_timeout", &T::reader_timeout, 5, 60'000},
     Entry{"outage_pause", &T::outage_pause, 10, 60'000},
     Entry{"outage_memory", &T::outage_memory, 10, 60'000},
@@ -88,9 +90,14 @@
           "messages"},
     Order{"reserve_timeout", &T::home_answer, &T::reserve_timeout,
           "must exceed home_answer, or a home that holds a request looks dead"},
-    Order{"relay_timeout", &T::log_timeout, &T::relay_timeout,
-          "must exceed log_timeout, or a node that waits for the log looks "
+    Order{"relay_timeout", &T::relay_answer, &T::relay_timeout,
+          "must exceed relay_answer, or a node that waits for the log looks "
+          "dead"},
+    Order{"reader_timeout", &T::reader_answer, &T::reader_timeout,
+          "must exceed reader_answer, or a node that waits for the log looks "
           "dead"},
+    Order{"log_timeout", &T::append_first_timeout, &T::log_timeout,
+          "must exceed append_first_timeout, its upper bound"},
 };
 
 // Calls `use` with the value that the field stands for.
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -50,7 +50,7 @@
   // Clients come back after this time on average: a turn's length, the time in
   // which a place at a server comes free.
   Duration return_delay = 150;
-  Duration start_delay = 300;  // the same while this node starts
+  Duration start_delay = 300;  // the same, at least, while this node starts
   // How long bytes to a client may stay unacknowledged; it gives up sooner.
   Duration client_silence = 5000;
   // After an answer that ends the connection, what the client still sends is
@@ -64,11 +64,14 @@
   // is tried as well: longer than in a slow spell, shorter than the pause in
   // which a client gives a stream up.
   Duration log_patience = 280;
-  // How often, and for how long, other nodes are asked to append a turn: the
-  // client has given it up after that. A node answers after one append.
+  // An append without an answer is first sent again after four usual answers,
+  // and not before this; then after twice that, up to log_timeout.
+  Duration append_first_timeout = 120;
+  // A node that is asked to append a turn answers within this time, also if the
+  // log does not; its asker waits a little longer, then tries others.
+  Duration relay_answer = 500;
+  Duration relay_timeout = 650;
   Duration relay_pause = 150;
-  Duration relay_patience = 4000;
-  Duration relay_timeout = 700;
   // Between two calls while the log is away: a few a second find its return
   // early enough, since nothing waits for it by then.
   Duration log_away_pause = 150;
@@ -77,8 +80,9 @@
   Duration log_wait = 1000;
   Duration log_wait_pause = 50;
   // Clients that are refused for the log come back after as long as it has been
-  // away, within these bounds: an outage goes on about as long as it has
-  // lasted, and clients wait a third of their time at the most.
+  // away, or as this node has been starting, up to this: an outage goes on
+  // about as long as it has lasted, and clients wait a third of their time at
+  // the most.
   Duration outage_return = 900;
 
   // Tokens -------------------------------------------------------------------
@@ -101,8 +105,10 @@
   Duration peer_connect_timeout = 150;  // ten round trips
   Duration find_timeout = 250;
   // A reader answers after one read of the log's end, some 10; after a restart
-  // it has a minute of records to read first.
-  Duration reader_timeout = 500;
+  // it has a minute of records to read first. It answers within the first time
+  // whatever the log does; its asker waits a little longer.
+  Duration reader_answer = 400;
+  Duration reader_timeout = 550;
   // A node that no partition of the log answers says so this often, and is
   // believed for this long.
   Duration outage_pause = 200;
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -18,7 +18,8 @@
 using platform::Topic;
 using programs::TokenAnswer;
 
-constexpr Duration kAccountMemory = 180'000;  // ms; above the turns' retention
+// As long as the ledger keeps an idle program.
+constexpr Duration kAccountMemory = programs::kLedgerRetention;  // ms
 
 }  // namespace
 
@@ -155,11 +156,19 @@
 
 void TokenDesk::SendRecord(programs::TokenClaim record) {
   record.node = m_incarnation;
+  record.before = m_ledger.Granted(record.program);
   std::string encoded = programs::EncodeClaim(record);
-  m_appender.Add(encoded, true,
-                 [this, encoded](const Appender::Result& result) {
-                   RecordAppended(encoded, result->offset);
-                 });
+  m_appender.Add(
+      encoded, [this, encoded, record](const Appender::Result& result) {
+        if (result) {
+          RecordAppended(encoded, result->offset);
+        } else {
+          m_log->Write(LogEvent::kFault, {{"what", "claim refused by the log"},
+                                          {"program", record.program},
+                                          {"status", result.error().status}});
+          ClaimDecided(record.number, 0);
+        }
+      });
 }
 
 void TokenDesk::RecordAppended(const std::string& record, std::int64_t offset) {
--- /dev/null
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -0,0 +1,227 @@
+#include "yuccawick/gateway/turn_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+// Index: Scanning, Fetching, Health.
+
+namespace yuccawick::gateway {
+namespace {
+
+using platform::LogRecord;
+using platform::ReadPage;
+using platform::StoreFailure;
+using platform::StoreResult;
+using platform::Topic;
+
+// The platform keeps records for 300 s.
+constexpr Duration kPlaceMemory = 300'000;  // ms
+
+}  // namespace
+
+TurnReader::TurnReader(net::EventLoop* loop, const Thresholds* thresholds,
+                       platform::RecordLog* store, Log* log, Metrics* metrics,
+                       programs::TurnHistory* history)
+    : m_loop(loop),
+      m_thresholds(thresholds),
+      m_store(store),
+      m_log(log),
+      m_history(history),
+      m_scans(kTurnPartitions) {
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    ScanOf(i).health = std::make_unique<LogHealth>(
+        loop, thresholds, log, metrics, "turns " + std::to_string(i));
+  }
+}
+
+// Scanning -------------------------------------------------------------------
+
+void TurnReader::Scan(int partition, ScanDone done) {
+  ScanState& scan = ScanOf(partition);
+  // Probes look for the return of a partition; a question would only wait for a
+  // timeout before the peers are asked.
+  if (scan.health->away()) {
+    done(false);
+    return;
+  }
+  scan.waiting.push_back(std::move(done));
+  if (!scan.busy) Begin(partition);
+}
+
+void TurnReader::Begin(int partition) {
+  ScanState& scan = ScanOf(partition);
+  scan.busy = true;
+  scan.served = std::exchange(scan.waiting, {});
+  scan.taken = 0;
+  ReadPart(partition);
+}
+
+void TurnReader::ReadPart(int partition) {
+  ScanState& scan = ScanOf(partition);
+  m_store->Read(
+      Topic::kTurns, partition, scan.next, 0, m_thresholds->log_timeout,
+      [this, partition, &scan](const StoreResult<ReadPage>& result) {
+        if (!result && result.error().failure == StoreFailure::kExpired) {
+          SkipTo(partition, result.error().first);
+          return;
+        }
+        scan.health->Note(result.has_value(), "read");
+        if (result) {
+          TakePage(partition, *result);
+        } else {
+          End(partition, false);
+        }
+      });
+}
+
+// The log deletes records that are old, or too many. If they were too many, a
+// turn among them may still be owed; after a turn's retention none is.
+void TurnReader::SkipTo(int partition, std::int64_t first) {
+  ScanState& scan = ScanOf(partition);
+  scan.health->Note(true, "read");
+  if (first <= scan.next) {
+    End(partition, false);
+    return;
+  }
+  scan.next = first;
+  scan.sure_from = m_loop->now() + m_retention + kRetentionSlack;
+  ReadPart(partition);
+}
+
+void TurnReader::TakePage(int partition, const ReadPage& page) {
+  ScanState& scan = ScanOf(partition);
+  for (const LogRecord& record : page.records) Take(partition, record);
+  scan.end = page.end;
+  scan.taken += page.records.size();
+  if (page.end < scan.next) {
+    // An answer from before what was read already: it rules nothing out.
+    End(partition, false);
+    return;
+  }
+  scan.next = page.next;
+  if (scan.next >= page.end) {
+    End(partition, true);
+  } else if (page.records.empty()) {
+    // Records that are there and do not come: no turn is ruled out.
+    End(partition, false);
+  } else {
+    ReadPart(partition);
+  }
+}
+
+void TurnReader::End(int partition, bool complete) {
+  ScanState& scan = ScanOf(partition);
+  const bool sure = complete && m_loop->now() >= scan.sure_from;
+  const auto served = std::exchange(scan.served, {});
+  scan.busy = false;
+  m_log->Write(LogEvent::kScan, {{"partition", partition},
+                                 {"complete", sure ? "yes" : "no"},
+                                 {"offset", scan.next},
+                                 {"end", scan.end},
+                                 {"records", scan.taken},
+                                 {"questions", served.size()}});
+  // Whoever asked while this scan ran needs one that starts now.
+  if (!scan.waiting.empty()) Begin(partition);
+  for (const auto& done : served) done(sure);
+}
+
+void TurnReader::Take(int partition, const LogRecord& record) {
+  auto read = programs::DecodeTurn(record.value);
+  if (!read) {
+    m_log->Write(LogEvent::kFault,
+                 {{"what", "undecodable turn"}, {"offset", record.offset}});
+    return;
+  }
+  const Time until = m_loop->now() + kPlaceMemory;
+  if (read->parts == 1) {
+    Keep(std::move(read->turn), {partition, {record.offset}, until});
+    return;
+  }
+  const std::string id = read->turn.id;
+  Pieces&           pieces = m_pieces[id];
+  pieces.place.partition = partition;
+  pieces.place.until = until;
+  if (!pieces.parts.emplace(read->part, std::move(read->turn)).second) return;
+  pieces.place.offsets.push_back(record.offset);
+  if (pieces.parts.size() < read->parts) return;
+  const Pieces   all = std::move(m_pieces.extract(id).mapped());
+  programs::Turn whole = all.parts.begin()->second;
+  for (auto part = std::next(all.parts.begin()); part != all.parts.end();
+       ++part) {
+    whole.input += part->second.input;
+    whole.output += part->second.output;
+  }
+  Keep(std::move(whole), all.place);
+}
+
+void TurnReader::Keep(programs::Turn turn, Place place) {
+  m_places.insert_or_assign(turn.id, std::move(place));
+  m_history->Add(std::move(turn), m_loop->now(), m_retention + kRetentionSlack);
+}
+
+// Fetching -------------------------------------------------------------------
+
+void TurnReader::Fetch(const std::string& id, std::function<void()> done) {
+  const auto found = m_places.find(id);
+  if (found == m_places.end()) {
+    done();
+    return;
+  }
+  FetchPart(id, found->second, 0, done);
+}
+
+void TurnReader::FetchPart(const std::string& id, const Place& place,
+                           std::size_t                  part,
+                           const std::function<void()>& done) {
+  if (part == place.offsets.size() || m_history->Holds(id)) {
+    done();
+    return;
+  }
+  m_store->Read(
+      Topic::kTurns, place.partition, place.offsets[part], 0,
+      m_thresholds->log_timeout,
+      [this, id, place, part, done](const StoreResult<ReadPage>& result) {
+        const bool gone =
+            !result && result.error().failure == StoreFailure::kExpired;
+        ScanOf(place.partition)
+            .health->Note(result.has_value() || gone, "fetch");
+        if (gone) m_places.erase(id);
+        if (!result || result->records.empty()) {
+          done();
+          return;
+        }
+        Take(place.partition, result->records.front());
+        FetchPart(id, place, part + 1, done);
+      });
+}
+
+// Health ---------------------------------------------------------------------
+
+bool TurnReader::Away(int partition) const {
+  return m_scans[static_cast<std::size_t>(partition)].health->away();
+}
+
+Duration TurnReader::AwayFor() const {
+  Duration least = m_scans.front().health->AwayFor();
+  for (const ScanState& scan : m_scans) {
+    least = std::min(least, scan.health->AwayFor());
+  }
+  return least;
+}
+
+void TurnReader::Sweep() {
+  const Time now = m_loop->now();
+  const auto old = [now](const auto& entry) {
+    return entry.second.until < now;
+  };
+  std::erase_if(m_places, old);
+  std::erase_if(m_pieces, [now](const auto& entry) {
+    return entry.second.place.until < now;
+  });
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    const ScanState& scan = ScanOf(i);
+    if (scan.health->away() && !scan.busy) Begin(i);
+  }
+}
+
+}  // namespace yuccawick::gateway
--- /dev/null
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -0,0 +1,114 @@
+// Reads turns from the platform's log.
+//
+//   Scan   reads a partition from where the last scan ended up to its end, and
+//          puts the turns into memory. Whoever asks while a scan runs gets one
+//          that starts after the question.
+//   Fetch  reads one turn again that was read before and has left memory since.
+//
+// A scan is complete if nothing that the partition ever held can have been
+// missed: it came to the end, and it passed over no deleted records that may
+// still be owed. Only complete scans may rule a turn out. That memory does not
+// hold a turn says nothing: it forgets turns after their routes' retention, and
+// that may have changed, or a later turn may continue from them. So the place
+// of each turn is remembered for as long as the log keeps it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "platform/store.h"
+#include "yuccawick/gateway/log_health.h"
+#include "yuccawick/programs/record.h"
+#include "yuccawick/programs/turn_history.h"
+
+namespace yuccawick::gateway {
+
+using net::Duration;
+using net::Time;
+
+// Partitions of the log that hold turns, by program. Each takes an append every
+// two milliseconds with any number of records.
+inline constexpr int kTurnPartitions = 4;
+
+// Turns are kept longer than a client may name them, so that answers on the way
+// and the time of a search do not matter.
+inline constexpr Duration kRetentionSlack = 15'000;  // ms
+
+class TurnReader {
+ public:
+  TurnReader(net::EventLoop* loop, const Thresholds* thresholds,
+             platform::RecordLog* store, Log* log, Metrics* metrics,
+             programs::TurnHistory* history);
+
+  // `done` with whether the scan was complete.
+  using ScanDone = std::function<void(bool)>;
+  void Scan(int partition, ScanDone done);
+  // Whether it was read before, so that Fetch() may find it.
+  bool KnowsPlaceOf(const std::string& id) const {
+    return m_places.contains(id);
+  }
+  // `done` once the turn is in memory, or could not be read.
+  void Fetch(const std::string& id, std::function<void()> done);
+
+  LogHealth* health(int partition) { return ScanOf(partition).health.get(); }
+  bool       Away(int partition) const;
+  // How long no partition has answered this node, in ms; 0: one does.
+  Duration   AwayFor() const;
+  // How long turns read are kept, in ms: the longest of the routes.
+  void       SetRetention(Duration retention) { m_retention = retention; }
+  Duration   retention() const { return m_retention; }
+  // Forgets old places and looks for partitions that were away. Call often.
+  void       Sweep();
+
+ private:
+  struct ScanState {
+    std::unique_ptr<LogHealth> health;
+    std::int64_t               next = 0;
+    std::int64_t               end = 0;        // as last heard
+    std::size_t                taken = 0;      // records, in this scan
+    Time                       sure_from = 0;  // complete scans from then on
+    bool                       busy = false;
+    std::vector<ScanDone>      served;
+    std::vector<ScanDone>      waiting;
+  };
+  struct Place {
+    int                       partition = 0;
+    std::vector<std::int64_t> offsets;  // of its parts
+    Time                      until = 0;
+  };
+  // A turn of several records of which not all have been read.
+  struct Pieces {
+    std::map<std::uint32_t, programs::Turn> parts;
+    Place                                   place;
+  };
+
+  ScanState& ScanOf(int partition) {
+    return m_scans[static_cast<std::size_t>(partition)];
+  }
+  void Begin(int partition);
+  void ReadPart(int partition);
+  void TakePage(int partition, const platform::ReadPage& page);
+  void SkipTo(int partition, std::int64_t first);
+  void End(int partition, bool complete);
+  void Take(int partition, const platform::LogRecord& record);
+  void Keep(programs::Turn turn, Place place);
+  void FetchPart(const std::string& id, const Place& place, std::size_t part,
+                 const std::function<void()>& done);
+
+  net::EventLoop*                         m_loop;
+  const Thresholds*                       m_thresholds;
+  platform::RecordLog*                    m_store;
+  Log*                                    m_log;
+  programs::TurnHistory*                  m_history;
+  std::vector<ScanState>                  m_scans;   // by partition
+  std::unordered_map<std::string, Place>  m_places;  // by turn
+  std::unordered_map<std::string, Pieces> m_pieces;  // by turn
+  Duration m_retention = 60'000;                     // until a manifest says
+};
+
+}  // namespace yuccawick::gateway
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -11,6 +11,10 @@
   program  @2 :Text;
   input    @3 :Data;
   output   @4 :Data;
+  # A turn larger than a record of the log lies in several: each has a part of
+  # the input and of the output, in order.
+  part     @5 :UInt32;
+  parts    @6 :UInt32;  # 0: one
 }
 
 struct Claim {
@@ -21,6 +25,9 @@
   need    @4 :Int64;
   wish    @5 :Int64;
   taken   @6 :Bool;  # counts whether it fits or not; below zero: given back
+  # Granted before, as far as the claiming node knew: for readers that find older
+  # records deleted.
+  before  @7 :Int64;
 }
 
 # A node that takes traffic, as it announces itself to the others.
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -51,7 +51,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89b96f7bb190dfdb, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(89b96f7bb190dfdb, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -66,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ccc3d6065c8f34fd, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ccc3d6065c8f34fd, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -257,6 +257,10 @@
   inline bool hasOutput() const;
   inline  ::capnp::Data::Reader getOutput() const;
 
+  inline  ::uint32_t getPart() const;
+
+  inline  ::uint32_t getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -320,6 +324,12 @@
   inline void adoptOutput(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownOutput();
 
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline  ::uint32_t getParts();
+  inline void setParts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -379,6 +389,8 @@
 
   inline bool getTaken() const;
 
+  inline  ::int64_t getBefore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -436,6 +448,9 @@
   inline bool getTaken();
   inline void setTaken(bool value);
 
+  inline  ::int64_t getBefore();
+  inline void setBefore( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1548,6 +1563,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Turn::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Turn::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Turn::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Turn::Reader::getParts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Turn::Builder::getParts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Turn::Builder::setParts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Claim::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1686,6 +1729,20 @@
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Claim::Reader::getBefore() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Claim::Builder::getBefore() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setBefore( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Node::Reader::hasIncarnation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -5,6 +5,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccawick::programs {
@@ -61,15 +62,37 @@
           Bytes(reader.getOutput())};
 }
 
-std::string EncodeTurn(const Turn& turn) {
-  return Encode([&](auto* message) {
-    Write(turn, message->template initRoot<wire::Turn>());
-  });
+std::vector<std::string> EncodeTurn(const Turn& turn) {
+  const std::size_t bytes = turn.input.size() + turn.output.size();
+  const std::size_t parts =
+      std::max<std::size_t>(1, (bytes + kMaxTurnRecord - 1) / kMaxTurnRecord);
+  const std::string        all = turn.input + turn.output;
+  std::vector<std::string> records;
+  records.reserve(parts);
+  for (std::size_t part = 0; part < parts; ++part) {
+    const std::size_t begin = part * kMaxTurnRecord;
+    const std::size_t end = std::min(bytes, begin + kMaxTurnRecord);
+    const std::string text = all.substr(begin, end - begin);
+    // The input comes first, then the output.
+    const std::size_t input = std::min(
+        text.size(), turn.input.size() - std::min(begin, turn.input.size()));
+    const Turn slice{turn.id, turn.previous, turn.program,
+                     text.substr(0, input), text.substr(input)};
+    records.push_back(Encode([&](auto* message) {
+      auto builder = message->template initRoot<wire::Turn>();
+      Write(slice, builder);
+      builder.setPart(static_cast<std::uint32_t>(part));
+      builder.setParts(static_cast<std::uint32_t>(parts));
+    }));
+  }
+  return records;
 }
 
-std::optional<Turn> DecodeTurn(std::string_view bytes) {
-  return Decode<Turn>(bytes, [](auto* message) {
-    return Read(message->template getRoot<wire::Turn>());
+std::optional<TurnPart> DecodeTurn(std::string_view bytes) {
+  return Decode<TurnPart>(bytes, [](auto* message) {
+    const auto reader = message->template getRoot<wire::Turn>();
+    return TurnPart{Read(reader), reader.getPart(),
+                    std::max<std::uint32_t>(1, reader.getParts())};
   });
 }
 
@@ -81,12 +104,13 @@
   builder.setNeed(claim.need);
   builder.setWish(claim.wish);
   builder.setTaken(claim.taken);
+  builder.setBefore(claim.before);
 }
 
 TokenClaim Read(wire::Claim::Reader reader) {
   return {reader.getNumber(), Text(reader.getNode()), Text(reader.getProgram()),
           reader.getBudget(), reader.getNeed(),       reader.getWish(),
-          reader.getTaken()};
+          reader.getTaken(),  reader.getBefore()};
 }
 
 std::string EncodeClaim(const TokenClaim& claim) {
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -1,9 +1,11 @@
 // Turns and claims as records of the log and messages between nodes.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "yuccawick/programs/membership.h"
 #include "yuccawick/programs/record.capnp.h"
@@ -12,8 +14,17 @@
 
 namespace yuccawick::programs {
 
-std::string               EncodeTurn(const Turn& turn);
-std::optional<Turn>       DecodeTurn(std::string_view bytes);
+// The log takes records of 256 KB; a larger turn lies in several.
+inline constexpr std::size_t kMaxTurnRecord = 200UL * 1024;
+// A record of a turn. Joined in order, the inputs and outputs of all its parts
+// are the turn's.
+struct TurnPart {
+  Turn          turn;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+};
+std::vector<std::string>  EncodeTurn(const Turn& turn);
+std::optional<TurnPart>   DecodeTurn(std::string_view bytes);
 std::string               EncodeClaim(const TokenClaim& claim);
 std::optional<TokenClaim> DecodeClaim(std::string_view bytes);
 
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -6,12 +6,15 @@
 namespace yuccawick::programs {
 
 Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
-  Entry& entry = m_entries[claim.program];
+  const auto [found, added] = m_entries.try_emplace(claim.program);
+  Entry& entry = found->second;
+  if (added) entry.granted = claim.before;
   entry.until = now + kLedgerRetention;
   const bool first = entry.applied.emplace(claim.node, claim.number).second;
   if (!first) return 0;
   if (claim.taken) {
-    entry.granted += claim.wish;
+    // Not below what no grant can undo: its own grant may not be known here.
+    entry.granted = std::max<Tokens>(0, entry.granted + claim.wish);
     return 0;
   }
   if (entry.budget == 0) entry.budget = claim.budget;
@@ -24,6 +27,11 @@
   return granted;
 }
 
+Tokens TokenLedger::Granted(const std::string& program) const {
+  const auto found = m_entries.find(program);
+  return found == m_entries.end() ? 0 : found->second.granted;
+}
+
 void TokenLedger::Expire(Time now) {
   std::erase_if(m_entries,
                 [now](const auto& entry) { return entry.second.until < now; });
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -42,6 +42,9 @@
   Tokens        wish = 0;    // taken if half of the rest allows it
   // Counts whether it fits or not: `wish` is below zero and given back.
   bool          taken = false;
+  // Granted before, as far as the claiming node knew. Readers begin with it
+  // that find the program's older records deleted.
+  Tokens        before = 0;
 };
 
 class TokenLedger {
@@ -49,6 +52,8 @@
   // Applies the next claim in log order; returns the tokens granted. A record
   // that lies in the log twice counts once.
   Tokens Apply(const TokenClaim& claim, Time now);
+  // Granted by all records so far.
+  Tokens Granted(const std::string& program) const;
   void   Expire(Time now);
 
  private:
@@ -96,8 +101,8 @@
   Tokens m_running = 0;  // the most that turns under way may use
 };
 
-// How long an idle program's entry is kept, in ms: well above the retention of
-// turns, within which a stopped program may come back.
-inline constexpr Duration kLedgerRetention = 180'000;
+// How long an idle program's entry is kept, in ms: twice the time for which the
+// log keeps turns at the most, within which a stopped program may come back.
+inline constexpr Duration kLedgerRetention = 600'000;
 
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/turn_history.cc
+++ b/src/yuccawick/programs/turn_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace yuccawick::programs {
@@ -14,8 +15,10 @@
 
 std::vector<const Turn*> TurnHistory::Line(const std::string& id) const {
   std::vector<const Turn*> line;
+  std::set<std::string>    seen;
   std::string              next = id;
-  while (!next.empty()) {
+  // A client that uses an id twice may close a circle of turns.
+  while (!next.empty() && seen.insert(next).second) {
     const auto found = m_turns.find(next);
     if (found == m_turns.end()) break;
     line.push_back(&found->second.turn);
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -59,14 +59,35 @@
 
 Test(Record, TurnAndClaim_SurviveTheLog) {
   const Turn turn{"1", "0", "p", std::string("a\0b", 3), "out\n"};
-  const auto read = programs::DecodeTurn(programs::EncodeTurn(turn));
-  cr_assert(read && read->input == turn.input && read->output == turn.output);
+  const auto read = programs::DecodeTurn(programs::EncodeTurn(turn).front());
+  cr_assert(read && read->parts == 1);
+  cr_assert(read->turn.input == turn.input && read->turn.output == turn.output);
   cr_assert_not(programs::DecodeTurn("no record").has_value());
   TokenClaim claim{7, "n", "p", 100, 10, 50, true};
   const auto back = programs::DecodeClaim(programs::EncodeClaim(claim));
   cr_assert(back && back->number == 7 && back->taken && back->wish == 50);
 }
 
+Test(Record, TurnLargerThanARecord_ItsPartsJoinToIt) {
+  constexpr std::size_t kMost = programs::kMaxTurnRecord;
+  for (const std::size_t input : {kMost - 1, kMost, kMost + 1, 3 * kMost}) {
+    for (const std::size_t output : {std::size_t{0}, std::size_t{5}, kMost}) {
+      const Turn turn{"1", "0", "p", std::string(input, 'i'),
+                      std::string(output, 'o')};
+      Turn       joined{"1", "0", "p", "", ""};
+      const auto records = programs::EncodeTurn(turn);
+      for (std::size_t i = 0; i < records.size(); ++i) {
+        cr_assert_lt(records[i].size(), 256 * 1024);
+        const auto part = programs::DecodeTurn(records[i]);
+        cr_assert(part && part->part == i && part->parts == records.size());
+        joined.input += part->turn.input;
+        joined.output += part->turn.output;
+      }
+      cr_assert(joined.input == turn.input && joined.output == turn.output);
+    }
+  }
+}
+
 TokenClaim MakeClaim(std::uint64_t number, const std::string& node, Tokens need,
                      Tokens wish) {
   return {number, node, "p", 100, need, wish, false};
--- a/tests/thresholds_test.cc
+++ b/tests/thresholds_test.cc
@@ -64,8 +64,9 @@
 }
 
 Test(Thresholds, TwoThatExcludeEachOther_AreRefused) {
-  for (const auto* text : {"outage_memory=200", "load_memory=400",
-                           "home_answer=700", "relay_timeout=600"}) {
+  for (const auto* text :
+       {"outage_memory=200", "load_memory=400", "home_answer=700",
+        "relay_timeout=500", "reader_timeout=400", "log_timeout=120"}) {
     cr_assert(FaultOf(text).fault == ThresholdFault::kContradiction, "%s",
               text);
   }
@@ -73,7 +74,7 @@
 
 Test(Thresholds, SeveralFaults_AreAllListed) {
   const auto result =
-      ParseThresholds("nonsense=1,linger=x,relay_timeout=20", Thresholds());
+      ParseThresholds("nonsense=1,linger=x,relay_timeout=5", Thresholds());
   cr_assert(!result.has_value());
   cr_assert_eq(result.error().size(), 3);
 }
