Keep an eighth of large budgets ahead; wait for the log at most half of a client's time

And a turn that waited a second for the log left its client no time to come back. Change: a program whose budget holds eleven turns keeps an eighth of it ahead until 1.5 s after its last turn; smaller budgets are counted exactly. Turns wait for log or tokens up to a second and half of their client's time.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -131,7 +131,7 @@
     return;
   }
   const Duration waited = m_parts.loop->now() - m_began;
-  if (waited >= m_parts.thresholds->log_wait) {
+  if (waited >= LogWait()) {
     Refuse(Refusal::kLogAway);
     return;
   }
@@ -144,6 +144,13 @@
                       [self = shared_from_this()] { self->AwaitLog(); });
 }
 
+// Of the time that its client gave this attempt.
+Duration Exchange::LogWait() const {
+  const auto share =
+      m_parts.thresholds->log_wait_share * static_cast<double>(m_due - m_began);
+  return std::min(m_parts.thresholds->log_wait, static_cast<Duration>(share));
+}
+
 void Exchange::FindHistory() {
   if (!m_route->keeps_turns) {
     m_chain = std::move(m_body);
@@ -181,7 +188,8 @@
   }
   const TurnBudget turn{m_info.program, *m_info.budget, m_info.most_tokens};
   m_parts.peers->Reserve(
-      turn, [self = shared_from_this()](const Reservation& reservation) {
+      turn, LogWait(),
+      [self = shared_from_this()](const Reservation& reservation) {
         self->TakeReservation(reservation);
       });
 }
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -101,6 +101,7 @@
   void End();
 
   Duration    Left() const;
+  Duration    LogWait() const;
   Duration    RetryAfter(traffic::Refusal refusal) const;
   std::string LineKey() const;
   bool        Fire(traffic::AttemptEvent event);
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -54,8 +54,9 @@
   });
 }
 
-void PeerService::Reserve(const TurnBudget& turn, const ReserveDone& done) {
-  ReserveFrom(turn, 0, m_loop->now() + m_thresholds->reserve_patience, done);
+void PeerService::Reserve(const TurnBudget& turn, Duration patience,
+                          const ReserveDone& done) {
+  ReserveFrom(turn, 0, m_loop->now() + patience, done);
 }
 
 void PeerService::ReserveUnsure(const TurnBudget& turn, Time until,
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -36,7 +36,9 @@
               Backends* backends);
 
   using ReserveDone = std::function<void(const Reservation&)>;
-  void     Reserve(const TurnBudget& turn, const ReserveDone& done);
+  // Asks again for up to `patience` ms while it is not decided.
+  void     Reserve(const TurnBudget& turn, Duration patience,
+                   const ReserveDone& done);
   void     EndTurn(const Reservation& reservation, programs::Tokens used);
   // Tells the nodes of this zone what this node has under way, and all nodes
   // whether the log is away for it. Call often.
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -75,9 +75,11 @@
   // Between two calls while the log is away: a few a second find its return
   // early enough, since nothing waits for it by then.
   Duration log_away_pause = 150;
-  // How long a turn whose end could not be kept waits for the log before it is
-  // refused: a third of a client's time, so that it can come back later.
+  // How long a turn waits for the log, for tokens or because its end could not
+  // be kept, before it is refused, and the part of its client's time that this
+  // may take: it can come back later then.
   Duration log_wait = 1000;
+  double   log_wait_share = 0.5;
   Duration log_wait_pause = 50;
   // Clients that are refused for the log come back after as long as it has been
   // away, or as this node has been starting, up to this: an outage goes on
@@ -88,18 +90,22 @@
   // Tokens -------------------------------------------------------------------
   // Tokens that a turn left are given back after this long: the next turn, or
   // another that starts beside it, may need them by then.
-  Duration give_back_delay = 60;
+  Duration     give_back_delay = 60;
+  // A program whose budget holds this many turns keeps a part of it ahead while
+  // it runs, one of so many: that much is lost each time its home loses power.
+  // Smaller budgets could not spare it.
+  std::int64_t ahead_turns = 11;
+  std::int64_t ahead_divisor = 8;
+  // And for so long after its last turn: longer than its pauses.
+  Duration     ahead_memory = 1500;
   // A home that must claim first takes two calls of the log. A home given up
   // too early splits its programs' tokens: another claims half of what is left.
-  Duration reserve_timeout = 700;
+  Duration     reserve_timeout = 700;
   // A home answers within this time; "hold" if it waits for the log or for
   // turns to end. The asker asks again; another home would only split the
   // tokens.
-  Duration home_answer = 350;
-  // How long a turn waits for tokens while the log is away or its outage is not
-  // yet agreed on, and the pause between two tries.
-  Duration reserve_patience = 1200;
-  Duration reserve_pause = 80;
+  Duration     home_answer = 350;
+  Duration     reserve_pause = 80;  // between two tries for tokens
 
   // Other nodes --------------------------------------------------------------
   Duration peer_connect_timeout = 150;  // ten round trips
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -56,6 +56,7 @@
 void TokenDesk::Reserve(const TurnBudget& turn, Done done) {
   const auto [account, added] = m_accounts.try_emplace(
       turn.program, Account{programs::TokenAccount(turn.budget), 0, {}});
+  account->second.most = turn.most;
   const std::uint64_t number = ++m_last_request;
   account->second.waiting.push_back({number, turn, std::move(done)});
   m_loop->After(
@@ -131,21 +132,38 @@
 // first one brings.
 void TokenDesk::Claim(const std::string& program, Account* account) {
   if (account->claiming) return;
-  programs::Tokens  wish = -account->tokens.Spare();
+  programs::Tokens  wish = Ahead(*account) - account->tokens.Spare();
   const TurnBudget* first = nullptr;
   for (const Waiting& request : account->waiting) {
     if (request.denied) continue;
     if (first == nullptr) first = &request.turn;
     wish += request.turn.most;
   }
-  if (first == nullptr) {
-    if (account->waiting.empty() && account->tokens.Spare() > 0) {
-      m_spare.insert(program);
-      GiveBackSpare();
-    }
-    return;
+  if (first != nullptr) {
+    SendClaim(program, account, first->most, wish);
+  } else if (account->waiting.empty() &&
+             account->tokens.Spare() <
+                 std::min(account->most, Ahead(*account)) &&
+             !m_appender.busy()) {
+    SendClaim(program, account, account->most, wish);
+  } else if (account->waiting.empty() && account->tokens.Spare() > 0) {
+    const Duration keep = Ahead(*account) > 0 ? m_thresholds->ahead_memory
+                                              : m_thresholds->give_back_delay;
+    m_spare[program] = m_loop->now() + keep;
+    GiveBackSpare();
   }
-  programs::TokenClaim claim = account->tokens.NextClaim(first->most);
+}
+
+programs::Tokens TokenDesk::Ahead(const Account& account) const {
+  const auto budget = account.tokens.budget();
+  const bool small = budget < m_thresholds->ahead_turns * account.most;
+  if (small || account.spent) return 0;
+  return std::max(account.most, budget / m_thresholds->ahead_divisor);
+}
+
+void TokenDesk::SendClaim(const std::string& program, Account* account,
+                          programs::Tokens most, programs::Tokens wish) {
+  programs::TokenClaim claim = account->tokens.NextClaim(most);
   claim.wish = std::max(claim.need, wish);
   claim.program = program;
   claim.number = ++m_last_number;
@@ -194,6 +212,7 @@
                                   {"need", need},
                                   {"granted", granted}});
   if (granted == 0) {
+    account.spent = true;
     // So would be any that needs as much.
     for (Waiting& request : account.waiting) {
       const auto lacks = request.turn.most - account.tokens.Spare();
@@ -252,10 +271,16 @@
   if (std::exchange(m_give_back_due, true)) return;
   m_loop->After(m_thresholds->give_back_delay, [this] {
     m_give_back_due = false;
-    for (const std::string& program : std::exchange(m_spare, {})) {
+    std::vector<std::string> due;
+    for (const auto& [program, time] : m_spare) {
+      if (time <= m_loop->now()) due.push_back(program);
+    }
+    for (const std::string& program : due) {
+      m_spare.erase(program);
       const auto account = m_accounts.find(program);
       if (account != m_accounts.end()) GiveBack(program, &account->second);
     }
+    if (!m_spare.empty()) GiveBackSpare();
   });
 }
 
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -87,6 +87,8 @@
     Time                   used = 0;
     std::vector<Waiting>   waiting;
     bool                   claiming = false;
+    programs::Tokens       most = 0;       // of its last turn
+    bool                   spent = false;  // the log granted a claim nothing
   };
   struct OpenClaim {
     std::string      program;
@@ -97,9 +99,13 @@
   void                          Serve(const std::string& program);
   std::optional<ReserveOutcome> Decide(Account*       account,
                                        const Waiting& request) const;
-  void GiveUp(const std::string& program, std::uint64_t number);
-  void Claim(const std::string& program, Account* account);
-  void SendRecord(programs::TokenClaim record);
+  void             GiveUp(const std::string& program, std::uint64_t number);
+  void             Claim(const std::string& program, Account* account);
+  void             SendClaim(const std::string& program, Account* account,
+                             programs::Tokens most, programs::Tokens wish);
+  // What the account keeps for its next turns; 0: nothing.
+  programs::Tokens Ahead(const Account& account) const;
+  void             SendRecord(programs::TokenClaim record);
   void RecordAppended(const std::string& record, std::int64_t offset);
   void ClaimDecided(std::uint64_t number, programs::Tokens granted);
   void ReadClaims();
@@ -119,13 +125,13 @@
   Appender                                     m_appender;
   std::unordered_map<std::string, Account>     m_accounts;  // by program
   std::unordered_map<std::uint64_t, OpenClaim> m_claims;    // by number
-  std::set<std::string> m_spare;                  // programs that may have some
-  bool                  m_give_back_due = false;  // a timer runs
-  std::uint64_t         m_last_number = 0;        // of records
-  std::uint64_t         m_last_request = 0;
-  std::int64_t          m_next = 0;  // offset to read on from
-  std::int64_t          m_goal = 0;  // offset to read up to
-  bool                  m_reading = false;
+  std::unordered_map<std::string, Time> m_spare;  // programs that may have some
+  bool          m_give_back_due = false;          // a timer runs
+  std::uint64_t m_last_number = 0;                // of records
+  std::uint64_t m_last_request = 0;
+  std::int64_t  m_next = 0;  // offset to read on from
+  std::int64_t  m_goal = 0;  // offset to read up to
+  bool          m_reading = false;
 };
 
 }  // namespace yuccawick::gateway
