Treat odd answers as no answer, keep a pause between tries, read again what one read lost

Any answer that was not understood counted as a refusal by the log, and the next record went out under the same number; a log that resets connections was asked 500 times a second for one record; a claim that the log refused became 402; a first claim after a restart said that nothing was granted before it; a home that missed deleted claims kept its old counts; one lost read made a partition look away; a node whose log fell silent asked others after 1.1 s; the places of a large turn in two partitions were mixed. Change: only 400, 403 and 413 are refusals, and an epoch begins after each; a try that ends early waits for the rest of its time; a refused claim is 503; a desk reads its partition to the end before its first claim, and forgets its ledger where it finds records deleted; a lost read is repeated once; others are asked to append from the second try on; turns read from two partitions are kept apart, a place that does not bring its turn is forgotten, and no partition that is away is fetched from; records given up are dropped while an append hangs; who ends a turn lets the waiting claim anew; nodes that hear of an outage look for themselves.

--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -42,9 +42,13 @@
   Send();
 }
 
-void Appender::TakeBatch() {
+void Appender::DropUnwanted() {
   std::erase_if(m_waiting,
                 [](const Item& item) { return item.wanted && !item.wanted(); });
+}
+
+void Appender::TakeBatch() {
+  DropUnwanted();
   std::size_t bytes = 0;
   std::size_t taken = 0;
   while (taken < m_waiting.size() && bytes < kMaxBatchBytes) {
@@ -75,7 +79,7 @@
     m_health->Note(true, "append");
     const Duration took = m_loop->now() - m_sent_at;
     m_usual = (kSmoothing * m_usual + took) / (kSmoothing + 1);
-  } else if (result.error().failure == StoreFailure::kUndecodable) {
+  } else if (result.error().failure == StoreFailure::kRefused) {
     Refused(result.error());
     return;
   } else {
@@ -95,26 +99,34 @@
   }
 }
 
+// Fences what was sent in the last epoch and may still be on its way.
+void Appender::BeginEpoch() {
+  ++m_id.epoch;
+  m_id.number = 0;
+}
+
 void Appender::SendAgain(const platform::StoreError& error) {
   // The log does not know this producer's last append any more, or knows of
-  // another. An epoch of its own begins anew; should the records lie there
-  // twice, their readers count them once.
-  if (error.failure == StoreFailure::kOutOfOrder) {
-    ++m_id.epoch;
-    m_id.number = 0;
-  }
+  // another. Should the records lie there twice, their readers count them once.
+  if (error.failure == StoreFailure::kOutOfOrder) BeginEpoch();
   // A short try that got no answer says little about the log.
-  const bool waited_long = m_timeout >= m_thresholds->log_timeout;
-  const bool no_answer = error.failure == StoreFailure::kUnknown;
+  const bool     waited_long = m_timeout >= m_thresholds->log_timeout;
+  const bool     no_answer = error.failure == StoreFailure::kUnknown;
+  const Duration took = m_loop->now() - m_sent_at;
+  // A log that resets connections ends a try at once; it is not to be asked
+  // more often than one that is silent.
+  const Duration pause =
+      no_answer ? m_timeout - took : m_thresholds->log_away_pause;
   if (waited_long || !no_answer) m_health->Note(false, "append");
   m_timeout = std::min(2 * m_timeout, m_thresholds->log_timeout);
-  m_loop->After(no_answer ? 0 : m_thresholds->log_away_pause,
-                [this] { Send(); });
+  DropUnwanted();
+  m_loop->After(std::max<Duration>(0, pause), [this] { Send(); });
 }
 
 // The log will not take this append, however often it is sent. One record of it
 // must not keep the others from it, nor those that come after.
 void Appender::Refused(const platform::StoreError& error) {
+  BeginEpoch();
   if (m_flying.size() > 1) {
     m_waiting.insert(m_waiting.begin(),
                      std::make_move_iterator(m_flying.begin() + 1),
--- a/src/yuccawick/gateway/appender.h
+++ b/src/yuccawick/gateway/appender.h
@@ -43,11 +43,13 @@
     Wanted      wanted;  // none: always
   };
   void          Pump();
+  void          DropUnwanted();
   void          TakeBatch();
   void          Send();
   void          Finish(const Result& result);
   void          SendAgain(const platform::StoreError& error);
   void          Refused(const platform::StoreError& error);
+  void          BeginEpoch();
   net::Duration FirstTimeout() const;
 
   net::EventLoop*      m_loop;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -489,7 +489,7 @@
   programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
                       std::move(m_body), std::move(m_output)};
   m_parts.turns->Keep(turn, m_route->retention, m_due,
-                      [self = shared_from_this()](const Kept& kept) {
+                      [self = shared_from_this()](const LogPlace& kept) {
                         if (self->m_client == nullptr) return;
                         self->m_kept = kept;
                         self->FinishAnswer(net::kLastChunk);
@@ -542,7 +542,7 @@
   }
   if (refusal == Refusal::kLogAway || refusal == Refusal::kHistoryUnsure ||
       refusal == Refusal::kBudgetUnsure) {
-    mean = std::clamp(m_parts.peers->LogAwayFor(), limits.return_delay,
+    mean = std::clamp(m_parts.peers->LongestOutage(), limits.return_delay,
                       limits.outage_return);
   }
   // Spread over half to one and a half of the mean: clients refused together
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -143,7 +143,7 @@
   std::string            m_output;      // for the turn's record
   std::int64_t           m_event_count = 0;
   Time                   m_first_event = 0;
-  Kept                   m_kept;  // where the log holds the turn
+  LogPlace               m_kept;  // where the log holds the turn
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/log_health.cc
+++ b/src/yuccawick/gateway/log_health.cc
@@ -4,7 +4,7 @@
 
 void LogHealth::Note(bool answered, std::string_view call) {
   m_metrics->CountStoreCall(answered);
-  if (!answered) m_retry_at = m_loop->now() + m_thresholds->log_away_pause;
+  m_noted_at = m_loop->now();
   if (answered != m_away) return;
   m_away = !answered;
   if (m_away) m_away_since = m_loop->now();
--- a/src/yuccawick/gateway/log_health.h
+++ b/src/yuccawick/gateway/log_health.h
@@ -1,9 +1,8 @@
 // Whether one partition of the platform's log answers this node, as its calls
 // show. Partitions fail one by one, so each has a health of its own.
 //
-// After a failure, calls that can do without the log should do so while
-// WorthCalling() is false: waiting for it again would cost each request a whole
-// timeout.
+// While it is away, calls that can do without the log should do so: waiting for
+// it again would cost each request a whole timeout.
 #pragma once
 
 #include <string>
@@ -28,9 +27,12 @@
         m_name(std::move(name)) {}
 
   // The outcome of one call; `call` says which, for the log line.
-  void          Note(bool answered, std::string_view call);
-  bool          away() const { return m_away; }
-  bool          WorthCalling() const { return m_loop->now() >= m_retry_at; }
+  void Note(bool answered, std::string_view call);
+  bool away() const { return m_away; }
+  // No call has ended for so long, in ms.
+  bool IdleFor(net::Duration time) const {
+    return m_loop->now() - m_noted_at >= time;
+  }
   // Since the first call that failed, in ms; 0: it answers.
   net::Duration AwayFor() const;
 
@@ -41,7 +43,7 @@
   Metrics*          m_metrics;
   std::string       m_name;
   bool              m_away = false;
-  net::Time         m_retry_at = 0;
+  net::Time         m_noted_at = 0;
   net::Time         m_away_since = 0;
 };
 
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -231,7 +231,7 @@
          m_loop->now() - *m_alone_since >= m_thresholds->isolation_delay;
 }
 
-Duration PeerService::LogAwayFor() const {
+Duration PeerService::LongestOutage() const {
   Duration longest = m_keeper->reader().AwayFor();
   for (const TokenDesk& desk : *m_desks) {
     longest = std::max(longest, desk.LogAwayFor());
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -43,8 +43,9 @@
   // Tells the nodes of this zone what this node has under way, and all nodes
   // whether the log is away for it. Call often.
   void     TellNews();
-  // How long the log has been away, as this node sees it, in ms; 0: it answers.
-  Duration LogAwayFor() const;
+  // How long the log has been away, in ms, for what is away longest: all turns,
+  // or the claims of one partition; 0: nothing is.
+  Duration LongestOutage() const;
   // Whether the log answers what is always asked of it, the manifest.
   void     SetLogReachable(bool reachable) { m_log_reachable = reachable; }
   // Neither the log nor most nodes answer: this node is cut off, and clients
--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -24,6 +24,8 @@
 
 void PeerTurns::NoteLogAway(const std::string& node) {
   m_without_log[node] = m_loop->now();
+  // This node may not have noticed: it would be asked to append for others.
+  m_turns->reader().Probe();
 }
 
 std::vector<NodeInfo> PeerTurns::WhoReachLog() const {
@@ -67,10 +69,10 @@
                             const std::string&                 node,
                             std::optional<PeerMessage::Reader> answer) {
     --*left;
-    std::optional<Kept> kept;
+    std::optional<LogPlace> kept;
     if (answer && answer->isTurnKept()) {
       const auto place = answer->getTurnKept();
-      kept = Kept{place.getPartition(), place.getOffset(), true};
+      kept = LogPlace{place.getPartition(), place.getOffset(), true};
     } else {
       NoteLogAway(node);
     }
@@ -165,7 +167,7 @@
                           const PeerNetwork::Reply& reply) {
   const auto keep = message.getKeepTurn();
   m_turns->KeepFor(programs::Read(keep.getTurn()), keep.getRetentionMs(),
-                   [reply](std::optional<Kept> kept) {
+                   [reply](std::optional<LogPlace> kept) {
                      reply([kept](PeerMessage::Builder answer) {
                        if (!kept) {
                          answer.setTurnNotKept();
@@ -184,7 +186,8 @@
   const int         partition = message.getFindTurn().getPartition();
   if (partition < 0 || partition >= kTurnPartitions ||
       m_turns->history().Holds(id)) {
-    AnswerFind(id, partition != kNoPartition, reply);
+    // What this node does not hold, it has not looked for.
+    AnswerFind(id, false, reply);
     return;
   }
   auto       open = std::make_shared<bool>(true);
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -98,8 +98,8 @@
   std::int64_t ahead_divisor = 8;
   // And for so long after its last turn: longer than its pauses.
   Duration     ahead_memory = 1500;
-  // A home that must claim first takes two calls of the log. A home given up
-  // too early splits its programs' tokens: another claims half of what is left.
+  // A home that must claim first takes a call of the log. A home given up too
+  // early claims all the same, and another claims for the same turn.
   Duration     reserve_timeout = 700;
   // A home answers within this time; "hold" if it waits for the log or for
   // turns to end. The asker asks again; another home would only split the
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -116,6 +116,8 @@
   const Done done = std::move(request->done);
   const bool undecided = !request->denied && m_health.away();
   waiting.erase(request);
+  // What was kept for it may be given back now.
+  Serve(program);
   done(undecided ? ReserveOutcome::kUnsure : ReserveOutcome::kHold);
 }
 
@@ -123,6 +125,8 @@
   const auto found = m_accounts.find(turn.program);
   if (found == m_accounts.end()) return;
   found->second.tokens.EndTurn(turn.most, used);
+  // They lack less now; the log may have as much.
+  for (Waiting& request : found->second.waiting) request.denied = false;
   Serve(turn.program);
 }
 
@@ -132,6 +136,10 @@
 // first one brings.
 void TokenDesk::Claim(const std::string& program, Account* account) {
   if (account->claiming) return;
+  if (!m_caught_up) {
+    if (!account->waiting.empty()) CatchUp();
+    return;
+  }
   programs::Tokens  wish = Ahead(*account) - account->tokens.Spare();
   const TurnBudget* first = nullptr;
   for (const Waiting& request : account->waiting) {
@@ -184,13 +192,13 @@
           m_log->Write(LogEvent::kFault, {{"what", "claim refused by the log"},
                                           {"program", record.program},
                                           {"status", result.error().status}});
-          ClaimDecided(record.number, 0);
+          ClaimRefused(record.number);
         }
       });
 }
 
 void TokenDesk::RecordAppended(const std::string& record, std::int64_t offset) {
-  if (offset == m_next && !m_reading) {
+  if (offset == m_next && !m_reading && m_caught_up) {
     // Nobody wrote in between.
     ++m_next;
     TakeRecord(record);
@@ -222,8 +230,46 @@
   Serve(program);
 }
 
+// Nobody was granted or denied anything.
+void TokenDesk::ClaimRefused(std::uint64_t number) {
+  const auto claim = m_claims.extract(number);
+  if (claim.empty()) return;
+  Account& account = m_accounts.at(claim.mapped().program);
+  account.claiming = false;
+  for (const Waiting& request : std::exchange(account.waiting, {})) {
+    request.done(ReserveOutcome::kUnsure);
+  }
+}
+
 // Reading --------------------------------------------------------------------
 
+// Before its first claim a desk reads what others claimed: a claim says how
+// much was granted before it, for readers that find older records deleted.
+void TokenDesk::CatchUp() {
+  if (!m_reading) ReadPage();
+}
+
+void TokenDesk::EndCatchUp() {
+  if (std::exchange(m_caught_up, true)) return;
+  std::vector<std::string> programs;
+  for (const auto& [program, account] : m_accounts) programs.push_back(program);
+  for (const std::string& program : programs) Serve(program);
+}
+
+// The log has deleted records that were not read. What is known of the programs
+// they tell of is out of date; later records say what was granted before them.
+void TokenDesk::SkipTo(std::int64_t first) {
+  m_next = first;
+  m_ledger = {};
+  // Own claims among them are decided, and nobody can say how.
+  std::vector<std::uint64_t> open;
+  for (const auto& [number, claim] : m_claims) open.push_back(number);
+  if (!m_appender.busy()) {
+    for (const std::uint64_t number : open) ClaimRefused(number);
+  }
+  ReadPage();
+}
+
 void TokenDesk::ReadClaims() {
   if (!m_reading && m_next < m_goal) ReadPage();
 }
@@ -234,12 +280,13 @@
       Topic::kClaims, m_partition, m_next, 0, m_thresholds->log_timeout,
       [this](const StoreResult<platform::ReadPage>& result) {
         m_reading = false;
-        if (!result && result.error().failure == StoreFailure::kExpired) {
-          m_next = result.error().first;
-          ReadPage();
+        const bool gone =
+            !result && result.error().failure == StoreFailure::kExpired;
+        m_health.Note(result.has_value() || gone, "read");
+        if (gone && result.error().first > m_next) {
+          SkipTo(result.error().first);
           return;
         }
-        m_health.Note(result.has_value(), "read");
         if (!result) {
           m_loop->After(m_thresholds->log_away_pause, [this] { ReadClaims(); });
           return;
@@ -249,6 +296,11 @@
         m_reading = true;
         for (const auto& record : result->records) TakeRecord(record.value);
         m_reading = false;
+        if (m_next >= result->end) {
+          EndCatchUp();
+        } else if (!m_caught_up) {
+          m_goal = std::max(m_goal, result->end);
+        }
         ReadClaims();
       });
 }
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -108,6 +108,10 @@
   void             SendRecord(programs::TokenClaim record);
   void RecordAppended(const std::string& record, std::int64_t offset);
   void ClaimDecided(std::uint64_t number, programs::Tokens granted);
+  void ClaimRefused(std::uint64_t number);
+  void CatchUp();
+  void EndCatchUp();
+  void SkipTo(std::int64_t first);
   void ReadClaims();
   void ReadPage();
   void TakeRecord(const std::string& record);
@@ -132,6 +136,7 @@
   std::int64_t  m_next = 0;  // offset to read on from
   std::int64_t  m_goal = 0;  // offset to read up to
   bool          m_reading = false;
+  bool          m_caught_up = false;  // read to the end since the start
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -64,24 +64,23 @@
       }
     });
   } else {
-    SearchPartitions(question, missing);
+    SearchOwnPartition(question, missing);
   }
 }
 
-void TurnKeeper::SearchPartitions(const Question&    question,
-                                  const std::string& missing) {
+void TurnKeeper::SearchOwnPartition(const Question&    question,
+                                    const std::string& missing) {
   LookIn(question.partition, missing, [this, question, missing](bool complete) {
     if (m_history.Missing(question.id) == missing) {
-      SearchElsewhere(question, missing, complete);
+      SearchOthers(question, missing, complete);
     } else {
       Search(question);
     }
   });
 }
 
-void TurnKeeper::SearchElsewhere(const Question&    question,
-                                 const std::string& missing,
-                                 bool               first_complete) {
+void TurnKeeper::SearchOthers(const Question&    question,
+                              const std::string& missing, bool first_complete) {
   auto       open = std::make_shared<int>(kTurnPartitions - 1);
   auto       complete = std::make_shared<bool>(first_complete);
   const auto end = [this, question, missing, complete] {
@@ -165,10 +164,10 @@
 }
 
 void TurnKeeper::Append(const programs::Turn& turn, int partition,
-                        const Appender::Wanted& wanted, Appended done) {
+                        const Appender::Wanted& wanted, PlacedDone done) {
   const auto records = programs::EncodeTurn(turn);
   auto       left = std::make_shared<std::size_t>(records.size());
-  auto       kept = std::make_shared<std::optional<Kept>>(Kept{partition});
+  auto kept = std::make_shared<std::optional<LogPlace>>(LogPlace{partition});
   const auto appended =
       [left, kept, done = std::move(done)](const Appender::Result& result) {
         if (!result) {
@@ -190,7 +189,7 @@
   keeping->done = nullptr;
 }
 
-void TurnKeeper::Settle(const KeepingPtr& keeping, const Kept& kept) {
+void TurnKeeper::Settle(const KeepingPtr& keeping, const LogPlace& kept) {
   if (!keeping->open) return;
   const KeepDone done = std::move(keeping->done);
   Close(keeping);
@@ -206,7 +205,7 @@
   keeping->tried.insert(keeping->partition);
   Append(
       keeping->turn, keeping->partition, [keeping] { return keeping->open; },
-      [this, keeping](std::optional<Kept> kept) {
+      [this, keeping](std::optional<LogPlace> kept) {
         if (kept) Settle(keeping, *kept);
       });
 }
@@ -225,26 +224,29 @@
                 [this, keeping] { Close(keeping); });
 }
 
-// Another partition, then a node that the log may answer. Partitions fail one
-// by one, and that this one does is known only after a timeout: so the next one
-// is taken whatever is known of this one. A turn that lies in the log twice is
-// the same turn.
+// Another partition, and from the second time on other nodes. Partitions fail
+// one by one, and that this one does is known only after a timeout: so the next
+// one is taken whatever is known of this one. A turn that lies in the log twice
+// is the same turn.
 void TurnKeeper::TryElsewhere(const KeepingPtr& keeping) {
   if (!keeping->open) return;
   const auto again = [this, keeping](Duration pause) {
     m_loop->After(pause, [this, keeping] { TryElsewhere(keeping); });
   };
-  const int next = PlaceFrom((keeping->partition + 1) % kTurnPartitions);
-  if (!m_reader.Away(next) && !keeping->tried.contains(next)) {
+  const int  next = PlaceFrom((keeping->partition + 1) % kTurnPartitions);
+  const bool another = !m_reader.Away(next) && !keeping->tried.contains(next);
+  if (another) {
     keeping->partition = next;
     Send(keeping);
+  }
+  if (another && keeping->tried.size() == 2) {
     again(m_thresholds->log_patience);
     return;
   }
   m_peers->AppendFor(keeping->turn, keeping->retention, keeping->relays++,
-                     [this, keeping, again](std::optional<Kept> kept) {
-                       if (kept) {
-                         Settle(keeping, *kept);
+                     [this, keeping, again](std::optional<LogPlace> place) {
+                       if (place) {
+                         Settle(keeping, *place);
                        } else {
                          again(m_thresholds->relay_pause);
                        }
@@ -254,7 +256,7 @@
 void TurnKeeper::KeepFor(const programs::Turn& turn, Duration retention,
                          TurnPeers::AppendDone done) {
   auto       waiting = std::make_shared<TurnPeers::AppendDone>(std::move(done));
-  const auto answer = [waiting](std::optional<Kept> kept) {
+  const auto answer = [waiting](std::optional<LogPlace> kept) {
     if (const auto told = std::exchange(*waiting, nullptr)) told(kept);
   };
   // An asker that hears nothing would take this node for lost.
@@ -262,7 +264,7 @@
   Append(
       turn, PlaceFrom(PartitionOf(turn.program)),
       [waiting] { return *waiting != nullptr; },
-      [this, turn, retention, answer](std::optional<Kept> kept) {
+      [this, turn, retention, answer](std::optional<LogPlace> kept) {
         if (kept) {
           m_history.Add(turn, m_loop->now(), retention + kRetentionSlack);
         }
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -38,7 +38,7 @@
 };
 
 // Where the log holds a turn.
-struct Kept {
+struct LogPlace {
   int          partition = -1;
   std::int64_t offset = -1;      // of the append that carried it
   bool         by_peer = false;  // the log did not answer this node
@@ -65,7 +65,7 @@
   virtual bool AnyReachesLog() const = 0;
   // Has such nodes append the turn, others at each attempt, from 0 on; nothing
   // if there is no such node or none could.
-  using AppendDone = std::function<void(std::optional<Kept>)>;
+  using AppendDone = std::function<void(std::optional<LogPlace>)>;
   virtual void AppendFor(const programs::Turn& turn, Duration retention,
                          std::size_t attempt, AppendDone done) = 0;
 };
@@ -82,7 +82,7 @@
   using FindDone = std::function<void(FindOutcome)>;
   void Find(const std::string& id, const std::string& program, FindDone done);
 
-  using KeepDone = std::function<void(const Kept&)>;
+  using KeepDone = std::function<void(const LogPlace&)>;
   // `done` once the log has acknowledged the turn; never, if it does not by
   // `until`. Nobody is told of such a turn's end, so it need not be kept then.
   void Keep(const programs::Turn& turn, Duration retention, Time until,
@@ -123,9 +123,9 @@
   // Looks for the nearest turn of the chain that is not at hand, then for the
   // next: turns of one chain may lie in different partitions.
   void Search(const Question& question);
-  void SearchPartitions(const Question& question, const std::string& missing);
-  void SearchElsewhere(const Question& question, const std::string& missing,
-                       bool first_complete);
+  void SearchOwnPartition(const Question& question, const std::string& missing);
+  void SearchOthers(const Question& question, const std::string& missing,
+                    bool first_complete);
   void EndSearch(const Question& question, const std::string& missing,
                  bool complete);
   void AskPeers(const Question& question, const std::string& missing);
@@ -138,12 +138,12 @@
   int  PlaceFrom(int first) const;
   // Appends all records of a turn; `done` with the place of the first, or
   // nothing if the log refused one.
-  using Appended = std::function<void(std::optional<Kept>)>;
+  using PlacedDone = std::function<void(std::optional<LogPlace>)>;
   void Append(const programs::Turn& turn, int partition,
-              const Appender::Wanted& wanted, Appended done);
+              const Appender::Wanted& wanted, PlacedDone done);
   void Send(const KeepingPtr& keeping);
   void TryElsewhere(const KeepingPtr& keeping);
-  void Settle(const KeepingPtr& keeping, const Kept& kept);
+  void Settle(const KeepingPtr& keeping, const LogPlace& kept);
   // The turn is kept, or nobody waits for it any more.
   void Close(const KeepingPtr& keeping);
 
--- a/src/yuccawick/gateway/turn_reader.cc
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -16,6 +16,8 @@
 
 // The platform keeps records for 300 s.
 constexpr Duration kPlaceMemory = 300'000;  // ms
+// A partition that was asked within this time, in ms, needs no probe.
+constexpr Duration kProbeAfter = 500;
 
 }  // namespace
 
@@ -56,15 +58,23 @@
   ReadPart(partition);
 }
 
-void TurnReader::ReadPart(int partition) {
-  ScanState& scan = ScanOf(partition);
+void TurnReader::ReadPart(int partition, bool last) {
+  ScanState&     scan = ScanOf(partition);
+  // One lost answer must not make the partition look away.
+  const Duration timeout =
+      last ? m_thresholds->log_timeout : m_thresholds->log_timeout / 2;
   m_store->Read(
-      Topic::kTurns, partition, scan.next, 0, m_thresholds->log_timeout,
-      [this, partition, &scan](const StoreResult<ReadPage>& result) {
+      Topic::kTurns, partition, scan.next, 0, timeout,
+      [this, partition, last, &scan](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           SkipTo(partition, result.error().first);
           return;
         }
+        if (!result && !last &&
+            result.error().failure == StoreFailure::kUnknown) {
+          ReadPart(partition, true);
+          return;
+        }
         scan.health->Note(result.has_value(), "read");
         if (result) {
           TakePage(partition, *result);
@@ -130,6 +140,8 @@
   if (!read) {
     m_log->Write(LogEvent::kFault,
                  {{"what", "undecodable turn"}, {"offset", record.offset}});
+    // It may be the one that somebody will ask for.
+    ScanOf(partition).sure_from = m_loop->now() + m_retention + kRetentionSlack;
     return;
   }
   const Time until = m_loop->now() + kPlaceMemory;
@@ -137,14 +149,14 @@
     Keep(std::move(read->turn), {partition, {record.offset}, until});
     return;
   }
-  const std::string id = read->turn.id;
-  Pieces&           pieces = m_pieces[id];
+  const std::pair key(partition, read->turn.id);
+  Pieces&         pieces = m_pieces[key];
   pieces.place.partition = partition;
   pieces.place.until = until;
   if (!pieces.parts.emplace(read->part, std::move(read->turn)).second) return;
   pieces.place.offsets.push_back(record.offset);
   if (pieces.parts.size() < read->parts) return;
-  const Pieces   all = std::move(m_pieces.extract(id).mapped());
+  const Pieces   all = std::move(m_pieces.extract(key).mapped());
   programs::Turn whole = all.parts.begin()->second;
   for (auto part = std::next(all.parts.begin()); part != all.parts.end();
        ++part) {
@@ -174,6 +186,12 @@
                            std::size_t                  part,
                            const std::function<void()>& done) {
   if (part == place.offsets.size() || m_history->Holds(id)) {
+    // Not what lay there: a scan has to find it.
+    if (!m_history->Holds(id)) m_places.erase(id);
+    done();
+    return;
+  }
+  if (Away(place.partition)) {
     done();
     return;
   }
@@ -209,6 +227,24 @@
   return least;
 }
 
+void TurnReader::Probe() {
+  for (int i = 0; i < kTurnPartitions; ++i) {
+    ScanState& scan = ScanOf(i);
+    if (scan.busy || scan.probing || !scan.health->IdleFor(kProbeAfter)) {
+      continue;
+    }
+    scan.probing = true;
+    m_store->Read(Topic::kTurns, i, std::max(scan.next, scan.end), 0,
+                  m_thresholds->log_timeout,
+                  [&scan](const StoreResult<ReadPage>& result) {
+                    scan.probing = false;
+                    const bool gone = !result && result.error().failure ==
+                                                     StoreFailure::kExpired;
+                    scan.health->Note(result.has_value() || gone, "probe");
+                  });
+  }
+}
+
 void TurnReader::Sweep() {
   const Time now = m_loop->now();
   const auto old = [now](const auto& entry) {
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -62,6 +62,8 @@
   // How long turns read are kept, in ms: the longest of the routes.
   void       SetRetention(Duration retention) { m_retention = retention; }
   Duration   retention() const { return m_retention; }
+  // Finds out whether partitions answer that nobody asked lately.
+  void       Probe();
   // Forgets old places and looks for partitions that were away. Call often.
   void       Sweep();
 
@@ -73,6 +75,7 @@
     std::size_t                taken = 0;      // records, in this scan
     Time                       sure_from = 0;  // complete scans from then on
     bool                       busy = false;
+    bool                       probing = false;
     std::vector<ScanDone>      served;
     std::vector<ScanDone>      waiting;
   };
@@ -81,7 +84,7 @@
     std::vector<std::int64_t> offsets;  // of its parts
     Time                      until = 0;
   };
-  // A turn of several records of which not all have been read.
+  // A turn of several records of which not all have been read in a partition.
   struct Pieces {
     std::map<std::uint32_t, programs::Turn> parts;
     Place                                   place;
@@ -91,7 +94,8 @@
     return m_scans[static_cast<std::size_t>(partition)];
   }
   void Begin(int partition);
-  void ReadPart(int partition);
+  // `last`: if it fails the scan does, and the partition counts as away.
+  void ReadPart(int partition, bool last = false);
   void TakePage(int partition, const platform::ReadPage& page);
   void SkipTo(int partition, std::int64_t first);
   void End(int partition, bool complete);
@@ -100,15 +104,15 @@
   void FetchPart(const std::string& id, const Place& place, std::size_t part,
                  const std::function<void()>& done);
 
-  net::EventLoop*                         m_loop;
-  const Thresholds*                       m_thresholds;
-  platform::RecordLog*                    m_store;
-  Log*                                    m_log;
-  programs::TurnHistory*                  m_history;
-  std::vector<ScanState>                  m_scans;   // by partition
-  std::unordered_map<std::string, Place>  m_places;  // by turn
-  std::unordered_map<std::string, Pieces> m_pieces;  // by turn
-  Duration m_retention = 60'000;                     // until a manifest says
+  net::EventLoop*                               m_loop;
+  const Thresholds*                             m_thresholds;
+  platform::RecordLog*                          m_store;
+  Log*                                          m_log;
+  programs::TurnHistory*                        m_history;
+  std::vector<ScanState>                        m_scans;   // by partition
+  std::unordered_map<std::string, Place>        m_places;  // by turn
+  std::map<std::pair<int, std::string>, Pieces> m_pieces;  // partition, turn
+  Duration m_retention = 60'000;  // until a manifest says
 };
 
 }  // namespace yuccawick::gateway
