--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-// Index: Preparing, Sending, Answering, Ending.
+// Index: Preparing, Sending, Ending. Answering is in exchange_answer.cc.
 
 namespace yuccawick::gateway {
 namespace {
@@ -17,32 +17,15 @@
 using traffic::Refusal;
 using traffic::RequestKind;
 
-constexpr int                kOk = 200;
-constexpr int                kMostAccepted = 299;
-// Statuses by which a server could seem to promise that it did not run a
-// request; only its explicit word does.
-constexpr std::array<int, 4> kPromises{408, 421, 429, 503};
-// A client that takes bytes slower than they come may keep this many waiting
-// here before its server is read no further.
-constexpr std::size_t        kMaxBacklog = 256UL * 1024;
-// Plain answers up to this size are passed on whole, so that one that breaks
-// off is still an honest failure or can be fetched again.
-constexpr std::size_t        kMaxWhole = 256UL * 1024;
-constexpr double             kMillisPerSecond = 1000.0;
-constexpr double             kPercent = 100.0;
+constexpr double kPercent = 100.0;
 // Urgencies that servers know: 0 is first, 9 last.
-constexpr int                kLeastUrgent = 9;
+constexpr int    kLeastUrgent = 9;
 
 double Draw() {
   static thread_local std::mt19937_64 random(std::random_device{}());
   return std::uniform_real_distribution<double>(0.0, 1.0)(random);
 }
 
-bool IsPromise(int status) {
-  return std::find(kPromises.begin(), kPromises.end(), status) !=
-         kPromises.end();
-}
-
 }  // namespace
 
 Exchange::Exchange(const GatewayParts& parts, ClientSide* client,
@@ -345,177 +328,6 @@
   SendTo(*same, true);
 }
 
-// Answering ------------------------------------------------------------------
-
-bool Exchange::OnBackendHead(const net::Head& head) {
-  const traffic::AnswerInfo info = platform::DecodeAnswer(head);
-  if (!info.attempt.empty() && info.attempt != m_info.attempt) return false;
-  m_answer = head;
-  m_answer_info = info;
-  m_has_answer = true;
-  m_is_stream = info.event_stream && head.status == kOk &&
-                m_route->kind == RequestKind::kStreaming;
-  return true;
-}
-
-void Exchange::OnBackendBody(std::string_view bytes) {
-  if (!m_has_answer) return;
-  if (m_is_stream) {
-    if (m_answer_info.stamped && !m_answer_info.encoded) PassEvents(bytes);
-    return;
-  }
-  m_plain += bytes;
-  const bool may_pass = m_answer_info.stamped && !m_answer_info.encoded &&
-                        m_answer_info.attempt == m_info.attempt &&
-                        !IsPromise(m_answer.status);
-  if (!may_pass || m_plain.size() <= kMaxWhole) return;
-  if (!m_passed_head) BeginAnswer(-1);
-  std::string out;
-  net::AppendChunk(&out, std::exchange(m_plain, {}));
-  WriteAnswer(out);
-}
-
-void Exchange::WriteAnswer(std::string_view bytes) {
-  m_client->WriteToClient(bytes);
-  if (m_client->ClientBacklog() > kMaxBacklog) m_connection->HoldReading(true);
-}
-
-void Exchange::PassEvents(std::string_view bytes) {
-  if (!m_events.Add(bytes)) {
-    OnBackendLost(LossCause::kBadAnswer);
-    return;
-  }
-  if (!m_passed_head) BeginAnswer(-1);
-  const auto tokens_per_event = [&]() -> programs::Tokens {
-    const auto* service = m_routes->manifest()->FindService(m_service);
-    return service != nullptr && service->engine
-               ? service->engine->tokens_per_event
-               : 1;
-  }();
-  std::string          out;
-  traffic::StreamEvent event;
-  while (m_events.Next(&event)) {
-    net::AppendChunk(&out, event.bytes);
-    if (!event.id.empty()) m_last_event = event.id;
-    if (m_route->keeps_turns) m_output.append(event.data).append("\n");
-    if (m_event_count++ == 0) {
-      m_first_event = m_parts.loop->now();
-      m_parts.metrics->ObserveFirstEvent(
-          static_cast<double>(m_first_event - m_began) / kMillisPerSecond);
-    }
-    m_tokens_used += tokens_per_event;
-  }
-  if (!out.empty()) WriteAnswer(out);
-}
-
-void Exchange::ClientDrained() {
-  if (m_connection != nullptr) m_connection->HoldReading(false);
-}
-
-void Exchange::BeginAnswer(std::int64_t length) {
-  m_passed_head = true;
-  if (m_phase == AttemptPhase::kSent) Fire(AttemptEvent::kAnswerBegan);
-  m_client->WriteToClient(platform::EncodeAnswerHead(
-      m_answer, length, m_client->ClosesAfterAnswer()));
-}
-
-void Exchange::OnBackendEnd() {
-  const auto self = shared_from_this();
-  if (m_client == nullptr) return;
-  if (m_answer_info.not_run) {
-    LeaveServer(true);
-    m_parts.backends->NoteBadAnswer(m_server_id);
-    Lost(LossCause::kNotRun);
-    return;
-  }
-  const bool success =
-      m_answer.status >= kOk && m_answer.status <= kMostAccepted;
-  const bool sound = m_answer_info.attempt == m_info.attempt &&
-                     !m_answer_info.encoded &&
-                     (m_answer_info.stamped || !success) &&
-                     !(m_is_stream && m_events.has_partial());
-  if (!sound) {
-    OnBackendLost(LossCause::kBadAnswer);
-    return;
-  }
-  LeaveServer(true);
-  NoteOutcome();
-  if (m_is_stream) {
-    EndStream();
-  } else {
-    EndPlain();
-  }
-}
-
-void Exchange::NoteOutcome() {
-  constexpr int kFirstServerError = 500;
-  if (m_answer.status >= kFirstServerError) {
-    m_parts.backends->NoteBadAnswer(m_server_id);
-  } else {
-    m_parts.backends->NoteSuccess(m_server_id);
-  }
-}
-
-void Exchange::EndPlain() {
-  // These would promise the client that its request did not run, and the server
-  // did not say so.
-  if (IsPromise(m_answer.status)) {
-    Refuse(Refusal::kServerFailed);
-    return;
-  }
-  Fire(AttemptEvent::kAnswerEnded);
-  if (!m_passed_head) {
-    BeginAnswer(static_cast<std::int64_t>(m_plain.size()));
-    FinishAnswer(m_plain);
-    return;
-  }
-  std::string rest;
-  net::AppendChunk(&rest, m_plain);
-  FinishAnswer(rest.append(net::kLastChunk));
-}
-
-void Exchange::EndStream() {
-  if (!m_passed_head) BeginAnswer(-1);
-  m_parts.backends->RememberLine(LineKey(), m_server_id);
-  if (!Fire(AttemptEvent::kAnswerEnded)) return;
-  if (m_route->keeps_turns) {
-    RecordTurn();
-  } else {
-    FinishAnswer(net::kLastChunk);
-  }
-}
-
-void Exchange::RecordTurn() {
-  programs::Turn turn{m_info.attempt, m_info.previous_turn, m_info.program,
-                      std::move(m_body), std::move(m_output)};
-  m_parts.turns->Keep(turn, m_route->retention, m_due,
-                      [self = shared_from_this()](const LogPlace& kept) {
-                        if (self->m_client == nullptr) return;
-                        self->m_kept = kept;
-                        self->FinishAnswer(net::kLastChunk);
-                      });
-}
-
-void Exchange::FinishAnswer(std::string_view last_bytes) {
-  m_client->WriteToClient(last_bytes);
-  m_parts.metrics->CountAnswer(m_route->kind);
-  const Duration took = m_parts.loop->now() - m_began;
-  m_parts.metrics->ObserveAnswer(static_cast<double>(took) / kMillisPerSecond);
-  m_parts.log->Write(
-      LogEvent::kAnswered,
-      {{"request", m_info.attempt},
-       {"server", m_server_id},
-       {"status", m_answer.status},
-       {"events", m_event_count},
-       {"first_event_ms", m_first_event == 0 ? 0 : m_first_event - m_began},
-       {"turn_partition", m_kept.partition},
-       {"turn_offset", m_kept.offset},
-       {"took_ms", took}});
-  ClientSide* client = m_client;
-  End();
-  client->AnswerDone();
-}
-
 // Ending ---------------------------------------------------------------------
 
 void Exchange::OutOfTime() {
