Name what the desk does with an account's tokens

Claim() also gave back and claimed ahead: it is Balance() now, with its rule in the header. No behaviour changes.

--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -82,7 +82,7 @@
     }
   }
   account.waiting = std::move(left);
-  Claim(program, &account);
+  Balance(program, &account);
   // Last: whoever is answered may ask again at once.
   for (const Answer& answer : answers) answer.done(answer.outcome);
 }
@@ -134,7 +134,7 @@
 
 // One claim at a time: what a second one should ask for depends on what the
 // first one brings.
-void TokenDesk::Claim(const std::string& program, Account* account) {
+void TokenDesk::Balance(const std::string& program, Account* account) {
   if (account->claiming) return;
   if (!m_caught_up) {
     if (!account->waiting.empty()) CatchUp();
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -95,12 +95,14 @@
     programs::Tokens need = 0;
   };
 
-  // Answers whom it can, then claims for the others.
+  // Answers whom it can, then balances the account.
   void                          Serve(const std::string& program);
   std::optional<ReserveOutcome> Decide(Account*       account,
                                        const Waiting& request) const;
   void             GiveUp(const std::string& program, std::uint64_t number);
-  void             Claim(const std::string& program, Account* account);
+  // Claims what waiting turns lack or what is kept ahead, or sees to it that
+  // what no turn needs is given back.
+  void             Balance(const std::string& program, Account* account);
   void             SendClaim(const std::string& program, Account* account,
                              programs::Tokens most, programs::Tokens wish);
   // What the account keeps for its next turns; 0: nothing.
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -118,7 +118,7 @@
                           const std::string& missing) {
   m_peers->AskForTurn(missing,
                       [this, question, missing](const TurnPeers::Turns& turns) {
-                        TakeCopies(turns);
+                        TakeTurns(turns);
                         if (m_history.Missing(question.id) != missing) {
                           Search(question);
                         } else {
@@ -127,7 +127,7 @@
                       });
 }
 
-void TurnKeeper::TakeCopies(const std::vector<programs::Turn>& turns) {
+void TurnKeeper::TakeTurns(const std::vector<programs::Turn>& turns) {
   for (const programs::Turn& turn : turns) {
     m_history.Add(turn, m_loop->now(), m_reader.retention() + kRetentionSlack);
   }
@@ -137,7 +137,7 @@
                         std::function<void(bool)> done) {
   const auto answered = [this, partition,
                          done](const TurnPeers::Lookup& lookup) {
-    TakeCopies(lookup.turns);
+    TakeTurns(lookup.turns);
     if (lookup.answered && lookup.complete) {
       done(true);
     } else {
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -133,7 +133,7 @@
   // possible.
   void LookIn(int partition, const std::string& id,
               std::function<void(bool)> done);
-  void TakeCopies(const std::vector<programs::Turn>& turns);
+  void TakeTurns(const std::vector<programs::Turn>& turns);
   // The first partition from `first` on that answers, as far as is known.
   int  PlaceFrom(int first) const;
   // Appends all records of a turn; `done` with the place of the first, or
