Let all waits before a turn is sent take half of its client's time together

Change: one timer for all that happens before a turn is sent; what it waits for then names the refusal. The pause for the log alone stays a second.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -39,7 +39,10 @@
       m_phase(traffic::GetAttemptChart().Start()),
       m_began(parts.loop->now()) {}
 
-Exchange::~Exchange() { m_parts.loop->Cancel(&m_timer); }
+Exchange::~Exchange() {
+  m_parts.loop->Cancel(&m_timer);
+  m_parts.loop->Cancel(&m_patience_timer);
+}
 
 bool Exchange::Fire(AttemptEvent event) {
   const bool moved = traffic::GetAttemptChart().Fire(&m_phase, event);
@@ -101,6 +104,8 @@
     m_timer = 0;
     OutOfTime();
   });
+  m_patience_timer =
+      m_parts.loop->After(PatienceLeft(), [this] { OutOfPatience(); });
 }
 
 // A turn whose end no node can keep would be read to its last event and then
@@ -113,9 +118,10 @@
     FindHistory();
     return;
   }
+  m_awaits = Refusal::kLogAway;
   const Duration waited = m_parts.loop->now() - m_began;
-  if (waited >= LogWait()) {
-    Refuse(Refusal::kLogAway);
+  if (waited >= m_parts.thresholds->log_wait) {
+    Refuse(m_awaits);
     return;
   }
   if (waited == 0) {
@@ -127,11 +133,20 @@
                       [self = shared_from_this()] { self->AwaitLog(); });
 }
 
-// Of the time that its client gave this attempt.
-Duration Exchange::LogWait() const {
-  const auto share =
-      m_parts.thresholds->log_wait_share * static_cast<double>(m_due - m_began);
-  return std::min(m_parts.thresholds->log_wait, static_cast<Duration>(share));
+Duration Exchange::PatienceLeft() const {
+  const auto share = static_cast<Duration>(
+      m_parts.thresholds->wait_share * static_cast<double>(m_due - m_began));
+  return m_began + share - m_parts.loop->now();
+}
+
+// Its client can come back while it has time left. Waits that are each short
+// may add up.
+void Exchange::OutOfPatience() {
+  m_patience_timer = 0;
+  const auto self = shared_from_this();
+  if (m_client != nullptr && m_phase == AttemptPhase::kPreparing) {
+    Refuse(m_awaits);
+  }
 }
 
 void Exchange::FindHistory() {
@@ -145,6 +160,7 @@
     ReserveTokens();
     return;
   }
+  m_awaits = Refusal::kHistoryUnsure;
   m_parts.turns->Find(m_info.previous_turn, m_info.program,
                       [self = shared_from_this()](FindOutcome outcome) {
                         if (self->m_client == nullptr) return;
@@ -170,8 +186,11 @@
     return;
   }
   const TurnBudget turn{m_info.program, *m_info.budget, m_info.most_tokens};
+  m_awaits = Refusal::kBudgetUnsure;
+  const Duration patience =
+      std::min(m_parts.thresholds->log_wait, PatienceLeft());
   m_parts.peers->Reserve(
-      turn, LogWait(),
+      turn, patience,
       [self = shared_from_this()](const Reservation& reservation) {
         self->TakeReservation(reservation);
       });
@@ -195,6 +214,7 @@
 }
 
 void Exchange::Prepared() {
+  m_parts.loop->Cancel(&m_patience_timer);
   if (Fire(AttemptEvent::kPrepared)) Dispatch();
 }
 
@@ -412,6 +432,7 @@
 void Exchange::End() {
   m_client = nullptr;
   m_parts.loop->Cancel(&m_timer);
+  m_parts.loop->Cancel(&m_patience_timer);
   if (m_phase != AttemptPhase::kDone) Fire(AttemptEvent::kFinish);
   if (std::exchange(m_reserved, false)) {
     m_parts.peers->EndTurn(m_reservation, m_tokens_used);
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -101,7 +101,9 @@
   void End();
 
   Duration    Left() const;
-  Duration    LogWait() const;
+  // What is left of the time that this attempt may wait before it is sent.
+  Duration    PatienceLeft() const;
+  void        OutOfPatience();
   Duration    RetryAfter(traffic::Refusal refusal) const;
   std::string LineKey() const;
   bool        Fire(traffic::AttemptEvent event);
@@ -118,10 +120,13 @@
   Time                                       m_began = 0;
   Time                                       m_due = 0;  // given up then
   net::TimerId                               m_timer = 0;
-  bool                                       m_reserved = false;
-  Reservation                                m_reservation;
-  programs::Tokens                           m_tokens_used = 0;
-  std::string                                m_chain;  // body for the server
+  net::TimerId                               m_patience_timer = 0;
+  // What it waits for, as its client is told if it waits too long.
+  traffic::Refusal m_awaits = traffic::Refusal::kLateUnsent;
+  bool             m_reserved = false;
+  Reservation      m_reservation;
+  programs::Tokens m_tokens_used = 0;
+  std::string      m_chain;  // body for the server
 
   // The server at hand, and those before it.
   BackendConnection*       m_connection = nullptr;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -52,7 +52,7 @@
     Entry{"relay_pause", &T::relay_pause, 1, 10'000},
     Entry{"log_away_pause", &T::log_away_pause, 1, 10'000},
     Entry{"log_wait", &T::log_wait, 0, 60'000},
-    Entry{"log_wait_share", &T::log_wait_share, 0, 1},
+    Entry{"wait_share", &T::wait_share, 0, 1},
     Entry{"log_wait_pause", &T::log_wait_pause, 1, 10'000},
     Entry{"outage_return", &T::outage_return, 1, 60'000},
     Entry{"give_back_delay", &T::give_back_delay, 0, 10'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -75,11 +75,11 @@
   // Between two calls while the log is away: a few a second find its return
   // early enough, since nothing waits for it by then.
   Duration log_away_pause = 150;
-  // How long a turn waits for the log, for tokens or because its end could not
-  // be kept, before it is refused, and the part of its client's time that this
-  // may take: it can come back later then.
+  // How long a turn waits for the log, because its end could not be kept or for
+  // its tokens, before it is refused; and the part of its client's time that
+  // all its waits may take together, so that the client can come back.
   Duration log_wait = 1000;
-  double   log_wait_share = 0.5;
+  double   wait_share = 0.5;
   Duration log_wait_pause = 50;
   // Clients that are refused for the log come back after as long as it has been
   // away, or as this node has been starting, up to this: an outage goes on
