Ask a reader that still reads again; repeat no read that timed out

Cause: after a restart of all nodes each zone's readers have a minute of turns to read. A reader answered after 400 ms that it was not done, and its askers read the log themselves; pages were first read with 300 ms and again with 600. So the log was busy with searches of 40 nodes, and no turn was found in time. Ruled out: the search missing turns (every try ran into its client's time). Change: a reader says that it still reads, and is asked again up to five times; a read is repeated only if it failed at once.

--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -154,6 +154,7 @@
           const auto found = answer->getTurnFound();
           lookup.answered = true;
           lookup.complete = found.getComplete();
+          lookup.reading = found.getReading();
           for (const auto& turn : found.getTurns()) {
             lookup.turns.push_back(programs::Read(turn));
           }
@@ -187,30 +188,35 @@
   if (partition < 0 || partition >= kTurnPartitions ||
       m_turns->history().Holds(id)) {
     // What this node does not hold, it has not looked for.
-    AnswerFind(id, false, reply);
+    AnswerFind(id, ReadState::kIncomplete, reply);
     return;
   }
   auto       open = std::make_shared<bool>(true);
-  const auto answer = [this, id, reply, open](bool complete) {
-    if (std::exchange(*open, false)) AnswerFind(id, complete, reply);
+  const auto answer = [this, id, reply, open](ReadState state) {
+    if (std::exchange(*open, false)) AnswerFind(id, state, reply);
+  };
+  const auto ended = [answer](bool complete) {
+    answer(complete ? ReadState::kComplete : ReadState::kIncomplete);
   };
   // An asker that hears nothing would take this node for lost.
-  m_loop->After(m_thresholds->reader_answer, [answer] { answer(false); });
+  m_loop->After(m_thresholds->reader_answer,
+                [answer] { answer(ReadState::kReading); });
   TurnReader& reader = m_turns->reader();
   if (reader.KnowsPlaceOf(id)) {
     reader.Fetch(id,
-                 [this, id, answer] { answer(m_turns->history().Holds(id)); });
+                 [this, id, ended] { ended(m_turns->history().Holds(id)); });
   } else {
-    reader.Scan(partition, answer);
+    reader.Scan(partition, ended);
   }
 }
 
-void PeerTurns::AnswerFind(const std::string& id, bool complete,
+void PeerTurns::AnswerFind(const std::string& id, ReadState state,
                            const PeerNetwork::Reply& reply) {
   const auto line = m_turns->history().Line(id);
-  reply([&line, complete](PeerMessage::Builder answer) {
+  reply([&line, state](PeerMessage::Builder answer) {
     auto found = answer.initTurnFound();
-    found.setComplete(complete);
+    found.setComplete(state == ReadState::kComplete);
+    found.setReading(state == ReadState::kReading);
     auto     turns = found.initTurns(static_cast<unsigned>(line.size()));
     unsigned at = 0;
     for (const Turn* turn : line) programs::Write(*turn, turns[at++]);
--- a/src/yuccawick/gateway/peer_turns.h
+++ b/src/yuccawick/gateway/peer_turns.h
@@ -6,6 +6,7 @@
 // questions of others, from the same TurnKeeper.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -40,7 +41,9 @@
   void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
 
  private:
-  void AnswerFind(const std::string& id, bool complete,
+  // How far this node has read a partition that it reads for its zone.
+  enum class ReadState : std::uint8_t { kIncomplete, kReading, kComplete };
+  void AnswerFind(const std::string& id, ReadState state,
                   const PeerNetwork::Reply& reply);
   // Nodes that the log seems to answer.
   std::vector<programs::NodeInfo> WhoReachLog() const;
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -134,12 +134,16 @@
 }
 
 void TurnKeeper::LookIn(int partition, const std::string& id,
-                        std::function<void(bool)> done) {
-  const auto answered = [this, partition,
-                         done](const TurnPeers::Lookup& lookup) {
+                        std::function<void(bool)> done, int tries) {
+  const auto answered = [this, partition, id, done,
+                         tries](const TurnPeers::Lookup& lookup) {
     TakeTurns(lookup.turns);
-    if (lookup.answered && lookup.complete) {
-      done(true);
+    if (lookup.answered && (lookup.complete || m_history.Holds(id))) {
+      done(lookup.complete);
+    } else if (lookup.reading && tries > 0) {
+      // If every node that waits for its reader read for itself, the log would
+      // be busy with that for longer than all may take to recover.
+      LookIn(partition, id, done, tries - 1);
     } else {
       m_reader.Scan(partition, done);
     }
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -31,6 +31,10 @@
 
 namespace yuccawick::gateway {
 
+// How often a reader that is still reading is asked again; then this node reads
+// for itself.
+inline constexpr int kReaderTries = 5;
+
 enum class FindOutcome : std::uint8_t {
   kFound,
   kUnknown,  // certainly no such turn
@@ -57,6 +61,7 @@
   struct Lookup {
     bool  answered = false;
     bool  complete = false;  // it read up to the end
+    bool  reading = false;   // not yet; ask again
     Turns turns;
   };
   virtual bool AskReader(int partition, const std::string& id,
@@ -132,7 +137,7 @@
   // A complete scan, by the node that reads the partition for this zone if
   // possible.
   void LookIn(int partition, const std::string& id,
-              std::function<void(bool)> done);
+              std::function<void(bool)> done, int tries = kReaderTries);
   void TakeTurns(const std::vector<programs::Turn>& turns);
   // The first partition from `first` on that answers, as far as is known.
   int  PlaceFrom(int first) const;
--- a/src/yuccawick/gateway/turn_reader.cc
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -58,19 +58,24 @@
   ReadPart(partition);
 }
 
-void TurnReader::ReadPart(int partition, bool last) {
-  ScanState&     scan = ScanOf(partition);
-  // One lost answer must not make the partition look away.
-  const Duration timeout =
-      last ? m_thresholds->log_timeout : m_thresholds->log_timeout / 2;
+void TurnReader::ReadPart(int partition, bool again) {
+  ScanState& scan = ScanOf(partition);
+  const Time began = m_loop->now();
   m_store->Read(
-      Topic::kTurns, partition, scan.next, 0, timeout,
-      [this, partition, last, &scan](const StoreResult<ReadPage>& result) {
+      Topic::kTurns, partition, scan.next, 0, m_thresholds->log_timeout,
+      [this, partition, again, began,
+       &scan](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           SkipTo(partition, result.error().first);
           return;
         }
-        if (!result && !last &&
+        // A kept connection that was dropped ends a read at once, and says
+        // nothing of the log. One that timed out is not repeated: after a
+        // restart of all nodes the log is busy, and a page read twice keeps it
+        // so.
+        const bool at_once =
+            m_loop->now() - began < m_thresholds->log_timeout / 2;
+        if (!result && at_once && !again &&
             result.error().failure == StoreFailure::kUnknown) {
           ReadPart(partition, true);
           return;
@@ -173,7 +178,8 @@
 
 // Fetching -------------------------------------------------------------------
 
-void TurnReader::Fetch(const std::string& id, std::function<void()> done) {
+void TurnReader::Fetch(const std::string&           id,
+                       const std::function<void()>& done) {
   const auto found = m_places.find(id);
   if (found == m_places.end()) {
     done();
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -53,7 +53,7 @@
     return m_places.contains(id);
   }
   // `done` once the turn is in memory, or could not be read.
-  void Fetch(const std::string& id, std::function<void()> done);
+  void Fetch(const std::string& id, const std::function<void()>& done);
 
   LogHealth* health(int partition) { return ScanOf(partition).health.get(); }
   bool       Away(int partition) const;
@@ -94,8 +94,8 @@
     return m_scans[static_cast<std::size_t>(partition)];
   }
   void Begin(int partition);
-  // `last`: if it fails the scan does, and the partition counts as away.
-  void ReadPart(int partition, bool last = false);
+  // `again`: the last read failed at once.
+  void ReadPart(int partition, bool again = false);
   void TakePage(int partition, const platform::ReadPage& page);
   void SkipTo(int partition, std::int64_t first);
   void End(int partition, bool complete);
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -74,6 +74,7 @@
 struct TurnFound {
   turns    @0 :List(Turn);  # the turn, then its ancestors; empty: not held
   complete @1 :Bool;        # the partition was read up to its end
+  reading  @2 :Bool;        # not yet; ask again
 }
 
 # A turn to append to the log, by a node that the log answers.
--- a/src/yuccawick/programs/record.capnp.c++
+++ b/src/yuccawick/programs/record.capnp.c++
@@ -700,7 +700,7 @@
   0, 2, i_ef439a6e7630d740, nullptr, nullptr, { &s_ef439a6e7630d740, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<52> b_dcbbc7fd69706fca = {
+static const ::capnp::_::AlignedData<67> b_dcbbc7fd69706fca = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     202, 111, 112, 105, 253, 199, 187, 220,
      13,   0,   0,   0,   1,   0,   1,   0,
@@ -710,28 +710,35 @@
      21,   0,   0,   0, 186,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     114, 101,  99, 111, 114, 100,  46,  99,
      97, 112, 110, 112,  58,  84, 117, 114,
     110,  70, 111, 117, 110, 100,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     64,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     92,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,  74,   0,   0,   0,
+     89,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     88,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     60,   0,   0,   0,   3,   0,   1,   0,
-     72,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
     116, 117, 114, 110, 115,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -746,6 +753,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 109, 112, 108, 101, 116, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  97, 100, 105, 110, 103,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -759,11 +774,11 @@
 static const ::capnp::_::RawSchema* const d_dcbbc7fd69706fca[] = {
   &s_89b96f7bb190dfdb,
 };
-static const uint16_t m_dcbbc7fd69706fca[] = {1, 0};
-static const uint16_t i_dcbbc7fd69706fca[] = {0, 1};
+static const uint16_t m_dcbbc7fd69706fca[] = {1, 2, 0};
+static const uint16_t i_dcbbc7fd69706fca[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_dcbbc7fd69706fca = {
-  0xdcbbc7fd69706fca, b_dcbbc7fd69706fca.words, 52, d_dcbbc7fd69706fca, m_dcbbc7fd69706fca,
-  1, 2, i_dcbbc7fd69706fca, nullptr, nullptr, { &s_dcbbc7fd69706fca, nullptr, nullptr, 0, 0, nullptr }
+  0xdcbbc7fd69706fca, b_dcbbc7fd69706fca.words, 67, d_dcbbc7fd69706fca, m_dcbbc7fd69706fca,
+  1, 3, i_dcbbc7fd69706fca, nullptr, nullptr, { &s_dcbbc7fd69706fca, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_ad2032ee2143278b = {
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -964,6 +964,8 @@
 
   inline bool getComplete() const;
 
+  inline bool getReading() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1002,6 +1004,9 @@
   inline bool getComplete();
   inline void setComplete(bool value);
 
+  inline bool getReading();
+  inline void setReading(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2141,6 +2146,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TurnFound::Reader::getReading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool TurnFound::Builder::getReading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TurnFound::Builder::setReading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KeepTurn::Reader::hasTurn() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -77,7 +77,7 @@
       Turn       joined{"1", "0", "p", "", ""};
       const auto records = programs::EncodeTurn(turn);
       for (std::size_t i = 0; i < records.size(); ++i) {
-        cr_assert_lt(records[i].size(), 256 * 1024);
+        cr_assert_lt(records[i].size(), 256UL * 1024);
         const auto part = programs::DecodeTurn(records[i]);
         cr_assert(part && part->part == i && part->parts == records.size());
         joined.input += part->turn.input;
