Turns are read from the log by two nodes of a zone only, and fetched one by one

Hypothesis: after an absence of the log, and after a restart of all, the log's reads are at their limit (80 MB/s) for 13 s and more: each node whose zone's reader did not answer whole within five tries reads all partitions itself, 31 nodes some 40 MB each; and a turn read before is fetched with a page of 256 KB around it. Ruled out: deleted records. Change: readers have ranks; a look that the first cannot end goes to the second of the zone and then is not certain. Reads say how much they want; a fetch asks for its record.

--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -130,18 +130,20 @@
   }
 }
 
-bool PeerTurns::AskReader(int partition, const std::string& id,
-                          std::function<void(const Lookup&)> done) {
-  const NodeInfo* reader = nullptr;
-  const auto ranked = m_members->HomesOf("turns " + std::to_string(partition));
-  for (const NodeInfo& node : ranked) {
-    if (node.zone != m_members->self().zone) continue;
-    reader = &node;
-    break;
+ReaderIs PeerTurns::AskReader(int partition, const std::string& id,
+                              std::size_t                        rank,
+                              std::function<void(const Lookup&)> done) {
+  auto readers = m_members->HomesOf("turns " + std::to_string(partition));
+  std::erase_if(readers, [this](const NodeInfo& node) {
+    return node.zone != m_members->self().zone;
+  });
+  if (rank >= std::min(readers.size(), kReadersOfZone)) {
+    return ReaderIs::kNobody;
   }
-  if (reader == nullptr || reader->name == m_members->self().name) return false;
+  const NodeInfo& reader = readers[rank];
+  if (reader.name == m_members->self().name) return ReaderIs::kSelf;
   m_network->Ask(
-      *reader,
+      reader,
       [&](PeerMessage::Builder message) {
         auto find = message.initFindTurn();
         find.setId(id);
@@ -161,7 +163,7 @@
         }
         done(lookup);
       });
-  return true;
+  return ReaderIs::kAnother;
 }
 
 void PeerTurns::ServeKeep(PeerMessage::Reader       message,
--- a/src/yuccawick/gateway/peer_turns.h
+++ b/src/yuccawick/gateway/peer_turns.h
@@ -27,15 +27,15 @@
             programs::Membership* members, PeerNetwork* network,
             TurnKeeper* turns);
 
-  void AskForTurn(const std::string&                id,
-                  std::function<void(const Turns&)> done) override;
-  bool AskReader(int partition, const std::string& id,
-                 std::function<void(const Lookup&)> done) override;
-  bool AnyReachesLog() const override { return !WhoReachLog().empty(); }
-  void AppendFor(const programs::Turn& turn, Duration retention,
-                 std::size_t attempt, AppendDone done) override;
+  void     AskForTurn(const std::string&                id,
+                      std::function<void(const Turns&)> done) override;
+  ReaderIs AskReader(int partition, const std::string& id, std::size_t rank,
+                     std::function<void(const Lookup&)> done) override;
+  bool     AnyReachesLog() const override { return !WhoReachLog().empty(); }
+  void     AppendFor(const programs::Turn& turn, Duration retention,
+                     std::size_t attempt, AppendDone done) override;
   // The node said that the log does not answer it, or could not append.
-  void NoteLogAway(const std::string& node);
+  void     NoteLogAway(const std::string& node);
 
   void ServeKeep(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
   void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -290,7 +290,7 @@
 void TokenDesk::ReadPage() {
   m_reading = true;
   m_store->Read(
-      Topic::kClaims, m_partition, m_next, 0, m_thresholds->log_timeout,
+      Topic::kClaims, m_partition, {m_next}, m_thresholds->log_timeout,
       [this](const StoreResult<platform::ReadPage>& result) {
         m_reading = false;
         const bool gone =
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -70,13 +70,14 @@
 
 void TurnKeeper::SearchOwnPartition(const Question&    question,
                                     const std::string& missing) {
-  LookIn(question.partition, missing, [this, question, missing](bool complete) {
+  const auto looked = [this, question, missing](bool complete) {
     if (m_history.Missing(question.id) == missing) {
       SearchOthers(question, missing, complete);
     } else {
       Search(question);
     }
-  });
+  };
+  LookIn({question.partition, missing, looked});
 }
 
 void TurnKeeper::SearchOthers(const Question&    question,
@@ -93,10 +94,11 @@
   };
   for (int i = 0; i < kTurnPartitions; ++i) {
     if (i == question.partition) continue;
-    LookIn(i, missing, [open, complete, end](bool whole) {
+    const auto looked = [open, complete, end](bool whole) {
       *complete = *complete && whole;
       if (--*open == 0) end();
-    });
+    };
+    LookIn({i, missing, looked});
   }
 }
 
@@ -133,26 +135,51 @@
   }
 }
 
-void TurnKeeper::LookIn(int partition, const std::string& id,
-                        std::function<void(bool)> done, int tries) {
-  const auto answered = [this, partition, id, done,
-                         tries](const TurnPeers::Lookup& lookup) {
-    TakeTurns(lookup.turns);
-    if (lookup.answered && (lookup.complete || m_history.Holds(id))) {
-      done(lookup.complete);
-    } else if (lookup.reading && tries > 0) {
-      // If every node that waits for its reader read for itself, the log would
-      // be busy with that for longer than all may take to recover.
-      LookIn(partition, id, done, tries - 1);
-    } else {
-      m_reader.Scan(partition, done);
-    }
+void TurnKeeper::LookIn(const Look& look) {
+  const auto answered = [this, look](const TurnPeers::Lookup& lookup) {
+    TakeLookup(look, lookup);
   };
-  if (!m_peers->AskReader(partition, id, answered)) {
-    m_reader.Scan(partition, std::move(done));
+  switch (m_peers->AskReader(look.partition, look.id, look.rank, answered)) {
+    case ReaderIs::kAnother:
+      break;
+    case ReaderIs::kSelf:
+      ScanHere(look);
+      break;
+    case ReaderIs::kNobody:
+      look.done(false);
+      break;
+  }
+}
+
+void TurnKeeper::LookAtNext(Look look) {
+  ++look.rank;
+  look.tries = kReaderTries;
+  LookIn(look);
+}
+
+void TurnKeeper::TakeLookup(const Look& look, const TurnPeers::Lookup& lookup) {
+  TakeTurns(lookup.turns);
+  if (lookup.answered && (lookup.complete || m_history.Holds(look.id))) {
+    look.done(lookup.complete);
+  } else if (lookup.reading && look.tries > 0) {
+    Look again = look;
+    --again.tries;
+    LookIn(again);
+  } else {
+    LookAtNext(look);
   }
 }
 
+void TurnKeeper::ScanHere(const Look& look) {
+  m_reader.Scan(look.partition, [this, look](bool complete) {
+    if (complete || m_history.Holds(look.id)) {
+      look.done(complete);
+    } else {
+      LookAtNext(look);
+    }
+  });
+}
+
 // Keeping --------------------------------------------------------------------
 
 bool TurnKeeper::MayKeep() const {
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -31,9 +31,16 @@
 
 namespace yuccawick::gateway {
 
-// How often a reader that is still reading is asked again; then this node reads
-// for itself.
-inline constexpr int kReaderTries = 5;
+// How often a reader that is still reading is asked again; then the next one.
+inline constexpr int         kReaderTries = 5;
+// How many nodes of a zone read a partition for it: the second takes the place
+// of the first, if the log or the zone does not reach that. Were there no
+// bound, all nodes would read everything after a short absence of the log. With
+// 31 nodes that kept the log's reads at their limit for 13 s, and claims waited
+// 350 ms for theirs.
+inline constexpr std::size_t kReadersOfZone = 2;
+
+enum class ReaderIs : std::uint8_t { kAnother, kSelf, kNobody };
 
 enum class FindOutcome : std::uint8_t {
   kFound,
@@ -56,18 +63,19 @@
   using Turns = std::vector<programs::Turn>;
   virtual void AskForTurn(const std::string&                id,
                           std::function<void(const Turns&)> done) = 0;
-  // Has the node that reads the partition for this zone look for a turn there.
-  // False, and `done` is not called, if that is this node.
+  // Has the node that reads the partition for this zone, the `rank`-th in turn,
+  // look for a turn there. `done` is called only if that is another node.
   struct Lookup {
     bool  answered = false;
     bool  complete = false;  // it read up to the end
     bool  reading = false;   // not yet; ask again
     Turns turns;
   };
-  virtual bool AskReader(int partition, const std::string& id,
-                         std::function<void(const Lookup&)> done) = 0;
+  virtual ReaderIs AskReader(int partition, const std::string& id,
+                             std::size_t                        rank,
+                             std::function<void(const Lookup&)> done) = 0;
   // A node that the log seems to answer, as far as is known here.
-  virtual bool AnyReachesLog() const = 0;
+  virtual bool     AnyReachesLog() const = 0;
   // Has such nodes append the turn, others at each attempt, from 0 on; nothing
   // if there is no such node or none could.
   using AppendDone = std::function<void(std::optional<LogPlace>)>;
@@ -134,10 +142,18 @@
   void EndSearch(const Question& question, const std::string& missing,
                  bool complete);
   void AskPeers(const Question& question, const std::string& missing);
-  // A complete scan, by the node that reads the partition for this zone if
-  // possible.
-  void LookIn(int partition, const std::string& id,
-              std::function<void(bool)> done, int tries = kReaderTries);
+  // A look for a turn in one partition, by a node that reads it for this zone.
+  struct Look {
+    int                       partition = 0;
+    std::string               id;
+    std::function<void(bool)> done;      // with whether a scan was complete
+    std::size_t               rank = 0;  // of the reader
+    int                       tries = kReaderTries;
+  };
+  void LookIn(const Look& look);
+  void LookAtNext(Look look);
+  void TakeLookup(const Look& look, const TurnPeers::Lookup& lookup);
+  void ScanHere(const Look& look);
   void TakeTurns(const std::vector<programs::Turn>& turns);
   // The first partition from `first` on that answers, as far as is known.
   int  PlaceFrom(int first) const;
--- a/src/yuccawick/gateway/turn_reader.cc
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -15,9 +15,11 @@
 using platform::Topic;
 
 // The platform keeps records for 300 s.
-constexpr Duration kPlaceMemory = 300'000;  // ms
+constexpr Duration    kPlaceMemory = 300'000;  // ms
+// The length that the log keeps before each record, in bytes.
+constexpr std::size_t kRecordOverhead = 4;
 // A partition that was asked within this time, in ms, needs no probe.
-constexpr Duration kProbeAfter = 500;
+constexpr Duration    kProbeAfter = 500;
 
 }  // namespace
 
@@ -62,7 +64,7 @@
   ScanState& scan = ScanOf(partition);
   const Time began = m_loop->now();
   m_store->Read(
-      Topic::kTurns, partition, scan.next, 0, m_thresholds->log_timeout,
+      Topic::kTurns, partition, {scan.next}, m_thresholds->log_timeout,
       [this, partition, again, began,
        &scan](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
@@ -149,9 +151,10 @@
     ScanOf(partition).sure_from = m_loop->now() + m_retention + kRetentionSlack;
     return;
   }
-  const Time until = m_loop->now() + kPlaceMemory;
+  const Time  until = m_loop->now() + kPlaceMemory;
+  const Piece piece{record.offset, record.value.size() + kRecordOverhead};
   if (read->parts == 1) {
-    Keep(std::move(read->turn), {partition, {record.offset}, until});
+    Keep(std::move(read->turn), {partition, {piece}, until});
     return;
   }
   const std::pair key(partition, read->turn.id);
@@ -159,7 +162,7 @@
   pieces.place.partition = partition;
   pieces.place.until = until;
   if (!pieces.parts.emplace(read->part, std::move(read->turn)).second) return;
-  pieces.place.offsets.push_back(record.offset);
+  pieces.place.pieces.push_back(piece);
   if (pieces.parts.size() < read->parts) return;
   const Pieces   all = std::move(m_pieces.extract(key).mapped());
   programs::Turn whole = all.parts.begin()->second;
@@ -191,7 +194,7 @@
 void TurnReader::FetchPart(const std::string& id, const Place& place,
                            std::size_t                  part,
                            const std::function<void()>& done) {
-  if (part == place.offsets.size() || m_history->Holds(id)) {
+  if (part == place.pieces.size() || m_history->Holds(id)) {
     // Not what lay there: a scan has to find it.
     if (!m_history->Holds(id)) m_places.erase(id);
     done();
@@ -202,7 +205,8 @@
     return;
   }
   m_store->Read(
-      Topic::kTurns, place.partition, place.offsets[part], 0,
+      Topic::kTurns, place.partition,
+      {place.pieces[part].offset, place.pieces[part].bytes},
       m_thresholds->log_timeout,
       [this, id, place, part, done](const StoreResult<ReadPage>& result) {
         const bool gone =
@@ -240,7 +244,7 @@
       continue;
     }
     scan.probing = true;
-    m_store->Read(Topic::kTurns, i, std::max(scan.next, scan.end), 0,
+    m_store->Read(Topic::kTurns, i, {std::max(scan.next, scan.end)},
                   m_thresholds->log_timeout,
                   [&scan](const StoreResult<ReadPage>& result) {
                     scan.probing = false;
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -79,10 +79,16 @@
     std::vector<ScanDone>      served;
     std::vector<ScanDone>      waiting;
   };
+  // A record of the log. Fetching one must not read a whole page for it: a
+  // turn is a few KB of the 256.
+  struct Piece {
+    std::int64_t offset = 0;
+    std::size_t  bytes = 0;
+  };
   struct Place {
-    int                       partition = 0;
-    std::vector<std::int64_t> offsets;  // of its parts
-    Time                      until = 0;
+    int                partition = 0;
+    std::vector<Piece> pieces;  // the turn, or its parts
+    Time               until = 0;
   };
   // A turn of several records of which not all have been read in a partition.
   struct Pieces {
