A home that is cut from the log before its first reading says so at once

Ruled out: the engines (first events 30 ms at the median), nodes' processors. Change: unsure at once while the log is away and an append or the first reading hangs; readings go on without askers, so that the desk learns of the return.

--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -97,9 +97,12 @@
     if (account->tokens.MayFitLater(most)) return std::nullopt;
     return ReserveOutcome::kSpent;
   }
-  // A claim now would go behind one that hangs. The append under way is sent
-  // again until the log is back; who takes this node's place may reach it now.
-  if (m_health.away() && m_appender.busy()) return ReserveOutcome::kUnsure;
+  // A claim now would go behind one that hangs, or after a reading that does.
+  // Either is tried again until the log is back; who takes this node's place
+  // may reach it now. Were the asker held, each turn of the partition would wait
+  // home_answer for nothing, for as long as this node is cut from the log.
+  const bool hangs = m_appender.busy() || !m_caught_up;
+  if (m_health.away() && hangs) return ReserveOutcome::kUnsure;
   return std::nullopt;
 }
 
@@ -287,6 +290,20 @@
   if (!m_reading && m_next < m_goal) ReadPage();
 }
 
+// Until the log answers, also if nobody waits for it: a desk that is unsure
+// answers at once and would not learn otherwise that the log is back.
+void TokenDesk::ReadAgain() {
+  if (std::exchange(m_read_due, true)) return;
+  m_loop->After(m_thresholds->log_away_pause, [this] {
+    m_read_due = false;
+    if (m_caught_up) {
+      ReadClaims();
+    } else {
+      CatchUp();
+    }
+  });
+}
+
 void TokenDesk::ReadPage() {
   m_reading = true;
   m_store->Read(
@@ -301,7 +318,7 @@
           return;
         }
         if (!result) {
-          m_loop->After(m_thresholds->log_away_pause, [this] { ReadClaims(); });
+          ReadAgain();
           return;
         }
         TakePage(*result);
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -117,6 +117,7 @@
   void SkipTo(std::int64_t first);
   void ReadClaims();
   void ReadPage();
+  void ReadAgain();  // after a pause
   void TakePage(const platform::ReadPage& page);
   void TakeRecord(const std::string& record);
   // Takes own records that come next, without reading them back.
@@ -145,6 +146,7 @@
   // still to be read, by offset.
   std::map<std::int64_t, std::string> m_appended;
   bool                                m_reading = false;
+  bool                                m_read_due = false;  // a timer runs
   bool m_caught_up = false;  // read to the end since the start
 };
 
