All nodes of a zone look for a program's prompt at the same server

Turns of one program come in at many nodes (58% at another node than the last one), and each node knows only where it placed its own: 27% of turns went to the server of the turn before. The issue's reading was that nobody knows how full a server is; the load that nodes see is indeed half of the truth, but it is made by reading. Change: traffic/affinity.h, a home for a program among the zone's servers, by rendezvous hashing, where this node has not placed the line itself; a prompt counts by its length, 0.03 of a slot for each 1,000 tokens, 0.15 to 0.6. Tests: tests/affinity_test.cc replays programs over ten nodes.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <utility>
 
+#include "yuccawick/traffic/affinity.h"
+
 namespace yuccawick::gateway {
 namespace {
 
@@ -191,11 +193,8 @@
 }
 
 std::optional<Backends::Choice> Backends::Choose(
-    const std::string& service, const std::string& line,
+    const std::string& service, const Prompt& prompt,
     const std::vector<std::string>& avoid) {
-  const auto        home = m_lines.find(line);
-  const std::string warm =
-      line.empty() || home == m_lines.end() ? "" : home->second.server;
   std::vector<traffic::Candidate> candidates;
   for (const auto& [id, state] : m_servers) {
     if (!state.listed || state.server.draining ||
@@ -203,15 +202,28 @@
       continue;
     }
     candidates.push_back(Look(id, state));
-    candidates.back().holds_prefix = id == warm;
+    candidates.back().prompt_tokens = prompt.tokens;
   }
   if (candidates.empty()) return std::nullopt;
+  const std::string warm = WarmFor(prompt, candidates);
+  for (traffic::Candidate& candidate : candidates) {
+    candidate.holds_prefix = candidate.server->id == warm;
+  }
   traffic::LeaveSome(&candidates, m_thresholds->sampling, &m_random);
   const double draw =
       std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
   return AsChoice(candidates[m_placement->Choose(candidates, draw)]);
 }
 
+std::string Backends::WarmFor(
+    const Prompt&                          prompt,
+    const std::vector<traffic::Candidate>& candidates) const {
+  if (prompt.line.empty()) return {};
+  const auto last = m_lines.find(prompt.line);
+  if (last != m_lines.end()) return last->second.server;
+  return traffic::LikelyHome(prompt.program, candidates);
+}
+
 traffic::Candidate Backends::Look(const std::string& id,
                                   const State&       state) const {
   const Time       now = m_loop->now();
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -97,10 +97,15 @@
     double                 load = 0;  // requests per slot, as far as known
     double                 failure_share = 0;  // of its latest answers
   };
-  // The server for a request, or nothing. `line`: requests of one line share a
-  // cached prompt; empty: none. `avoid`: ids of servers that were tried.
-  std::optional<Choice> Choose(const std::string&              service,
-                               const std::string&              line,
+  // What a server may have cached of a request.
+  struct Prompt {
+    std::string  line;     // requests of one line share a prompt; empty: none
+    std::string  program;  // lines of one program share its beginning
+    std::int64_t tokens = 0;
+  };
+  // The server for a request, or nothing. `avoid`: ids of servers that were
+  // tried.
+  std::optional<Choice> Choose(const std::string& service, const Prompt& prompt,
                                const std::vector<std::string>& avoid);
   // What Choose() would say of this server; nothing if it is not listed.
   std::optional<Choice> Find(const std::string& id) const;
@@ -153,6 +158,9 @@
     Time heard = 0;
   };
   traffic::Candidate Look(const std::string& id, const State& state) const;
+  // The server that most likely has the prompt cached; empty: none.
+  std::string        WarmFor(const Prompt&                          prompt,
+                             const std::vector<traffic::Candidate>& candidates) const;
   static Choice      AsChoice(const traffic::Candidate& candidate);
   // What all fresh news together say of a server.
   ServerNews         FromOthers(const std::string& id) const;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -221,7 +221,8 @@
 // Sending --------------------------------------------------------------------
 
 void Exchange::Dispatch() {
-  const auto choice = m_parts.backends->Choose(m_service, LineKey(), m_tried);
+  const auto choice = m_parts.backends->Choose(
+      m_service, {LineKey(), m_info.program, m_info.prompt_tokens}, m_tried);
   if (!choice) {
     Refuse(m_in_doubt ? Refusal::kServerFailed : Refusal::kNoServer);
   } else {
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -36,6 +36,8 @@
     Entry{"load_memory", &T::load_memory, 0, 60'000},
     Entry{"cross_zone_weight", &W::cross_zone, 0, 100},
     Entry{"cold_prefix_weight", &W::cold_prefix, 0, 100},
+    Entry{"cold_per_1000_weight", &W::cold_per_1000, 0, 100},
+    Entry{"cold_most_weight", &W::cold_most, 0, 100},
     Entry{"failure_weight", &W::failure, 0, 100},
     Entry{"sampling_share", &S::share, 0, 1},
     Entry{"sampling_few", &S::few, 0, 100'000},
--- /dev/null
+++ b/src/yuccawick/traffic/affinity.cc
@@ -0,0 +1,23 @@
+#include "yuccawick/traffic/affinity.h"
+
+#include <xxhash.h>
+
+namespace yuccawick::traffic {
+
+std::string LikelyHome(const std::string&            program,
+                       const std::vector<Candidate>& candidates) {
+  const XXH64_hash_t   seed = XXH3_64bits(program.data(), program.size());
+  const BackendServer* home = nullptr;
+  XXH64_hash_t         highest = 0;
+  for (const Candidate& candidate : candidates) {
+    if (!candidate.same_zone) continue;
+    const std::string& id = candidate.server->id;
+    const auto weight = XXH3_64bits_withSeed(id.data(), id.size(), seed);
+    if (home != nullptr && weight <= highest) continue;
+    home = candidate.server;
+    highest = weight;
+  }
+  return home == nullptr ? std::string() : home->id;
+}
+
+}  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -16,6 +16,15 @@
          (candidate.recent_failures + candidate.failure_share);
 }
 
+double ReadingCost(const Candidate&        candidate,
+                   const PlacementWeights& weights) {
+  constexpr double kThousand = 1000.0;
+  const double     thousands =
+      static_cast<double>(candidate.prompt_tokens) / kThousand;
+  return std::clamp(weights.cold_per_1000 * thousands, weights.cold_prefix,
+                    std::max(weights.cold_prefix, weights.cold_most));
+}
+
 // Lowest cost; among equals, the one that the draw falls on.
 template <class Cost>
 std::size_t Cheapest(const std::vector<Candidate>& candidates, double draw,
@@ -59,7 +68,7 @@
     return Cheapest(candidates, draw, [this](const Candidate& candidate) {
       double cost = LoadPerSlot(candidate);
       if (!candidate.same_zone) cost += m_weights.cross_zone;
-      if (!candidate.holds_prefix) cost += m_weights.cold_prefix;
+      if (!candidate.holds_prefix) cost += ReadingCost(candidate, m_weights);
       return cost + Failing(candidate, m_weights);
     });
   }
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -20,9 +20,10 @@
   int                  own_load = 0;  // requests this node has under way there
   int    others_load = 0;             // the same of other nodes, as last heard
   bool   same_zone = false;           // as this node
-  bool   holds_prefix = false;        // served the request's line of turns last
-  int    recent_failures = 0;         // since its last success
-  double failure_share = 0;           // of its latest answers, 0 to 1
+  bool   holds_prefix = false;  // has the request's prompt cached, most likely
+  int    recent_failures = 0;   // since its last success
+  double failure_share = 0;     // of its latest answers, 0 to 1
+  std::int64_t prompt_tokens = 0;  // of the request, if not cached there
 
   int load() const { return own_load + others_load; }
 };
@@ -40,7 +41,12 @@
 // near or warm server stop to count; see docs/design.
 struct PlacementWeights {
   double cross_zone = 0.45;
+  // What a prompt that has to be read there counts as: at least, for each 1,000
+  // of its tokens, at most. A step of an engine takes longer by what it reads,
+  // for all requests that run there.
   double cold_prefix = 0.15;
+  double cold_per_1000 = 0.03;
+  double cold_most = 0.6;
   double failure = 4.0;  // any healthy server first; also of a share of one
 };
 
--- /dev/null
+++ b/tests/affinity_test.cc
@@ -0,0 +1,158 @@
+// Where prompts are likely cached, and what that is worth against load.
+#include "yuccawick/traffic/affinity.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace yuccawick::tests {
+namespace {
+
+using traffic::BackendServer;
+using traffic::Candidate;
+using traffic::LikelyHome;
+
+constexpr int          kServers = 15;         // of a zone
+constexpr std::int64_t kLongPrompt = 15'000;  // tokens
+constexpr std::int64_t kShortPrompt = 1500;
+
+std::vector<BackendServer> MakeServers(const std::string& zone) {
+  std::vector<BackendServer> servers;
+  for (int i = 0; i < kServers; ++i) {
+    BackendServer server;
+    server.id = zone + std::to_string(i);
+    server.zone = zone;
+    server.slots = 16;
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+std::vector<Candidate> CandidatesOf(const std::vector<BackendServer>& servers,
+                                    std::int64_t tokens = kLongPrompt) {
+  std::vector<Candidate> candidates;
+  for (const BackendServer& server : servers) {
+    Candidate candidate;
+    candidate.server = &server;
+    candidate.same_zone = server.zone == "a";
+    candidate.prompt_tokens = tokens;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+std::string ProgramName(int number) {
+  return "program" + std::to_string(number);
+}
+
+// A node that places turns: by its own loads, and by where it placed the line
+// last or where all nodes of the zone would look.
+struct PlacingNode {
+  std::map<std::string, std::string> lines;  // program: server
+  std::map<std::string, int>         loads;
+
+  std::string Place(const std::string&                program,
+                    const std::vector<BackendServer>& servers,
+                    std::mt19937_64*                  random) {
+    auto              candidates = CandidatesOf(servers);
+    const std::string warm = lines.contains(program)
+                                 ? lines[program]
+                                 : LikelyHome(program, candidates);
+    for (Candidate& candidate : candidates) {
+      candidate.own_load = loads[candidate.server->id];
+      candidate.holds_prefix = candidate.server->id == warm;
+    }
+    const double draw = std::uniform_real_distribution<double>()(*random);
+    const auto   placement =
+        MakePlacement(traffic::PlacementKind::kZoneAndPrefix, {});
+    const auto& chosen = candidates[placement->Choose(candidates, draw)];
+    ++loads[chosen.server->id];
+    return lines[program] = chosen.server->id;
+  }
+};
+
+Test(Affinity, TurnsOfAProgramComeInAtManyNodes_MostFindTheirPromptCached) {
+  // Clients open connections anew, so the five turns of each program come in at
+  // any of ten nodes. Each node knows only what it placed itself. A turn whose
+  // server is not the last one of its program has its whole prompt read again.
+  const auto                         servers = MakeServers("a");
+  std::vector<PlacingNode>           nodes(10);
+  std::mt19937_64                    random(1);
+  std::map<std::string, std::string> last;
+  int                                read_again = 0;
+  constexpr int                      kPrograms = 200;
+  constexpr int                      kTurns = 5;
+  for (int turn = 0; turn < kTurns; ++turn) {
+    for (int i = 0; i < kPrograms; ++i) {
+      const std::string program = ProgramName(i);
+      const std::string server =
+          nodes[random() % nodes.size()].Place(program, servers, &random);
+      if (turn > 0 && last[program] != server) ++read_again;
+      last[program] = server;
+    }
+    for (PlacingNode& node : nodes) node.loads.clear();  // they ended
+  }
+  cr_expect_leq(read_again, kPrograms * (kTurns - 1) / 10, "%d of %d",
+                read_again, kPrograms * (kTurns - 1));
+}
+
+Test(Affinity, ServerLeaves_OnlyItsProgramsMove) {
+  const auto servers = MakeServers("a");
+  auto       candidates = CandidatesOf(servers);
+  auto       fewer = candidates;
+  fewer.erase(fewer.begin());
+  for (int i = 0; i < 100; ++i) {
+    const std::string before = LikelyHome(ProgramName(i), candidates);
+    const std::string after = LikelyHome(ProgramName(i), fewer);
+    cr_expect(after == before || before == servers.front().id);
+  }
+}
+
+Test(Affinity, ManyPrograms_AreSpreadOverTheServers) {
+  const auto                 servers = MakeServers("a");
+  const auto                 candidates = CandidatesOf(servers);
+  std::map<std::string, int> homes;
+  for (int i = 0; i < 100 * kServers; ++i) {
+    ++homes[LikelyHome(ProgramName(i), candidates)];
+  }
+  for (const auto& [server, count] : homes) {
+    cr_expect(count > 60 && count < 150, "%s: %d", server.c_str(), count);
+  }
+}
+
+Test(Affinity, NoServerInTheZone_NobodyIsPreferred) {
+  const auto servers = MakeServers("b");
+  cr_expect(LikelyHome("p", CandidatesOf(servers)).empty());
+}
+
+// Whether a turn stays at the server that holds its prompt, which is fuller
+// than the others by so many requests.
+bool Stays(std::int64_t tokens, int fuller) {
+  const auto servers = MakeServers("a");
+  auto       candidates = CandidatesOf(servers, tokens);
+  candidates.front().holds_prefix = true;
+  candidates.front().own_load = fuller;
+  const auto placement =
+      MakePlacement(traffic::PlacementKind::kZoneAndPrefix, {});
+  return placement->Choose(candidates, 0.5) == 0;
+}
+
+Test(Affinity, ServerThatHoldsThePromptIsFuller_LongPromptsStayLonger) {
+  // A short prompt is read again in a few steps; a long one holds up all
+  // requests that run beside it.
+  cr_expect(Stays(kShortPrompt, 2));
+  cr_expect_not(Stays(kShortPrompt, 3));
+  cr_expect(Stays(kLongPrompt, 7));
+  cr_expect_not(Stays(kLongPrompt, 8));
+}
+
+Test(Affinity, ServerThatHoldsAVeryLongPromptIsFull_AnotherReadsIt) {
+  constexpr std::int64_t kVeryLong = 120'000;
+  cr_expect_not(Stays(kVeryLong, 16));
+}
+
+}  // namespace
+}  // namespace yuccawick::tests
