A server that starts again under its entry is another one; foreign entries name none

Cause: discovery says that a server may start anew under the id that it had, and that entries may come from other writers. Change: a server's id is its entry and the time of its start; only what is looked up in discovery or named to a server goes by the entry. A line whose server is gone looks for its likely home.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -220,7 +220,13 @@
     const std::vector<traffic::Candidate>& candidates) const {
   if (prompt.line.empty()) return {};
   const auto last = m_lines.find(prompt.line);
-  if (last != m_lines.end()) return last->second.server;
+  if (last != m_lines.end()) {
+    const std::string& id = last->second.server;
+    const auto         there = [&id](const traffic::Candidate& candidate) {
+      return candidate.server->id == id;
+    };
+    if (std::any_of(candidates.begin(), candidates.end(), there)) return id;
+  }
   return traffic::LikelyHome(prompt.program, candidates);
 }
 
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -212,6 +212,8 @@
     m_log->Write(LogEvent::kFault, {{"what", "undecodable server"},
                                     {"server", record.key},
                                     {"detail", server.error().detail}});
+    m_directory.Drop(record.key);
+    if (!m_listing_servers) PublishServers();
     return;
   }
   if (m_listing_servers) {
--- a/src/yuccawick/traffic/directory.cc
+++ b/src/yuccawick/traffic/directory.cc
@@ -5,34 +5,39 @@
 namespace yuccawick::traffic {
 
 void Directory::Put(const BackendServer& server) {
-  m_lapsed.erase(server.id);
-  auto& known = m_servers[server.id];
+  m_lapsed.erase(server.entry);
+  auto& known = m_servers[server.entry];
   if (known == server) return;
   known = server;
   m_changed = true;
 }
 
-void Directory::Remove(const std::string& id, Time now) {
-  if (!m_servers.contains(id)) return;
+void Directory::Remove(const std::string& entry, Time now) {
+  if (!m_servers.contains(entry)) return;
   if (m_reachable && now >= m_grace_end) {
-    m_servers.erase(id);
+    m_servers.erase(entry);
     m_changed = true;
     return;
   }
-  m_lapsed.try_emplace(id, m_reachable ? m_grace_end : now + kReturnGrace);
+  m_lapsed.try_emplace(entry, m_reachable ? m_grace_end : now + kReturnGrace);
+}
+
+void Directory::Drop(const std::string& entry) {
+  m_lapsed.erase(entry);
+  m_changed = m_servers.erase(entry) > 0 || m_changed;
 }
 
 void Directory::ReplaceAll(const ServerList& servers, Time now) {
   std::set<std::string> present;
   for (const BackendServer& server : servers) {
-    present.insert(server.id);
+    present.insert(server.entry);
     Put(server);
   }
   std::vector<std::string> absent;
-  for (const auto& [id, server] : m_servers) {
-    if (!present.contains(id)) absent.push_back(id);
+  for (const auto& [entry, server] : m_servers) {
+    if (!present.contains(entry)) absent.push_back(entry);
   }
-  for (const std::string& id : absent) Remove(id, now);
+  for (const std::string& entry : absent) Remove(entry, now);
 }
 
 void Directory::SetReachable(bool reachable, Time now) {
@@ -61,7 +66,7 @@
 
 ServerListPtr Directory::List() const {
   auto list = std::make_shared<ServerList>();
-  for (const auto& [id, server] : m_servers) list->push_back(server);
+  for (const auto& [entry, server] : m_servers) list->push_back(server);
   return list;
 }
 
--- a/src/yuccawick/traffic/directory.h
+++ b/src/yuccawick/traffic/directory.h
@@ -24,8 +24,12 @@
 // discovery (stated by the platform); after that an absent entry is final.
 inline constexpr Duration kReturnGrace = 2000;  // ms
 
+// A server may start again under the entry that it had, and then holds and
+// knows nothing of before. Whatever is kept by server (loads, failures, cached
+// prompts, connections) is kept by `id`, so that none of it outlives a start.
 struct BackendServer {
-  std::string   id;  // of one incarnation
+  std::string   id;     // of one start
+  std::string   entry;  // in discovery; what the server calls itself
   std::string   service;
   net::Endpoint endpoint;
   std::string   zone;
@@ -42,7 +46,10 @@
  public:
   void          Put(const BackendServer& server);
   // The entry is gone; at once, or after the grace of a recent outage.
-  void          Remove(const std::string& id, Time now);
+  void          Remove(const std::string& entry, Time now);
+  // The entry holds something that names no server: it lives, and whatever was
+  // read there before is not it.
+  void          Drop(const std::string& entry);
   // A complete listing: what it does not name is gone.
   void          ReplaceAll(const ServerList& servers, Time now);
   void          SetReachable(bool reachable, Time now);
@@ -53,8 +60,8 @@
   ServerListPtr List() const;
 
  private:
-  std::map<std::string, BackendServer> m_servers;  // by id
-  std::map<std::string, Time>          m_lapsed;   // id: when it is final
+  std::map<std::string, BackendServer> m_servers;  // by entry
+  std::map<std::string, Time>          m_lapsed;   // entry: when it is final
   bool                                 m_reachable = true;
   Time                                 m_grace_end = 0;
   bool                                 m_changed = false;
