For long prompts the likely home is one of all zones' servers

Reading 15,000 tokens there holds up all requests of an engine for 100 ms, the way to another zone costs 3. Change: the home is looked for in all zones where reading counts clearly more than another zone does; 0.06 of a slot for each 1,000 tokens, at most 1.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -227,7 +227,9 @@
     };
     if (std::any_of(candidates.begin(), candidates.end(), there)) return id;
   }
-  return traffic::LikelyHome(prompt.program, candidates);
+  return traffic::LikelyHome(
+      prompt.program, candidates,
+      traffic::ReachFor(prompt.tokens, m_thresholds->placement));
 }
 
 traffic::Candidate Backends::Look(const std::string& id,
--- a/src/yuccawick/traffic/affinity.cc
+++ b/src/yuccawick/traffic/affinity.cc
@@ -5,12 +5,13 @@
 namespace yuccawick::traffic {
 
 std::string LikelyHome(const std::string&            program,
-                       const std::vector<Candidate>& candidates) {
+                       const std::vector<Candidate>& candidates,
+                       HomeReach                     reach) {
   const XXH64_hash_t   seed = XXH3_64bits(program.data(), program.size());
   const BackendServer* home = nullptr;
   XXH64_hash_t         highest = 0;
   for (const Candidate& candidate : candidates) {
-    if (!candidate.same_zone) continue;
+    if (reach == HomeReach::kZone && !candidate.same_zone) continue;
     const std::string& id = candidate.server->id;
     const auto weight = XXH3_64bits_withSeed(id.data(), id.size(), seed);
     if (home != nullptr && weight <= highest) continue;
@@ -20,4 +21,13 @@
   return home == nullptr ? std::string() : home->id;
 }
 
+HomeReach ReachFor(std::int64_t tokens, const PlacementWeights& weights) {
+  // A prompt grows with its line, and a line whose reach changed is read again:
+  // so it must be worth its way clearly.
+  constexpr double kClearly = 1.5;
+  return ReadingCost(tokens, weights) > kClearly * weights.cross_zone
+             ? HomeReach::kAllZones
+             : HomeReach::kZone;
+}
+
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/affinity.h
+++ b/src/yuccawick/traffic/affinity.h
@@ -9,8 +9,10 @@
 // a server comes or goes, only its programs move. It is a preference of
 // Placement, bounded by load like any other, and decides nothing alone.
 //
-// Other zones are left out: their way and their bytes are paid for with each
-// turn, a prompt that is read again once.
+// Lines of turns also change zones. For long prompts the home is therefore one
+// of all zones' servers, see ReachFor(); for short ones the way there and its
+// bytes, paid with each turn, would cost more than reading the prompt once
+// more.
 #pragma once
 
 #include <string>
@@ -20,8 +22,14 @@
 
 namespace yuccawick::traffic {
 
-// Id of the server, or empty: none of this zone is among the candidates.
+enum class HomeReach : std::uint8_t { kZone, kAllZones };
+
+// Id of the server, or empty: none within reach is among the candidates.
 std::string LikelyHome(const std::string&            program,
-                       const std::vector<Candidate>& candidates);
+                       const std::vector<Candidate>& candidates,
+                       HomeReach                     reach);
+
+// Whether a home in another zone is worth its way for a prompt of that length.
+HomeReach ReachFor(std::int64_t tokens, const PlacementWeights& weights);
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/placement.cc
+++ b/src/yuccawick/traffic/placement.cc
@@ -16,15 +16,6 @@
          (candidate.recent_failures + candidate.failure_share);
 }
 
-double ReadingCost(const Candidate&        candidate,
-                   const PlacementWeights& weights) {
-  constexpr double kThousand = 1000.0;
-  const double     thousands =
-      static_cast<double>(candidate.prompt_tokens) / kThousand;
-  return std::clamp(weights.cold_per_1000 * thousands, weights.cold_prefix,
-                    std::max(weights.cold_prefix, weights.cold_most));
-}
-
 // Lowest cost; among equals, the one that the draw falls on.
 template <class Cost>
 std::size_t Cheapest(const std::vector<Candidate>& candidates, double draw,
@@ -68,7 +59,8 @@
     return Cheapest(candidates, draw, [this](const Candidate& candidate) {
       double cost = LoadPerSlot(candidate);
       if (!candidate.same_zone) cost += m_weights.cross_zone;
-      if (!candidate.holds_prefix) cost += ReadingCost(candidate, m_weights);
+      if (!candidate.holds_prefix)
+        cost += ReadingCost(candidate.prompt_tokens, m_weights);
       return cost + Failing(candidate, m_weights);
     });
   }
@@ -79,6 +71,13 @@
 
 }  // namespace
 
+double ReadingCost(std::int64_t tokens, const PlacementWeights& weights) {
+  constexpr double kThousand = 1000.0;
+  const double     thousands = static_cast<double>(tokens) / kThousand;
+  return std::clamp(weights.cold_per_1000 * thousands, weights.cold_prefix,
+                    std::max(weights.cold_prefix, weights.cold_most));
+}
+
 void LeaveSome(std::vector<Candidate>* candidates, const Sampling& sampling,
                std::mt19937_64* random) {
   if (static_cast<std::int64_t>(candidates->size()) <= sampling.few) return;
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -45,11 +45,14 @@
   // of its tokens, at most. A step of an engine takes longer by what it reads,
   // for all requests that run there.
   double cold_prefix = 0.15;
-  double cold_per_1000 = 0.03;
-  double cold_most = 0.6;
+  double cold_per_1000 = 0.06;
+  double cold_most = 1.0;
   double failure = 4.0;  // any healthy server first; also of a share of one
 };
 
+// What a prompt that is not cached counts as.
+double ReadingCost(std::int64_t tokens, const PlacementWeights& weights);
+
 // How many of the servers a node looks at for one request.
 struct Sampling {
   double       share = 0.34;  // of the candidates, each by chance
