Nodes are homes and readers by their capacity

Change: weighted rendezvous hashing; a node announces the cores that its settings give it (1 if they do not). Test: programs_test Membership::NodesOfDifferentCapacity; equal capacities give the homes that they had.

--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -32,6 +32,12 @@
   return desks;
 }
 
+std::uint32_t CapacityOf(const platform::Settings& settings) {
+  constexpr double kThousandths = 1000.0;
+  return static_cast<std::uint32_t>(
+      std::max(1.0, settings.cores * kThousandths));
+}
+
 }  // namespace
 
 Gateway::Gateway(net::EventLoop* loop, const Thresholds* thresholds,
@@ -52,7 +58,8 @@
       m_members({settings.node,
                  incarnation,
                  {settings.address, settings.inner_ports.front()},
-                 settings.zone}),
+                 settings.zone,
+                 CapacityOf(settings)}),
       m_network(loop, thresholds, &m_members, log),
       m_peers(loop, thresholds, &m_members, &m_network, &m_desks, &m_turns,
               &m_backends),
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -3,13 +3,23 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace yuccawick::programs {
 namespace {
 
-std::uint64_t Weight(std::string_view key, const std::string& node) {
-  const XXH64_hash_t seed = XXH3_64bits(node.data(), node.size());
-  return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+// Weighted rendezvous hashing: a uniform draw u for each key and node, and the
+// node with the highest capacity / -ln(u).
+double Weight(std::string_view key, const NodeInfo& node) {
+  const XXH64_hash_t seed = XXH3_64bits(node.name.data(), node.name.size());
+  const auto         hash = XXH3_64bits_withSeed(key.data(), key.size(), seed);
+  const auto         draw =
+      (static_cast<double>(hash) + 1.0) /
+      static_cast<double>(std::numeric_limits<XXH64_hash_t>::max());
+  // The double nearest to the highest hash makes the draw 1.
+  constexpr double kAlmostOne = 1.0 - 1e-12;
+  return node.capacity / -std::log(std::min(draw, kAlmostOne));
 }
 
 }  // namespace
@@ -52,7 +62,7 @@
   nodes.push_back(m_self);
   std::sort(nodes.begin(), nodes.end(),
             [key](const NodeInfo& a, const NodeInfo& b) {
-              return Weight(key, a.name) > Weight(key, b.name);
+              return Weight(key, a) > Weight(key, b);
             });
   return nodes;
 }
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -4,7 +4,9 @@
 // Every node computes the same home for a key as long as it knows the same
 // nodes; nodes that differ for a while choose two homes, so a home may only
 // make work cheaper, never decide anything that the log does not. Rendezvous
-// hashing moves no more keys than it must when nodes come and go.
+// hashing moves no more keys than it must when nodes come and go. A node is
+// home of as many keys as its capacity has a share in all: VMs of a tenth of a
+// core beside VMs of a half held up the programs whose tokens they counted.
 #pragma once
 
 #include <map>
@@ -20,11 +22,16 @@
 using net::Duration;
 using net::Time;
 
+// Of a node that does not say: a whole core.
+inline constexpr std::uint32_t kUsualCapacity = 1000;
+
 struct NodeInfo {
   std::string   name;         // of the VM; stays over restarts
   std::string   incarnation;  // of one start
   net::Endpoint address;      // for other nodes
   std::string   zone;
+  // What the node can carry against others, in thousandths of a core.
+  std::uint32_t capacity = kUsualCapacity;
 
   bool operator==(const NodeInfo&) const = default;
 };
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -35,6 +35,7 @@
   incarnation @0 :Text;
   address     @1 :Text;
   zone        @2 :Text;
+  capacity    @3 :UInt32;  # thousandths of a core; 0: not said
 }
 
 struct ServerLoad {
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd554e7db3564a08, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bd554e7db3564a08, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -503,6 +503,8 @@
   inline bool hasZone() const;
   inline  ::capnp::Text::Reader getZone() const;
 
+  inline  ::uint32_t getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -552,6 +554,9 @@
   inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1850,6 +1855,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Node::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Node::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServerLoad::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -131,6 +131,7 @@
     builder.setIncarnation(node.incarnation);
     builder.setAddress(node.address.Text());
     builder.setZone(node.zone);
+    builder.setCapacity(node.capacity);
   });
 }
 
@@ -139,8 +140,10 @@
   auto node = Decode<NodeInfo>(bytes, [&](auto* message) {
     const auto reader = message->template getRoot<wire::Node>();
     const auto address = net::ParseEndpoint(Text(reader.getAddress()));
+    const auto capacity = reader.getCapacity();
     return NodeInfo{name, Text(reader.getIncarnation()),
-                    address.value_or(net::Endpoint{}), Text(reader.getZone())};
+                    address.value_or(net::Endpoint{}), Text(reader.getZone()),
+                    capacity > 0 ? capacity : kUsualCapacity};
   });
   return node && node->address.port != 0 ? node : std::nullopt;
 }
--- a/tests/programs_test.cc
+++ b/tests/programs_test.cc
@@ -207,6 +207,33 @@
   cr_assert_eq(std::set<std::string>(first.begin(), first.end()).size(), 5);
 }
 
+Test(Membership, NodesOfDifferentCapacity_AreHomesOfTheirShare) {
+  // Five VMs of half a core and five of a tenth. The small ones would hold up
+  // the programs that they count for if each were home of as many.
+  programs::Membership members(MakeNode("a"));
+  for (int i = 0; i < 5; ++i) {
+    programs::NodeInfo large = MakeNode("large" + std::to_string(i));
+    large.capacity = 500;
+    members.Put(large);
+    programs::NodeInfo small = MakeNode("small" + std::to_string(i));
+    small.capacity = 100;
+    members.Put(small);
+  }
+  int           at_small = 0;
+  int           at_large = 0;
+  constexpr int kKeys = 3000;
+  for (int key = 0; key < kKeys; ++key) {
+    const auto home = members.HomesOf(std::to_string(key)).front().name;
+    at_small += home.starts_with("small") ? 1 : 0;
+    at_large += home.starts_with("large") ? 1 : 0;
+  }
+  // 1,000, 5 x 500 and 5 x 100 of 4,000.
+  cr_expect(std::abs(at_large - kKeys * 2500 / 4000) < kKeys / 20, "%d",
+            at_large);
+  cr_expect(std::abs(at_small - kKeys * 500 / 4000) < kKeys / 20, "%d",
+            at_small);
+}
+
 Test(Membership, NodeSuspected_OnlyItsOwnKeysMoveUntilItIsHeardOf) {
   programs::Membership members(MakeNode("a"));
   for (const auto* name : {"b", "c", "d"}) members.Put(MakeNode(name));
