After an outage of all, homes keep their ranks

Change: a node that was itself without the log within 3 s (outage_settling) ranks homes as always; what others said then was of the outage of all.

--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -75,12 +75,15 @@
 // programs would be refused as long as the cut lasts.
 std::vector<NodeInfo> PeerService::HomesFor(const std::string& program) const {
   auto homes = m_members->HomesOf(ClaimHomeKey(ClaimPartitionOf(program)));
-  std::stable_partition(homes.begin(), homes.end(),
-                        [this](const NodeInfo& node) {
-                          return node.name == m_members->self().name
-                                     ? m_keeper->reader().AwayFor() == 0
-                                     : !m_turns.LacksLog(node.name);
-                        });
+  // At the end of an outage of all, each hears of the others' return at another
+  // time: 30 nodes took themselves for homes at once, and claims that others
+  // made beside theirs had to be read by each.
+  const bool outage_of_all = m_log_away_at && m_loop->now() - *m_log_away_at <
+                                                  m_thresholds->outage_settling;
+  if (outage_of_all) return homes;
+  std::stable_partition(
+      homes.begin(), homes.end(),
+      [this](const NodeInfo& node) { return !m_turns.LacksLog(node.name); });
   return homes;
 }
 
@@ -223,6 +226,7 @@
 // News -----------------------------------------------------------------------
 
 void PeerService::TellNews() {
+  if (m_keeper->reader().AwayFor() > 0) m_log_away_at = m_loop->now();
   WatchIsolation();
   for (const NodeInfo& node : m_members->TakeDueProbes(m_loop->now())) {
     Probe(node);
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -98,6 +98,7 @@
   Backends::News                      m_told;
   Time                                m_told_at = 0;
   Time                                m_outage_told_at = 0;
+  std::optional<Time>                 m_log_away_at;  // for this node, last
   bool                                m_log_reachable = true;
   std::optional<Time>                 m_alone_since;
 };
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -119,6 +119,9 @@
   // believed for this long.
   Duration outage_pause = 200;
   Duration outage_memory = 600;
+  // A node that was without the log itself so lately takes what others say of
+  // it for an outage of all, which ends for each at another time.
+  Duration outage_settling = 3000;
   // How long the log and most nodes must be silent before this node takes
   // itself for cut off: longer than a connection attempt and a lost answer.
   Duration isolation_delay = 500;
