--- a/src/yuccawick/gateway/peer_turns.cc
+++ b/src/yuccawick/gateway/peer_turns.cc
@@ -133,16 +133,29 @@
   }
 }
 
-ReaderIs PeerTurns::AskReader(int partition, const std::string& id,
-                              std::size_t                        rank,
-                              std::function<void(const Lookup&)> done) {
+// A reader that has been cut from the log for a while, or is on a small VM, may
+// read for seconds (8 at 30 Mbit/s, with 11 MB to read). All questions of the
+// zone would wait for it, though the second one knows the answers.
+std::vector<NodeInfo> PeerTurns::ReadersOf(int partition) const {
   auto readers = m_members->HomesOf("turns " + std::to_string(partition));
   std::erase_if(readers, [this](const NodeInfo& node) {
     return node.zone != m_members->self().zone;
   });
-  if (rank >= std::min(readers.size(), kReadersOfZone)) {
-    return ReaderIs::kNobody;
-  }
+  if (readers.size() > kReadersOfZone) readers.resize(kReadersOfZone);
+  std::stable_partition(
+      readers.begin(), readers.end(), [this](const NodeInfo& node) {
+        const auto said = m_still_reads.find(node.name);
+        return said == m_still_reads.end() ||
+               m_loop->now() - said->second >= m_thresholds->reading_memory;
+      });
+  return readers;
+}
+
+ReaderIs PeerTurns::AskReader(int partition, const std::string& id,
+                              std::size_t                        rank,
+                              std::function<void(const Lookup&)> done) {
+  const auto readers = ReadersOf(partition);
+  if (rank >= readers.size()) return ReaderIs::kNobody;
   const NodeInfo& reader = readers[rank];
   if (reader.name == m_members->self().name) return ReaderIs::kSelf;
   m_network->Ask(
@@ -153,13 +166,15 @@
         find.setPartition(partition);
       },
       m_thresholds->reader_timeout,
-      [done](std::optional<PeerMessage::Reader> answer) {
+      [this, name = reader.name,
+       done](std::optional<PeerMessage::Reader> answer) {
         Lookup lookup;
         if (answer && answer->isTurnFound()) {
           const auto found = answer->getTurnFound();
           lookup.answered = true;
           lookup.complete = found.getComplete();
           lookup.reading = found.getReading();
+          if (lookup.reading) m_still_reads[name] = m_loop->now();
           for (const auto& turn : found.getTurns()) {
             lookup.turns.push_back(programs::Read(turn));
           }
--- a/src/yuccawick/gateway/peer_turns.h
+++ b/src/yuccawick/gateway/peer_turns.h
@@ -45,6 +45,8 @@
  private:
   // How far this node has read a partition that it reads for its zone.
   enum class ReadState : std::uint8_t { kIncomplete, kReading, kComplete };
+  // Who reads the partition for this zone, the first choice first.
+  std::vector<programs::NodeInfo> ReadersOf(int partition) const;
   void AnswerFind(const std::string& id, ReadState state,
                   const PeerNetwork::Reply& reply);
   // Nodes that the log seems to answer.
@@ -60,6 +62,8 @@
   TurnKeeper*                           m_turns;
   // When each node was last without the log.
   std::unordered_map<std::string, Time> m_without_log;
+  // When each reader last said that it still reads.
+  std::unordered_map<std::string, Time> m_still_reads;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -69,6 +69,7 @@
     Entry{"reader_answer", &T::reader_answer, 5, 60'000},
     Entry{"reader_timeout", &T::reader_timeout, 5, 60'000},
     Entry{"outage_pause", &T::outage_pause, 10, 60'000},
+    Entry{"reading_memory", &T::reading_memory, 0, 600'000},
     Entry{"outage_settling", &T::outage_settling, 0, 600'000},
     Entry{"outage_memory", &T::outage_memory, 10, 60'000},
     Entry{"isolation_delay", &T::isolation_delay, 10, 60'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -114,6 +114,9 @@
   // it has a minute of records to read first. It answers within the first time
   // whatever the log does; its asker waits a little longer.
   Duration reader_answer = 400;
+  // A reader that still reads is asked after the other one of its zone for this
+  // long; reading a partition whole takes up to some seconds.
+  Duration reading_memory = 2000;
   Duration reader_timeout = 550;
   // A node that no partition of the log answers says so this often, and is
   // believed for this long.
