--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -2,13 +2,14 @@
 // can, from the platform's log where it must.
 //
 //   Find  a turn that this node does not hold is looked for in the log. The
-//         search starts after the question came. One node of each zone reads
-//         a partition for the others: if all read all of it, a restart of every
-//         node would keep the log busy for longer than the nodes' recovery.
-//         A turn is unknown only if complete scans of every partition, see
-//         turn_reader.h, did not find it. If the log does not answer, the
-//         memories of other nodes are asked: what they hold may be used, what
-//         they do not hold proves nothing.
+//         search starts after the question came. Two nodes of each zone read
+//         a partition for the others, one after the other: if all read all of
+//         it, a restart of every node, or a short absence of the log, would
+//         keep the log busy for longer than the nodes' recovery. A turn is
+//         unknown only if complete scans of every partition, see turn_reader.h,
+//         did not find it. If the log does not answer, the memories of other
+//         nodes are asked: what they hold may be used, what they do not hold
+//         proves nothing.
 //   Keep  a finished turn is appended to the log before the client sees the end
 //         of its answer, to its program's partition or, if that is away, to
 //         another: whoever misses a turn searches all. If the log is away for
