--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -99,8 +99,8 @@
   }
   // A claim now would go behind one that hangs, or after a reading that does.
   // Either is tried again until the log is back; who takes this node's place
-  // may reach it now. Were the asker held, each turn of the partition would wait
-  // home_answer for nothing, for as long as this node is cut from the log.
+  // may reach it now. Were the asker held, each turn of the partition would
+  // wait home_answer for nothing, for as long as this node is cut from the log.
   const bool hangs = m_appender.busy() || !m_caught_up;
   if (m_health.away() && hangs) return ReserveOutcome::kUnsure;
   return std::nullopt;
@@ -306,29 +306,29 @@
 
 void TokenDesk::ReadPage() {
   m_reading = true;
-  m_store->Read(
-      Topic::kClaims, m_partition, {m_next}, m_thresholds->log_timeout,
-      [this](const StoreResult<platform::ReadPage>& result) {
-        m_reading = false;
-        const bool gone =
-            !result && result.error().failure == StoreFailure::kExpired;
-        m_health.Note(result.has_value() || gone, "read");
-        if (gone && result.error().first > m_next) {
-          SkipTo(result.error().first);
-          return;
-        }
-        if (!result) {
-          ReadAgain();
-          return;
-        }
-        TakePage(*result);
-        if (m_next >= result->end) {
-          EndCatchUp();
-        } else if (!m_caught_up) {
-          m_goal = std::max(m_goal, result->end);
-        }
-        ReadClaims();
-      });
+  m_store->Read(Topic::kClaims, m_partition, {m_next},
+                m_thresholds->log_timeout,
+                [this](const StoreResult<platform::ReadPage>& result) {
+                  m_reading = false;
+                  const bool gone = !result && result.error().failure ==
+                                                   StoreFailure::kExpired;
+                  m_health.Note(result.has_value() || gone, "read");
+                  if (gone && result.error().first > m_next) {
+                    SkipTo(result.error().first);
+                    return;
+                  }
+                  if (!result) {
+                    ReadAgain();
+                    return;
+                  }
+                  TakePage(*result);
+                  if (m_next >= result->end) {
+                    EndCatchUp();
+                  } else if (!m_caught_up) {
+                    m_goal = std::max(m_goal, result->end);
+                  }
+                  ReadClaims();
+                });
 }
 
 void TokenDesk::TakePage(const platform::ReadPage& page) {
