Calls and bytes of the log are counted by topic and by what they are for

Store tells an observer of each call's end; yuccawick_log_calls_total has topic, call and outcome, yuccawick_log_bytes_total is new, and a log line log_use sums them up every 2 s. LogHealth no longer counts; calls were counted in some places and not in others.

--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -110,7 +110,10 @@
     log.Write(gateway::LogEvent::kFault, {{"what", "cannot listen"}});
     return 1;
   }
-  platform::Store   store(&control, settings.store);
+  platform::Store   store(&control, settings.store,
+                          [&metrics](const platform::CallReport& call) {
+                          metrics.CountStoreCall(call);
+                        });
   gateway::Follower follower(
       &control, &store, &log,
       {[&](traffic::ManifestPtr manifest) {
--- a/src/yuccawick/gateway/appender.h
+++ b/src/yuccawick/gateway/appender.h
@@ -15,6 +15,7 @@
 
 #include "platform/store.h"
 #include "yuccawick/gateway/log_health.h"
+#include "yuccawick/gateway/thresholds.h"
 
 namespace yuccawick::gateway {
 
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -92,7 +92,8 @@
 
 void TopicFollower::Follow() {
   m_store->Read(
-      m_topic, 0, {m_next, platform::kPageBytes, m_pace.wait},
+      m_topic, 0,
+      {m_next, platform::kPageBytes, m_pace.wait, platform::CallKind::kFollow},
       m_pace.wait + kAnswerTime, [this](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           Restart();
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -10,8 +10,9 @@
 namespace yuccawick::gateway {
 namespace {
 
-constexpr Duration      kTick = 500;       // ms between sweeps
-constexpr Duration      kStopCheck = 50;   // ms
+constexpr Duration      kTick = 500;          // ms between sweeps
+constexpr Duration      kLogUsePause = 2000;  // ms between two lines of it
+constexpr Duration      kStopCheck = 50;      // ms
 constexpr Duration      kLastCalls = 100;  // ms for the last appends to go out
 constexpr Duration      kAnnounceRetry = 200;  // ms
 constexpr std::uint16_t kMetricsPort = 9464;   // the usual one of exporters
@@ -22,12 +23,11 @@
 std::vector<TokenDesk> MakeDesks(net::EventLoop*      loop,
                                  const Thresholds*    thresholds,
                                  platform::RecordLog* store, Log* log,
-                                 Metrics*           metrics,
                                  const std::string& incarnation) {
   std::vector<TokenDesk> desks;
   desks.reserve(kClaimPartitions);  // desks hand out pointers to themselves
   for (int i = 0; i < kClaimPartitions; ++i) {
-    desks.emplace_back(loop, thresholds, store, log, metrics, incarnation, i);
+    desks.emplace_back(loop, thresholds, store, log, incarnation, i);
   }
   return desks;
 }
@@ -49,12 +49,15 @@
       m_log(log),
       m_metrics(metrics),
       m_started(loop->now()),
-      m_store(loop, settings.store),
+      m_store(loop, settings.store,
+              [metrics](const platform::CallReport& call) {
+                metrics->CountStoreCall(call);
+              }),
       m_backends(loop, thresholds, settings.zone,
                  traffic::MakePlacement(traffic::PlacementKind::kZoneAndPrefix,
                                         thresholds->placement)),
       m_turns(loop, thresholds, &m_store, log, metrics, incarnation),
-      m_desks(MakeDesks(loop, thresholds, &m_store, log, metrics, incarnation)),
+      m_desks(MakeDesks(loop, thresholds, &m_store, log, incarnation)),
       m_members({settings.node,
                  incarnation,
                  {settings.address, settings.inner_ports.front()},
@@ -89,7 +92,6 @@
   m_store.Put(platform::Topic::kNodes, m_settings.node,
               programs::EncodeNode(m_members.self()), m_thresholds->log_timeout,
               [this](const platform::StoreResult<platform::Appended>& result) {
-                m_metrics->CountStoreCall(result.has_value());
                 if (result || m_stopping) return;
                 m_loop->After(kAnnounceRetry, [this] { Announce(); });
               });
@@ -170,10 +172,24 @@
   m_metrics->Set(Gauge::kTurns, static_cast<double>(m_turns.history().size()));
   m_metrics->Set(Gauge::kServers, static_cast<double>(m_backends.servers()));
   if (m_peers.IsIsolated()) CloseIdle();
+  WriteLogUse();
   m_log->Flush();
   m_loop->After(kTick, [this] { Tick(); });
 }
 
+// Of the whole process, the control thread included.
+void Gateway::WriteLogUse() {
+  if (m_loop->now() - m_use_written_at < kLogUsePause) return;
+  m_use_written_at = m_loop->now();
+  for (const Metrics::LogUse& use : m_metrics->TakeLogUse()) {
+    m_log->Write(LogEvent::kLogUse, {{"topic", Name(use.topic)},
+                                     {"call", Name(use.kind)},
+                                     {"calls", use.calls},
+                                     {"unanswered", use.unanswered},
+                                     {"bytes", use.bytes}});
+  }
+}
+
 void Gateway::Stop() {
   if (m_stopping) return;
   m_stopping = true;
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -51,6 +51,7 @@
   void        Announce();
   void        Tick();
   void        TellNews();
+  void        WriteLogUse();
   void        CloseIdle();
   void        StopListening();
   void        FinishWhenIdle();
@@ -77,6 +78,7 @@
   bool                   m_closing = false;
   Time                   m_stop_due = 0;
   Time                   m_accepted_at = 0;  // the last connection
+  Time                   m_use_written_at = 0;
   std::shared_ptr<const traffic::RouteTable> m_routes;
   std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
       m_clients;
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -30,6 +30,7 @@
   kServers,   // the list of backend servers changed
   kLogLost,   // the platform's log stopped answering
   kLogBack,
+  kLogUse,    // calls to the platform's log since the last such line
   kAccepted,  // a request was read and its route found
   kSent,      // to a backend server, with what decided for it
   kLoss,      // a send came to nothing, with what follows
--- a/src/yuccawick/gateway/log_health.cc
+++ b/src/yuccawick/gateway/log_health.cc
@@ -3,7 +3,6 @@
 namespace yuccawick::gateway {
 
 void LogHealth::Note(bool answered, std::string_view call) {
-  m_metrics->CountStoreCall(answered);
   m_noted_at = m_loop->now();
   if (answered != m_away) return;
   m_away = !answered;
--- a/src/yuccawick/gateway/log_health.h
+++ b/src/yuccawick/gateway/log_health.h
@@ -10,21 +10,14 @@
 #include <utility>
 
 #include "yuccawick/gateway/log.h"
-#include "yuccawick/gateway/metrics.h"
-#include "yuccawick/gateway/thresholds.h"
 
 namespace yuccawick::gateway {
 
 class LogHealth {
  public:
   // `name` says in logs what the partition holds.
-  LogHealth(net::EventLoop* loop, const Thresholds* thresholds, Log* log,
-            Metrics* metrics, std::string name)
-      : m_loop(loop),
-        m_thresholds(thresholds),
-        m_log(log),
-        m_metrics(metrics),
-        m_name(std::move(name)) {}
+  LogHealth(net::EventLoop* loop, Log* log, std::string name)
+      : m_loop(loop), m_log(log), m_name(std::move(name)) {}
 
   // The outcome of one call; `call` says which, for the log line.
   void Note(bool answered, std::string_view call);
@@ -37,14 +30,12 @@
   net::Duration AwayFor() const;
 
  private:
-  net::EventLoop*   m_loop;
-  const Thresholds* m_thresholds;
-  Log*              m_log;
-  Metrics*          m_metrics;
-  std::string       m_name;
-  bool              m_away = false;
-  net::Time         m_noted_at = 0;
-  net::Time         m_away_since = 0;
+  net::EventLoop* m_loop;
+  Log*            m_log;
+  std::string     m_name;
+  bool            m_away = false;
+  net::Time       m_noted_at = 0;
+  net::Time       m_away_since = 0;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -2,6 +2,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <utility>
+
 namespace yuccawick::gateway {
 namespace {
 
@@ -51,10 +53,7 @@
     const std::string name(Name(static_cast<traffic::RequestKind>(i)));
     m_answers[i] = &answers.Add({{"kind", name}});
   }
-  auto& calls = CounterFamily(registry, "yuccawick_log_calls_total",
-                              "Calls to the platform's log, by outcome");
-  m_store_calls = {&calls.Add({{"outcome", "failed"}}),
-                   &calls.Add({{"outcome", "succeeded"}})};
+  AddLogCalls(registry);
   auto& kept = CounterFamily(registry, "yuccawick_turns_kept_total",
                              "Turns that the log has, by who appended them");
   m_turns_kept = {&kept.Add({{"by", "this_node"}}),
@@ -79,6 +78,31 @@
                    "From the end of a stream to its turn being durable");
 }
 
+void Metrics::AddLogCalls(prometheus::Registry* registry) {
+  auto& calls =
+      CounterFamily(registry, "yuccawick_log_calls_total",
+                    "Calls to the platform's log, by what they are for");
+  auto& bytes =
+      CounterFamily(registry, "yuccawick_log_bytes_total",
+                    "Bytes sent to and received from the platform's log");
+  for (std::size_t i = 0; i < m_log_calls.size(); ++i) {
+    LogCalls& entry = m_log_calls[i];
+    entry.told.topic =
+        static_cast<platform::Topic>(i / platform::kCallKindCount);
+    entry.told.kind =
+        static_cast<platform::CallKind>(i % platform::kCallKindCount);
+    const std::string topic(Name(entry.told.topic));
+    const std::string kind(Name(entry.told.kind));
+    const auto        with = [&](const char* outcome) {
+      return &calls.Add(
+                 {{"topic", topic}, {"call", kind}, {"outcome", outcome}});
+    };
+    entry.succeeded = with("succeeded");
+    entry.failed = with("failed");
+    entry.bytes = &bytes.Add({{"topic", topic}, {"call", kind}});
+  }
+}
+
 void Metrics::CountRefusal(traffic::Refusal refusal) {
   m_refusals[static_cast<std::size_t>(refusal)]->Increment();
 }
@@ -99,8 +123,31 @@
   m_turns_kept[by_peer ? 1 : 0]->Increment();
 }
 
-void Metrics::CountStoreCall(bool succeeded) {
-  m_store_calls[succeeded ? 1 : 0]->Increment();
+void Metrics::CountStoreCall(const platform::CallReport& call) {
+  const auto topic = static_cast<std::size_t>(call.topic);
+  const auto kind = static_cast<std::size_t>(call.kind);
+  LogCalls&  entry = m_log_calls[topic * platform::kCallKindCount + kind];
+  (call.answered ? entry.succeeded : entry.failed)->Increment();
+  entry.bytes->Increment(static_cast<double>(call.sent + call.received));
+}
+
+std::vector<Metrics::LogUse> Metrics::TakeLogUse() {
+  const auto value = [](const prometheus::Counter* counter) {
+    return static_cast<std::int64_t>(counter->Value());
+  };
+  std::vector<LogUse> uses;
+  for (LogCalls& entry : m_log_calls) {
+    LogUse now = entry.told;
+    now.unanswered = value(entry.failed);
+    now.calls = value(entry.succeeded) + now.unanswered;
+    now.bytes = value(entry.bytes);
+    const LogUse before = std::exchange(entry.told, now);
+    now.calls -= before.calls;
+    now.unanswered -= before.unanswered;
+    now.bytes -= before.bytes;
+    if (now.calls > 0) uses.push_back(now);
+  }
+  return uses;
 }
 
 void Metrics::ObserveAnswer(double seconds) {
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -13,7 +13,9 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "platform/store.h"
 #include "yuccawick/traffic/attempt.h"
 #include "yuccawick/traffic/refusal.h"
 
@@ -25,31 +27,50 @@
 class Metrics {
  public:
   Metrics();
-  void        CountRefusal(traffic::Refusal refusal);
-  void        CountLoss(traffic::LossCause cause);
-  void        CountRepeat(traffic::LossCause cause);
-  void        CountAnswer(traffic::RequestKind kind);
-  void        CountStoreCall(bool succeeded);
-  void        CountTurnKept(bool by_peer);
-  void        ObserveAnswer(double seconds);
-  void        ObserveFirstEvent(double seconds);
-  void        ObserveTurnKept(double seconds);
-  void        Set(Gauge gauge, double value);
+  void CountRefusal(traffic::Refusal refusal);
+  void CountLoss(traffic::LossCause cause);
+  void CountRepeat(traffic::LossCause cause);
+  void CountAnswer(traffic::RequestKind kind);
+  void CountStoreCall(const platform::CallReport& call);  // any thread
+  void CountTurnKept(bool by_peer);
+  void ObserveAnswer(double seconds);
+  void ObserveFirstEvent(double seconds);
+  void ObserveTurnKept(double seconds);
+  void Set(Gauge gauge, double value);
+  // Calls of the log since the last question.
+  struct LogUse {
+    platform::Topic    topic;
+    platform::CallKind kind;
+    std::int64_t       calls = 0;
+    std::int64_t       unanswered = 0;
+    std::int64_t       bytes = 0;  // both ways
+  };
+  std::vector<LogUse> TakeLogUse();
   // All of them in prometheus' text format.
-  std::string Text() const;
+  std::string         Text() const;
 
  private:
+  void AddLogCalls(prometheus::Registry* registry);
+
   std::shared_ptr<prometheus::Registry>                    m_registry;
   std::array<prometheus::Counter*, traffic::kRefusalCount> m_refusals{};
   std::array<prometheus::Counter*, 4>                      m_losses{};
   std::array<prometheus::Counter*, 4>                      m_repeats{};
   std::array<prometheus::Counter*, 3>                      m_answers{};
-  std::array<prometheus::Counter*, 2>                      m_store_calls{};
   std::array<prometheus::Counter*, 2>                      m_turns_kept{};
-  std::array<prometheus::Gauge*, kGaugeCount>              m_gauges{};
-  prometheus::Histogram* m_answer_seconds = nullptr;
-  prometheus::Histogram* m_first_event_seconds = nullptr;
-  prometheus::Histogram* m_turn_kept_seconds = nullptr;
+  // Calls of one kind on one topic.
+  struct LogCalls {
+    prometheus::Counter* succeeded = nullptr;
+    prometheus::Counter* failed = nullptr;
+    prometheus::Counter* bytes = nullptr;
+    LogUse               told;  // by TakeLogUse()
+  };
+  std::array<LogCalls, platform::kTopicCount * platform::kCallKindCount>
+                                              m_log_calls;
+  std::array<prometheus::Gauge*, kGaugeCount> m_gauges{};
+  prometheus::Histogram*                      m_answer_seconds = nullptr;
+  prometheus::Histogram*                      m_first_event_seconds = nullptr;
+  prometheus::Histogram*                      m_turn_kept_seconds = nullptr;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -39,12 +39,12 @@
 }
 
 TokenDesk::TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
-                     platform::RecordLog* store, Log* log, Metrics* metrics,
+                     platform::RecordLog* store, Log* log,
                      std::string incarnation, int partition)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_store(store),
-      m_health(loop, thresholds, log, metrics, ClaimHomeKey(partition)),
+      m_health(loop, log, ClaimHomeKey(partition)),
       m_log(log),
       m_incarnation(std::move(incarnation)),
       m_partition(partition),
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -27,6 +27,7 @@
 
 #include "yuccawick/gateway/appender.h"
 #include "yuccawick/gateway/log_health.h"
+#include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/programs/token_ledger.h"
 
 namespace yuccawick::gateway {
@@ -61,8 +62,8 @@
 
   // One desk counts the programs whose claims lie in one partition.
   TokenDesk(net::EventLoop* loop, const Thresholds* thresholds,
-            platform::RecordLog* store, Log* log, Metrics* metrics,
-            std::string incarnation, int partition);
+            platform::RecordLog* store, Log* log, std::string incarnation,
+            int partition);
 
   // `done` is called once, within `home_answer` ms.
   void Reserve(const TurnBudget& turn, Done done);
--- a/src/yuccawick/gateway/turn_keeper.cc
+++ b/src/yuccawick/gateway/turn_keeper.cc
@@ -28,7 +28,7 @@
       m_thresholds(thresholds),
       m_log(log),
       m_metrics(metrics),
-      m_reader(loop, thresholds, store, log, metrics, &m_history) {
+      m_reader(loop, thresholds, store, log, &m_history) {
   for (int i = 0; i < kTurnPartitions; ++i) {
     m_appenders.emplace_back(loop, thresholds, store, m_reader.health(i),
                              Topic::kTurns, i, incarnation);
--- a/src/yuccawick/gateway/turn_keeper.h
+++ b/src/yuccawick/gateway/turn_keeper.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "yuccawick/gateway/appender.h"
+#include "yuccawick/gateway/metrics.h"
 #include "yuccawick/gateway/turn_reader.h"
 
 namespace yuccawick::gateway {
--- a/src/yuccawick/gateway/turn_reader.cc
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 TurnReader::TurnReader(net::EventLoop* loop, const Thresholds* thresholds,
-                       platform::RecordLog* store, Log* log, Metrics* metrics,
+                       platform::RecordLog* store, Log* log,
                        programs::TurnHistory* history)
     : m_loop(loop),
       m_thresholds(thresholds),
@@ -33,8 +33,8 @@
       m_history(history),
       m_scans(kTurnPartitions) {
   for (int i = 0; i < kTurnPartitions; ++i) {
-    ScanOf(i).health = std::make_unique<LogHealth>(
-        loop, thresholds, log, metrics, "turns " + std::to_string(i));
+    ScanOf(i).health =
+        std::make_unique<LogHealth>(loop, log, "turns " + std::to_string(i));
   }
 }
 
@@ -206,7 +206,8 @@
   }
   m_store->Read(
       Topic::kTurns, place.partition,
-      {place.pieces[part].offset, place.pieces[part].bytes},
+      {place.pieces[part].offset, place.pieces[part].bytes, 0,
+       platform::CallKind::kFetch},
       m_thresholds->log_timeout,
       [this, id, place, part, done](const StoreResult<ReadPage>& result) {
         const bool gone =
@@ -244,7 +245,9 @@
       continue;
     }
     scan.probing = true;
-    m_store->Read(Topic::kTurns, i, {std::max(scan.next, scan.end)},
+    m_store->Read(Topic::kTurns, i,
+                  {std::max(scan.next, scan.end), platform::kPageBytes, 0,
+                   platform::CallKind::kProbe},
                   m_thresholds->log_timeout,
                   [&scan](const StoreResult<ReadPage>& result) {
                     scan.probing = false;
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -23,6 +23,7 @@
 
 #include "platform/store.h"
 #include "yuccawick/gateway/log_health.h"
+#include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/programs/record.h"
 #include "yuccawick/programs/turn_history.h"
 
@@ -42,7 +43,7 @@
 class TurnReader {
  public:
   TurnReader(net::EventLoop* loop, const Thresholds* thresholds,
-             platform::RecordLog* store, Log* log, Metrics* metrics,
+             platform::RecordLog* store, Log* log,
              programs::TurnHistory* history);
 
   // `done` with whether the scan was complete.
