Nodes that cannot follow the manifest deny no route; reads of the log adapt their size

Two changes, each with its test:

A node that the log turns away answered 404 for a route added meanwhile, which ends its client's program. It says 503 route_unsure now and the client comes back through another node (Manifest::NodeCutFromTheLogWhileARouteIsAdded_..., 404 before).

A late read now halves what the next one asks for, down to 16 KB, a quick one doubles it (programs/read_pace.h), for turns and claims. Test ReadsOfAllNodes::MoreIsReadThanTheLogCarries_...: an eighth of the bandwidth, 40 nodes searching: a read waited 1,931 ms with the size fixed, 500 is the bound.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -91,7 +91,10 @@
   }
   m_route = m_routes->Find(m_info.host, m_head.target);
   if (m_route == nullptr) {
-    Refuse(Refusal::kNoRoute);
+    // A node that cannot follow the manifest would deny a route that others
+    // serve. Its client comes back through one of them.
+    Refuse(m_parts.peers->FollowsManifest() ? Refusal::kNoRoute
+                                            : Refusal::kRouteUnsure);
     return false;
   }
   m_service = traffic::PickService(*m_route, Draw());
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -48,6 +48,7 @@
   Duration LongestOutage() const;
   // Whether the log answers what is always asked of it, the manifest.
   void     SetLogReachable(bool reachable) { m_log_reachable = reachable; }
+  bool     FollowsManifest() const { return m_log_reachable; }
   // Neither the log nor most nodes answer: this node is cut off, and clients
   // are better served by others.
   bool     IsIsolated() const;
--- a/src/yuccawick/gateway/token_desk.cc
+++ b/src/yuccawick/gateway/token_desk.cc
@@ -306,10 +306,17 @@
 
 void TokenDesk::ReadPage() {
   m_reading = true;
-  m_store->Read(Topic::kClaims, m_partition, {m_next},
+  m_store->Read(Topic::kClaims, m_partition, {m_next, m_pace.bytes()},
                 m_thresholds->log_timeout,
-                [this](const StoreResult<platform::ReadPage>& result) {
+                [this, began = m_loop->now()](
+                    const StoreResult<platform::ReadPage>& result) {
                   m_reading = false;
+                  const Duration took = m_loop->now() - began;
+                  if (result) {
+                    m_pace.Answered(took);
+                  } else if (took >= m_thresholds->log_timeout) {
+                    m_pace.Late();
+                  }
                   const bool gone = !result && result.error().failure ==
                                                    StoreFailure::kExpired;
                   m_health.Note(result.has_value() || gone, "read");
--- a/src/yuccawick/gateway/token_desk.h
+++ b/src/yuccawick/gateway/token_desk.h
@@ -28,6 +28,7 @@
 #include "yuccawick/gateway/appender.h"
 #include "yuccawick/gateway/log_health.h"
 #include "yuccawick/gateway/thresholds.h"
+#include "yuccawick/programs/read_pace.h"
 #include "yuccawick/programs/token_ledger.h"
 
 namespace yuccawick::gateway {
@@ -135,6 +136,7 @@
   int                                          m_partition;
   programs::TokenLedger                        m_ledger;
   Appender                                     m_appender;
+  programs::ReadPace                           m_pace{platform::kPageBytes};
   std::unordered_map<std::string, Account>     m_accounts;  // by program
   std::unordered_map<std::uint64_t, OpenClaim> m_claims;    // by number
   std::unordered_map<std::string, Time> m_spare;  // programs that may have some
--- a/src/yuccawick/gateway/turn_reader.cc
+++ b/src/yuccawick/gateway/turn_reader.cc
@@ -89,19 +89,26 @@
   const Time         began = m_loop->now();
   const std::int64_t from = scan.plan.from();
   m_store->Read(
-      Topic::kTurns, partition, {from}, m_thresholds->log_timeout,
+      Topic::kTurns, partition, {from, m_pace.bytes()},
+      m_thresholds->log_timeout,
       [this, partition, again, began, from,
        &scan](const StoreResult<ReadPage>& result) {
         if (!result && result.error().failure == StoreFailure::kExpired) {
           SkipTo(partition, from, result.error().first);
           return;
         }
+        const Duration took = m_loop->now() - began;
+        const bool     in_time = took < m_thresholds->log_timeout;
+        if (result) {
+          m_pace.Answered(took);
+        } else if (!in_time) {
+          m_pace.Late();
+        }
         // A kept connection that was dropped ends a read at once, and says
         // nothing of the log. One that timed out is not repeated: after a
         // restart of all nodes the log is busy, and a page read twice keeps it
         // so.
-        const bool at_once =
-            m_loop->now() - began < m_thresholds->log_timeout / 2;
+        const bool at_once = took < m_thresholds->log_timeout / 2;
         if (!result && at_once && !again &&
             result.error().failure == StoreFailure::kUnknown) {
           ReadPart(partition, true);
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -24,6 +24,7 @@
 #include "platform/store.h"
 #include "yuccawick/gateway/log_health.h"
 #include "yuccawick/gateway/thresholds.h"
+#include "yuccawick/programs/read_pace.h"
 #include "yuccawick/programs/record.h"
 #include "yuccawick/programs/scan_plan.h"
 #include "yuccawick/programs/turn_history.h"
@@ -125,6 +126,7 @@
   platform::RecordLog*                          m_store;
   Log*                                          m_log;
   programs::TurnHistory*                        m_history;
+  programs::ReadPace                            m_pace{platform::kPageBytes};
   std::vector<ScanState>                        m_scans;   // by partition
   std::unordered_map<std::string, Place>        m_places;  // by turn
   std::map<std::pair<int, std::string>, Pieces> m_pieces;  // partition, turn
--- a/src/yuccawick/traffic/refusal.cc
+++ b/src/yuccawick/traffic/refusal.cc
@@ -20,6 +20,7 @@
     {"unknown_turn", 404, false},
     {"budget_spent", 402, false},
     {"not_ready", 503, true},
+    {"route_unsure", 503, true},
     {"no_server", 503, true},
     {"overloaded", 503, true},
     {"log_away", 503, true},
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -19,6 +19,7 @@
   kUnknownTurn,    // the turn it continues from certainly does not exist
   kBudgetSpent,    // the program's tokens do not hold this turn
   kNotReady,       // this node knows no manifest yet
+  kRouteUnsure,    // no such route here, and the manifest may be an old one
   kNoServer,       // no backend server can take it now
   kOverloaded,     // the server that was asked is full
   kLogAway,        // the log does not answer any node: no turn can be kept
