A node's work for each server: renewals are not decoded, neighbours' news are summed once

For each request each server's load was asked of each neighbour's news (3,000 x some 60 look-ups), and each renewal of an entry was decoded (2,500 a second).

Nothing else changes in what is chosen or published.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -180,14 +180,15 @@
   for (BackendConnection* connection : idle) Destroy(connection);
 }
 
-Backends::ServerNews Backends::FromOthers(const std::string& id) const {
-  ServerNews sum;
+Backends::News Backends::FromOthers() const {
+  News sum;
   for (const auto& [peer, told] : m_peers) {
     if (m_loop->now() - told.heard > m_thresholds->load_memory) continue;
-    const auto found = told.news.find(id);
-    if (found == told.news.end()) continue;
-    sum.requests += found->second.requests;
-    sum.outcomes += found->second.outcomes;
+    for (const auto& [id, news] : told.news) {
+      ServerNews& server = sum[id];
+      server.requests += news.requests;
+      server.outcomes += news.outcomes;
+    }
   }
   return sum;
 }
@@ -196,12 +197,14 @@
     const std::string& service, const Prompt& prompt,
     const std::vector<std::string>& avoid) {
   std::vector<traffic::Candidate> candidates;
+  // Once for all candidates, not each node's news for each server.
+  const News                      others = FromOthers();
   for (const auto& [id, state] : m_servers) {
     if (!state.listed || state.server.draining ||
         state.server.service != service || Contains(avoid, id)) {
       continue;
     }
-    candidates.push_back(Look(id, state));
+    candidates.push_back(Look(id, state, others));
     candidates.back().prompt_tokens = prompt.tokens;
   }
   if (candidates.empty()) return std::nullopt;
@@ -232,17 +235,18 @@
       traffic::ReachFor(prompt.tokens, m_thresholds->placement));
 }
 
-traffic::Candidate Backends::Look(const std::string& id,
-                                  const State&       state) const {
-  const Time       now = m_loop->now();
-  const ServerNews others = FromOthers(id);
+traffic::Candidate Backends::Look(const std::string& id, const State& state,
+                                  const News& others) const {
+  const Time now = m_loop->now();
+  const auto heard = others.find(id);
+  const auto told = heard == others.end() ? ServerNews() : heard->second;
   const bool failing = now - state.failed_at < m_thresholds->failure_memory;
   auto       outcomes = state.outcomes.At(now);
-  outcomes += others.outcomes;
+  outcomes += told.outcomes;
   traffic::Candidate candidate;
   candidate.server = &state.server;
   candidate.own_load = state.load;
-  candidate.others_load = others.requests;
+  candidate.others_load = told.requests;
   candidate.same_zone = state.server.zone == m_zone;
   candidate.recent_failures = failing ? state.failures : 0;
   candidate.failure_share = traffic::FailureShare(outcomes);
@@ -257,7 +261,7 @@
 std::optional<Backends::Choice> Backends::Find(const std::string& id) const {
   const auto found = m_servers.find(id);
   if (found == m_servers.end() || !found->second.listed) return std::nullopt;
-  return AsChoice(Look(id, found->second));
+  return AsChoice(Look(id, found->second, FromOthers()));
 }
 
 bool Backends::AnyIn(const std::string&              service,
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -157,13 +157,14 @@
     News news;
     Time heard = 0;
   };
-  traffic::Candidate Look(const std::string& id, const State& state) const;
+  traffic::Candidate Look(const std::string& id, const State& state,
+                          const News& others) const;
   // The server that most likely has the prompt cached; empty: none.
   std::string        WarmFor(const Prompt&                          prompt,
                              const std::vector<traffic::Candidate>& candidates) const;
   static Choice      AsChoice(const traffic::Candidate& candidate);
-  // What all fresh news together say of a server.
-  ServerNews         FromOthers(const std::string& id) const;
+  // What all fresh news together say of each server.
+  News               FromOthers() const;
   void               Destroy(BackendConnection* connection);
   void               DropIdle(State* state);
 
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -1,5 +1,7 @@
 #include "yuccawick/gateway/follower.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
 #include "platform/manifest_codec.h"
@@ -133,6 +135,7 @@
                 {[this](const LogRecord& record) { TakeServer(record); },
                  [this] {
                    m_listing_servers = true;
+                   m_entries.clear();
                    m_listing.clear();
                  },
                  [this] { EndServerListing(); },
@@ -199,20 +202,32 @@
   m_outputs.node(record.key, node);
 }
 
+// Of 3,000 servers 2,500 entries a second come to each node, and hardly one
+// says anything new. What is the same but for its renewal need not be decoded.
+bool Follower::IsRenewal(const LogRecord& record) {
+  const std::string text = platform::WithoutRenewal(record.value);
+  const auto        hash = XXH3_64bits(text.data(), text.size());
+  const auto [entry, added] = m_entries.try_emplace(record.key, hash);
+  return !added && std::exchange(entry->second, hash) == hash;
+}
+
 void Follower::TakeServer(const LogRecord& record) {
   if (record.removed) {
     m_log->Write(LogEvent::kServers, {{"server", record.key},
                                       {"state", "removed"},
                                       {"offset", record.offset}});
+    m_entries.erase(record.key);
     m_directory.Remove(record.key, m_loop->now());
     if (!m_listing_servers) PublishServers();
     return;
   }
+  if (!m_listing_servers && IsRenewal(record)) return;
   const auto server = platform::DecodeServer(record.key, record.value);
   if (!server) {
     m_log->Write(LogEvent::kFault, {{"what", "undecodable server"},
                                     {"server", record.key},
                                     {"detail", server.error().detail}});
+    m_entries.erase(record.key);
     m_directory.Drop(record.key);
     if (!m_listing_servers) PublishServers();
     return;
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -6,10 +6,12 @@
 // an older version while the process lives.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "platform/store.h"
 #include "yuccawick/gateway/log.h"
@@ -83,22 +85,25 @@
   void TakeManifest(const platform::LogRecord& record);
   void TakeNode(const platform::LogRecord& record);
   void TakeServer(const platform::LogRecord& record);
+  bool IsRenewal(const platform::LogRecord& record);
   void EndServerListing();
   void PublishServers();
   void Tick();
 
-  net::EventLoop*     m_loop;
-  Log*                m_log;
-  Outputs             m_outputs;
-  traffic::Directory  m_directory;
-  traffic::ServerList m_listing;
-  bool                m_listing_servers = false;
-  bool                m_servers_known = false;
-  std::int64_t        m_version = -1;  // of the manifest in force
-  bool                m_log_reachable = true;
-  TopicFollower       m_operator;
-  TopicFollower       m_servers;
-  TopicFollower       m_nodes;
+  net::EventLoop*                                m_loop;
+  Log*                                           m_log;
+  Outputs                                        m_outputs;
+  traffic::Directory                             m_directory;
+  traffic::ServerList                            m_listing;
+  // Of each entry, what was read there last, but for its renewal; a hash.
+  std::unordered_map<std::string, std::uint64_t> m_entries;
+  bool                                           m_listing_servers = false;
+  bool                                           m_servers_known = false;
+  std::int64_t  m_version = -1;  // of the manifest in force
+  bool          m_log_reachable = true;
+  TopicFollower m_operator;
+  TopicFollower m_servers;
+  TopicFollower m_nodes;
 };
 
 }  // namespace yuccawick::gateway
