--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -135,7 +135,7 @@
                 {[this](const LogRecord& record) { TakeServer(record); },
                  [this] {
                    m_listing_servers = true;
-                   m_entries.clear();
+                   m_entry_hashes.clear();
                    m_listing.clear();
                  },
                  [this] { EndServerListing(); },
@@ -207,7 +207,7 @@
 bool Follower::IsRenewal(const LogRecord& record) {
   const std::string text = platform::WithoutRenewal(record.value);
   const auto        hash = XXH3_64bits(text.data(), text.size());
-  const auto [entry, added] = m_entries.try_emplace(record.key, hash);
+  const auto [entry, added] = m_entry_hashes.try_emplace(record.key, hash);
   return !added && std::exchange(entry->second, hash) == hash;
 }
 
@@ -216,7 +216,7 @@
     m_log->Write(LogEvent::kServers, {{"server", record.key},
                                       {"state", "removed"},
                                       {"offset", record.offset}});
-    m_entries.erase(record.key);
+    m_entry_hashes.erase(record.key);
     m_directory.Remove(record.key, m_loop->now());
     if (!m_listing_servers) PublishServers();
     return;
@@ -227,7 +227,7 @@
     m_log->Write(LogEvent::kFault, {{"what", "undecodable server"},
                                     {"server", record.key},
                                     {"detail", server.error().detail}});
-    m_entries.erase(record.key);
+    m_entry_hashes.erase(record.key);
     m_directory.Drop(record.key);
     if (!m_listing_servers) PublishServers();
     return;
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -95,8 +95,8 @@
   Outputs                                        m_outputs;
   traffic::Directory                             m_directory;
   traffic::ServerList                            m_listing;
-  // Of each entry, what was read there last, but for its renewal; a hash.
-  std::unordered_map<std::string, std::uint64_t> m_entries;
+  // By entry: a hash of what was read there last, but for its renewal.
+  std::unordered_map<std::string, std::uint64_t> m_entry_hashes;
   bool                                           m_listing_servers = false;
   bool                                           m_servers_known = false;
   std::int64_t  m_version = -1;  // of the manifest in force
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -37,7 +37,7 @@
   void ObserveFirstEvent(double seconds);
   void ObserveTurnKept(double seconds);
   void Set(Gauge gauge, double value);
-  // Calls of the log since the last question.
+  // Calls of one kind on one topic since the last TakeLogUse().
   struct LogUse {
     platform::Topic    topic;
     platform::CallKind kind;
@@ -58,7 +58,6 @@
   std::array<prometheus::Counter*, 4>                      m_repeats{};
   std::array<prometheus::Counter*, 3>                      m_answers{};
   std::array<prometheus::Counter*, 2>                      m_turns_kept{};
-  // Calls of one kind on one topic.
   struct LogCalls {
     prometheus::Counter* succeeded = nullptr;
     prometheus::Counter* failed = nullptr;
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -1,8 +1,9 @@
 // Reads turns from the platform's log.
 //
-//   Scan   reads a partition from where the last scan ended up to its end, and
-//          puts the turns into memory. Whoever asks while a scan runs gets one
-//          that starts after the question.
+//   Scan   reads what lies between the last scan and the end of a partition,
+//          newest records first if it is much (programs/scan_plan.h), and puts
+//          the turns into memory. Whoever asks while a scan runs is served by
+//          its next look at the end.
 //   Fetch  reads one turn again that was read before and has left memory since.
 //
 // A scan is complete if nothing that the partition ever held can have been
@@ -79,9 +80,9 @@
   struct ScanState {
     std::unique_ptr<LogHealth> health;
     programs::ScanPlan         plan;
-    std::int64_t               probed_end = 0;
-    std::size_t                taken = 0;      // records, in this scan
-    Time                       sure_from = 0;  // complete scans from then on
+    std::int64_t               probed_end = 0;  // of the partition
+    std::size_t                taken = 0;       // records, in this scan
+    Time                       sure_from = 0;   // complete scans from then on
     bool                       busy = false;
     bool                       probing = false;
     std::vector<Question>      served;
@@ -121,13 +122,13 @@
   void FetchPart(const std::string& id, const Place& place, std::size_t part,
                  const std::function<void()>& done);
 
-  net::EventLoop*                               m_loop;
-  const Thresholds*                             m_thresholds;
-  platform::RecordLog*                          m_store;
-  Log*                                          m_log;
-  programs::TurnHistory*                        m_history;
-  programs::ReadPace                            m_pace{platform::kPageBytes};
-  std::vector<ScanState>                        m_scans;   // by partition
+  net::EventLoop*        m_loop;
+  const Thresholds*      m_thresholds;
+  platform::RecordLog*   m_store;
+  Log*                   m_log;
+  programs::TurnHistory* m_history;
+  programs::ReadPace     m_pace{platform::kPageBytes};     // of all scans
+  std::vector<ScanState> m_scans;                          // by partition
   std::unordered_map<std::string, Place>        m_places;  // by turn
   std::map<std::pair<int, std::string>, Pieces> m_pieces;  // partition, turn
   Duration m_retention = 60'000;  // until a manifest says
