Waiting turns rank last once their program is late

Callers: with turn_engage set, most programs that start in a burst of twice the capacity are late, and so are a third of those that start two seconds after it, at 0.7 of the capacity.

Cause: the rank was computed when the turn was queued. Late programs rank last, but a turn whose program became late in the queue kept its place before programs that can still end in time.

Change: QueueRank carries the time left; TurnDispatcher moves a turn back when it is over. A turn sent at clock time 0 was taken for waiting at its release; the time is optional now.

--- a/src/yuccawick/gateway/turn_dispatcher.cc
+++ b/src/yuccawick/gateway/turn_dispatcher.cc
@@ -4,37 +4,63 @@
 
 TurnDispatcher::Service* TurnDispatcher::GetService(const std::string& name) {
   const auto entry = m_services.try_emplace(
-      name, Service{traffic::ConcurrencyLimit(m_settings), {}});
+      name, Service{traffic::ConcurrencyLimit(m_settings), {}, {}});
   return &entry.first->second;
 }
 
-TurnDispatcher::Id TurnDispatcher::Enqueue(const std::string& service,
-                                           double rank, Duration target_latency,
+TurnDispatcher::Id TurnDispatcher::Enqueue(const std::string&        service,
+                                           const traffic::QueueRank& rank,
+                                           Duration      target_latency,
                                            StartCallback start) {
-  const Id id = ++m_last_id;
-  Service* queue = GetService(service);
-  m_turns.emplace(id, Turn{queue, {rank, id}, target_latency, 0});
-  queue->waiting.emplace(QueueKey{rank, id}, std::move(start));
+  const Id            id = ++m_last_id;
+  Service*            queue = GetService(service);
+  const QueueKey      key{rank, id};
+  std::optional<Time> deadline;
+  if (rank.time_to_late()) {
+    deadline = m_loop->now() + *rank.time_to_late();
+    queue->deadlines.emplace(*deadline, id);
+  }
+  m_turns.emplace(id, Turn{queue, key, deadline, target_latency, {}});
+  queue->waiting.emplace(key, std::move(start));
   StartEligible(queue);
   return id;
 }
 
 void TurnDispatcher::StartEligible(Service* service) {
+  MoveLateTurnsBack(service);
   while (!service->waiting.empty() &&
          service->limit.MayStart(service->running, m_loop->now())) {
-    const auto          first = service->waiting.begin();
-    const StartCallback start = std::move(first->second);
-    m_turns.at(first->first.second).sent_time = m_loop->now();
-    service->waiting.erase(first);
+    Turn& turn = m_turns.at(service->waiting.begin()->first.second);
+    turn.sent_time = m_loop->now();
+    const StartCallback start = Dequeue(turn);
     ++service->running;
     start();
   }
 }
 
+void TurnDispatcher::MoveLateTurnsBack(Service* service) {
+  auto& deadlines = service->deadlines;
+  while (!deadlines.empty() && deadlines.begin()->first <= m_loop->now()) {
+    Turn& turn = m_turns.at(deadlines.begin()->second);
+    auto  entry = service->waiting.extract(turn.key);
+    turn.key.first = traffic::QueueRank::Late(turn.key.first);
+    entry.key() = turn.key;
+    service->waiting.insert(std::move(entry));
+    deadlines.erase(deadlines.begin());
+  }
+}
+
+TurnDispatcher::StartCallback TurnDispatcher::Dequeue(const Turn& turn) {
+  Service* service = turn.service;
+  if (turn.deadline)
+    service->deadlines.erase({*turn.deadline, turn.key.second});
+  return std::move(service->waiting.extract(turn.key).mapped());
+}
+
 void TurnDispatcher::FirstEvent(Id id) {
   const auto found = m_turns.find(id);
-  if (found == m_turns.end() || found->second.sent_time == 0) return;
-  found->second.service->limit.Observe(m_loop->now() - found->second.sent_time,
+  if (found == m_turns.end() || !found->second.sent_time) return;
+  found->second.service->limit.Observe(m_loop->now() - *found->second.sent_time,
                                        found->second.target_latency,
                                        m_loop->now());
 }
@@ -44,8 +70,8 @@
   if (found == m_turns.end()) return;
   const Turn turn = found->second;
   m_turns.erase(found);
-  if (turn.sent_time == 0) {
-    turn.service->waiting.erase(turn.key);
+  if (!turn.sent_time) {
+    Dequeue(turn);
     return;
   }
   --turn.service->running;
--- a/src/yuccawick/gateway/turn_dispatcher.h
+++ b/src/yuccawick/gateway/turn_dispatcher.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -29,10 +31,11 @@
                  const traffic::ConcurrencyLimitSettings& settings)
       : m_loop(loop), m_settings(settings) {}
 
-  // Turns with a lower `rank` start first. `target_latency`: of the first event
-  // (ms); 0 if none.
-  Id   Enqueue(const std::string& service, double rank, Duration target_latency,
-               StartCallback start);
+  // Turns with a lower `rank` start first; a turn moves behind the others when
+  // its program becomes late. `target_latency`: of the first event (ms); 0 if
+  // none.
+  Id   Enqueue(const std::string& service, const traffic::QueueRank& rank,
+               Duration target_latency, StartCallback start);
   void FirstEvent(Id id);
   void Release(Id* id);  // sets it to 0
   // Starts eligible turns; call often, since limits grow with time.
@@ -45,16 +48,21 @@
   struct Service {
     traffic::ConcurrencyLimit         limit;
     std::map<QueueKey, StartCallback> waiting;
+    std::set<std::pair<Time, Id>>     deadlines;  // of waiting turns, not late
     int                               running = 0;
   };
   struct Turn {
-    Service* service = nullptr;
-    QueueKey key;
-    Duration target_latency = 0;
-    Time     sent_time = 0;  // 0 while waiting
+    Service*            service = nullptr;
+    QueueKey            key;
+    std::optional<Time> deadline;  // of the program
+    Duration            target_latency = 0;
+    std::optional<Time> sent_time;  // nullopt while waiting
   };
-  Service* GetService(const std::string& name);
-  void     StartEligible(Service* service);
+  Service*      GetService(const std::string& name);
+  void          StartEligible(Service* service);
+  void          MoveLateTurnsBack(Service* service);
+  // Removes the turn from the queue and returns its callback.
+  StartCallback Dequeue(const Turn& turn);
 
   net::EventLoop*                          m_loop;
   traffic::ConcurrencyLimitSettings        m_settings;
--- a/src/yuccawick/traffic/concurrency_limit.cc
+++ b/src/yuccawick/traffic/concurrency_limit.cc
@@ -67,12 +67,18 @@
   return !m_bounded || under_way < m_limit;
 }
 
-double QueueRank(std::string_view program, int priority,
-                 std::optional<Duration> left) {
-  const auto   hash = XXH3_64bits(program.data(), program.size());
-  const double rank = std::ldexp(static_cast<double>(hash), -64);
-  const double late = left && *left <= 0 ? kLateRank : 0.0;
-  return rank + kPriorityStep * std::max(priority, 0) + late;
+QueueRank::QueueRank(std::string_view program, int priority,
+                     std::optional<Duration> left)
+    : m_time_to_late(left) {
+  const auto hash = XXH3_64bits(program.data(), program.size());
+  m_value = std::ldexp(static_cast<double>(hash), -64) +
+            kPriorityStep * std::max(priority, 0);
+  if (left && *left <= 0) {
+    m_value = Late(m_value);
+    m_time_to_late.reset();
+  }
 }
 
+double QueueRank::Late(double rank) { return rank + kLateRank; }
+
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/concurrency_limit.h
+++ b/src/yuccawick/traffic/concurrency_limit.h
@@ -12,10 +12,11 @@
 // the objective. Nodes need not exchange anything, because all of them observe
 // the same slow servers. While first events arrive in time, there is no limit.
 //
-// QueueRank() orders the waiting turns. The rank is a hash of the program id,
-// the same on every node and for all turns of a program, so that capacity goes
-// to complete programs instead of a little to each. Programs past their
-// deadline rank last; they continue after the burst.
+// QueueRank orders the waiting turns. The rank is a hash of the program id, the
+// same on every node and for all turns of a program, so that capacity goes to
+// complete programs instead of a little to each. Programs past their deadline
+// rank last, also if it passes while their turn waits; they continue after the
+// burst.
 #pragma once
 
 #include <deque>
@@ -74,9 +75,27 @@
   Time                     m_next_adapt = 0;
 };
 
-// Rank of a waiting turn; lower goes first. `priority`: 0 is most urgent.
-// `left`: ms until the deadline of the program; nullopt if it has none.
-double QueueRank(std::string_view program, int priority,
-                 std::optional<Duration> left);
+// Rank of a waiting turn; lower goes first.
+class QueueRank {
+ public:
+  // `priority`: 0 is most urgent. `left`: ms until the deadline of the program;
+  // nullopt if it has none.
+  QueueRank(std::string_view program, int priority,
+            std::optional<Duration> left);
+  // Rank of a turn without a deadline. Ranks convert from and to their value.
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  QueueRank(double value) : m_value(value) {}
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  operator double() const { return m_value; }
+
+  // ms until the program becomes late; nullopt if it already is or never will.
+  std::optional<Duration> time_to_late() const { return m_time_to_late; }
+  // Rank of the same turn once the program is late.
+  static double           Late(double rank);
+
+ private:
+  double                  m_value;
+  std::optional<Duration> m_time_to_late;
+};
 
 }  // namespace yuccawick::traffic
