Limit of running turns waits for the effect of a change

Callers: a second after a burst began up to 20 of 72 slots were idle while hundreds of turns waited at the nodes (turn_engage set).

Cause: under overload a first event takes longer than the pause between two changes. The second change rested on turns sent before the first, and cut the limit once more.

Change: Observe ignores turns sent before the last change.

--- a/src/yuccawick/traffic/concurrency_limit.cc
+++ b/src/yuccawick/traffic/concurrency_limit.cc
@@ -35,7 +35,9 @@
 }
 
 void ConcurrencyLimit::Observe(Duration latency, Duration objective, Time now) {
-  if (objective <= 0) return;
+  // A turn sent before the last change does not show its effect.
+  const bool is_outdated = m_bounded && now - latency < m_last_change;
+  if (objective <= 0 || is_outdated) return;
   m_samples.push_back(
       {now, static_cast<double>(latency) / static_cast<double>(objective)});
   if (m_samples.size() > kMaxSamples) m_samples.pop_front();
@@ -58,6 +60,8 @@
       std::clamp(m_settings.target / std::max(*median, kMinShare),
                  kMinStepFactor, kMaxStepFactor);
   m_limit = std::max(m_settings.least, m_limit * share + kStepIncrement);
+  m_last_change = now;
+  m_samples.clear();
   // A limit well above the running turns has no effect and is lifted.
   m_bounded = m_limit <= kLiftRatio * (under_way + 1);
 }
--- a/src/yuccawick/traffic/concurrency_limit.h
+++ b/src/yuccawick/traffic/concurrency_limit.h
@@ -73,6 +73,7 @@
   double                   m_limit = 0;
   bool                     m_bounded = false;
   Time                     m_next_adapt = 0;
+  Time                     m_last_change = 0;
 };
 
 // Rank of a waiting turn; lower goes first.
