One running turn per slot for routes not yet known

Cause: until programs of a route have ended, their final size counts as what they hold now, and the time that they need as 0.6 of their deadline. So memory doesn't limit them, and 2.7 turns per slot are admitted, each of which takes 2.7 times as long.

From 1 to 2 s none of 89 programs is refused, 65 are late; programs of 10 s and later reach 52 to 62 of 72 slots.

Change: new programs of a route are admitted up to one running turn per slot until four of its programs have ended at the coordinator. The new test fails without it.

--- a/src/yuccawick/admission/admission_controller.cc
+++ b/src/yuccawick/admission/admission_controller.cc
@@ -79,14 +79,21 @@
 }
 
 // A turn takes longer when more turns run. A program with slack accepts that,
-// so it may be admitted at a higher overcommit.
+// so it may be admitted at a higher overcommit. Programs of a route that is not
+// yet known reserve too little memory to be limited by it, and may have no
+// slack.
 double AdmissionController::MaxSlots(const AdmissionRequest& request,
                                      bool                    late) {
-  if (!request.left || late) return m_settings->slot_overcommit;
-  // Time shares observed during overload overestimate what a program needs.
-  const double time_needed = std::clamp(ProfileOf(request.route).TimeShare(),
-                                        kMinTimeNeeded, kMaxTimeNeeded);
-  return m_settings->slot_overcommit / time_needed;
+  constexpr double    kMaxOvercommitOfUnknown = 1.0;
+  const RouteProfile& profile = ProfileOf(request.route);
+  double              overcommit = m_settings->slot_overcommit;
+  if (request.left && !late) {
+    // Time shares observed during overload overestimate what a program needs.
+    overcommit /=
+        std::clamp(profile.TimeShare(), kMinTimeNeeded, kMaxTimeNeeded);
+  }
+  return profile.known() ? overcommit
+                         : std::min(overcommit, kMaxOvercommitOfUnknown);
 }
 
 bool AdmissionController::Fits(const AdmissionRequest& request,
--- a/src/yuccawick/admission/route_profile.cc
+++ b/src/yuccawick/admission/route_profile.cc
@@ -8,6 +8,7 @@
 
 constexpr int    kMeanWindow = 64;     // observations
 constexpr double kQuantileStep = 0.2;  // step on a logarithmic scale
+constexpr int    kMinEndedPrograms = 4;
 constexpr double kThinkTimeQuantile = 0.98;
 constexpr double kTimeShareQuantile = 0.67;
 constexpr double kInitialTimeShare = 0.6;
@@ -42,6 +43,10 @@
   m_think_time.Observe(static_cast<double>(std::max<Duration>(1, think_time)));
 }
 
+bool RouteProfile::known() const {
+  return m_final_tokens.count() >= kMinEndedPrograms;
+}
+
 Tokens RouteProfile::FinalTokens() const {
   return static_cast<Tokens>(m_final_tokens.value());
 }
--- a/src/yuccawick/admission/route_profile.h
+++ b/src/yuccawick/admission/route_profile.h
@@ -19,6 +19,7 @@
  public:
   void   Observe(double value);
   bool   empty() const { return m_count == 0; }
+  int    count() const { return m_count; }  // observations, up to the window
   double value() const { return m_value; }
 
  private:
@@ -51,6 +52,9 @@
   void ObserveEnd(Tokens tokens, Duration duration, Duration initial_time_left);
   void ObserveThinkTime(Duration think_time);
 
+  // Whether enough programs have ended to rely on FinalTokens() and
+  // TimeShare().
+  bool     known() const;
   // Mean tokens of a program at its end; 0 if none was observed.
   Tokens   FinalTokens() const;
   // High quantile of the pause between two turns, in ms.
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -423,6 +423,24 @@
   cr_assert_gt(test.Fill(1000, test.settings.settling), 1000);
 }
 
+// Guards against a burst at the start that is admitted whole: no program has
+// ended yet, so nothing tells how much memory and time its programs take.
+Test(Admission, NoProgramOfTheRouteHasEnded_OneTurnPerSlotIsAdmitted) {
+  constexpr int  kEndedPrograms = 4;
+  TestController test;
+  test.settings.slot_overcommit = AdmissionSettings{}.slot_overcommit;
+  cr_assert_eq(test.Fill(0, 0), kServers * kSlots);
+  for (int i = 0; i < kEndedPrograms; ++i)
+    test.controller.OnTurnEnded(MakeRequest(i), 100, 100);
+  const Time ended = 100 + 2 * test.settings.default_think_time;
+  test.controller.Sweep(ended);
+  const int admitted = test.Fill(1000, ended) - 1000;
+  cr_assert_gt(admitted, kServers * kSlots / 2);
+  AdmissionRequest of_new_route = MakeRequest(5000);
+  of_new_route.route = "new";
+  cr_assert(!test.Admit(of_new_route, ended));
+}
+
 // Guards against counting a program once per concurrent turn, and against
 // keeping slots that it no longer uses.
 Test(Admission, RunawayProgram_CountsOnlyRunningTurns) {
