Goodput check asks for the offered work where that is below the peak

The check asked for nine tenths of the peak at every load. Lowering that peak would be no fix.

Instead: at every load nine tenths of the peak, or of the offered work if that is less. Where the work exceeds the peak nothing changes; below it the check asks for nine tenths of what arrives. Loads, seeds, bound and simulation are as they were.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -41,6 +41,21 @@
   return sum;
 }
 
+// Work of all programs that arrive from `from` until `until` (ms), as the
+// average number of slots that it takes at idle servers; mean over the seeds.
+double OfferedWork(Load load, double from, double until) {
+  double sum = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    load.seed = seed;
+    const auto result = RunOverload(load, {AdmissionMode::kAdmitAll, 0, {}});
+    for (const OverloadProgram& program : result.programs) {
+      if (program.arrival >= from && program.arrival < until)
+        sum += program.work;
+    }
+  }
+  return sum / kSeeds / (until - from);
+}
+
 double Fraction(int part, int whole) {
   return whole == 0 ? 0 : static_cast<double>(part) / whole;
 }
@@ -51,7 +66,8 @@
   return holds;
 }
 
-// Goodput must not collapse when the load exceeds the capacity.
+// Goodput must not collapse when the load exceeds the capacity: at every load
+// it reaches nine tenths of its peak, or of the offered work if that is less.
 bool CheckGoodputUnderLoad() {
   constexpr double kBegin = 3000;
   constexpr double kEnd = 12'000;
@@ -61,11 +77,13 @@
   bool holds = true;
   for (const AdmissionMode mode : kModes) {
     std::vector<double> goodput;
+    std::vector<double> offered_work;
     for (const double factor : {1.0, 1.5, 2.0, 3.0}) {
       Load load;
       load.base = factor;
       const Count count = CountOverSeeds(load, {mode, 0, {}}, kBegin, kEnd);
       goodput.push_back(count.goodput);
+      offered_work.push_back(OfferedWork(load, kBegin, kEnd));
       std::cout << std::setw(4) << factor << "        " << std::left
                 << std::setw(15) << Name(mode) << std::right << std::setw(9)
                 << count.goodput << std::setw(9)
@@ -75,12 +93,15 @@
                 << Fraction(count.failed, count.arrived) << "\n";
     }
     const double peak = *std::max_element(goodput.begin(), goodput.end());
-    const double minimum = *std::min_element(goodput.begin(), goodput.end());
+    double       least = 1;  // of the peak or of the offered work
+    for (std::size_t i = 0; i < goodput.size(); ++i)
+      least = std::min(least, goodput[i] / std::min(peak, offered_work[i]));
     if (mode == AdmissionMode::kFairShare) {
-      holds = Check(minimum >= 0.9 * peak, "GoodputAtThreeTimesTheLoad",
+      holds = Check(least >= 0.9, "GoodputAtThreeTimesTheLoad",
                     "goodput at 1, 1.5, 2 and 3 times the load stays within a "
-                    "tenth of its peak: " +
-                        std::to_string(minimum / peak));
+                    "tenth of its peak, or of the offered work if that is "
+                    "less: " +
+                        std::to_string(least));
     }
   }
   return holds;
