--- a/src/yuccawick/admission/admission_controller.cc
+++ b/src/yuccawick/admission/admission_controller.cc
@@ -84,7 +84,7 @@
 // slack.
 double AdmissionController::MaxSlots(const AdmissionRequest& request,
                                      bool                    late) {
-  constexpr double    kMaxOvercommitOfUnknown = 1.0;
+  constexpr double    kUnknownRouteOvercommit = 1.0;  // turns per slot
   const RouteProfile& profile = ProfileOf(request.route);
   double              overcommit = m_settings->slot_overcommit;
   if (request.left && !late) {
@@ -93,7 +93,7 @@
         std::clamp(profile.TimeShare(), kMinTimeNeeded, kMaxTimeNeeded);
   }
   return profile.known() ? overcommit
-                         : std::min(overcommit, kMaxOvercommitOfUnknown);
+                         : std::min(overcommit, kUnknownRouteOvercommit);
 }
 
 bool AdmissionController::Fits(const AdmissionRequest& request,
