An idle service admits one program, however few slots it has

Callers: with one or two slots left a late program was refused no_room for ever, with no turn running.

Cause: the limit of one turn per slot for unknown routes times the threshold for late programs is 0.8 of a slot, less than the turn asked for; and below half of the slots counts as idle only from two slots on.

Change: at least one turn counts as idle. The new test fails without it.

--- a/src/yuccawick/admission/admission_controller.cc
+++ b/src/yuccawick/admission/admission_controller.cc
@@ -106,7 +106,8 @@
   usage.memory += EstimateTokens(request);
   const auto memory = static_cast<double>(usage.memory);
   const auto max_memory = static_cast<double>(capacity.memory);
-  if (usage.slots <= capacity.slots * m_settings->idle) {
+  // An idle service admits one program, however few slots it has.
+  if (usage.slots <= std::max(1.0, capacity.slots * m_settings->idle)) {
     return memory <=
            max_memory * std::max(kIdleMemoryFactor, m_settings->memory);
   }
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -441,6 +441,18 @@
   cr_assert(!test.Admit(of_new_route, ended));
 }
 
+// Guards against refusing late programs for ever: of a service with one slot
+// the threshold leaves less than the turn that they need.
+Test(Admission, OnlySlotIsIdle_LateProgramIsAdmitted) {
+  constexpr ServiceCapacity kOneSlot{1, 1, kServerMemory};
+  TestController            test;
+  AdmissionRequest          late = MakeRequest(0);
+  late.left = -1;
+  cr_assert(test.controller.TryAdmit(late, kOneSlot, 0).admitted);
+  late.program = "1";
+  cr_assert(!test.controller.TryAdmit(late, kOneSlot, 0).admitted);
+}
+
 // Guards against counting a program once per concurrent turn, and against
 // keeping slots that it no longer uses.
 Test(Admission, RunawayProgram_CountsOnlyRunningTurns) {
