As many turns as there are coordinators count as idle

Callers: of a service with two slots, programs were refused no_room for seconds while no turn ran.

Cause: after an admission each peer is taken to have admitted one as well, so with four peers one turn counts as five until they report.

Change: the limit below which slots count as idle is at least one turn for each coordinator that reports. The new test fails without it.

--- a/src/yuccawick/admission/admission_controller.cc
+++ b/src/yuccawick/admission/admission_controller.cc
@@ -104,10 +104,13 @@
   CapacityUsage usage = TotalUse(now);
   usage.slots += 1;
   usage.memory += EstimateTokens(request);
-  const auto memory = static_cast<double>(usage.memory);
-  const auto max_memory = static_cast<double>(capacity.memory);
-  // An idle service admits one program, however few slots it has.
-  if (usage.slots <= std::max(1.0, capacity.slots * m_settings->idle)) {
+  const auto   memory = static_cast<double>(usage.memory);
+  const auto   max_memory = static_cast<double>(capacity.memory);
+  // Usage is known to within one turn per coordinator, see TotalUse(). A limit
+  // below that would refuse programs while all slots are idle.
+  const double coordinators = 1.0 + ReportingPeers(now);
+  if (usage.slots <=
+      std::max(coordinators, capacity.slots * m_settings->idle)) {
     return memory <=
            max_memory * std::max(kIdleMemoryFactor, m_settings->memory);
   }
@@ -305,6 +308,13 @@
   m_peers[peer] = {usage, now, m_admitted};
 }
 
+int AdmissionController::ReportingPeers(Time now) const {
+  return static_cast<int>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& each) {
+        return now - each.second.received_at <= m_settings->usage_report_ttl;
+      }));
+}
+
 CapacityUsage AdmissionController::TotalUse(Time now) const {
   UsageByPartition parts = m_local_usage;
   CapacityUsage    total;
--- a/src/yuccawick/admission/admission_controller.h
+++ b/src/yuccawick/admission/admission_controller.h
@@ -143,6 +143,8 @@
     CapacityUsage    admitted_before;  // m_admitted at that time
   };
 
+  // Number of peers with a valid usage report.
+  int      ReportingPeers(Time now) const;
   double   MaxSlots(const AdmissionRequest& request, bool late);
   bool     Fits(const AdmissionRequest& request, std::optional<Duration> slack,
                 bool is_retrying, const capacity::ServiceCapacity& capacity,
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -453,6 +453,18 @@
   cr_assert(!test.controller.TryAdmit(late, kOneSlot, 0).admitted);
 }
 
+// Guards against refusing programs while all slots are idle: after an admission
+// each peer is assumed to have admitted one program as well.
+Test(Admission, FewerSlotsThanCoordinators_NextProgramIsAdmitted) {
+  constexpr ServiceCapacity kTwoSlots{2, 2, 2 * kServerMemory};
+  TestController            test;
+  for (const char* peer : {"a", "b", "c"})
+    test.controller.SetPeerUsage(peer, {}, 0);
+  cr_assert(test.controller.TryAdmit(MakeRequest(0), kTwoSlots, 0).admitted);
+  test.controller.OnTurnEnded(MakeRequest(0), 100, 10);
+  cr_assert(test.controller.TryAdmit(MakeRequest(1), kTwoSlots, 10).admitted);
+}
+
 // Guards against counting a program once per concurrent turn, and against
 // keeping slots that it no longer uses.
 Test(Admission, RunawayProgram_CountsOnlyRunningTurns) {
