Log how a later answer fits what was passed on

Callers saw streams end as complete too early. The log named the servers of a request but not what the answer to a later send was, what marked its end, which events it began with, or whether reading was paused, so four hypotheses could not be told apart.

AnswerProgress classifies each head against what the client has received; so far it decides nothing. New: log event 'continued', fields first_id, repeats, framing and paused, counter yuccawick_later_answers_total by fit.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -158,6 +158,7 @@
   forwarding.last_event =
       m_last_event_id.empty() ? m_info.last_event : m_last_event_id;
   forwarding.body_bytes = m_prompt_body.size();
+  m_progress.OnSend(forwarding.last_event);
   m_parts.log->Write(
       LogEvent::kSent,
       {{"request", m_info.attempt},
@@ -227,6 +228,7 @@
                       {"server", m_server_id},
                       {"cause", Name(cause)},
                       {"events_passed", m_event_count},
+                      {"first_id", m_progress.first_id()},
                       {"in_doubt", m_may_have_run ? "yes" : "no"},
                       {"left_ms", failure.left},
                       {"next", Name(step)}});
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -25,6 +25,7 @@
 #include "yuccawick/gateway/turn_dispatcher.h"
 #include "yuccawick/gateway/turn_store.h"
 #include "yuccawick/pressure/memory_budget.h"
+#include "yuccawick/traffic/answer_progress.h"
 #include "yuccawick/traffic/event_stream.h"
 #include "yuccawick/traffic/manifest.h"
 #include "yuccawick/traffic/refusal.h"
@@ -119,6 +120,7 @@
   void   ObserveEventTimes(std::int64_t before);
   void   ForwardPlain();
   void   WriteAnswer(std::string_view bytes);
+  void   ObserveLaterAnswer();
   void   BeginAnswer(std::int64_t length);
   void   EndStream();
   void   ObserveOutcome();
@@ -193,21 +195,23 @@
   bool                     m_may_have_run = false;
 
   // The answer.
-  net::Head              m_answer;
-  traffic::AnswerInfo    m_answer_info;
-  bool                   m_has_answer = false;  // head of this send received
-  bool                   m_head_forwarded = false;
-  bool                   m_is_stream = false;
-  std::string            m_plain_body;  // buffered body
-  traffic::EventSplitter m_events;
-  std::string            m_last_event_id;  // last forwarded event
-  std::string            m_output;         // event data for the turn record
-  std::int64_t           m_event_count = 0;
-  Time                   m_first_event_time = 0;
-  Time                   m_last_event_time = 0;
-  Time                   m_sent_time = 0;
-  bool                   m_had_free_slot = false;  // when sent
-  LogPosition            m_log_position;           // of the persisted turn
+  net::Head               m_answer;
+  traffic::AnswerInfo     m_answer_info;
+  bool                    m_has_answer = false;  // head of this send received
+  bool                    m_head_forwarded = false;
+  bool                    m_is_stream = false;
+  bool                    m_reading_paused = false;  // until the client reads
+  traffic::AnswerProgress m_progress;
+  std::string             m_plain_body;  // buffered body
+  traffic::EventSplitter  m_events;
+  std::string             m_last_event_id;  // last forwarded event
+  std::string             m_output;         // event data for the turn record
+  std::int64_t            m_event_count = 0;
+  Time                    m_first_event_time = 0;
+  Time                    m_last_event_time = 0;
+  Time                    m_sent_time = 0;
+  bool                    m_had_free_slot = false;  // when sent
+  LogPosition             m_log_position;           // of the persisted turn
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -31,6 +31,13 @@
 // has an empty name.
 constexpr std::string_view   kEventServiceKind;
 
+// How the end of a server's answer is marked.
+std::string_view Framing(const net::Head& head) {
+  if (head.ends_with_connection) return "connection";
+  return head.headers.Find("Transfer-Encoding") != nullptr ? "chunks"
+                                                           : "length";
+}
+
 bool SuggestsNotRun(int status) {
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
          kNotRunStatuses.end();
@@ -46,9 +53,21 @@
   m_has_answer = true;
   m_is_stream = info.event_stream && head.status == kOk &&
                 m_route->kind == RequestKind::kStreaming;
+  m_progress.OnHead(m_info, info, m_is_stream);
+  if (m_progress.begun()) ObserveLaterAnswer();
   return true;
 }
 
+void Exchange::ObserveLaterAnswer() {
+  m_parts.metrics->CountLaterAnswer(m_progress.fit());
+  m_parts.log->Write(LogEvent::kContinued, {{"request", m_info.attempt},
+                                            {"server", m_server_id},
+                                            {"status", m_answer.status},
+                                            {"fit", Name(m_progress.fit())},
+                                            {"framing", Framing(m_answer)},
+                                            {"events_passed", m_event_count}});
+}
+
 void Exchange::OnBackendBody(std::string_view bytes) {
   if (!m_has_answer) return;
   if (m_is_stream) {
@@ -66,6 +85,7 @@
 
 void Exchange::ForwardPlain() {
   if (!m_head_forwarded) BeginAnswer(-1);
+  m_progress.OnPlainPart();
   std::string out;
   net::AppendChunk(&out, std::exchange(m_plain_body, {}));
   WriteAnswer(out);
@@ -80,7 +100,8 @@
 
 void Exchange::WriteAnswer(std::string_view bytes) {
   m_client->WriteToClient(bytes);
-  if (m_client->ClientBacklog() > kMaxBacklog) m_connection->HoldReading(true);
+  m_reading_paused = m_client->ClientBacklog() > kMaxBacklog;
+  if (m_reading_paused) m_connection->HoldReading(true);
 }
 
 void Exchange::ForwardEvents(std::string_view bytes) {
@@ -99,6 +120,7 @@
   std::string          out;
   traffic::StreamEvent event;
   while (m_events.Next(&event)) {
+    m_progress.OnEvent(event.id);
     net::AppendChunk(&out, event.bytes);
     if (!event.id.empty()) m_last_event_id = event.id;
     if (m_route->keeps_turns) m_output.append(event.data).append("\n");
@@ -130,6 +152,7 @@
 }
 
 void Exchange::ClientDrained() {
+  m_reading_paused = false;
   if (m_connection != nullptr) m_connection->HoldReading(false);
 }
 
@@ -233,6 +256,10 @@
        {"server", m_server_id},
        {"status", m_answer.status},
        {"events", m_event_count},
+       {"repeats", m_resends},
+       {"framing", Framing(m_answer)},
+       {"paused", m_reading_paused ? "yes" : "no"},
+       {"first_id", m_progress.first_id()},
        {"first_event_ms",
         m_first_event_time == 0 ? 0 : m_first_event_time - m_start_time},
        {"turn_partition", m_log_position.partition},
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -25,18 +25,19 @@
   kStarted,
   kStopping,
   kStopped,
-  kSettings,  // settings file reloaded
-  kManifest,  // a manifest took effect on this node
-  kServers,   // the list of backend servers changed
-  kLogLost,   // a partition of the platform's log became unavailable
-  kLogBack,   // the partition answers again
-  kLogUse,    // calls to the platform's log since the last such line
-  kAccepted,  // a request was read and matched a route
-  kSent,      // sent to a backend server, with the reasons for the choice
-  kLoss,      // a send failed, with the next step
-  kAnswered,  // the client received its whole answer
-  kRefused,   // answered by the gateway itself, with an error
-  kCutOff,    // the answer was aborted
+  kSettings,   // settings file reloaded
+  kManifest,   // a manifest took effect on this node
+  kServers,    // the list of backend servers changed
+  kLogLost,    // a partition of the platform's log became unavailable
+  kLogBack,    // the partition answers again
+  kLogUse,     // calls to the platform's log since the last such line
+  kAccepted,   // a request was read and matched a route
+  kSent,       // sent to a backend server, with the reasons for the choice
+  kLoss,       // a send failed, with the next step
+  kContinued,  // a server answered after part of an answer was passed on
+  kAnswered,   // the client received its whole answer
+  kRefused,    // answered by the gateway itself, with an error
+  kCutOff,     // the answer was aborted
   kClientLeft,
   kWaiting,   // the turn waits for the platform's log before it is sent
   kClaim,     // tokens of a program were claimed
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -53,6 +53,13 @@
     const std::string name(Name(static_cast<traffic::RequestKind>(i)));
     m_answers[i] = &answers.Add({{"kind", name}});
   }
+  auto& later_answers = CounterFamily(
+      registry, "yuccawick_later_answers_total",
+      "Servers' answers that came after a part of an answer was passed on");
+  for (std::size_t i = 0; i < m_later_answers.size(); ++i) {
+    const std::string name(Name(static_cast<traffic::AnswerFit>(i)));
+    m_later_answers[i] = &later_answers.Add({{"fit", name}});
+  }
   AddLogCalls(registry);
   AddMemory(registry);
   auto& persisted =
@@ -159,6 +166,10 @@
   m_answers[static_cast<std::size_t>(kind)]->Increment();
 }
 
+void Metrics::CountLaterAnswer(traffic::AnswerFit fit) {
+  m_later_answers[static_cast<std::size_t>(fit)]->Increment();
+}
+
 void Metrics::CountTurnPersisted(bool by_peer) {
   m_turns_persisted[by_peer ? 1 : 0]->Increment();
 }
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -17,6 +17,7 @@
 
 #include "platform/store.h"
 #include "yuccawick/pressure/memory_budget.h"
+#include "yuccawick/traffic/answer_progress.h"
 #include "yuccawick/traffic/attempt.h"
 #include "yuccawick/traffic/refusal.h"
 
@@ -41,6 +42,8 @@
   void CountSendFailure(traffic::SendFailureCause cause);
   void CountRetry(traffic::SendFailureCause cause);
   void CountAnswer(traffic::RequestKind kind);
+  // A server answered after a part of an answer had been passed on.
+  void CountLaterAnswer(traffic::AnswerFit fit);
   void CountStoreCall(const platform::CallReport& call);  // thread-safe
   void CountTurnPersisted(bool by_peer);
   void ObserveAnswer(double seconds);
@@ -65,12 +68,13 @@
   void AddLogCalls(prometheus::Registry* registry);
   void AddMemory(prometheus::Registry* registry);
 
-  std::shared_ptr<prometheus::Registry>                    m_registry;
-  std::array<prometheus::Counter*, traffic::kRefusalCount> m_refusals{};
-  std::array<prometheus::Counter*, 4>                      m_send_failures{};
-  std::array<prometheus::Counter*, 4>                      m_retries{};
-  std::array<prometheus::Counter*, 3>                      m_answers{};
-  std::array<prometheus::Counter*, 2>                      m_turns_persisted{};
+  std::shared_ptr<prometheus::Registry>                      m_registry;
+  std::array<prometheus::Counter*, traffic::kRefusalCount>   m_refusals{};
+  std::array<prometheus::Counter*, 4>                        m_send_failures{};
+  std::array<prometheus::Counter*, 4>                        m_retries{};
+  std::array<prometheus::Counter*, 3>                        m_answers{};
+  std::array<prometheus::Counter*, traffic::kAnswerFitCount> m_later_answers{};
+  std::array<prometheus::Counter*, 2> m_turns_persisted{};
   struct LogCalls {
     prometheus::Counter* succeeded = nullptr;
     prometheus::Counter* failed = nullptr;
--- /dev/null
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -0,0 +1,77 @@
+#include "yuccawick/traffic/answer_progress.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace yuccawick::traffic {
+namespace {
+
+constexpr int                kFirstSuccess = 200;
+constexpr int                kLastSuccess = 299;
+// Statuses that mean "not run" to a client. Only AnswerInfo::not_run states it.
+constexpr std::array<int, 4> kNotRunStatuses{408, 421, 429, 503};
+
+bool MeansNotRun(int status) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
+         kNotRunStatuses.end();
+}
+
+bool IsValid(const RequestInfo& request, const AnswerInfo& answer) {
+  const bool success =
+      answer.status >= kFirstSuccess && answer.status <= kLastSuccess;
+  return answer.attempt == request.attempt && !answer.encoded &&
+         (answer.stamped || !success);
+}
+
+}  // namespace
+
+std::string_view Name(AnswerFit fit) {
+  constexpr std::array<std::string_view, kAnswerFitCount> kNames{
+      "first",   "continuation", "not_run",   "not_run_unsaid",
+      "invalid", "other_status", "other_form"};
+  return kNames[static_cast<std::size_t>(fit)];
+}
+
+void AnswerProgress::OnSend(std::string after_event) {
+  m_after_event = std::move(after_event);
+  m_fit = AnswerFit::kInvalid;
+  m_status = 0;
+  m_is_stream = false;
+  m_had_event = false;
+  m_first_id.clear();
+}
+
+void AnswerProgress::OnHead(const RequestInfo& request,
+                            const AnswerInfo& answer, bool is_stream) {
+  m_status = answer.status;
+  m_is_stream = is_stream;
+  m_fit = Classify(request, answer, is_stream);
+}
+
+AnswerFit AnswerProgress::Classify(const RequestInfo& request,
+                                   const AnswerInfo&  answer,
+                                   bool               is_stream) const {
+  if (answer.not_run) return AnswerFit::kNotRun;
+  if (!IsValid(request, answer)) return AnswerFit::kInvalid;
+  if (m_begun) {
+    if (answer.status != m_begun_status) return AnswerFit::kOtherStatus;
+    return is_stream && m_begun_stream ? AnswerFit::kContinuation
+                                       : AnswerFit::kOtherForm;
+  }
+  return MeansNotRun(answer.status) ? AnswerFit::kNotRunUnsaid
+                                    : AnswerFit::kFirst;
+}
+
+void AnswerProgress::OnEvent(std::string_view id) {
+  Begin();
+  if (!std::exchange(m_had_event, true)) m_first_id = id;
+}
+
+void AnswerProgress::Begin() {
+  if (std::exchange(m_begun, true)) return;
+  m_begun_status = m_status;
+  m_begun_stream = m_is_stream;
+}
+
+}  // namespace yuccawick::traffic
--- /dev/null
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -0,0 +1,74 @@
+// Relates the answers of backend servers to the one answer that a client gets.
+//
+// A request may be sent several times. Once a part of an answer was passed on,
+// the client holds its status, headers and form, and a later answer can only
+// continue it, as a stream that goes on behind the last event.
+//
+//   progress.OnSend(after_event);
+//   progress.OnHead(info, answer, is_stream);   // see fit()
+//   progress.OnEvent(id);                       // for each event passed on
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "yuccawick/traffic/request.h"
+
+namespace yuccawick::traffic {
+
+// How a server's answer fits what the client has received.
+enum class AnswerFit : std::uint8_t {
+  kFirst,         // nothing was passed on yet; this answer may be
+  kContinuation,  // continues the stream that was passed on in part
+  kNotRun,        // the server states that it did not run the request
+  kNotRunUnsaid,  // its status means "not run", but the server does not state
+                  // it
+  kInvalid,       // not an answer to this request, or without a signature
+  kOtherStatus,   // a part with another status was passed on
+  kOtherForm,     // a part was passed on, and not both are event streams
+};
+constexpr std::size_t kAnswerFitCount = 7;
+std::string_view      Name(AnswerFit fit);
+
+class AnswerProgress {
+ public:
+  // The request is sent. `after_event`: the server is asked to go on behind
+  // this event; empty: to begin with the first one.
+  void OnSend(std::string after_event);
+  // The head of the server's answer to `request`. `is_stream`: it is passed on
+  // event by event.
+  void OnHead(const RequestInfo& request, const AnswerInfo& answer,
+              bool is_stream);
+  // An event is passed on; `id` is empty if it has none.
+  void OnEvent(std::string_view id);
+  // A part of a plain answer is passed on.
+  void OnPlainPart() { Begin(); }
+
+  // Whether a part of an answer was passed on.
+  bool               begun() const { return m_begun; }
+  // Of the current send; kInvalid before its head.
+  AnswerFit          fit() const { return m_fit; }
+  // Id of the current send's first event; empty if there is none.
+  const std::string& first_id() const { return m_first_id; }
+
+ private:
+  AnswerFit Classify(const RequestInfo& request, const AnswerInfo& answer,
+                     bool is_stream) const;
+  void      Begin();
+
+  // What the client has received.
+  bool m_begun = false;
+  int  m_begun_status = 0;
+  bool m_begun_stream = false;
+
+  // The current send.
+  std::string m_after_event;
+  AnswerFit   m_fit = AnswerFit::kInvalid;
+  int         m_status = 0;
+  bool        m_is_stream = false;
+  bool        m_had_event = false;
+  std::string m_first_id;
+};
+
+}  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/request.h
+++ b/src/yuccawick/traffic/request.h
@@ -32,6 +32,7 @@
 };
 
 struct AnswerInfo {
+  int         status = 0;
   std::string attempt;          // id of the answered attempt; empty: not stated
   bool        stamped = false;  // has the server's signature
   bool        not_run = false;  // server states it did not run
