Only the answer that was begun can end it as complete

Callers saw a stream of a resumable route end as complete (status 200, last chunk) before its last event, with the body of another server's failure in place of the rest.

Cause: the gateway kept the state of the latest server's answer only. After a part had been passed on, the answer to the next send replaced the head, the form and the status, and its own end was taken for the end of what the client had begun to receive. The same held for an answer of the gateway's own: with no server left it was written into the begun stream. Class: what an end means was decided from the last message, at five places, not from what the client holds.

Change: AnswerProgress keeps what the client has received. A later answer is a continuation (valid, same status, both event streams), or its send has failed and is repeated or the answer is broken off. Only AnswerProgress creates an AnswerEnd, and the client's connection ends or sends an answer only with one, so no other code can complete a begun answer; Refuse() breaks it off.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -157,11 +157,28 @@
   return m_close_after_answer || m_host->Closing();
 }
 
-void ClientConnection::WriteToClient(std::string_view bytes) {
-  m_stream.Write(bytes);
+void ClientConnection::SendAnswer(traffic::AnswerEnd /*end*/,
+                                  std::string_view answer) {
+  m_stream.Write(answer);
+  OnAnswerWritten();
 }
 
-void ClientConnection::AnswerDone() {
+void ClientConnection::BeginAnswer(std::string_view head) {
+  m_stream.Write(head);
+}
+
+void ClientConnection::WriteChunk(std::string_view bytes) {
+  std::string chunk;
+  net::AppendChunk(&chunk, bytes);
+  m_stream.Write(chunk);
+}
+
+void ClientConnection::EndAnswer(traffic::AnswerEnd /*end*/) {
+  m_stream.Write(net::kLastChunk);
+  OnAnswerWritten();
+}
+
+void ClientConnection::OnAnswerWritten() {
   const bool close = ClosesAfterAnswer();
   m_parts.loop->Defer([exchange = std::move(m_exchange)] {});
   m_exchange = nullptr;
@@ -177,7 +194,7 @@
   ProcessInput();
 }
 
-void ClientConnection::AnswerBroken() {
+void ClientConnection::BreakAnswer() {
   m_parts.loop->Defer([exchange = std::move(m_exchange)] {});
   m_exchange = nullptr;
   // The missing last chunk already marks the answer as incomplete; the reset
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -52,15 +52,19 @@
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd() override;
 
-  void        WriteToClient(std::string_view bytes) override;
+  void SendAnswer(traffic::AnswerEnd end, std::string_view answer) override;
+  void BeginAnswer(std::string_view head) override;
+  void WriteChunk(std::string_view bytes) override;
+  void EndAnswer(traffic::AnswerEnd end) override;
+  void BreakAnswer() override;
+  bool ClosesAfterAnswer() const override;
   std::size_t ClientBacklog() const override { return m_stream.pending(); }
-  void        AnswerDone() override;
-  void        AnswerBroken() override;
-  bool        ClosesAfterAnswer() const override;
 
  private:
   void ProcessInput();
   void StartExchange();
+  // The answer is written; goes on with the next request or closes.
+  void OnAnswerWritten();
   // Reserves memory for the body; false if the node's budget is used up.
   bool ReserveBodyMemory(std::size_t body_bytes);
   void RejectForMemory();
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -100,7 +100,7 @@
       !newest_workspaces || newest_workspaces->FindByKey(m_info.key) != nullptr;
   const bool lease_valid = m_parts.key_lease->Holds(m_parts.loop->ReadClock());
   if (key_known && lease_valid) return true;
-  if (m_head_forwarded) {
+  if (m_progress.begun()) {
     AbortAnswer("key_gone");
   } else if (m_may_have_run) {
     Refuse(Refusal::kServerFailed);
@@ -136,7 +136,6 @@
   if (!EnsureKeyValid()) return;
   const traffic::BackendServer& server = choice.server;
   m_server_id = server.id;
-  m_has_answer = false;
   m_events = {};
   m_plain_body.clear();
   m_last_event_time = 0;
@@ -218,7 +217,7 @@
   failure.servers_sent = static_cast<int>(m_sent_servers.size());
   failure.repeats = m_resends;
   failure.in_doubt = m_may_have_run;
-  failure.answering = m_head_forwarded;
+  failure.answering = m_progress.begun();
   failure.other_server =
       m_parts.backends->HasUntried(m_service, m_tried_servers);
   failure.left = TimeLeft();
@@ -274,10 +273,10 @@
   if (m_client == nullptr) return;
   const bool sent = m_may_have_run || m_phase == AttemptPhase::kSent ||
                     m_phase == AttemptPhase::kAnswering;
-  if (sent && !m_head_forwarded)
+  if (sent && !m_progress.begun())
     m_parts.backends->ObserveBadAnswer(m_server_id);
   DetachServer(false);
-  if (m_head_forwarded) {
+  if (m_progress.begun()) {
     AbortAnswer("out_of_time");
   } else {
     Refuse(sent ? Refusal::kLateSent : Refusal::kLateUnsent);
@@ -312,6 +311,11 @@
 
 void Exchange::Refuse(Refusal refusal) {
   const auto self = shared_from_this();
+  const auto end = m_progress.EndWithOwnAnswer();
+  if (!end) {
+    AbortAnswer(Name(refusal));
+    return;
+  }
   DetachServer(false);
   m_parts.metrics->CountRefusal(refusal);
   const Duration retry_after = RetryAfter(refusal);
@@ -326,11 +330,11 @@
                       {"took_ms", m_parts.loop->now() - m_start_time}});
   const bool close =
       refusal == Refusal::kMalformed || m_client->ClosesAfterAnswer();
-  m_client->WriteToClient(platform::EncodeOwnAnswer(
-      Status(refusal), Name(refusal), m_info.attempt, retry_after, close));
+  const std::string answer = platform::EncodeOwnAnswer(
+      Status(refusal), Name(refusal), m_info.attempt, retry_after, close);
   ClientSide* client = m_client;
   End();
-  client->AnswerDone();
+  client->SendAnswer(*end, answer);
 }
 
 void Exchange::AbortAnswer(std::string_view why) {
@@ -343,7 +347,7 @@
                       {"took_ms", m_parts.loop->now() - m_start_time}});
   ClientSide* client = m_client;
   End();
-  client->AnswerBroken();
+  client->BreakAnswer();
 }
 
 void Exchange::OnClientDisconnected() {
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -9,7 +9,7 @@
 //   recording   holds back the last bytes until the turn is durable, because
 //               the client may name the turn as soon as it has seen the end
 //
-// An exchange ends exactly once, with AnswerDone() or AnswerBroken(), or when
+// An exchange ends exactly once, when the answer is complete or broken, or when
 // the client disconnects.
 #pragma once
 
@@ -34,17 +34,22 @@
 
 namespace yuccawick::gateway {
 
-// The client side of an exchange, implemented by ClientConnection.
+// The client side of an exchange, implemented by ClientConnection. An answer is
+// either sent in one piece, or begun, written in chunks, and ended or broken.
 class ClientSide {
  public:
   virtual ~ClientSide() = default;
-  virtual void        WriteToClient(std::string_view bytes) = 0;
-  virtual std::size_t ClientBacklog() const = 0;  // unsent bytes
-  // The answer is complete; the connection may serve another request.
-  virtual void        AnswerDone() = 0;
+  // Sends a complete answer, head and body.
+  virtual void SendAnswer(traffic::AnswerEnd end, std::string_view answer) = 0;
+  // Begins an answer whose body is sent in chunks.
+  virtual void BeginAnswer(std::string_view head) = 0;
+  virtual void WriteChunk(std::string_view bytes) = 0;  // no effect if empty
+  // Ends the answer as complete; the connection may serve another request.
+  virtual void EndAnswer(traffic::AnswerEnd end) = 0;
   // The answer cannot be completed; resets the connection.
-  virtual void        AnswerBroken() = 0;
-  virtual bool        ClosesAfterAnswer() const = 0;
+  virtual void BreakAnswer() = 0;
+  virtual bool ClosesAfterAnswer() const = 0;
+  virtual std::size_t ClientBacklog() const = 0;  // unsent bytes
 };
 
 // Services of the node that all exchanges share; not owned.
@@ -114,19 +119,19 @@
   void   OnSendFailed(traffic::SendFailureCause cause);
   void   SendAgain(traffic::NextStep step);
   // Answering
-  // Whether the answer's status and headers belong to this request.
-  bool   IsAnswerValid() const;
   void   ForwardEvents(std::string_view bytes);
   void   ObserveEventTimes(std::int64_t before);
   void   ForwardPlain();
   void   WriteAnswer(std::string_view bytes);
   void   ObserveLaterAnswer();
-  void   BeginAnswer(std::int64_t length);
-  void   EndStream();
+  void   BeginAnswer();
+  void   OnUnfitAnswer();
+  void   EndStream(traffic::AnswerEnd end);
   void   ObserveOutcome();
-  void   EndPlain();
-  void   RecordTurn();
-  void   FinishAnswer(std::string_view last_bytes);
+  void   EndPlain(traffic::AnswerEnd end);
+  void   RecordTurn(traffic::AnswerEnd end);
+  // `whole`: the answer, if no part of it was passed on.
+  void   FinishAnswer(traffic::AnswerEnd end, std::string_view whole = {});
   // Ending
   void   OnDeadline();
   void   Refuse(traffic::Refusal refusal);
@@ -195,11 +200,7 @@
   bool                     m_may_have_run = false;
 
   // The answer.
-  net::Head               m_answer;
-  traffic::AnswerInfo     m_answer_info;
-  bool                    m_has_answer = false;  // head of this send received
-  bool                    m_head_forwarded = false;
-  bool                    m_is_stream = false;
+  net::Head               m_answer;  // head of the current server's answer
   bool                    m_reading_paused = false;  // until the client reads
   traffic::AnswerProgress m_progress;
   std::string             m_plain_body;  // buffered body
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-#include <array>
 #include <utility>
 
 #include "yuccawick/gateway/exchange.h"
@@ -10,26 +8,26 @@
 namespace yuccawick::gateway {
 namespace {
 
+using traffic::AnswerFit;
 using traffic::AttemptEvent;
 using traffic::AttemptPhase;
 using traffic::Refusal;
 using traffic::RequestKind;
 using traffic::SendFailureCause;
 
-constexpr int                kOk = 200;
-constexpr int                kMaxSuccessStatus = 299;
-// Statuses that suggest that the request did not run. Only
-// AnswerInfo::not_run states it explicitly.
-constexpr std::array<int, 4> kNotRunStatuses{408, 421, 429, 503};
+constexpr int              kOk = 200;
+constexpr int              kMaxSuccessStatus = 299;
 // Unsent bytes per client above which reading from the server is paused.
-constexpr std::size_t        kMaxBacklog = 256UL * 1024;
+constexpr std::size_t      kMaxBacklog = 256UL * 1024;
 // Answers up to this size (bytes) are buffered before forwarding, so that a
 // truncated answer can still be retried or reported as a failure.
-constexpr std::size_t        kMaxBufferedAnswer = 256UL * 1024;
-constexpr double             kMillisPerSecond = 1000.0;
+constexpr std::size_t      kMaxBufferedAnswer = 256UL * 1024;
+// Length of a body that is sent in chunks, for EncodeAnswerHead().
+constexpr std::int64_t     kChunked = -1;
+constexpr double           kMillisPerSecond = 1000.0;
 // Kind of the service time of stream events, shared by all routes; no route
 // has an empty name.
-constexpr std::string_view   kEventServiceKind;
+constexpr std::string_view kEventServiceKind;
 
 // How the end of a server's answer is marked.
 std::string_view Framing(const net::Head& head) {
@@ -38,22 +36,15 @@
                                                            : "length";
 }
 
-bool SuggestsNotRun(int status) {
-  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
-         kNotRunStatuses.end();
-}
-
 }  // namespace
 
 bool Exchange::OnBackendHead(const net::Head& head) {
   const traffic::AnswerInfo info = platform::DecodeAnswer(head);
   if (!info.attempt.empty() && info.attempt != m_info.attempt) return false;
+  const bool is_stream = info.event_stream && head.status == kOk &&
+                         m_route->kind == RequestKind::kStreaming;
   m_answer = head;
-  m_answer_info = info;
-  m_has_answer = true;
-  m_is_stream = info.event_stream && head.status == kOk &&
-                m_route->kind == RequestKind::kStreaming;
-  m_progress.OnHead(m_info, info, m_is_stream);
+  m_progress.OnHead(m_info, info, is_stream);
   if (m_progress.begun()) ObserveLaterAnswer();
   return true;
 }
@@ -69,37 +60,23 @@
 }
 
 void Exchange::OnBackendBody(std::string_view bytes) {
-  if (!m_has_answer) return;
-  if (m_is_stream) {
-    if (m_answer_info.stamped && !m_answer_info.encoded) ForwardEvents(bytes);
+  if (!m_progress.passes_body()) return;
+  if (m_progress.is_stream()) {
+    ForwardEvents(bytes);
     return;
   }
-  // The body is needed only if the answer is forwarded.
-  const bool may_pass = IsAnswerValid() && !m_answer_info.not_run &&
-                        !SuggestsNotRun(m_answer.status);
-  if (!may_pass) return;
   m_plain_body += bytes;
   if (m_plain_body.size() > kMaxBufferedAnswer) ForwardPlain();
   UpdateMemoryCharge();
 }
 
 void Exchange::ForwardPlain() {
-  if (!m_head_forwarded) BeginAnswer(-1);
-  m_progress.OnPlainPart();
-  std::string out;
-  net::AppendChunk(&out, std::exchange(m_plain_body, {}));
-  WriteAnswer(out);
-}
-
-bool Exchange::IsAnswerValid() const {
-  const bool success =
-      m_answer.status >= kOk && m_answer.status <= kMaxSuccessStatus;
-  return m_answer_info.attempt == m_info.attempt && !m_answer_info.encoded &&
-         (m_answer_info.stamped || !success);
+  if (!m_progress.begun()) BeginAnswer();
+  WriteAnswer(std::exchange(m_plain_body, {}));
 }
 
 void Exchange::WriteAnswer(std::string_view bytes) {
-  m_client->WriteToClient(bytes);
+  m_client->WriteChunk(bytes);
   m_reading_paused = m_client->ClientBacklog() > kMaxBacklog;
   if (m_reading_paused) m_connection->HoldReading(true);
 }
@@ -109,7 +86,7 @@
     OnBackendFailed(SendFailureCause::kBadAnswer);
     return;
   }
-  if (!m_head_forwarded) BeginAnswer(-1);
+  if (!m_progress.begun()) BeginAnswer();
   const auto tokens_per_event = [&]() -> programs::Tokens {
     const auto* service = m_routes->manifest()->FindService(m_service);
     return service != nullptr && service->engine
@@ -121,7 +98,7 @@
   traffic::StreamEvent event;
   while (m_events.Next(&event)) {
     m_progress.OnEvent(event.id);
-    net::AppendChunk(&out, event.bytes);
+    out += event.bytes;
     if (!event.id.empty()) m_last_event_id = event.id;
     if (m_route->keeps_turns) m_output.append(event.data).append("\n");
     if (m_event_count++ == 0) {
@@ -156,32 +133,54 @@
   if (m_connection != nullptr) m_connection->HoldReading(false);
 }
 
-void Exchange::BeginAnswer(std::int64_t length) {
-  m_head_forwarded = true;
+void Exchange::BeginAnswer() {
+  m_progress.Begin();
   if (m_phase == AttemptPhase::kSent) Fire(AttemptEvent::kAnswerBegan);
-  m_client->WriteToClient(platform::EncodeAnswerHead(
-      m_answer, length, m_client->ClosesAfterAnswer()));
+  m_client->BeginAnswer(platform::EncodeAnswerHead(
+      m_answer, kChunked, m_client->ClosesAfterAnswer()));
 }
 
 void Exchange::OnBackendEnd() {
   const auto self = shared_from_this();
   if (m_client == nullptr) return;
-  if (m_answer_info.not_run) {
-    DetachServer(true);
-    m_parts.backends->ObserveBadAnswer(m_server_id);
-    OnSendFailed(SendFailureCause::kNotRun);
-    return;
-  }
-  if (!IsAnswerValid() || (m_is_stream && m_events.has_partial())) {
-    OnBackendFailed(SendFailureCause::kBadAnswer);
+  const auto end = m_progress.End(m_events.has_partial());
+  if (!end) {
+    OnUnfitAnswer();
     return;
   }
   DetachServer(true);
   ObserveOutcome();
-  if (m_is_stream) {
-    EndStream();
+  if (m_progress.is_stream()) {
+    EndStream(*end);
   } else {
-    EndPlain();
+    EndPlain(*end);
+  }
+}
+
+// The server's answer is whole, but does not complete what the client has.
+void Exchange::OnUnfitAnswer() {
+  switch (m_progress.fit()) {
+    case AnswerFit::kNotRun:
+      DetachServer(true);
+      m_parts.backends->ObserveBadAnswer(m_server_id);
+      OnSendFailed(SendFailureCause::kNotRun);
+      return;
+    case AnswerFit::kNotRunUnsaid:
+      DetachServer(true);
+      ObserveOutcome();
+      Refuse(Refusal::kServerFailed);
+      return;
+    case AnswerFit::kOtherStatus:
+    case AnswerFit::kOtherForm:
+      DetachServer(true);
+      m_parts.backends->ObserveBadAnswer(m_server_id);
+      OnSendFailed(SendFailureCause::kBadAnswer);
+      return;
+    case AnswerFit::kFirst:
+    case AnswerFit::kContinuation:  // the stream stopped within an event
+    case AnswerFit::kInvalid:
+      OnBackendFailed(SendFailureCause::kBadAnswer);
+      return;
   }
 }
 
@@ -191,7 +190,7 @@
     m_parts.backends->ObserveBadAnswer(m_server_id);
   } else {
     m_parts.backends->ObserveSuccess(m_server_id);
-    if (m_answer.status <= kMaxSuccessStatus && !m_is_stream &&
+    if (m_answer.status <= kMaxSuccessStatus && !m_progress.is_stream() &&
         m_had_free_slot) {
       m_parts.backends->ObserveServiceTime(
           m_server_id, m_route->name,
@@ -200,52 +199,47 @@
   }
 }
 
-void Exchange::EndPlain() {
-  // Such a status would promise the client that its request did not run, which
-  // the server did not state.
-  if (SuggestsNotRun(m_answer.status)) {
-    Refuse(Refusal::kServerFailed);
-    return;
-  }
+void Exchange::EndPlain(traffic::AnswerEnd end) {
   Fire(AttemptEvent::kAnswerEnded);
-  if (!m_head_forwarded) {
-    BeginAnswer(static_cast<std::int64_t>(m_plain_body.size()));
-    FinishAnswer(m_plain_body);
+  if (m_progress.begun()) {
+    m_client->WriteChunk(m_plain_body);
+    FinishAnswer(end);
     return;
   }
-  std::string rest;
-  net::AppendChunk(&rest, m_plain_body);
-  FinishAnswer(rest.append(net::kLastChunk));
+  const auto length = static_cast<std::int64_t>(m_plain_body.size());
+  FinishAnswer(end, platform::EncodeAnswerHead(m_answer, length,
+                                               m_client->ClosesAfterAnswer()) +
+                        m_plain_body);
 }
 
-void Exchange::EndStream() {
-  if (!m_head_forwarded) BeginAnswer(-1);
+void Exchange::EndStream(traffic::AnswerEnd end) {
+  if (!m_progress.begun()) BeginAnswer();
   m_parts.backends->RememberSession(SessionKey(), m_server_id);
   if (!Fire(AttemptEvent::kAnswerEnded)) return;
   if (m_route->keeps_turns) {
-    RecordTurn();
+    RecordTurn(end);
   } else {
-    FinishAnswer(net::kLastChunk);
+    FinishAnswer(end);
   }
 }
 
-void Exchange::RecordTurn() {
+void Exchange::RecordTurn(traffic::AnswerEnd end) {
   programs::Turn turn{ScopedId(m_info.attempt), ScopedId(m_info.previous_turn),
                       ScopedId(m_info.program), std::move(m_body),
                       std::move(m_output)};
   m_body.clear();
   m_output.clear();
   UpdateMemoryCharge();
-  m_parts.turns->Persist(turn, m_route->retention, m_deadline,
-                         [self = shared_from_this()](const LogPosition& kept) {
-                           if (self->m_client == nullptr) return;
-                           self->m_log_position = kept;
-                           self->FinishAnswer(net::kLastChunk);
-                         });
+  m_parts.turns->Persist(
+      turn, m_route->retention, m_deadline,
+      [self = shared_from_this(), end](const LogPosition& kept) {
+        if (self->m_client == nullptr) return;
+        self->m_log_position = kept;
+        self->FinishAnswer(end);
+      });
 }
 
-void Exchange::FinishAnswer(std::string_view last_bytes) {
-  m_client->WriteToClient(last_bytes);
+void Exchange::FinishAnswer(traffic::AnswerEnd end, std::string_view whole) {
   m_parts.metrics->CountAnswer(m_route->kind);
   const Duration elapsed = m_parts.loop->now() - m_start_time;
   m_parts.metrics->ObserveAnswer(static_cast<double>(elapsed) /
@@ -267,7 +261,11 @@
        {"took_ms", elapsed}});
   ClientSide* client = m_client;
   End();
-  client->AnswerDone();
+  if (whole.empty()) {
+    client->EndAnswer(end);
+  } else {
+    client->SendAnswer(end, whole);
+  }
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -63,8 +63,21 @@
                                     : AnswerFit::kFirst;
 }
 
+bool AnswerProgress::passes_body() const {
+  return m_fit == AnswerFit::kFirst || m_fit == AnswerFit::kContinuation;
+}
+
+std::optional<AnswerEnd> AnswerProgress::End(bool mid_event) const {
+  if (!passes_body() || (m_is_stream && mid_event)) return std::nullopt;
+  return AnswerEnd();
+}
+
+std::optional<AnswerEnd> AnswerProgress::EndWithOwnAnswer() const {
+  if (m_begun) return std::nullopt;
+  return AnswerEnd();
+}
+
 void AnswerProgress::OnEvent(std::string_view id) {
-  Begin();
   if (!std::exchange(m_had_event, true)) m_first_id = id;
 }
 
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -2,14 +2,19 @@
 //
 // A request may be sent several times. Once a part of an answer was passed on,
 // the client holds its status, headers and form, and a later answer can only
-// continue it, as a stream that goes on behind the last event.
+// continue it, as a stream that goes on behind the last event. Only
+// AnswerProgress creates an AnswerEnd, and nothing ends an answer as complete
+// without one.
 //
 //   progress.OnSend(after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
+//   progress.Begin();                           // its head is passed on
 //   progress.OnEvent(id);                       // for each event passed on
+//   if (auto end = progress.End(mid_event)) client->EndAnswer(*end);
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +36,13 @@
 constexpr std::size_t kAnswerFitCount = 7;
 std::string_view      Name(AnswerFit fit);
 
+// Permits to end an answer as complete.
+class AnswerEnd {
+ private:
+  friend class AnswerProgress;
+  AnswerEnd() = default;
+};
+
 class AnswerProgress {
  public:
   // The request is sent. `after_event`: the server is asked to go on behind
@@ -42,20 +54,30 @@
               bool is_stream);
   // An event is passed on; `id` is empty if it has none.
   void OnEvent(std::string_view id);
-  // A part of a plain answer is passed on.
-  void OnPlainPart() { Begin(); }
+  // The head of the current server's answer is passed on. Later answers have to
+  // continue this one.
+  void Begin();
+  // The server's answer is whole; `mid_event`: it stopped within an event.
+  // Empty unless that completes what the client has received.
+  std::optional<AnswerEnd> End(bool mid_event) const;
+  // For an answer of the gateway's own; empty once a part of a server's answer
+  // was passed on.
+  std::optional<AnswerEnd> EndWithOwnAnswer() const;
 
   // Whether a part of an answer was passed on.
   bool               begun() const { return m_begun; }
   // Of the current send; kInvalid before its head.
   AnswerFit          fit() const { return m_fit; }
+  // Whether the body of the current server's answer is passed on.
+  bool               passes_body() const;
+  // Whether the current server's answer is passed on event by event.
+  bool               is_stream() const { return m_is_stream; }
   // Id of the current send's first event; empty if there is none.
   const std::string& first_id() const { return m_first_id; }
 
  private:
   AnswerFit Classify(const RequestInfo& request, const AnswerInfo& answer,
                      bool is_stream) const;
-  void      Begin();
 
   // What the client has received.
   bool m_begun = false;
