A stream's head waits for its first event

Callers whose stream broke off before its first event and was sent again had its head already.

Cause: the head was passed on with the first bytes of a body, while events are passed on whole. Nothing is promised to a client that has no event, so a repeat from the start, a failure of a server and a refusal all stay possible.

Change: the head goes out with the first event.

--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -86,7 +86,6 @@
     OnBackendFailed(SendFailureCause::kBadAnswer);
     return;
   }
-  if (!m_progress.begun()) BeginAnswer();
   const auto tokens_per_event = [&]() -> programs::Tokens {
     const auto* service = m_routes->manifest()->FindService(m_service);
     return service != nullptr && service->engine
@@ -112,7 +111,9 @@
   }
   ObserveEventTimes(events_before);
   UpdateMemoryCharge();
-  if (!out.empty()) WriteAnswer(out);
+  if (out.empty()) return;
+  if (!m_progress.begun()) BeginAnswer();
+  WriteAnswer(out);
 }
 
 // Skips the first event of a send, whose time includes queueing and prompt
