A plain answer partly passed on is not sent again

Cause: DecideNextStep knew that the route is repeatable and that a part was passed on, not whether another answer can go on with that part. Only an event stream of a resumable route can.

Change: AnswerProgress::CanContinue() tells it; otherwise the answer is broken off at once.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -218,6 +218,7 @@
   failure.repeats = m_resends;
   failure.in_doubt = m_may_have_run;
   failure.answering = m_progress.begun();
+  failure.can_continue = m_progress.CanContinue(*m_route);
   failure.other_server =
       m_parts.backends->HasUntried(m_service, m_tried_servers);
   failure.left = TimeLeft();
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -67,6 +67,10 @@
   return m_fit == AnswerFit::kFirst || m_fit == AnswerFit::kContinuation;
 }
 
+bool AnswerProgress::CanContinue(const Route& route) const {
+  return !m_begun || (m_begun_stream && route.resumable);
+}
+
 std::optional<AnswerEnd> AnswerProgress::End(bool mid_event) const {
   if (!passes_body() || (m_is_stream && mid_event)) return std::nullopt;
   return AnswerEnd();
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 
+#include "yuccawick/traffic/manifest.h"
 #include "yuccawick/traffic/request.h"
 
 namespace yuccawick::traffic {
@@ -66,6 +67,9 @@
 
   // Whether a part of an answer was passed on.
   bool               begun() const { return m_begun; }
+  // Whether another send may still complete the client's answer: nothing was
+  // passed on, or a stream that `route` allows to be resumed.
+  bool               CanContinue(const Route& route) const;
   // Of the current send; kInvalid before its head.
   AnswerFit          fit() const { return m_fit; }
   // Whether the body of the current server's answer is passed on.
--- a/src/yuccawick/traffic/attempt.cc
+++ b/src/yuccawick/traffic/attempt.cc
@@ -46,7 +46,8 @@
   const bool certain = failure.cause == SendFailureCause::kNotConnected ||
                        failure.cause == SendFailureCause::kNotRun;
   const bool may_have_run = failure.in_doubt || !certain;
-  const bool may_repeat = route.Repeatable() || !may_have_run;
+  const bool may_repeat = (route.Repeatable() || !may_have_run) &&
+                          (!failure.answering || failure.can_continue);
   const bool has_time =
       failure.left >= kMinTimeToRepeat && failure.repeats < kMaxRepeats;
   const NextStep give_up = failure.answering ? NextStep::kCutOff
