A repeated stream goes on behind the last event, or is broken off

Callers could get events twice in a stream that ended as complete: the second server began with the first event again, or events had no ids to go on from, so the whole repeat followed the part that the client had.

Cause: the request for a continuation named the last event, but nothing checked that the answer went on behind it; without an id the repeat asked for everything. Only a server's good behaviour kept the order.

Change: a continuation's events need numbers as ids that increase from the last event passed on; otherwise its send has failed. A stream whose last event has no number as its id is not sent again. Gaps stay unseen: ids only have to increase.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -155,9 +155,9 @@
   forwarding.has_workspaces = m_routes->manifest()->workspaces.has_value();
   if (m_workspace != nullptr) forwarding.workspace = m_workspace->name;
   forwarding.last_event =
-      m_last_event_id.empty() ? m_info.last_event : m_last_event_id;
+      m_progress.begun() ? m_progress.position() : m_info.last_event;
   forwarding.body_bytes = m_prompt_body.size();
-  m_progress.OnSend(forwarding.last_event);
+  m_progress.OnSend();
   m_parts.log->Write(
       LogEvent::kSent,
       {{"request", m_info.attempt},
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -120,6 +120,10 @@
   void   SendAgain(traffic::NextStep step);
   // Answering
   void   ForwardEvents(std::string_view bytes);
+  // Moves the complete events to `out`; false if one of them does not go on
+  // with what the client has received.
+  bool   TakeEvents(std::string* out);
+  void   ObserveFirstEvent();
   void   ObserveEventTimes(std::int64_t before);
   void   ForwardPlain();
   void   WriteAnswer(std::string_view bytes);
@@ -205,8 +209,7 @@
   traffic::AnswerProgress m_progress;
   std::string             m_plain_body;  // buffered body
   traffic::EventSplitter  m_events;
-  std::string             m_last_event_id;  // last forwarded event
-  std::string             m_output;         // event data for the turn record
+  std::string             m_output;  // event data for the turn record
   std::int64_t            m_event_count = 0;
   Time                    m_first_event_time = 0;
   Time                    m_last_event_time = 0;
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -86,34 +86,40 @@
     OnBackendFailed(SendFailureCause::kBadAnswer);
     return;
   }
-  const auto tokens_per_event = [&]() -> programs::Tokens {
-    const auto* service = m_routes->manifest()->FindService(m_service);
-    return service != nullptr && service->engine
-               ? service->engine->tokens_per_event
-               : 1;
-  }();
-  const std::int64_t   events_before = m_event_count;
-  std::string          out;
+  const std::int64_t events_before = m_event_count;
+  std::string        out;
+  const bool         in_order = TakeEvents(&out);
+  ObserveEventTimes(events_before);
+  UpdateMemoryCharge();
+  if (!out.empty()) {
+    if (!m_progress.begun()) BeginAnswer();
+    WriteAnswer(out);
+  }
+  if (!in_order) OnBackendFailed(SendFailureCause::kBadAnswer);
+}
+
+bool Exchange::TakeEvents(std::string* out) {
+  const auto*            service = m_routes->manifest()->FindService(m_service);
+  const programs::Tokens tokens_per_event =
+      service != nullptr && service->engine ? service->engine->tokens_per_event
+                                            : 1;
   traffic::StreamEvent event;
   while (m_events.Next(&event)) {
-    m_progress.OnEvent(event.id);
-    out += event.bytes;
-    if (!event.id.empty()) m_last_event_id = event.id;
+    if (!m_progress.OnEvent(event.id)) return false;
+    out->append(event.bytes);
     if (m_route->keeps_turns) m_output.append(event.data).append("\n");
-    if (m_event_count++ == 0) {
-      m_first_event_time = m_parts.loop->now();
-      m_parts.dispatcher->FirstEvent(m_dispatch_id);
-      m_parts.metrics->ObserveFirstEvent(
-          static_cast<double>(m_first_event_time - m_start_time) /
-          kMillisPerSecond);
-    }
+    if (m_event_count++ == 0) ObserveFirstEvent();
     m_tokens_used += tokens_per_event;
   }
-  ObserveEventTimes(events_before);
-  UpdateMemoryCharge();
-  if (out.empty()) return;
-  if (!m_progress.begun()) BeginAnswer();
-  WriteAnswer(out);
+  return true;
+}
+
+void Exchange::ObserveFirstEvent() {
+  m_first_event_time = m_parts.loop->now();
+  m_parts.dispatcher->FirstEvent(m_dispatch_id);
+  m_parts.metrics->ObserveFirstEvent(
+      static_cast<double>(m_first_event_time - m_start_time) /
+      kMillisPerSecond);
 }
 
 // Skips the first event of a send, whose time includes queueing and prompt
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace yuccawick::traffic {
@@ -24,6 +26,14 @@
          (answer.stamped || !success);
 }
 
+std::optional<std::uint64_t> ParseId(std::string_view id) {
+  std::uint64_t number = 0;
+  const char*   end = id.data() + id.size();
+  const auto    result = std::from_chars(id.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
 std::string_view Name(AnswerFit fit) {
@@ -33,8 +43,7 @@
   return kNames[static_cast<std::size_t>(fit)];
 }
 
-void AnswerProgress::OnSend(std::string after_event) {
-  m_after_event = std::move(after_event);
+void AnswerProgress::OnSend() {
   m_fit = AnswerFit::kInvalid;
   m_status = 0;
   m_is_stream = false;
@@ -68,7 +77,8 @@
 }
 
 bool AnswerProgress::CanContinue(const Route& route) const {
-  return !m_begun || (m_begun_stream && route.resumable);
+  return !m_begun ||
+         (m_begun_stream && route.resumable && ParseId(m_position).has_value());
 }
 
 std::optional<AnswerEnd> AnswerProgress::End(bool mid_event) const {
@@ -81,8 +91,15 @@
   return AnswerEnd();
 }
 
-void AnswerProgress::OnEvent(std::string_view id) {
+bool AnswerProgress::OnEvent(std::string_view id) {
   if (!std::exchange(m_had_event, true)) m_first_id = id;
+  if (m_fit == AnswerFit::kContinuation) {
+    const auto number = ParseId(id);
+    const auto last = ParseId(m_position);
+    if (!number || !last || *number <= *last) return false;
+  }
+  m_position = id;
+  return true;
 }
 
 void AnswerProgress::Begin() {
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -6,10 +6,10 @@
 // AnswerProgress creates an AnswerEnd, and nothing ends an answer as complete
 // without one.
 //
-//   progress.OnSend(after_event);
+//   progress.OnSend();
 //   progress.OnHead(info, answer, is_stream);   // see fit()
 //   progress.Begin();                           // its head is passed on
-//   progress.OnEvent(id);                       // for each event passed on
+//   if (progress.OnEvent(id)) ...               // before each event
 //   if (auto end = progress.End(mid_event)) client->EndAnswer(*end);
 #pragma once
 
@@ -46,15 +46,16 @@
 
 class AnswerProgress {
  public:
-  // The request is sent. `after_event`: the server is asked to go on behind
-  // this event; empty: to begin with the first one.
-  void OnSend(std::string after_event);
+  // The request is sent, again if begun(); see position().
+  void OnSend();
   // The head of the server's answer to `request`. `is_stream`: it is passed on
   // event by event.
   void OnHead(const RequestInfo& request, const AnswerInfo& answer,
               bool is_stream);
-  // An event is passed on; `id` is empty if it has none.
-  void OnEvent(std::string_view id);
+  // The next event of the current server's answer; `id` is empty if it has
+  // none. Returns whether it may be passed on: a continuation has to go on
+  // behind the last event, or the client gets events twice.
+  bool OnEvent(std::string_view id);
   // The head of the current server's answer is passed on. Later answers have to
   // continue this one.
   void Begin();
@@ -68,8 +69,11 @@
   // Whether a part of an answer was passed on.
   bool               begun() const { return m_begun; }
   // Whether another send may still complete the client's answer: nothing was
-  // passed on, or a stream that `route` allows to be resumed.
+  // passed on, or a stream that `route` allows to be resumed and whose last
+  // event has a number as its id.
   bool               CanContinue(const Route& route) const;
+  // Id of the last event passed on; empty if it has none.
+  const std::string& position() const { return m_position; }
   // Of the current send; kInvalid before its head.
   AnswerFit          fit() const { return m_fit; }
   // Whether the body of the current server's answer is passed on.
@@ -84,12 +88,12 @@
                      bool is_stream) const;
 
   // What the client has received.
-  bool m_begun = false;
-  int  m_begun_status = 0;
-  bool m_begun_stream = false;
+  bool        m_begun = false;
+  int         m_begun_status = 0;
+  bool        m_begun_stream = false;
+  std::string m_position;
 
   // The current send.
-  std::string m_after_event;
   AnswerFit   m_fit = AnswerFit::kInvalid;
   int         m_status = 0;
   bool        m_is_stream = false;
