The attempt chart knows that a part was passed on when sending again

Nothing that callers saw by itself: after 'send_again' an attempt whose client had part of an answer was in the phases 'connecting' and 'sent' like one whose client had nothing, so the chart allowed whatever is right only there, and the log's phase misled.

Change: phases 'reconnecting' and 'continuing' follow an answer that was begun, and event 'refuse' is accepted only before; Refuse() fires it, so a refusal after a part would be logged as a fault of ours besides being broken off.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -317,6 +317,8 @@
     AbortAnswer(Name(refusal));
     return;
   }
+  const AttemptPhase refused_in = m_phase;
+  Fire(AttemptEvent::kRefuse);
   DetachServer(false);
   m_parts.metrics->CountRefusal(refusal);
   const Duration retry_after = RetryAfter(refusal);
@@ -325,7 +327,7 @@
                       {"program", m_info.program},
                       {"reason", Name(refusal)},
                       {"status", Status(refusal)},
-                      {"phase", Name(m_phase)},
+                      {"phase", Name(refused_in)},
                       {"retry_after_ms", retry_after},
                       {"tokens_counted_by", m_reservation.coordinator},
                       {"took_ms", m_parts.loop->now() - m_start_time}});
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -76,6 +76,7 @@
 }
 
 void Exchange::WriteAnswer(std::string_view bytes) {
+  if (m_phase != AttemptPhase::kAnswering) Fire(AttemptEvent::kAnswerBegan);
   m_client->WriteChunk(bytes);
   m_reading_paused = m_client->ClientBacklog() > kMaxBacklog;
   if (m_reading_paused) m_connection->HoldReading(true);
@@ -142,7 +143,6 @@
 
 void Exchange::BeginAnswer() {
   m_progress.Begin();
-  if (m_phase == AttemptPhase::kSent) Fire(AttemptEvent::kAnswerBegan);
   m_client->BeginAnswer(platform::EncodeAnswerHead(
       m_answer, kChunked, m_client->ClosesAfterAnswer()));
 }
--- a/src/yuccawick/traffic/attempt.cc
+++ b/src/yuccawick/traffic/attempt.cc
@@ -8,11 +8,12 @@
 namespace yuccawick::traffic {
 namespace {
 
-const core::NameList kPhases{"preparing", "connecting", "sent",
-                             "answering", "recording",  "done"};
+const core::NameList kPhases{"preparing", "connecting",   "sent",
+                             "answering", "reconnecting", "continuing",
+                             "recording", "done"};
 const core::NameList kEvents{"prepared",     "connected",  "answer_began",
                              "answer_ended", "send_again", "recorded",
-                             "finish"};
+                             "refuse",       "finish"};
 
 }  // namespace
 
--- a/src/yuccawick/traffic/attempt.h
+++ b/src/yuccawick/traffic/attempt.h
@@ -21,11 +21,13 @@
 namespace yuccawick::traffic {
 
 enum class AttemptPhase : std::uint8_t {
-  kPreparing,   // looking up history and budget
-  kConnecting,  // server chosen, nothing sent
-  kSent,        // sent, no response yet
-  kAnswering,   // part of the response was sent to the client
-  kRecording,   // response complete, turn being persisted
+  kPreparing,     // looking up history and budget
+  kConnecting,    // server chosen, nothing sent
+  kSent,          // sent, no response yet
+  kAnswering,     // part of the response was sent to the client
+  kReconnecting,  // like kConnecting, to continue that response
+  kContinuing,    // sent to continue it, nothing more received yet
+  kRecording,     // response complete, turn being persisted
   kDone,
 };
 enum class AttemptEvent : std::uint8_t {
@@ -35,6 +37,7 @@
   kAnswerEnded,
   kSendAgain,
   kRecorded,
+  kRefuse,
   kFinish,
 };
 using AttemptChart = core::TypedChart<AttemptPhase, AttemptEvent>;
