Paused streams keep the peer's end until reading resumes

Callers: a client that read slowly got an answer without its rest that looked complete (last chunk sent, connection kept), if the server's answer has neither length nor chunks and ends with its connection.

Cause: the gateway pauses reading from the server within OnBytes(). The hang-up of the same dispatch was handled nevertheless, and a stream that does not read reported it as the orderly end, although bytes before it were in the kernel. A hang-up that cannot be masked (both sides closed) did the same at any time of the pause.

Evidence, before the change: stream_test: local, half-closed: ended after 65536 bytes (of 150000) pressure_test: 4718592: complete with 4222923 (second run: 4258763) pressure_test, client resumes after the route's timeout: 4718592: complete with 4222923

Change: while reading is off, a hang-up without an error is ignored. The loop reports it again once reading resumes, because changing the events of a socket polls it again, and the stream then delivers the bytes before the end. A socket without any wanted event is watched edge-triggered, so that a hang-up does not come back in every iteration. A reset is still reported at once.

Five of the new tests failed before: three of stream_test and two of pressure_test. The tests of resets while paused passed before, too. Without the edge trigger ReadingPausedAtThePeersEnd_LoopIsIdle fails. stream_test and pressure_test passed 15 times in a row.

--- a/src/yuccawick/net/event_loop.cc
+++ b/src/yuccawick/net/event_loop.cc
@@ -25,6 +25,9 @@
   std::uint32_t mask = end ? EPOLLRDHUP : 0U;
   if (read) mask |= EPOLLIN;
   if (write) mask |= EPOLLOUT;
+  // EPOLLHUP and EPOLLERR cannot be masked. Reports them once instead of in
+  // every iteration.
+  if (mask == 0) mask = EPOLLET;
   return mask;
 }
 
--- a/src/yuccawick/net/event_loop.h
+++ b/src/yuccawick/net/event_loop.h
@@ -48,6 +48,7 @@
 
   void    Watch(int fd, SocketHandler* handler, bool read, bool write);
   // `end`: report that the peer closed its side even while `read` is false.
+  // If all are false, a hang-up may still be reported, but not repeatedly.
   void    Change(int fd, bool read, bool write, bool end = true);
   void    Forget(int fd);
   TimerId After(Duration delay, Task task);
--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -159,11 +159,17 @@
     Fail(CloseCause::kReset);
     return;
   }
-  if (m_reading == Reading::kOn) {
-    // Delivers the remaining bytes, then the end of the stream.
-    OnReadable();
-  } else {
-    Fail(CloseCause::kEnd);
+  switch (m_reading) {
+    case Reading::kOn:
+      // Delivers the remaining bytes, then the end of the stream.
+      OnReadable();
+      break;
+    case Reading::kWatchEnd:
+      Fail(CloseCause::kEnd);
+      break;
+    case Reading::kOff:
+      // Bytes may precede the end. It is reported again once reading resumes.
+      break;
   }
 }
 
--- a/src/yuccawick/net/stream.h
+++ b/src/yuccawick/net/stream.h
@@ -20,7 +20,8 @@
 enum class Reading : std::uint8_t {
   kOn,        // bytes are delivered
   kWatchEnd,  // bytes stay in the kernel; the peer's close is reported
-  kOff,       // bytes and the peer's close wait until reading resumes
+  kOff,       // bytes and the peer's close wait until reading resumes; a reset
+              // is reported at once
 };
 
 // Receives the size of a stream's write buffer whenever it changes.
