A reset that a failed send() took is not the peer's orderly end

Callers: status 200 with a part of the body that looked complete, after a server had begun an answer without length and reset the connection while the rest of the request was still being sent.

Cause: the kernel reports the error of a socket once. Stream::Flush() ignored errors of send() because the hang-up would report them; but send() had used the report up. The hang-up then found no error, recv() returned the bytes before the reset and 0, and the stream reported the orderly end. A server that answers early and closes without reading the whole body resets its connection.

Change: the stream remembers the error of the first failed send() and reports a reset where it would report the end. The bytes before it are still delivered. EPIPE stays an orderly end: the peer had ended its side before, so its bytes are all in the kernel. After such an error bytes to send are no longer watched for, because a paused stream would try them in every iteration.

--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -76,6 +76,7 @@
       if (errno == EINTR) continue;
       // Errors are reported as a hangup: calling the owner here would
       // re-enter it from its own Write().
+      if (!WouldBlock() && m_send_error == 0) m_send_error = errno;
       break;
     }
     m_sent += static_cast<std::size_t>(sent);
@@ -90,8 +91,8 @@
 void Stream::Update() {
   if (m_fd < 0) return;
   const bool read = m_reading == Reading::kOn && !m_connecting;
-  m_loop->Change(m_fd, read, m_connecting || pending() > 0,
-                 m_reading != Reading::kOff);
+  const bool write = m_connecting || (pending() > 0 && m_send_error == 0);
+  m_loop->Change(m_fd, read, write, m_reading != Reading::kOff);
 }
 
 void Stream::SetReading(Reading reading) {
@@ -121,6 +122,14 @@
   Close();
 }
 
+CloseCause Stream::EndCause() const {
+  // The kernel reports an error only once, so after a failed send() the end of
+  // the stream alone does not show a reset. EPIPE means that the peer ended its
+  // side before.
+  const bool in_order = m_send_error == 0 || m_send_error == EPIPE;
+  return in_order ? CloseCause::kEnd : CloseCause::kReset;
+}
+
 void Stream::Fail(CloseCause cause) {
   if (m_fd < 0) return;
   Close();
@@ -133,7 +142,7 @@
   if (received > 0) {
     m_owner->OnBytes({buffer.data(), static_cast<std::size_t>(received)});
   } else if (received == 0) {
-    Fail(CloseCause::kEnd);
+    Fail(EndCause());
   } else if (!WouldBlock() && errno != EINTR) {
     Fail(CloseCause::kReset);
   }
@@ -165,7 +174,7 @@
       OnReadable();
       break;
     case Reading::kWatchEnd:
-      Fail(CloseCause::kEnd);
+      Fail(EndCause());
       break;
     case Reading::kOff:
       // Bytes may precede the end. It is reported again once reading resumes.
--- a/src/yuccawick/net/stream.h
+++ b/src/yuccawick/net/stream.h
@@ -68,12 +68,14 @@
   void OnHangup() override;
 
  private:
-  void Flush();
-  void Update();
-  void Fail(CloseCause cause);
+  void       Flush();
+  void       Update();
+  // How the peer's side ended, once no bytes are left to read.
+  CloseCause EndCause() const;
+  void       Fail(CloseCause cause);
   // Frees the part of the buffer that was sent.
-  void Trim();
-  void Meter();
+  void       Trim();
+  void       Meter();
 
   EventLoop*   m_loop;
   StreamOwner* m_owner;
@@ -82,6 +84,7 @@
   bool         m_connecting;
   Reading      m_reading = Reading::kOn;
   bool         m_end_after_flush = false;
+  int          m_send_error = 0;  // errno of the first failed send(), or 0
   std::string  m_buffer;
   std::size_t  m_sent = 0;  // bytes at the start of m_buffer that were sent
   Time         m_progress_at = 0;  // last time bytes were queued or sent
--- a/tests/stream_test.cc
+++ b/tests/stream_test.cc
@@ -19,11 +19,12 @@
 using net::CloseCause;
 using net::Reading;
 
-constexpr int         kUserTimeout = 60'000;   // ms, TCP user timeout
-constexpr int         kPollLimit = 10'000;     // ms
-constexpr int         kKernelBytes = 1 << 20;  // receive buffer of a socket
-constexpr std::size_t kManyBytes = 150'000;    // more than one recv() returns
-constexpr int         kManySteps = 20;         // iterations of the loop
+constexpr int         kUserTimeout = 60'000;    // ms, TCP user timeout
+constexpr int         kPollLimit = 10'000;      // ms
+constexpr int         kKernelBytes = 1 << 20;   // receive buffer of a socket
+constexpr std::size_t kManyBytes = 150'000;     // more than one recv() returns
+constexpr std::size_t kUnsendable = 64U << 20;  // bytes, exceeds all buffers
+constexpr int         kManySteps = 20;          // iterations of the loop
 
 // Both ends of a connection. The stream under test owns `own`.
 struct Ends {
@@ -67,17 +68,18 @@
   const linger immediate{1, 0};
   setsockopt(ends.peer, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
   close(ends.peer);
-  Await(ends.own, 0);
+  Await(ends.own, 0);  // POLLHUP is always reported
 }
 
-// A stream whose owner pauses reading whenever it receives bytes.
+// A stream whose owner pauses reading whenever it receives bytes, unless told
+// otherwise.
 struct PausingOwner final : net::StreamOwner {
   explicit PausingOwner(const Ends& at)
       : ends(at), stream(&loop, this, at.own, false) {}
 
   void OnBytes(std::string_view bytes) override {
     taken += bytes.size();
-    stream.SetReading(Reading::kOff);
+    if (pauses) stream.SetReading(Reading::kOff);
   }
   void OnClosed(CloseCause why) override {
     ++closes;
@@ -104,6 +106,7 @@
   net::EventLoop loop;
   Ends           ends;
   net::Stream    stream;
+  bool           pauses = true;
   std::size_t    taken = 0;
   int            closes = 0;
   CloseCause     cause = CloseCause::kReset;
@@ -196,5 +199,40 @@
   }
 }
 
+Test(Stream, PeerResetsBeforeAWrite_ReportsTheResetAfterTheBytes) {
+  // Guards against a reset that a failed write hides, so that a cut message
+  // looks complete.
+  for (const std::size_t unsent : {std::size_t{0}, kUnsendable}) {
+    PausingOwner owner(MakeTcp());
+    owner.pauses = false;
+    owner.stream.Write(std::string(unsent, 'x'));
+    owner.SendFromPeer(kManyBytes);
+    Await(owner.ends.own, POLLIN);
+    ResetPeer(owner.ends);
+    owner.stream.Write("x");
+    owner.Run();
+    cr_assert_eq(owner.closes, 1, "%zu unsent", unsent);
+    cr_assert(owner.cause == CloseCause::kReset, "%zu unsent: ended after %zu",
+              unsent, owner.taken);
+  }
+}
+
+Test(Stream, PeerEndsThenResetsWithUnsentBytes_DeliversTheRestLater) {
+  // Guards against a loop that spins on bytes that cannot be sent while reading
+  // is paused, and against losing what the peer sent before its end.
+  PausingOwner owner(MakeTcp());
+  owner.stream.Write(std::string(kUnsendable, 'x'));
+  owner.SendFromPeer(kManyBytes);
+  shutdown(owner.ends.peer, SHUT_WR);
+  Await(owner.ends.own, POLLRDHUP);
+  ResetPeer(owner.ends);
+  owner.Run();
+  cr_assert(owner.stream.is_open());
+  cr_assert_eq(owner.Run(), 0);
+  owner.ResumeUntilClosed();
+  cr_assert_eq(owner.taken, kManyBytes);
+  cr_assert(owner.cause == CloseCause::kEnd);
+}
+
 }  // namespace
 }  // namespace yuccawick::tests
