A stream that an earlier handler paused delivers no bytes

Callers: none known to be affected. A client's pipelined request that starts within the handler of a server's connection may get up to 64 KB more input than the pause allows (read from the code, not measured).

Cause: the loop collects the events of many sockets before it handles them. A stream whose reading was paused by the handler of another socket still handled its readable event.

Evidence, before the change: stream_test, two streams that pause each other: The expression (first.taken + second.taken) == (1) is false.

Change: a readable event is ignored unless reading is on. It is reported again once reading resumes. The new test failed before.

--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -137,6 +137,8 @@
 }
 
 void Stream::OnReadable() {
+  // An earlier handler of this iteration may have paused reading.
+  if (m_reading != Reading::kOn) return;
   std::array<char, kMaxReadBytes> buffer;  // NOLINT: filled by recv
   const auto received = recv(m_fd, buffer.data(), buffer.size(), 0);
   if (received > 0) {
--- a/tests/stream_test.cc
+++ b/tests/stream_test.cc
@@ -234,5 +234,35 @@
   cr_assert(owner.cause == CloseCause::kEnd);
 }
 
+// Pauses reading of another stream when it receives bytes.
+struct PausingNeighbour final : net::StreamOwner {
+  PausingNeighbour(net::EventLoop* loop, const Ends& at)
+      : ends(at), stream(loop, this, at.own, false) {}
+  void OnBytes(std::string_view bytes) override {
+    taken += bytes.size();
+    other->stream.SetReading(Reading::kOff);
+  }
+  void OnClosed(CloseCause /*cause*/) override {}
+
+  Ends              ends;
+  net::Stream       stream;
+  PausingNeighbour* other = nullptr;
+  std::size_t       taken = 0;
+};
+
+Test(Stream, ReadingPausedByAnEarlierHandler_DeliversNothing) {
+  // Guards against bytes for an owner that paused reading while the event was
+  // already reported.
+  net::EventLoop   loop;
+  PausingNeighbour first(&loop, MakeLocal());
+  PausingNeighbour second(&loop, MakeLocal());
+  first.other = &second;
+  second.other = &first;
+  cr_assert_eq(send(first.ends.peer, "x", 1, MSG_NOSIGNAL), 1);
+  cr_assert_eq(send(second.ends.peer, "x", 1, MSG_NOSIGNAL), 1);
+  cr_assert_eq(loop.RunOnce(0), 2);
+  cr_assert_eq(first.taken + second.taken, 1);
+}
+
 }  // namespace
 }  // namespace yuccawick::tests
