--- a/src/yuccawick/net/stream.h
+++ b/src/yuccawick/net/stream.h
@@ -20,7 +20,8 @@
 enum class Reading : std::uint8_t {
   kOn,        // bytes are delivered
   kWatchEnd,  // bytes stay in the kernel; the peer's close is reported
-  kOff,       // bytes and the peer's close wait until reading resumes
+  kOff,       // bytes and the peer's close wait until reading resumes; a reset
+              // is reported at once
 };
 
 // Receives the size of a stream's write buffer whenever it changes.
@@ -67,12 +68,14 @@
   void OnHangup() override;
 
  private:
-  void Flush();
-  void Update();
-  void Fail(CloseCause cause);
+  void       Flush();
+  void       Update();
+  // How the peer's side ended, once no bytes are left to read.
+  CloseCause EndCause() const;
+  void       Fail(CloseCause cause);
   // Frees the part of the buffer that was sent.
-  void Trim();
-  void Meter();
+  void       Trim();
+  void       Meter();
 
   EventLoop*   m_loop;
   StreamOwner* m_owner;
@@ -81,6 +84,7 @@
   bool         m_connecting;
   Reading      m_reading = Reading::kOn;
   bool         m_end_after_flush = false;
+  int          m_send_error = 0;  // errno of the first failed send(), or 0
   std::string  m_buffer;
   std::size_t  m_sent = 0;  // bytes at the start of m_buffer that were sent
   Time         m_progress_at = 0;  // last time bytes were queued or sent
