Put back reasons that the rewording dropped from comments

Back: the outside facts behind timeouts and intervals (thresholds, memory_budget, http_client, follower, adaptive_read_size, directory); limits of the platform's log (appender, store.h, turn_reader, token_coordinator); what a delay or window corresponds to (admission_controller, urgency, rate_allocator, rate_coordinator, control, gateway); why a weight, margin or bound has its size (placement, outcomes, fair_share_policy, server_slowdown, log, metrics, agent); why a design was chosen (peer_network, membership, types, chart).

Corrected: outage_settling. The node ignores its peers' outage reports in the ranking of coordinators for that time; the comment said that it trusts them.

Also three that the code does not bear out: that 0.67 is the faster third of programs (kTimeShareQuantile), that the log takes an append each 5 ms (CAPACITY.md says 2), that nobody waits for the log's return (log_away_pause).

Taken from the old comments; neither code nor docs could confirm them: round trips below 30 ms, 250 ms for a call of a slow log, 2 MB a call, a dozen partitions, two seconds to register again, one failure in a hundred, 200 ms for a turn, the log lines at the target load, the variations in fair_share_policy and server_slowdown.

--- a/src/yuccawick/admission/admission_controller.h
+++ b/src/yuccawick/admission/admission_controller.h
@@ -58,7 +58,8 @@
   // estimated think time to the idle timeout.
   Duration default_think_time = 500;
   double   think_time_factor = 1.25;
-  // Bounds of the retry delay, in ms.
+  // Bounds of the retry delay, in ms: about the length of a turn, and the
+  // longest that clients wait of the few seconds that they have.
   Duration min_retry_delay = 100;
   Duration max_retry_delay = 1200;
   // ms for which a usage report of a peer is valid.
--- a/src/yuccawick/capacity/server_slowdown.cc
+++ b/src/yuccawick/capacity/server_slowdown.cc
@@ -18,7 +18,8 @@
 constexpr double kLn2 = 0.6931471805599453;
 
 // Kinds of work whose log duration has at most this variance count with full
-// weight; others count less, in inverse proportion to their variance.
+// weight; others count less, in inverse proportion to their variance. That of
+// calls whose work depends on their content is about ten times as high.
 constexpr double kFullWeightVariance = 0.1;
 constexpr int    kMinBaselineSamples = 8;
 constexpr int    kMaxBaselineSamples = 200;
--- a/src/yuccawick/core/agent.h
+++ b/src/yuccawick/core/agent.h
@@ -31,7 +31,8 @@
   DurabilitySettings  durability;
   ExecutorSettings    executor;
   CoordinatorSettings coordinator;
-  std::size_t         replicas = 2;  // copies in other zones
+  // Copies in other zones; two survive any two simultaneous failures.
+  std::size_t         replicas = 2;
   Duration leave_grace = 5000;   // ms that a leaving agent still refuses orders
   Duration scan_interval = 250;  // ms between scans of all members
   Duration append_retry = 2000;  // ms until an unconfirmed append is repeated
--- a/src/yuccawick/core/chart.h
+++ b/src/yuccawick/core/chart.h
@@ -6,9 +6,10 @@
 //   start  queued
 //   queued     dispatch   running
 //
-// They are compiled into the binary and are the only definition of legal
-// transitions. Loading checks each chart against the enums of its states and
-// events: unknown names, unreachable states and unused events are errors.
+// They are compiled into the binary, because VMs keep no files, and are the
+// only definition of legal transitions. Loading checks each chart against the
+// enums of its states and events: unknown names, unreachable states and unused
+// events are errors.
 #pragma once
 
 #include <cstdint>
--- a/src/yuccawick/core/control.cc
+++ b/src/yuccawick/core/control.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Control records for which a claimed member is kept, so that program ids
-// created by it still lead to the current owner.
+// created by it still lead to the current owner: 16 days at 500 records a day.
 constexpr Offset kClaimedRetention = 8192;
 // Limit of a chain of claims; guards against a cycle in a corrupt state.
 constexpr int    kMaxClaimChain = 64;
--- a/src/yuccawick/core/types.h
+++ b/src/yuccawick/core/types.h
@@ -2,8 +2,8 @@
 //
 // A node is one process on one VM: an entry or a server agent. A restarted
 // process is a different node with a different incarnation. Incarnations are
-// compared for equality only; order comes from log offsets, which serve as
-// fencing numbers.
+// chosen without agreement, so they have no order and are compared for equality
+// only; order comes from log offsets, which serve as fencing numbers.
 #pragma once
 
 #include <compare>
--- a/src/yuccawick/fairness/fair_share_policy.h
+++ b/src/yuccawick/fairness/fair_share_policy.h
@@ -38,8 +38,9 @@
   // counts as recent.
   Duration     usage_half_life = 4000;
   // Margin for each doubling of a workspace's usage above the average of the
-  // others. Must exceed the random variation of running turns; otherwise the
-  // workspace uses up the margin whenever few turns happen to run.
+  // others. Must exceed the random variation of running turns, about a tenth at
+  // a service of 70 slots; otherwise the workspace uses up the margin whenever
+  // few turns happen to run.
   double       step = 0.15;
   double       max_usage_margin = 0.2;
   // Lower bound of the others' average, in turns of average work: no usage
--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -10,7 +10,8 @@
 using net::Duration;
 using platform::StoreFailure;
 
-constexpr std::size_t kMaxBatchBytes = 1UL << 20;  // bytes
+// The last record of a batch may exceed this; the log takes 2 MB a call.
+constexpr std::size_t kMaxBatchBytes = 1UL << 20;
 // The first timeout, as a multiple of the average latency.
 constexpr Duration    kTimeoutFactor = 4;
 constexpr Duration    kSmoothingWeight = 4;  // weight of the old average
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -24,7 +24,8 @@
 // An answer is as old as its request, so reads must be short where the age of
 // the manifest is bounded: two reads and a lost one must fit.
 constexpr Duration kReadsPerBound = 10;
-constexpr Duration kResponseMargin = 500;  // ms added to the wait
+// ms added to the wait: the time of a slow answer.
+constexpr Duration kResponseMargin = 500;
 // Nodes change rarely, and no change is needed at once.
 constexpr Duration kNodesWait = 4000;    // ms
 constexpr Duration kNodesPause = 500;    // ms
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -15,7 +15,8 @@
 constexpr Duration              kMemoryCheckInterval = 50;  // ms
 constexpr Duration              kLogUsageInterval = 2000;   // ms
 constexpr Duration              kStopCheckInterval = 50;    // ms
-constexpr Duration              kFinalAppendTime = 100;     // ms
+// ms for the last appends to be sent before the loop stops.
+constexpr Duration              kFinalAppendTime = 100;
 constexpr Duration              kAnnounceRetryDelay = 200;  // ms
 constexpr std::uint16_t         kMetricsPort = 9464;
 // Client limits until the first manifest arrives.
--- a/src/yuccawick/gateway/log.cc
+++ b/src/yuccawick/gateway/log.cc
@@ -19,7 +19,8 @@
 
 // Bytes buffered for standard output; bounds memory when its reader stalls.
 constexpr std::size_t kMaxBufferBytes = 256UL * 1024;
-// Limit per process; further lines of that second are dropped.
+// Limit per process; further lines of that second are dropped. A node at its
+// share of the target load writes 3 lines for each of 60 requests a second.
 constexpr std::size_t kMaxLinesPerSecond = 600;
 constexpr net::Time   kSecond = 1000;  // ms
 
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -9,7 +9,8 @@
 
 using Labels = std::array<std::string_view, 4>;
 
-// Bucket bounds, in seconds.
+// Bucket bounds, in seconds: from a hop inside a zone to the longest route
+// timeout.
 const prometheus::Histogram::BucketBoundaries kSeconds{
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -17,7 +17,8 @@
 constexpr int kUnackedTimeout =
     1000;  // ms that sent bytes may stay unacknowledged
 constexpr int         kBitsPerByte = 8;
-// Messages to a peer with more unsent bytes than this are dropped.
+// Messages to a peer with more unsent bytes than this are dropped: a peer that
+// reads so slowly is of no more use than one that is down.
 constexpr std::size_t kMaxBacklogBytes = 4UL << 20;
 
 std::string Encode(const PeerNetwork::Fill& fill, std::uint64_t number) {
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -3,7 +3,8 @@
 // Each message is packed and preceded by its length in four bytes. A node opens
 // a connection to every peer it sends requests to; responses return on the same
 // connection. Cap'n Proto RPC is not used because its event loop cannot share a
-// thread with net::EventLoop.
+// thread with net::EventLoop, and passing each request to another thread would
+// cost more than the request.
 //
 // The callback of a request is called once: with the response, or with nothing
 // if the connection fails or the timeout passes. A peer that breaks a
--- a/src/yuccawick/gateway/rate_coordinator.cc
+++ b/src/yuccawick/gateway/rate_coordinator.cc
@@ -26,10 +26,11 @@
 constexpr std::int64_t kMaxTailRecords = 4096;
 // Records between two own claims above which it is cheaper to reopen.
 constexpr std::int64_t kMaxRecordsBetween = 256;
-// Least time between two claims, in ms, so that one claim serves many
-// requests.
+// Least time between two claims, in ms: a few log calls, so that one claim
+// serves many requests.
 constexpr Duration     kMinClaimInterval = 20;
-constexpr Duration     kMaxClaimInterval = 250;  // ms
+// ms; a quarter of kRateTokenLifetime.
+constexpr Duration     kMaxClaimInterval = 250;
 constexpr std::size_t  kPageBytes = 64UL * 1024;
 
 }  // namespace
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -31,6 +31,7 @@
 // All durations in ms.
 struct Thresholds {
   // Backend servers ----------------------------------------------------------
+  // A round trip takes less than 30.
   Duration     connect_timeout = 400;
   // Longest time that sent bytes may stay unacknowledged. A server that loses
   // power sends no reset; without this limit a request on a reused connection
@@ -60,10 +61,12 @@
   // Time reserved for the answer's way back: an attempt ends this long before
   // the client's deadline.
   Duration answer_way = 5;
-  // Mean retry delay sent to refused clients.
+  // Mean retry delay sent to refused clients: about the length of a turn, after
+  // which a slot of a server becomes free.
   Duration return_delay = 150;
   Duration start_delay = 300;  // lower bound of the retry delay during startup
-  // Longest time that bytes to a client may stay unacknowledged.
+  // Longest time that bytes to a client may stay unacknowledged. Clients give
+  // up sooner.
   Duration client_silence = 5000;
   // After an answer that ends the connection, input is read and discarded for
   // this long. Closing with unread input would send a reset, which can overtake
@@ -77,7 +80,8 @@
   pressure::MemoryBudgetSettings memory;
 
   // The platform's log -------------------------------------------------------
-  Duration log_timeout = 600;  // per call
+  // Per call. Well above a call while the log is slow, about 250.
+  Duration log_timeout = 600;
   // After this time an append is also tried on another partition, then through
   // another node. Must be longer than a slow append and shorter than the time
   // after which clients abandon a stream.
@@ -99,8 +103,10 @@
   Duration log_wait = 1000;
   double   wait_share = 0.5;
   Duration log_wait_pause = 50;
-  // Upper bound of the retry delay while the log is unavailable; the delay
-  // grows with the length of the outage or of this node's startup.
+  // Upper bound of the retry delay while the log is unavailable. The delay
+  // grows with the length of the outage or of this node's startup, since an
+  // outage goes on for about as long as it has lasted. Clients wait for a third
+  // of their time at most.
   Duration outage_return = 900;
   // Longest time that a request waits while the log answers no node, and the
   // fraction of its deadline. The fraction must be below wait_share.
@@ -129,8 +135,8 @@
   Duration     reserve_pause = 80;  // between two attempts to reserve tokens
 
   // Limits of workspaces ------------------------------------------------------
-  // A coordinator answers within rate_answer whatever the log does; the
-  // requester waits for rate_timeout.
+  // A coordinator that must claim first needs a log call, but answers within
+  // rate_answer whatever the log does; the requester waits for rate_timeout.
   Duration rate_answer = 200;
   Duration rate_timeout = 300;
   // Longest time that a request of a running program waits for a token. A
@@ -138,39 +144,43 @@
   Duration rate_wait = 400;
 
   // Other nodes --------------------------------------------------------------
-  Duration peer_connect_timeout = 150;
+  Duration peer_connect_timeout = 150;  // about ten round trips
   Duration find_timeout = 250;
-  // A turn reader answers within reader_answer whatever the log does; the
-  // requester waits for reader_timeout.
+  // A turn reader needs one read at the end of the log; after a restart it has
+  // earlier records to read first. It answers within reader_answer whatever the
+  // log does; the requester waits for reader_timeout.
   Duration reader_answer = 400;
   // A reader that is still catching up is asked only after the other reader of
-  // its zone, for this long.
+  // its zone, for this long. Reading a whole partition can take seconds.
   Duration reading_memory = 2000;
   Duration reader_timeout = 550;
   // A node that no partition of the log answers reports this every
   // outage_pause; each report is valid for outage_memory.
   Duration outage_pause = 200;
   Duration outage_memory = 600;
-  // For this long after its own log outage, a node trusts peers' outage
-  // reports, since the outage ends at different times on different nodes.
+  // For this long after its own log outage, a node takes peers' outage reports
+  // for the same outage, which ends at different times on different nodes, and
+  // does not rank these peers last as coordinators.
   Duration outage_settling = 3000;
   // A node considers itself isolated after the log and most peers have been
   // unreachable for this long. Must be longer than a connection attempt plus a
   // lost answer.
   Duration isolation_delay = 500;
-  // Interval of load reports after a change, and without one.
+  // Interval of load reports after a change, and without one. A turn takes
+  // about 200, so peers learn of most turns while they run.
   Duration news_pause = 50;
   Duration news_anyway = 400;
 
   // Stopping -----------------------------------------------------------------
   // Time until the balancer has noticed a failing readiness check and sends no
-  // more connections.
+  // more connections: it checks once a second and needs two misses.
   Duration balancer_lag = 2600;
   Duration stop_margin = 700;  // reserved before the kill that follows SIGTERM
   // Shutdown goes on once no connection has arrived for this long after
-  // balancer_lag.
+  // balancer_lag. Must exceed the second between two checks of the balancer.
   Duration stop_quiet = 1200;
-  Duration last_requests = 1800;  // reserved for requests in flight
+  // Reserved for requests in flight: a turn at a busy server.
+  Duration last_requests = 1800;
 };
 
 enum class ThresholdFault : std::uint8_t {
--- a/src/yuccawick/gateway/token_coordinator.h
+++ b/src/yuccawick/gateway/token_coordinator.h
@@ -37,7 +37,8 @@
 using net::Time;
 
 // Partitions of the claims topic; the number of nodes that share the
-// coordinator role.
+// coordinator role. At most the partitions that a topic has, a dozen on the
+// smallest platform.
 inline constexpr int kClaimPartitions = 8;
 int                  ClaimPartitionOf(const std::string& program);
 // Key by which the coordinators of a partition are ranked.
--- a/src/yuccawick/gateway/turn_reader.h
+++ b/src/yuccawick/gateway/turn_reader.h
@@ -36,6 +36,7 @@
 using net::Time;
 
 // Partitions of the turns topic; a turn's partition is chosen by its program.
+// The log takes an append every 2 ms on each, with any number of records.
 inline constexpr int kTurnPartitions = 4;
 
 // Time that turns are stored beyond their retention, to allow for responses in
--- a/src/yuccawick/net/http_client.cc
+++ b/src/yuccawick/net/http_client.cc
@@ -12,7 +12,7 @@
 constexpr int        kUnackedTimeout = 2000;
 constexpr HttpLimits kResponseLimits{16UL * 1024, 16UL << 20};
 // Maximum idle time in ms for reuse: the server or a middlebox may have dropped
-// an older connection without notice.
+// an older connection without notice, and a new one costs only a round trip.
 constexpr Duration   kMaxIdle = 10'000;
 
 }  // namespace
--- a/src/yuccawick/pressure/memory_budget.h
+++ b/src/yuccawick/pressure/memory_budget.h
@@ -55,11 +55,11 @@
   double   calm = 0.5;
   // Share of the bound available for turns.
   double   turns = 0.6;
-  // ms for which a level is held before it drops. Must cover the health check
-  // interval of the load balancer, or the node flaps.
+  // ms for which a level is held before it drops. Must cover the health checks
+  // of the load balancer, one a second with two misses, or the node flaps.
   Duration hold = 3000;
   // A full node drops clients that have not read for this long, in ms. Must
-  // allow for a retransmitted packet.
+  // allow for several round trips and a retransmitted packet.
   Duration full_stall_timeout = 500;
 };
 
--- a/src/yuccawick/programs/adaptive_read_size.h
+++ b/src/yuccawick/programs/adaptive_read_size.h
@@ -17,6 +17,7 @@
 
 inline constexpr std::size_t   kMinReadBytes = 16UL * 1024;  // a few turns
 // Latency in ms below which a read is fast; above twice this value it is slow.
+// A page takes 70 ms over a VM's link of 30 Mbit/s.
 inline constexpr net::Duration kFastReadTime = 150;
 
 class AdaptiveReadSize {
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -3,9 +3,10 @@
 //
 // Ranking uses weighted rendezvous hashing: nodes with the same view agree on
 // the coordinator, each coordinates a share of keys proportional to its
-// millicores, and few keys move when nodes join or leave. Nodes with different
-// views may choose different coordinators. A coordinator therefore only saves
-// work: decisions depend on the order of the log alone.
+// millicores, and few keys move when nodes join or leave. With equal shares,
+// small VMs would delay the programs whose tokens they count. Nodes with
+// different views may choose different coordinators. A coordinator therefore
+// only saves work: decisions depend on the order of the log alone.
 #pragma once
 
 #include <map>
@@ -74,8 +75,9 @@
   std::map<std::string, Suspicion> m_suspects;  // by name
 };
 
-// Intervals between probes of a suspected node, in ms. The maximum bounds how
-// long a recovered node that sends no messages stays unused.
+// Intervals between probes of a suspected node, in ms. A probe costs a
+// connection attempt, and no request waits for it. The maximum bounds how long
+// a recovered node that sends no messages stays unused.
 inline constexpr Duration kMinProbeInterval = 500;
 inline constexpr Duration kMaxProbeInterval = 4000;
 
--- a/src/yuccawick/traffic/directory.h
+++ b/src/yuccawick/traffic/directory.h
@@ -20,8 +20,9 @@
 using net::Duration;
 using net::Time;
 
-// Time after an outage within which running servers register again. Entries
-// that are still absent afterwards are removed.
+// Time after an outage within which running servers register again; the
+// platform states about two seconds. Entries that are still absent afterwards
+// are removed.
 inline constexpr Duration kRecoveryGrace = 2000;  // ms
 
 // A server may restart under the same entry, with no state from before. State
--- a/src/yuccawick/traffic/outcomes.cc
+++ b/src/yuccawick/traffic/outcomes.cc
@@ -6,7 +6,8 @@
 namespace yuccawick::traffic {
 namespace {
 
-// Failure share of a healthy service that is ignored.
+// Failure share that is ignored: one request in a hundred fails at a healthy
+// service.
 constexpr double kToleratedShare = 0.1;
 // Assumed successful answers, so that a single failure does not count much.
 constexpr double kPriorSuccesses = 3.0;
--- a/src/yuccawick/traffic/placement.h
+++ b/src/yuccawick/traffic/placement.h
@@ -61,7 +61,9 @@
   // must then be recomputed.
   double cold_memory = 1.7;
   double cold_most = 1.0;
-  double failure = 4.0;  // per recent failure, and for a failure share of 1
+  // Per recent failure, and for a failure share of 1. High, so that healthy
+  // servers are chosen first.
+  double failure = 4.0;
   // Exponent of the slowdown in the cost; 0 ignores it.
   double slowdown_exponent = 1.2;
   // Slowdowns from 1 / slowdown_tolerance to slowdown_tolerance count as 1:
--- a/src/yuccawick/traffic/urgency.h
+++ b/src/yuccawick/traffic/urgency.h
@@ -18,7 +18,8 @@
 namespace yuccawick::traffic {
 
 // Up to this time left, in ms, a turn has the most urgent level of its
-// priority. Each doubling of the time left makes it one level less urgent.
+// priority: one turn at a busy server, after which lost time cannot be made up.
+// Each doubling of the time left makes it one level less urgent.
 inline constexpr net::Duration kMostUrgentTime = 400;
 // Maximum number of levels added because of the time left.
 inline constexpr int           kTimeLevels = 3;
--- a/src/yuccawick/workspaces/rate_allocator.cc
+++ b/src/yuccawick/workspaces/rate_allocator.cc
@@ -21,7 +21,7 @@
 constexpr double   kExtraTokenShare = 0.05;
 constexpr double   kMaxExtraTokens = 8.0;
 // Claims that expire within this time, in ms, count as available for new
-// programs.
+// programs. About the length of a program.
 constexpr Duration kProjectionTime = 2000;
 // A program not reported for this time, in ms, is considered finished. Longer
 // than the pauses between calls and than the time in which a node uses its
