A client's own resumption goes on behind its last event

A client that resumes a stream with its own Last-Event-Id got events again that it had, when the first server broke off before an event and the second one ignored the id.

Cause: the order of a continuation was checked only after events had been passed on here; what the client already had came from its header.

Change: a send on a resumable route that asks to go on behind an event, whoever named it, needs ids that increase from there.

Test PartialStream::ClientResumesItself_ItsLastEventCounts failed before ('nothing, then event 2 again: complete'); partial_answer 17 of 17, gateway_requests 28 of 28, traffic 25 of 25.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -157,7 +157,7 @@
   forwarding.last_event =
       m_progress.begun() ? m_progress.position() : m_info.last_event;
   forwarding.body_bytes = m_prompt_body.size();
-  m_progress.OnSend();
+  m_progress.OnSend(m_route->resumable ? forwarding.last_event : "");
   m_parts.log->Write(
       LogEvent::kSent,
       {{"request", m_info.attempt},
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -43,7 +43,9 @@
   return kNames[static_cast<std::size_t>(fit)];
 }
 
-void AnswerProgress::OnSend() {
+void AnswerProgress::OnSend(std::string_view after_event) {
+  m_position = after_event;
+  m_goes_on = ParseId(m_position).has_value();
   m_fit = AnswerFit::kInvalid;
   m_status = 0;
   m_is_stream = false;
@@ -93,7 +95,7 @@
 
 bool AnswerProgress::OnEvent(std::string_view id) {
   if (!std::exchange(m_had_event, true)) m_first_id = id;
-  if (m_fit == AnswerFit::kContinuation) {
+  if (m_goes_on) {
     const auto number = ParseId(id);
     const auto last = ParseId(m_position);
     if (!number || !last || *number <= *last) return false;
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -6,7 +6,7 @@
 // AnswerProgress creates an AnswerEnd, and nothing ends an answer as complete
 // without one.
 //
-//   progress.OnSend();
+//   progress.OnSend(after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
 //   progress.Begin();                           // its head is passed on
 //   if (progress.OnEvent(id)) ...               // before each event
@@ -46,15 +46,16 @@
 
 class AnswerProgress {
  public:
-  // The request is sent, again if begun(); see position().
-  void OnSend();
+  // The request is sent. `after_event`: id behind which the server is asked to
+  // go on; empty: from the first event.
+  void OnSend(std::string_view after_event);
   // The head of the server's answer to `request`. `is_stream`: it is passed on
   // event by event.
   void OnHead(const RequestInfo& request, const AnswerInfo& answer,
               bool is_stream);
   // The next event of the current server's answer; `id` is empty if it has
-  // none. Returns whether it may be passed on: a continuation has to go on
-  // behind the last event, or the client gets events twice.
+  // none. Returns whether it may be passed on: an answer that was asked to go
+  // on behind an event has to, or the client gets events twice.
   bool OnEvent(std::string_view id);
   // The head of the current server's answer is passed on. Later answers have to
   // continue this one.
@@ -94,6 +95,7 @@
   std::string m_position;
 
   // The current send.
+  bool        m_goes_on = false;  // has to go on behind m_position
   AnswerFit   m_fit = AnswerFit::kInvalid;
   int         m_status = 0;
   bool        m_is_stream = false;
