Comments and closing events without an id do not cut resumed streams

Cause: a block without id and data counted as an event without an id, which made the position unknown; and in a resumed answer every event needed a higher id, also behind one that had shown it.

Change: such blocks are passed on and no events. In a resumed answer the first event needs a higher id and ids increase; events without one may follow it. A stream is resumed only if no event without an id followed the last one.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -155,7 +155,7 @@
   forwarding.has_workspaces = m_routes->manifest()->workspaces.has_value();
   if (m_workspace != nullptr) forwarding.workspace = m_workspace->name;
   forwarding.last_event =
-      m_progress.begun() ? m_progress.position() : m_info.last_event;
+      m_progress.begun() ? m_progress.last_id() : m_info.last_event;
   forwarding.body_bytes = m_prompt_body.size();
   m_progress.OnSend(m_route->resumable ? forwarding.last_event : "");
   m_parts.log->Write(
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -106,7 +106,7 @@
                                             : 1;
   traffic::StreamEvent event;
   while (m_events.Next(&event)) {
-    if (!m_progress.OnEvent(event.id)) return false;
+    if (!event.is_comment && !m_progress.OnEvent(event.id)) return false;
     out->append(event.bytes);
     if (m_route->keeps_turns) m_output.append(event.data).append("\n");
     if (m_event_count++ == 0) ObserveFirstEvent();
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -34,6 +34,12 @@
   return number;
 }
 
+bool IsHigher(std::string_view id, std::string_view other) {
+  const auto number = ParseId(id);
+  const auto other_number = ParseId(other);
+  return number && other_number && *number > *other_number;
+}
+
 }  // namespace
 
 std::string_view Name(AnswerFit fit) {
@@ -44,12 +50,12 @@
 }
 
 void AnswerProgress::OnSend(std::string_view after_event) {
-  m_position = after_event;
-  m_goes_on = ParseId(m_position).has_value();
+  m_last_id = after_event;
+  m_resumes = ParseId(m_last_id).has_value();
   m_fit = AnswerFit::kInvalid;
   m_status = 0;
   m_is_stream = false;
-  m_had_event = false;
+  m_had_id = false;
   m_first_id.clear();
 }
 
@@ -79,8 +85,7 @@
 }
 
 bool AnswerProgress::CanContinue(const Route& route) const {
-  return !m_begun ||
-         (m_begun_stream && route.resumable && ParseId(m_position).has_value());
+  return !m_begun || (m_begun_stream && route.resumable && m_can_resume);
 }
 
 std::optional<AnswerEnd> AnswerProgress::End(bool mid_event) const {
@@ -94,13 +99,14 @@
 }
 
 bool AnswerProgress::OnEvent(std::string_view id) {
-  if (!std::exchange(m_had_event, true)) m_first_id = id;
-  if (m_goes_on) {
-    const auto number = ParseId(id);
-    const auto last = ParseId(m_position);
-    if (!number || !last || *number <= *last) return false;
-  }
-  m_position = id;
+  if (m_first_id.empty()) m_first_id = id;
+  // Events without an id belong behind the one before them.
+  if (m_resumes && id.empty() && !m_had_id) return false;
+  if (m_resumes && !id.empty() && !IsHigher(id, m_last_id)) return false;
+  m_can_resume = ParseId(id).has_value();
+  if (id.empty()) return true;
+  m_had_id = true;
+  m_last_id = id;
   return true;
 }
 
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -25,11 +25,10 @@
 
 // How a server's answer fits what the client has received.
 enum class AnswerFit : std::uint8_t {
-  kFirst,         // nothing was passed on yet; this answer may be
+  kFirst,         // nothing was passed on before
   kContinuation,  // continues the stream that was passed on in part
   kNotRun,        // the server states that it did not run the request
-  kNotRunUnsaid,  // its status means "not run", but the server does not state
-                  // it
+  kNotRunUnsaid,  // a status that means "not run" without that statement
   kInvalid,       // not an answer to this request, or without a signature
   kOtherStatus,   // a part with another status was passed on
   kOtherForm,     // a part was passed on, and not both are event streams
@@ -54,8 +53,9 @@
   void OnHead(const RequestInfo& request, const AnswerInfo& answer,
               bool is_stream);
   // The next event of the current server's answer; `id` is empty if it has
-  // none. Returns whether it may be passed on: an answer that was asked to go
-  // on behind an event has to, or the client gets events twice.
+  // none. Returns whether it may be passed on. A server that was asked to go on
+  // behind an event has to begin with a higher id, and its ids have to
+  // increase; otherwise the client would get events twice.
   bool OnEvent(std::string_view id);
   // The head of the current server's answer is passed on. Later answers have to
   // continue this one.
@@ -70,18 +70,18 @@
   // Whether a part of an answer was passed on.
   bool               begun() const { return m_begun; }
   // Whether another send may still complete the client's answer: nothing was
-  // passed on, or a stream that `route` allows to be resumed and whose last
-  // event has a number as its id.
+  // passed on, or a stream that `route` allows to be resumed and that has not
+  // got behind the last id that is a number.
   bool               CanContinue(const Route& route) const;
-  // Id of the last event passed on; empty if it has none.
-  const std::string& position() const { return m_position; }
+  // Last id that the client has received, or has named as such.
+  const std::string& last_id() const { return m_last_id; }
   // Of the current send; kInvalid before its head.
   AnswerFit          fit() const { return m_fit; }
   // Whether the body of the current server's answer is passed on.
   bool               passes_body() const;
   // Whether the current server's answer is passed on event by event.
   bool               is_stream() const { return m_is_stream; }
-  // Id of the current send's first event; empty if there is none.
+  // First id of the current send; empty if there is none.
   const std::string& first_id() const { return m_first_id; }
 
  private:
@@ -92,14 +92,17 @@
   bool        m_begun = false;
   int         m_begun_status = 0;
   bool        m_begun_stream = false;
-  std::string m_position;
+  std::string m_last_id;
+  // The rest can be asked for by m_last_id: no event was passed on since, and
+  // it is a number, so that what follows can be told from what was before.
+  bool        m_can_resume = true;
 
   // The current send.
-  bool        m_goes_on = false;  // has to go on behind m_position
+  bool        m_resumes = false;  // the server was asked for the rest
   AnswerFit   m_fit = AnswerFit::kInvalid;
   int         m_status = 0;
   bool        m_is_stream = false;
-  bool        m_had_event = false;
+  bool        m_had_id = false;  // an event with an id was passed on
   std::string m_first_id;
 };
 
--- a/src/yuccawick/traffic/event_stream.cc
+++ b/src/yuccawick/traffic/event_stream.cc
@@ -18,16 +18,21 @@
 void ParseEventFields(StreamEvent* event) {
   std::string_view rest = event->bytes;
   bool             first = true;
+  event->is_comment = true;
   while (!rest.empty()) {
     const auto       end = rest.find('\n');
     std::string_view line = rest.substr(0, end);
     rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
     if (line.ends_with("\r")) line.remove_suffix(1);
     std::string_view value;
-    if (ParseField(line, "id", &value)) event->id = value;
+    if (ParseField(line, "id", &value)) {
+      event->id = value;
+      event->is_comment = false;
+    }
     if (ParseField(line, "data", &value)) {
       if (!first) event->data += '\n';
       event->data += value;
+      event->is_comment = false;
       first = false;
     }
   }
--- a/src/yuccawick/traffic/event_stream.h
+++ b/src/yuccawick/traffic/event_stream.h
@@ -10,9 +10,10 @@
 namespace yuccawick::traffic {
 
 struct StreamEvent {
-  std::string_view bytes;  // as received, including the blank line
-  std::string_view id;     // empty if absent
-  std::string      data;   // data lines, joined by line feeds
+  std::string_view bytes;   // as received, including the blank line
+  std::string_view id;      // empty if absent
+  std::string      data;    // data lines, joined by line feeds
+  bool is_comment = false;  // without id and data: comments, retry times
 };
 
 // Maximum size of an event, in bytes.
