A comment in a turn's stream is not part of its output

A server that sent a comment in a turn's stream got, with the program's next turn, a prompt with an empty line that no event had, and the comment cost the program an event's tokens.

A block without id and data is passed on and no longer recorded or counted.

--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -108,6 +108,7 @@
   while (m_events.Next(&event)) {
     if (!event.is_comment && !m_progress.OnEvent(event.id)) return false;
     out->append(event.bytes);
+    if (event.is_comment) continue;
     if (m_route->keeps_turns) m_output.append(event.data).append("\n");
     if (m_event_count++ == 0) ObserveFirstEvent();
     m_tokens_used += tokens_per_event;
