A turn that is answered without events is recorded

A program whose turn got a whole 200 that is no event stream was told 404 with its next turn, which ends the program.

Cause: only streams were recorded; a plain answer on a route that keeps turns ended without a record.

Change: its last chunk waits for the record, as a stream's does. The record has no output, since there were no events.

--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -29,6 +29,10 @@
 // has an empty name.
 constexpr std::string_view kEventServiceKind;
 
+bool IsSuccess(int status) {
+  return status >= kOk && status <= kMaxSuccessStatus;
+}
+
 // How the end of a server's answer is marked.
 std::string_view Framing(const net::Head& head) {
   if (head.ends_with_connection) return "connection";
@@ -198,7 +202,7 @@
     m_parts.backends->ObserveBadAnswer(m_server_id);
   } else {
     m_parts.backends->ObserveSuccess(m_server_id);
-    if (m_answer.status <= kMaxSuccessStatus && !m_progress.is_stream() &&
+    if (IsSuccess(m_answer.status) && !m_progress.is_stream() &&
         m_had_free_slot) {
       m_parts.backends->ObserveServiceTime(
           m_server_id, m_route->name,
@@ -208,16 +212,22 @@
 }
 
 void Exchange::EndPlain(traffic::AnswerEnd end) {
-  Fire(AttemptEvent::kAnswerEnded);
-  if (m_progress.begun()) {
-    m_client->WriteChunk(m_plain_body);
-    FinishAnswer(end);
+  if (!Fire(AttemptEvent::kAnswerEnded)) return;
+  const bool is_turn = m_route->keeps_turns && IsSuccess(m_answer.status);
+  if (!is_turn && !m_progress.begun()) {
+    const auto length = static_cast<std::int64_t>(m_plain_body.size());
+    const auto head = platform::EncodeAnswerHead(m_answer, length,
+                                                 m_client->ClosesAfterAnswer());
+    FinishAnswer(end, head + m_plain_body);
     return;
   }
-  const auto length = static_cast<std::int64_t>(m_plain_body.size());
-  FinishAnswer(end, platform::EncodeAnswerHead(m_answer, length,
-                                               m_client->ClosesAfterAnswer()) +
-                        m_plain_body);
+  if (!m_progress.begun()) BeginAnswer();
+  m_client->WriteChunk(m_plain_body);
+  if (is_turn) {
+    RecordTurn(end);
+  } else {
+    FinishAnswer(end);
+  }
 }
 
 void Exchange::EndStream(traffic::AnswerEnd end) {
