--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -50,5 +50,37 @@
   cr_assert_eq(state->turns.size(), 2);
 }
 
+// The text that an entry streams to its caller for a message of `from`.
+std::string StreamedText(SmallGroup* s, const core::NodeRef& from,
+                         const core::CallChunk& chunk) {
+  core::Entry& entry = s->group.entry("entry-a");
+  std::string  text;
+  for (const auto& command : entry.Handle(
+           s->group.now(), core::MessageReceived{from, entry.self(), chunk})) {
+    const auto* reply = std::get_if<core::ReplyToCaller>(&command);
+    if (reply == nullptr) continue;
+    if (const auto* part = std::get_if<core::CallChunk>(&reply->reply))
+      text += part->text;
+  }
+  return text;
+}
+
+Test(StreamedCall, RunsAgainAfterAPart_TextsOfTwoRunsAreNotJoined) {
+  // Guards against a stream that goes on with the text of another run, whose
+  // words before that position the caller has not received.
+  SmallGroup s;
+  s.Start();
+  s.group.backend(s.Coordinator()).Hold(true);
+  const auto call =
+      s.group.Call("entry-a", s.group.ModelCall(s.program, 1, "q"));
+  s.group.Advance(20);
+  const auto from =
+      s.group.entry("entry-a").control().Resolve(s.program.origin).node;
+  cr_assert_str_eq(StreamedText(&s, from, {call, 0, "alpha "}).c_str(),
+                   "alpha ");
+  cr_expect_str_empty(StreamedText(&s, from, {call, 0, "gamma "}).c_str());
+  cr_expect_str_empty(StreamedText(&s, from, {call, 6, "delta"}).c_str());
+}
+
 }  // namespace
 }  // namespace yuccawick::tests
