An engine's error before [DONE] fails the call

A model call whose engine failed midway was answered and recorded as complete with the part of the text that had come.

Cause: the client of engines read only texts and usage from events, so an event with 'error', or with finish_reason 'error', was passed over and the [DONE] behind it ended the answer as a whole one.

Change: such an event ends the call as a failure during execution (backend_error, ran).

--- a/src/yuccawick/backends/backend_client.cc
+++ b/src/yuccawick/backends/backend_client.cc
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kDone = "[DONE]";
+constexpr std::string_view kErrorReason = "error";
 constexpr int              kFirstErrorStatus = 400;
 constexpr int              kMicrosPerMilli = 1000;
 
@@ -37,13 +38,25 @@
   return body;
 }
 
-// Applies one server-sent event of the engine to `done`; returns true for the
-// last event.
-bool ApplyEvent(const std::string& data, core::RunDone* done,
-                const ChunkSink& on_chunk) {
-  if (data == kDone) return true;
+enum class EventKind : std::uint8_t { kPart, kLast, kError };
+
+// An engine that fails midway reports it in an event of its own or as the
+// reason for the end; [DONE] may follow.
+bool IsError(const Poco::JSON::Object& event) {
+  if (!event.isNull("error")) return true;
+  const auto choices = event.getArray("choices");
+  if (choices.isNull() || choices->size() == 0) return false;
+  return choices->getObject(0)->optValue<std::string>("finish_reason", "") ==
+         kErrorReason;
+}
+
+// Adds the text and usage of one server-sent event of the engine to `done`.
+EventKind ApplyEvent(const std::string& data, core::RunDone* done,
+                     const ChunkSink& on_chunk) {
+  if (data == kDone) return EventKind::kLast;
   Poco::JSON::Parser parser;
   const auto event = parser.parse(data).extract<Poco::JSON::Object::Ptr>();
+  if (IsError(*event)) return EventKind::kError;
   const auto choices = event->getArray("choices");
   if (!choices.isNull() && choices->size() > 0) {
     const auto delta = choices->getObject(0)->getObject("delta");
@@ -60,7 +73,7 @@
     done->answer.usage.completion =
         usage->getValue<core::Tokens>("completion_tokens");
   }
-  return false;
+  return EventKind::kPart;
 }
 
 core::Failure CancelledFailure() {
@@ -119,7 +132,10 @@
     for (std::string line; std::getline(response_stream, line);) {
       if (cancelled) return fail(CancelledFailure());
       if (!line.starts_with(kDataPrefix)) continue;
-      if (ApplyEvent(line.substr(kDataPrefix.size()), &done, on_chunk)) {
+      const auto kind =
+          ApplyEvent(line.substr(kDataPrefix.size()), &done, on_chunk);
+      if (kind == EventKind::kError) return fail(FailureOf(HttpError::kFailed));
+      if (kind == EventKind::kLast) {
         done.ok = true;
         return done;
       }
