An entry ends a stream whose call ran again with another text

A caller whose call ran again after a part of the first run was streamed got text of both runs joined: 'alpha ' and then 'delta', without the second run's 'gamma ' between.

Cause: an entry passed on each chunk that began at the end of what was streamed, and ignored the ones before it, also if they showed another text.

Change: a chunk that begins within the streamed text has to repeat it there; otherwise nothing more is streamed for this call. The reply then decides, as before.

--- a/src/yuccawick/core/entry.cc
+++ b/src/yuccawick/core/entry.cc
@@ -14,6 +14,13 @@
 // equal.
 constexpr Tokens kResidentStep = 4096;
 
+// Whether a chunk that begins within `streamed` repeats the text there.
+bool Repeats(const std::string& streamed, const CallChunk& chunk) {
+  const auto shared =
+      std::min(chunk.text.size(), streamed.size() - chunk.position);
+  return streamed.compare(chunk.position, shared, chunk.text, 0, shared) == 0;
+}
+
 }  // namespace
 
 Entry::Entry(EntrySettings settings, Safeguards safeguards)
@@ -291,8 +298,15 @@
 void Entry::OnChunk(const NodeRef& from, const CallChunk& chunk, Time now) {
   Pending* pending = FindFrom(from, chunk.request);
   if (pending == nullptr) return;
+  // The call may have run again with another text, which must not continue the
+  // text of the first run.
+  if (chunk.position < pending->streamed.size() &&
+      !Repeats(pending->streamed, chunk)) {
+    pending->text_changed = true;
+  }
   // A lost or reordered chunk ends streaming; the reply contains the rest.
-  if (chunk.position != pending->streamed.size()) return;
+  const bool continues = chunk.position == pending->streamed.size();
+  if (pending->text_changed || !continues) return;
   pending->sent_at = now;
   pending->streamed += chunk.text;
   m_outbox.Push(ReplyToCaller{chunk.request, chunk});
--- a/src/yuccawick/core/entry.h
+++ b/src/yuccawick/core/entry.h
@@ -57,6 +57,7 @@
     Time        sent_at = 0;
     bool        may_have_run = false;  // some attempt may have been received
     std::string streamed;              // text already sent to the caller
+    bool        text_changed = false;  // a chunk differed from `streamed`
   };
   using Requests = std::map<std::uint64_t, Pending>;
 
