A closing connection waits while its client takes the answer

A client that still read a complete answer lost its end, visibly cut, if the connection was to close and the reading took over a second.

Cause: 'linger' began when the end of the answer was queued, and closed the connection whatever was still unsent.

Change: while bytes wait and the client has taken some within reader_patience, as on a connection that stays open, the connection waits; linger begins once they are sent. A client that takes nothing loses the connection after at most twice reader_patience.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -206,7 +206,9 @@
 void ClientConnection::OnDrained() {
   if (m_exchange) {
     m_exchange->ClientDrained();
-  } else if (!m_lingering) {
+  } else if (m_lingering) {
+    RestartLinger();
+  } else {
     m_stream.SetReading(net::Reading::kOn);
     RestartTimer();
     ProcessInput();
@@ -255,11 +257,13 @@
   });
 }
 
+bool ClientConnection::TakesAnswer() const {
+  return m_stream.pending() > 0 &&
+         m_stream.stalled() < m_parts.thresholds->reader_patience;
+}
+
 void ClientConnection::OnTimeout() {
-  const bool is_reading =
-      m_stream.pending() > 0 &&
-      m_stream.stalled() < m_parts.thresholds->reader_patience;
-  if (is_reading) {
+  if (TakesAnswer()) {
     RestartTimer();
   } else if (!m_reader.in_message()) {
     m_stream.Close();
@@ -275,9 +279,18 @@
   m_body = {};
   m_body_charge.Set(0);
   m_stream.EndWriting();
+  RestartLinger();
+}
+
+void ClientConnection::RestartLinger() {
   m_parts.loop->Cancel(&m_timer);
-  m_timer = m_parts.loop->After(m_parts.thresholds->linger, [this] {
+  // OnDrained() goes on once the answer is sent.
+  const Duration limit = m_stream.pending() > 0
+                             ? m_parts.thresholds->reader_patience
+                             : m_parts.thresholds->linger;
+  m_timer = m_parts.loop->After(limit, [this] {
     m_timer = 0;
+    if (TakesAnswer()) return RestartLinger();
     m_stream.Close();
     RemoveSelf();
   });
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -72,7 +72,11 @@
   void Refuse(traffic::Refusal refusal);
   void RestartTimer();
   void OnTimeout();
+  // Whether the client is still reading bytes that wait for it here.
+  bool TakesAnswer() const;
+  // Sends what is pending and closes; input is discarded meanwhile.
   void Linger();
+  void RestartLinger();
   void RemoveSelf();
 
   GatewayParts              m_parts;
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -68,9 +68,9 @@
   // Longest time that bytes to a client may stay unacknowledged. Clients give
   // up sooner.
   Duration client_silence = 5000;
-  // After an answer that ends the connection, input is read and discarded for
-  // this long. Closing with unread input would send a reset, which can overtake
-  // the answer.
+  // Once an answer that ends the connection is sent, input is still read and
+  // discarded for this long. Closing with unread input would send a reset,
+  // which can overtake the answer.
   Duration linger = 1000;
 
   // Memory -------------------------------------------------------------------
