Names that the review had to read twice

Permits instead of actions (PermitEnd, PermitOwnAnswer), 'unstated' for a status without the server's word, 'unusable' for an answer that doesn't complete the client's; the example in the header has the order of the code. A value of the new log field changed before it landed: fit=not_run_unstated.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -312,7 +312,7 @@
 
 void Exchange::Refuse(Refusal refusal) {
   const auto self = shared_from_this();
-  const auto end = m_progress.EndWithOwnAnswer();
+  const auto end = m_progress.PermitOwnAnswer();
   if (!end) {
     AbortAnswer(Name(refusal));
     return;
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -129,7 +129,7 @@
   void   WriteAnswer(std::string_view bytes);
   void   ObserveLaterAnswer();
   void   BeginAnswer();
-  void   OnUnfitAnswer();
+  void   OnUnusableAnswer();
   void   EndStream(traffic::AnswerEnd end);
   void   ObserveOutcome();
   void   EndPlain(traffic::AnswerEnd end);
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -155,9 +155,9 @@
 void Exchange::OnBackendEnd() {
   const auto self = shared_from_this();
   if (m_client == nullptr) return;
-  const auto end = m_progress.End(m_events.has_partial());
+  const auto end = m_progress.PermitEnd(m_events.has_partial());
   if (!end) {
-    OnUnfitAnswer();
+    OnUnusableAnswer();
     return;
   }
   DetachServer(true);
@@ -170,14 +170,14 @@
 }
 
 // The server's answer is whole, but does not complete what the client has.
-void Exchange::OnUnfitAnswer() {
+void Exchange::OnUnusableAnswer() {
   switch (m_progress.fit()) {
     case AnswerFit::kNotRun:
       DetachServer(true);
       m_parts.backends->ObserveBadAnswer(m_server_id);
       OnSendFailed(SendFailureCause::kNotRun);
       return;
-    case AnswerFit::kNotRunUnsaid:
+    case AnswerFit::kNotRunUnstated:
       DetachServer(true);
       ObserveOutcome();
       Refuse(Refusal::kServerFailed);
--- a/src/yuccawick/net/stream.h
+++ b/src/yuccawick/net/stream.h
@@ -19,7 +19,8 @@
 
 enum class Reading : std::uint8_t {
   kOn,        // bytes are delivered
-  kWatchEnd,  // bytes stay in the kernel; the peer's close is reported
+  kWatchEnd,  // bytes stay in the kernel; the peer's close is reported, and
+              // drops them
   kOff,       // bytes and the peer's close wait until reading resumes; a reset
               // is reported at once
 };
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -44,7 +44,7 @@
 
 std::string_view Name(AnswerFit fit) {
   constexpr std::array<std::string_view, kAnswerFitCount> kNames{
-      "first",   "continuation", "not_run",   "not_run_unsaid",
+      "first",   "continuation", "not_run",   "not_run_unstated",
       "invalid", "other_status", "other_form"};
   return kNames[static_cast<std::size_t>(fit)];
 }
@@ -76,7 +76,7 @@
     return is_stream && m_begun_stream ? AnswerFit::kContinuation
                                        : AnswerFit::kOtherForm;
   }
-  return MeansNotRun(answer.status) ? AnswerFit::kNotRunUnsaid
+  return MeansNotRun(answer.status) ? AnswerFit::kNotRunUnstated
                                     : AnswerFit::kFirst;
 }
 
@@ -88,12 +88,12 @@
   return !m_begun || (m_begun_stream && route.resumable && m_can_resume);
 }
 
-std::optional<AnswerEnd> AnswerProgress::End(bool mid_event) const {
+std::optional<AnswerEnd> AnswerProgress::PermitEnd(bool mid_event) const {
   if (!passes_body() || (m_is_stream && mid_event)) return std::nullopt;
   return AnswerEnd();
 }
 
-std::optional<AnswerEnd> AnswerProgress::EndWithOwnAnswer() const {
+std::optional<AnswerEnd> AnswerProgress::PermitOwnAnswer() const {
   if (m_begun) return std::nullopt;
   return AnswerEnd();
 }
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -8,9 +8,9 @@
 //
 //   progress.OnSend(after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
-//   progress.Begin();                           // its head is passed on
-//   if (progress.OnEvent(id)) ...               // before each event
-//   if (auto end = progress.End(mid_event)) client->EndAnswer(*end);
+//   if (progress.OnEvent(id)) ...               // pass the event on
+//   progress.Begin();                           // the head is passed on
+//   if (auto end = progress.PermitEnd(mid_event)) client->EndAnswer(*end);
 #pragma once
 
 #include <cstdint>
@@ -25,13 +25,13 @@
 
 // How a server's answer fits what the client has received.
 enum class AnswerFit : std::uint8_t {
-  kFirst,         // nothing was passed on before
-  kContinuation,  // continues the stream that was passed on in part
-  kNotRun,        // the server states that it did not run the request
-  kNotRunUnsaid,  // a status that means "not run" without that statement
-  kInvalid,       // not an answer to this request, or without a signature
-  kOtherStatus,   // a part with another status was passed on
-  kOtherForm,     // a part was passed on, and not both are event streams
+  kFirst,           // nothing was passed on before
+  kContinuation,    // continues the stream that was passed on in part
+  kNotRun,          // the server states that it did not run the request
+  kNotRunUnstated,  // a status that means "not run" without that statement
+  kInvalid,         // not an answer to this request, or without a signature
+  kOtherStatus,     // a part with another status was passed on
+  kOtherForm,       // a part was passed on, and not both are event streams
 };
 constexpr std::size_t kAnswerFitCount = 7;
 std::string_view      Name(AnswerFit fit);
@@ -57,32 +57,31 @@
   // behind an event has to begin with a higher id, and its ids have to
   // increase; otherwise the client would get events twice.
   bool OnEvent(std::string_view id);
-  // The head of the current server's answer is passed on. Later answers have to
-  // continue this one.
+  // The head of the current server's answer is passed on, with its first part.
+  // Later answers have to continue this one.
   void Begin();
-  // The server's answer is whole; `mid_event`: it stopped within an event.
-  // Empty unless that completes what the client has received.
-  std::optional<AnswerEnd> End(bool mid_event) const;
+  // Once the server's answer is whole; `mid_event`: it stopped within an event.
+  // Empty unless it completes what the client has received.
+  std::optional<AnswerEnd> PermitEnd(bool mid_event) const;
   // For an answer of the gateway's own; empty once a part of a server's answer
   // was passed on.
-  std::optional<AnswerEnd> EndWithOwnAnswer() const;
-
+  std::optional<AnswerEnd> PermitOwnAnswer() const;
   // Whether a part of an answer was passed on.
-  bool               begun() const { return m_begun; }
+  bool                     begun() const { return m_begun; }
   // Whether another send may still complete the client's answer: nothing was
   // passed on, or a stream that `route` allows to be resumed and that has not
   // got behind the last id that is a number.
-  bool               CanContinue(const Route& route) const;
+  bool                     CanContinue(const Route& route) const;
   // Last id that the client has received, or has named as such.
-  const std::string& last_id() const { return m_last_id; }
+  const std::string&       last_id() const { return m_last_id; }
   // Of the current send; kInvalid before its head.
-  AnswerFit          fit() const { return m_fit; }
+  AnswerFit                fit() const { return m_fit; }
   // Whether the body of the current server's answer is passed on.
-  bool               passes_body() const;
+  bool                     passes_body() const;
   // Whether the current server's answer is passed on event by event.
-  bool               is_stream() const { return m_is_stream; }
+  bool                     is_stream() const { return m_is_stream; }
   // First id of the current send; empty if there is none.
-  const std::string& first_id() const { return m_first_id; }
+  const std::string&       first_id() const { return m_first_id; }
 
  private:
   AnswerFit Classify(const RequestInfo& request, const AnswerInfo& answer,
--- a/src/yuccawick/traffic/attempt.h
+++ b/src/yuccawick/traffic/attempt.h
@@ -58,7 +58,7 @@
   int              repeats = 0;        // sends after the first
   bool             in_doubt = false;   // an earlier send may have run
   bool             answering = false;  // part of the response was sent
-  bool             can_continue = false;  // another response can go on with it
+  bool             can_continue = false;  // another send may complete it
   bool             other_server = false;  // an untried server is left
   Duration         left = 0;              // ms until the attempt times out
 };
