--- a/tests/engine_client_test.cc
+++ b/tests/engine_client_test.cc
@@ -26,7 +26,7 @@
 // The result of a call whose engine writes `answer` and closes.
 core::RunDone RunAgainst(const std::string& answer) {
   Poco::Net::ServerSocket listener(
-      Poco::Net::SocketAddress("127.0.0.1", Poco::UInt16(0)));
+      Poco::Net::SocketAddress("127.0.0.1", Poco::UInt16{0}));
   std::thread                  engine([&] {
     Poco::Net::StreamSocket connection = listener.acceptConnection();
     std::array<char, 4096>  request{};
@@ -49,7 +49,7 @@
   command.call.target = "m";
   command.call.body = "q";
   const std::atomic<bool> cancelled{false};
-  const core::RunDone     done =
+  core::RunDone           done =
       client.Run(command, cancelled, [](const std::string&) {});
   engine.join();
   return done;
