Log the software version of servers and the attempt that a client takes up

The incident's logs could not tell its hypotheses apart: no line named the version of a server, nor which attempt a client takes up. Now sent and continued have the version of the server and of the one that began the answer, accepted the attempt that the client names. No decision reads them.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -157,12 +157,15 @@
   forwarding.last_event =
       m_progress.begun() ? m_progress.last_id() : m_info.last_event;
   forwarding.body_bytes = m_prompt_body.size();
-  m_progress.OnSend(m_route->resumable ? forwarding.last_event : "");
+  m_progress.OnSend(server.version,
+                    m_route->resumable ? forwarding.last_event : "");
   m_parts.log->Write(
       LogEvent::kSent,
       {{"request", m_info.attempt},
        {"server", server.id},
        {"server_zone", server.zone},
+       {"version", server.version},
+       {"begun_version", m_progress.begun_version()},
        {"load_per_slot_pct", static_cast<int>(choice.load * kPercent)},
        {"failures_pct", static_cast<int>(choice.failure_share * kPercent)},
        {"pace_pct", static_cast<int>(choice.slowdown * kPercent)},
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -55,12 +55,15 @@
 
 void Exchange::ObserveLaterAnswer() {
   m_parts.metrics->CountLaterAnswer(m_progress.fit());
-  m_parts.log->Write(LogEvent::kContinued, {{"request", m_info.attempt},
-                                            {"server", m_server_id},
-                                            {"status", m_answer.status},
-                                            {"fit", Name(m_progress.fit())},
-                                            {"framing", Framing(m_answer)},
-                                            {"events_passed", m_event_count}});
+  m_parts.log->Write(LogEvent::kContinued,
+                     {{"request", m_info.attempt},
+                      {"server", m_server_id},
+                      {"status", m_answer.status},
+                      {"version", m_progress.version()},
+                      {"begun_version", m_progress.begun_version()},
+                      {"fit", Name(m_progress.fit())},
+                      {"framing", Framing(m_answer)},
+                      {"events_passed", m_event_count}});
 }
 
 void Exchange::OnBackendBody(std::string_view bytes) {
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -67,6 +67,7 @@
                                                            : m_workspace->name},
                       {"program", m_info.program},
                       {"previous", m_info.previous_turn},
+                      {"resumes", m_info.resumes},
                       {"route", m_route->name},
                       {"service", m_service},
                       {"manifest", m_routes->manifest()->version},
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -49,7 +49,9 @@
   return kNames[static_cast<std::size_t>(fit)];
 }
 
-void AnswerProgress::OnSend(std::string_view after_event) {
+void AnswerProgress::OnSend(std::string_view version,
+                            std::string_view after_event) {
+  m_version = version;
   m_last_id = after_event;
   m_resumes = ParseId(m_last_id).has_value();
   m_fit = AnswerFit::kInvalid;
@@ -114,6 +116,7 @@
   if (std::exchange(m_begun, true)) return;
   m_begun_status = m_status;
   m_begun_stream = m_is_stream;
+  m_begun_version = m_version;
 }
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -6,7 +6,7 @@
 // AnswerProgress creates an AnswerEnd, and nothing ends an answer as complete
 // without one.
 //
-//   progress.OnSend(after_event);
+//   progress.OnSend(version, after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
 //   if (progress.OnEvent(id)) ...               // pass the event on
 //   progress.Begin();                           // the head is passed on
@@ -45,9 +45,9 @@
 
 class AnswerProgress {
  public:
-  // The request is sent. `after_event`: id behind which the server is asked to
-  // go on; empty: from the first event.
-  void OnSend(std::string_view after_event);
+  // The request is sent to a server of the software `version`. `after_event`:
+  // id behind which the server is asked to go on; empty: from the first event.
+  void OnSend(std::string_view version, std::string_view after_event);
   // The head of the server's answer to `request`. `is_stream`: it is passed on
   // event by event.
   void OnHead(const RequestInfo& request, const AnswerInfo& answer,
@@ -76,6 +76,10 @@
   const std::string&       last_id() const { return m_last_id; }
   // Of the current send; kInvalid before its head.
   AnswerFit                fit() const { return m_fit; }
+  // Software version of the current server, and of the one whose answer was
+  // passed on first; empty if there is none.
+  const std::string&       version() const { return m_version; }
+  const std::string&       begun_version() const { return m_begun_version; }
   // Whether the body of the current server's answer is passed on.
   bool                     passes_body() const;
   // Whether the current server's answer is passed on event by event.
@@ -91,12 +95,14 @@
   bool        m_begun = false;
   int         m_begun_status = 0;
   bool        m_begun_stream = false;
+  std::string m_begun_version;
   std::string m_last_id;
   // The rest can be asked for by m_last_id: no event was passed on since, and
   // it is a number, so that what follows can be told from what was before.
   bool        m_can_resume = true;
 
   // The current send.
+  std::string m_version;          // of the server's software
   bool        m_resumes = false;  // the server was asked for the rest
   AnswerFit   m_fit = AnswerFit::kInvalid;
   int         m_status = 0;
--- a/src/yuccawick/traffic/directory.h
+++ b/src/yuccawick/traffic/directory.h
@@ -36,6 +36,7 @@
   std::string   zone;
   int           slots = 1;         // concurrent requests
   bool          draining = false;  // receives no new work
+  std::string   version;           // of its software; not empty once decoded
 
   bool operator==(const BackendServer&) const = default;
 };
--- a/src/yuccawick/traffic/request.h
+++ b/src/yuccawick/traffic/request.h
@@ -27,8 +27,9 @@
   std::int64_t                max_tokens = 0;  // limit of generated tokens
   std::string                 previous_turn;
   std::string                 last_event;  // resume after this event
-  std::string                 prefix;      // id of the first prompt part
-  std::string                 key;         // workspace key; secret; empty: none
+  std::string                 resumes;  // attempt that brought the first event
+  std::string                 prefix;   // id of the first prompt part
+  std::string                 key;      // workspace key; secret; empty: none
 };
 
 struct AnswerInfo {
