A node goes on with a stream only at the version that began it

Callers saw: streams of a resumable route with events of two software versions (ORDER) when a server broke one off and the node went on by itself.

Cause: the choice of a server for the rest knew service and load, no version. AnswerProgress, which holds what the client has, did not know who wrote it.

Change: AnswerProgress keeps the origin (service and version) of what it began and alone creates a SendPermit, without which platform::EncodeRequest has nothing to encode; so no send to another version can be expressed. Backends chooses by a ServerFilter from a pool of the version: a filter behind the bounded sample finds none where one server in fifty fits. HasServer, which decides on another try, asks the same filter. An entry that changes its version is another start of its server: its connections and failures are forgotten.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -178,6 +178,7 @@
   for (const traffic::BackendServer& server : *servers) {
     State& state =
         m_servers.try_emplace(server.id, m_thresholds->slowdown).first->second;
+    if (state.server.version != server.version) Forget(&state);
     state.server = server;
     state.listed = true;
   }
@@ -201,10 +202,31 @@
     return !usable.contains(entry.first);
   });
   for (auto& [service, servers] : usable) {
+    IndexVersions(servers, &m_services[service]);
     m_services[service].pool.Assign(std::move(servers), m_zone);
   }
 }
 
+void Backends::IndexVersions(
+    const std::vector<const traffic::BackendServer*>& servers,
+    Service*                                          service) const {
+  std::map<std::string, std::vector<const traffic::BackendServer*>> versions;
+  for (const auto* server : servers)
+    versions[server->version].push_back(server);
+  service->by_version.clear();
+  for (auto& [version, of_version] : versions) {
+    service->by_version[version].Assign(std::move(of_version), m_zone);
+  }
+}
+
+// Another version under the same entry is another start of the server.
+void Backends::Forget(State* state) {
+  DropIdle(state);
+  state->slowdown = capacity::ServerSlowdown(m_thresholds->slowdown);
+  state->outcomes = {};
+  state->failures = 0;
+}
+
 void Backends::DropIdle(State* state) {
   const auto idle = std::exchange(state->idle, {});
   for (BackendConnection* connection : idle) Destroy(connection);
@@ -247,25 +269,33 @@
 }
 
 const Backends::State* Backends::FindUsable(
-    const std::string& id, const std::string& service,
-    const std::vector<std::string>& avoid) const {
+    const std::string& id, const traffic::ServerFilter& filter) const {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end() || Contains(avoid, id)) return nullptr;
+  if (found == m_servers.end() || Contains(filter.avoid, id)) return nullptr;
   const State& state = found->second;
   const bool   usable =
-      state.listed && !state.server.draining && state.server.service == service;
+      state.listed && !state.server.draining &&
+      state.server.service == filter.service &&
+      (!filter.version || state.server.version == *filter.version);
   return usable ? &state : nullptr;
 }
 
+traffic::ServerPool* Backends::PoolFor(const traffic::ServerFilter& filter) {
+  const auto found = m_services.find(filter.service);
+  if (found == m_services.end()) return nullptr;
+  if (!filter.version) return &found->second.pool;
+  const auto pool = found->second.by_version.find(*filter.version);
+  return pool == found->second.by_version.end() ? nullptr : &pool->second;
+}
+
 std::optional<Backends::Choice> Backends::Choose(
-    const std::string& service, const Prompt& prompt,
-    const std::vector<std::string>& avoid) {
-  const auto found = m_services.find(service);
-  if (found == m_services.end()) return std::nullopt;
+    const traffic::ServerFilter& filter, const Prompt& prompt) {
+  traffic::ServerPool* pool = PoolFor(filter);
+  if (pool == nullptr) return std::nullopt;
   DropExpiredReports();
-  const std::string warm = WarmServerFor(service, found->second, prompt, avoid);
+  const std::string               warm = WarmServerFor(filter, *pool, prompt);
   std::vector<traffic::Candidate> candidates =
-      CandidatesFor(&found->second, warm, avoid);
+      CandidatesFor(pool, warm, filter.avoid);
   if (candidates.empty()) return std::nullopt;
   traffic::SampleCandidates(&candidates, m_thresholds->sampling, &m_random);
   for (traffic::Candidate& candidate : candidates) {
@@ -279,7 +309,7 @@
 }
 
 std::vector<traffic::Candidate> Backends::CandidatesFor(
-    Service* service, const std::string& warm,
+    traffic::ServerPool* pool, const std::string& warm,
     const std::vector<std::string>& avoid) {
   std::vector<traffic::Candidate> candidates;
   const auto add = [&](const traffic::BackendServer* server) {
@@ -292,26 +322,25 @@
   };
   const auto max_candidates =
       static_cast<std::size_t>(m_thresholds->sampling.most);
-  for (const auto* server : service->pool.Draw(max_candidates, &m_random))
-    add(server);
+  for (const auto* server : pool->Draw(max_candidates, &m_random)) add(server);
   const auto is_warm = [](const auto& each) { return each.holds_prefix; };
   if (!warm.empty() &&
       std::none_of(candidates.begin(), candidates.end(), is_warm)) {
     add(&m_servers.at(warm).server);
   }
   if (candidates.empty()) {
-    for (const auto* server : service->pool.all()) add(server);
+    for (const auto* server : pool->all()) add(server);
   }
   return candidates;
 }
 
-std::string Backends::WarmServerFor(
-    const std::string& service, const Service& servers, const Prompt& prompt,
-    const std::vector<std::string>& avoid) const {
+std::string Backends::WarmServerFor(const traffic::ServerFilter& filter,
+                                    const traffic::ServerPool&   pool,
+                                    const Prompt&                prompt) const {
   if (prompt.session.empty()) return {};
   const auto last = m_sessions.find(prompt.session);
   if (last != m_sessions.end() &&
-      FindUsable(last->second.server, service, avoid) != nullptr) {
+      FindUsable(last->second.server, filter) != nullptr) {
     return last->second.server;
   }
   const auto scope = traffic::ChooseAffinityScope(
@@ -319,8 +348,8 @@
   std::vector<traffic::Candidate> all_candidates;
   std::vector<traffic::Candidate> unslowed_candidates;
   for (const auto* server :
-       servers.pool.Around(prompt.program, scope, kAffinityCandidates)) {
-    const State* state = FindUsable(server->id, service, avoid);
+       pool.Around(prompt.program, scope, kAffinityCandidates)) {
+    const State* state = FindUsable(server->id, filter);
     if (state == nullptr) continue;
     traffic::Candidate candidate;
     candidate.server = server;
@@ -365,13 +394,12 @@
   return ToChoice(candidate);
 }
 
-bool Backends::HasUntried(const std::string&              service,
-                          const std::vector<std::string>& avoid) const {
-  const auto found = m_services.find(service);
-  if (found == m_services.end()) return false;
-  const auto& servers = found->second.pool.all();
+bool Backends::HasServer(const traffic::ServerFilter& filter) {
+  const traffic::ServerPool* pool = PoolFor(filter);
+  if (pool == nullptr) return false;
+  const auto& servers = pool->all();
   return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
-    return !Contains(avoid, server->id);
+    return !Contains(filter.avoid, server->id);
   });
 }
 
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -4,7 +4,7 @@
 // merged with the reports of its peers; see capacity/server_slowdown.h. Used on
 // the traffic loop only.
 //
-//   auto choice = backends.Choose(service, prompt, tried);
+//   auto choice = backends.Choose({service, version, tried}, prompt);
 //   auto* connection = backends.Acquire(choice->server.id, false);
 //   connection->Send(handler, request);
 //   backends.Release(connection);  // after a complete answer, else Discard()
@@ -118,14 +118,13 @@
     std::int64_t tokens = 0;
     double       memory_part = 0;  // see traffic::Candidate
   };
-  // Chooses a server for a request; empty if none is usable. `avoid`: ids of
-  // servers already tried.
-  std::optional<Choice> Choose(const std::string& service, const Prompt& prompt,
-                               const std::vector<std::string>& avoid);
+  // Chooses a server for a request; empty if none is usable.
+  std::optional<Choice> Choose(const traffic::ServerFilter& filter,
+                               const Prompt&                prompt);
   // The server's state as a Choice; empty if it is not listed.
   std::optional<Choice> Find(const std::string& id) const;
-  bool                  HasUntried(const std::string&              service,
-                                   const std::vector<std::string>& avoid) const;
+  // Whether Choose() could return a server.
+  bool                  HasServer(const traffic::ServerFilter& filter);
 
   // An idle or new connection to the server; nullptr if none can be opened.
   // `fresh`: always opens a new connection.
@@ -199,24 +198,30 @@
     Time          received_at = 0;
   };
   struct Service {
-    traffic::ServerPool        pool;  // listed servers that are not leaving
-    capacity::SlowdownBaseline baseline;
+    // Listed servers that are not leaving: all, and those of each version.
+    traffic::ServerPool                        pool;
+    std::map<std::string, traffic::ServerPool> by_version;
+    capacity::SlowdownBaseline                 baseline;
   };
-  void         IndexServers();
-  void         UpdateSlowdowns(Service* service);
-  const State* FindUsable(const std::string& id, const std::string& service,
-                          const std::vector<std::string>& avoid) const;
+  void IndexServers();
+  void IndexVersions(const std::vector<const traffic::BackendServer*>& servers,
+                     Service* service) const;
+  // The servers of the filter's service and version; nullptr if there are none.
+  traffic::ServerPool*            PoolFor(const traffic::ServerFilter& filter);
+  void                            UpdateSlowdowns(Service* service);
+  const State*                    FindUsable(const std::string&           id,
+                                             const traffic::ServerFilter& filter) const;
   // Candidates with only zone and cache affinity set.
   std::vector<traffic::Candidate> CandidatesFor(
-      Service* service, const std::string& warm,
+      traffic::ServerPool* pool, const std::string& warm,
       const std::vector<std::string>& avoid);
   // Sets load, failures and slowdown.
-  void        FillObservations(const State&        state,
-                               traffic::Candidate* candidate) const;
+  void          FillObservations(const State&        state,
+                                 traffic::Candidate* candidate) const;
   // The server most likely to have the prompt cached; empty if none.
-  std::string WarmServerFor(const std::string& service, const Service& servers,
-                            const Prompt&                   prompt,
-                            const std::vector<std::string>& avoid) const;
+  std::string   WarmServerFor(const traffic::ServerFilter& filter,
+                              const traffic::ServerPool&   pool,
+                              const Prompt&                prompt) const;
   static Choice ToChoice(const traffic::Candidate& candidate);
   // Add a report to m_peer_totals, the sum of m_peers, or subtract it.
   void          AddToTotals(const ServerReports& reports);
@@ -224,6 +229,8 @@
   void          DropExpiredReports();
   void          Destroy(BackendConnection* connection);
   void          DropIdle(State* state);
+  // Forgets what was observed of the server before it restarted.
+  void          Forget(State* state);
 
   net::EventLoop*                                m_loop;
   const Thresholds*                              m_thresholds;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -110,6 +110,11 @@
   return false;
 }
 
+std::string Exchange::BegunVersion() const {
+  const auto& origin = m_progress.origin();
+  return origin ? origin->version : std::string();
+}
+
 double Exchange::PromptMemoryPart() const {
   const auto* service = m_routes->manifest()->FindService(m_service);
   if (service == nullptr || !service->engine) return 0;
@@ -119,22 +124,35 @@
          static_cast<double>(engine.cache_tokens);
 }
 
+traffic::ServerFilter Exchange::AllowedServers() const {
+  traffic::ServerFilter filter{m_service, std::nullopt, m_tried_servers};
+  const auto&           origin = m_progress.origin();
+  if (origin) filter.version = origin->version;
+  return filter;
+}
+
 void Exchange::Dispatch() {
-  const auto choice =
-      m_parts.backends->Choose(m_service,
-                               {SessionKey(), ScopedId(m_info.program),
-                                m_info.prompt_tokens, PromptMemoryPart()},
-                               m_tried_servers);
-  if (!choice) {
-    Refuse(m_may_have_run ? Refusal::kServerFailed : Refusal::kNoServer);
-  } else {
+  const auto choice = m_parts.backends->Choose(
+      AllowedServers(), {SessionKey(), ScopedId(m_info.program),
+                         m_info.prompt_tokens, PromptMemoryPart()});
+  if (choice) {
     SendTo(*choice, m_resends > 0);
+    return;
   }
+  Refuse(m_may_have_run ? Refusal::kServerFailed : Refusal::kNoServer);
 }
 
 void Exchange::SendTo(const Backends::Choice& choice, bool fresh) {
   if (!EnsureKeyValid()) return;
   const traffic::BackendServer& server = choice.server;
+  const std::string             after_event =
+      m_progress.begun() ? m_progress.last_id() : m_info.last_event;
+  const auto permit =
+      m_progress.PermitSend(server, m_route->resumable ? after_event : "");
+  if (!permit) {
+    Refuse(m_may_have_run ? Refusal::kServerFailed : Refusal::kNoServer);
+    return;
+  }
   m_server_id = server.id;
   m_events = {};
   m_plain_body.clear();
@@ -146,26 +164,22 @@
     OnSendFailed(SendFailureCause::kNotConnected);
     return;
   }
-  platform::Forwarding forwarding;
-  forwarding.server = &server;
+  platform::Forwarding forwarding(*permit);
   forwarding.left = std::max<Duration>(1, TimeLeft());
   const bool is_model = m_route->kind == RequestKind::kStreaming;
   forwarding.urgency =
       is_model ? traffic::ComputeUrgency(Priority(), ProgramTimeLeft()) : -1;
   forwarding.has_workspaces = m_routes->manifest()->workspaces.has_value();
   if (m_workspace != nullptr) forwarding.workspace = m_workspace->name;
-  forwarding.last_event =
-      m_progress.begun() ? m_progress.last_id() : m_info.last_event;
+  forwarding.last_event = after_event;
   forwarding.body_bytes = m_prompt_body.size();
-  m_progress.OnSend(server.version,
-                    m_route->resumable ? forwarding.last_event : "");
   m_parts.log->Write(
       LogEvent::kSent,
       {{"request", m_info.attempt},
        {"server", server.id},
        {"server_zone", server.zone},
        {"version", server.version},
-       {"begun_version", m_progress.begun_version()},
+       {"begun_version", BegunVersion()},
        {"load_per_slot_pct", static_cast<int>(choice.load * kPercent)},
        {"failures_pct", static_cast<int>(choice.failure_share * kPercent)},
        {"pace_pct", static_cast<int>(choice.slowdown * kPercent)},
@@ -222,8 +236,7 @@
   failure.in_doubt = m_may_have_run;
   failure.answering = m_progress.begun();
   failure.can_continue = m_progress.CanContinue(*m_route);
-  failure.other_server =
-      m_parts.backends->HasUntried(m_service, m_tried_servers);
+  failure.other_server = m_parts.backends->HasServer(AllowedServers());
   failure.left = TimeLeft();
   const NextStep step = traffic::DecideNextStep(*m_route, failure);
   m_parts.log->Write(LogEvent::kLoss,
@@ -262,8 +275,9 @@
     return;
   }
   const auto same_server = m_parts.backends->Find(m_server_id);
-  if (!same_server) {
-    // The server has been removed meanwhile, so another server may be used.
+  if (!same_server || !m_progress.MayServe(same_server->server)) {
+    // The server has been removed or replaced meanwhile, so another server may
+    // be used.
     Dispatch();
     return;
   }
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -95,52 +95,56 @@
 
  private:
   // Preparing
-  bool   CheckRequest();
-  void   StartTimer();
-  void   WaitForKeyLease();
-  bool   CheckKey();
-  void   AcquireRateToken();
-  void   WaitForLog();
-  void   FindHistory();
-  void   ReserveTokens();
+  bool                  CheckRequest();
+  void                  StartTimer();
+  void                  WaitForKeyLease();
+  bool                  CheckKey();
+  void                  AcquireRateToken();
+  void                  WaitForLog();
+  void                  FindHistory();
+  void                  ReserveTokens();
   // Fills in the turn's demand; no effect if the service has no engine.
-  void   FillAdmissionRequest(TurnBudget* turn) const;
-  void   OnReservation(const Reservation& reservation);
-  void   OnPrepared();
-  void   EnqueueTurn();
+  void                  FillAdmissionRequest(TurnBudget* turn) const;
+  void                  OnReservation(const Reservation& reservation);
+  void                  OnPrepared();
+  void                  EnqueueTurn();
   // Sending
-  void   Dispatch();
+  // Servers that may still complete the client's answer.
+  traffic::ServerFilter AllowedServers() const;
+  // Version of the software that began the client's answer; empty if none.
+  std::string           BegunVersion() const;
+  void                  Dispatch();
   // Prompt size relative to a slot's share of the server's cache.
-  double PromptMemoryPart() const;
+  double                PromptMemoryPart() const;
   // Ends the exchange and returns false if the key is no longer valid.
-  bool   EnsureKeyValid();
-  void   SendTo(const Backends::Choice& choice, bool fresh);
-  void   DetachServer(bool reuse);
-  void   OnSendFailed(traffic::SendFailureCause cause);
-  void   SendAgain(traffic::NextStep step);
+  bool                  EnsureKeyValid();
+  void                  SendTo(const Backends::Choice& choice, bool fresh);
+  void                  DetachServer(bool reuse);
+  void                  OnSendFailed(traffic::SendFailureCause cause);
+  void                  SendAgain(traffic::NextStep step);
   // Answering
-  void   ForwardEvents(std::string_view bytes);
+  void                  ForwardEvents(std::string_view bytes);
   // Moves the complete events to `out`; false if one of them does not go on
   // with what the client has received.
-  bool   TakeEvents(std::string* out);
-  void   ObserveFirstEvent();
-  void   ObserveEventTimes(std::int64_t before);
-  void   ForwardPlain();
-  void   WriteAnswer(std::string_view bytes);
-  void   ObserveLaterAnswer();
-  void   BeginAnswer();
-  void   OnUnusableAnswer();
-  void   EndStream(traffic::AnswerEnd end);
-  void   ObserveOutcome();
-  void   EndPlain(traffic::AnswerEnd end);
-  void   RecordTurn(traffic::AnswerEnd end);
+  bool                  TakeEvents(std::string* out);
+  void                  ObserveFirstEvent();
+  void                  ObserveEventTimes(std::int64_t before);
+  void                  ForwardPlain();
+  void                  WriteAnswer(std::string_view bytes);
+  void                  ObserveLaterAnswer();
+  void                  BeginAnswer();
+  void                  OnUnusableAnswer();
+  void                  EndStream(traffic::AnswerEnd end);
+  void                  ObserveOutcome();
+  void                  EndPlain(traffic::AnswerEnd end);
+  void                  RecordTurn(traffic::AnswerEnd end);
   // `whole`: the answer, if no part of it was passed on.
-  void   FinishAnswer(traffic::AnswerEnd end, std::string_view whole = {});
+  void FinishAnswer(traffic::AnswerEnd end, std::string_view whole = {});
   // Ending
-  void   OnDeadline();
-  void   Refuse(traffic::Refusal refusal);
-  void   AbortAnswer(std::string_view why);
-  void   End();
+  void OnDeadline();
+  void Refuse(traffic::Refusal refusal);
+  void AbortAnswer(std::string_view why);
+  void End();
 
   static double           UniformRandom();  // uniform in [0, 1)
   Duration                TimeLeft() const;
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -59,8 +59,8 @@
                      {{"request", m_info.attempt},
                       {"server", m_server_id},
                       {"status", m_answer.status},
-                      {"version", m_progress.version()},
-                      {"begun_version", m_progress.begun_version()},
+                      {"version", m_progress.current().version},
+                      {"begun_version", BegunVersion()},
                       {"fit", Name(m_progress.fit())},
                       {"framing", Framing(m_answer)},
                       {"events_passed", m_event_count}});
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -49,9 +49,14 @@
   return kNames[static_cast<std::size_t>(fit)];
 }
 
-void AnswerProgress::OnSend(std::string_view version,
-                            std::string_view after_event) {
-  m_version = version;
+bool AnswerProgress::MayServe(const BackendServer& server) const {
+  return !m_origin || OriginOf(server) == *m_origin;
+}
+
+std::optional<SendPermit> AnswerProgress::PermitSend(
+    const BackendServer& server, std::string_view after_event) {
+  if (!MayServe(server)) return std::nullopt;
+  m_current = OriginOf(server);
   m_last_id = after_event;
   m_resumes = ParseId(m_last_id).has_value();
   m_fit = AnswerFit::kInvalid;
@@ -59,6 +64,7 @@
   m_is_stream = false;
   m_had_id = false;
   m_first_id.clear();
+  return SendPermit(server);
 }
 
 void AnswerProgress::OnHead(const RequestInfo& request,
@@ -116,7 +122,7 @@
   if (std::exchange(m_begun, true)) return;
   m_begun_status = m_status;
   m_begun_stream = m_is_stream;
-  m_begun_version = m_version;
+  if (!m_origin) m_origin = m_current;
 }
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -2,11 +2,13 @@
 //
 // A request may be sent several times. Once a part of an answer was passed on,
 // the client holds its status, headers and form, and a later answer can only
-// continue it, as a stream that goes on behind the last event. Only
-// AnswerProgress creates an AnswerEnd, and nothing ends an answer as complete
-// without one.
+// continue it, as a stream that goes on behind the last event, written by the
+// same software. Only AnswerProgress creates an AnswerEnd, and nothing ends an
+// answer as complete without one; it alone creates a SendPermit, and nothing is
+// sent without one.
 //
-//   progress.OnSend(version, after_event);
+//   progress.ResumeAt(origin);                  // if the client resumes a
+//   stream auto permit = progress.PermitSend(server, after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
 //   if (progress.OnEvent(id)) ...               // pass the event on
 //   progress.Begin();                           // the head is passed on
@@ -17,9 +19,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "yuccawick/traffic/manifest.h"
 #include "yuccawick/traffic/request.h"
+#include "yuccawick/traffic/stream_origins.h"
 
 namespace yuccawick::traffic {
 
@@ -43,11 +47,31 @@
   AnswerEnd() = default;
 };
 
+// Permits to send a request to a server.
+class SendPermit {
+ public:
+  const BackendServer& server() const { return m_server; }
+
+ private:
+  friend class AnswerProgress;
+  explicit SendPermit(BackendServer server) : m_server(std::move(server)) {}
+
+  BackendServer m_server;
+};
+
 class AnswerProgress {
  public:
-  // The request is sent to a server of the software `version`. `after_event`:
-  // id behind which the server is asked to go on; empty: from the first event.
-  void OnSend(std::string_view version, std::string_view after_event);
+  // The client resumes a stream that `origin` began.
+  void ResumeAt(const StreamOrigin& origin) { m_origin = origin; }
+  // The software that began the stream; empty if nothing was passed on and the
+  // client does not resume a stream.
+  const std::optional<StreamOrigin>& origin() const { return m_origin; }
+  // Whether the server runs the software that began the stream, if any.
+  bool                      MayServe(const BackendServer& server) const;
+  // Call for each send; empty unless MayServe(). `after_event`: id behind which
+  // the server is asked to go on; empty: from the first event.
+  std::optional<SendPermit> PermitSend(const BackendServer& server,
+                                       std::string_view     after_event);
   // The head of the server's answer to `request`. `is_stream`: it is passed on
   // event by event.
   void OnHead(const RequestInfo& request, const AnswerInfo& answer,
@@ -76,10 +100,8 @@
   const std::string&       last_id() const { return m_last_id; }
   // Of the current send; kInvalid before its head.
   AnswerFit                fit() const { return m_fit; }
-  // Software version of the current server, and of the one whose answer was
-  // passed on first; empty if there is none.
-  const std::string&       version() const { return m_version; }
-  const std::string&       begun_version() const { return m_begun_version; }
+  // Software of the current server.
+  const StreamOrigin&      current() const { return m_current; }
   // Whether the body of the current server's answer is passed on.
   bool                     passes_body() const;
   // Whether the current server's answer is passed on event by event.
@@ -92,23 +114,23 @@
                      bool is_stream) const;
 
   // What the client has received.
-  bool        m_begun = false;
-  int         m_begun_status = 0;
-  bool        m_begun_stream = false;
-  std::string m_begun_version;
-  std::string m_last_id;
+  std::optional<StreamOrigin> m_origin;
+  bool                        m_begun = false;
+  int                         m_begun_status = 0;
+  bool                        m_begun_stream = false;
+  std::string                 m_last_id;
   // The rest can be asked for by m_last_id: no event was passed on since, and
   // it is a number, so that what follows can be told from what was before.
-  bool        m_can_resume = true;
+  bool                        m_can_resume = true;
 
   // The current send.
-  std::string m_version;          // of the server's software
-  bool        m_resumes = false;  // the server was asked for the rest
-  AnswerFit   m_fit = AnswerFit::kInvalid;
-  int         m_status = 0;
-  bool        m_is_stream = false;
-  bool        m_had_id = false;  // an event with an id was passed on
-  std::string m_first_id;
+  StreamOrigin m_current;          // software of its server
+  bool         m_resumes = false;  // the server was asked for the rest
+  AnswerFit    m_fit = AnswerFit::kInvalid;
+  int          m_status = 0;
+  bool         m_is_stream = false;
+  bool         m_had_id = false;  // an event with an id was passed on
+  std::string  m_first_id;
 };
 
 }  // namespace yuccawick::traffic
--- a/src/yuccawick/traffic/server_pool.h
+++ b/src/yuccawick/traffic/server_pool.h
@@ -6,6 +6,7 @@
 // number of servers returned, not on the size of the pool.
 #pragma once
 
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -16,6 +17,13 @@
 
 namespace yuccawick::traffic {
 
+// The servers that a request may be sent to.
+struct ServerFilter {
+  std::string                service;
+  std::optional<std::string> version;  // of their software; none: any
+  std::vector<std::string>   avoid;    // ids
+};
+
 class ServerPool {
  public:
   // The servers must stay valid until the next Assign() or the end of the pool.
