--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -129,6 +129,10 @@
       &traffic, [&gateway](const traffic::ServerListPtr& servers) {
         gateway.TakeServers(servers);
       });
+  net::Newest<traffic::SoftwareHistory> newest_software(
+      &traffic, [&gateway](const traffic::SoftwareHistory& software) {
+        gateway.TakeSoftware(software);
+      });
   gateway::Follower follower(
       &control, &store, &log,
       {[&](traffic::ManifestPtr manifest) {
@@ -152,6 +156,14 @@
        [&](net::Time as_of) {
          traffic.Post(
              [&gateway, as_of] { gateway.TakeManifestCurrent(as_of); });
+       },
+       [&](traffic::SoftwareHistory software) {
+         newest_software.Put(std::move(software));
+       },
+       [&](platform::Topic topic, std::int64_t offset) {
+         traffic.Post([&gateway, topic, offset] {
+           gateway.TakeFollowed(topic, offset);
+         });
        }},
       settings.key_bound);
   control.Post([&] { follower.Start(); });
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -34,6 +34,17 @@
   }
 }
 
+ResumptionOutcome OutcomeOf(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kVersionUnknown:
+      return ResumptionOutcome::kVersionUnknown;
+    case Refusal::kVersionGone:
+      return ResumptionOutcome::kVersionGone;
+    default:
+      return ResumptionOutcome::kOtherRefusal;
+  }
+}
+
 }  // namespace
 
 Exchange::Exchange(const GatewayParts& parts, ClientSide* client,
@@ -139,7 +150,13 @@
     SendTo(*choice, m_resends > 0);
     return;
   }
-  Refuse(m_may_have_run ? Refusal::kServerFailed : Refusal::kNoServer);
+  RefuseWithoutServer();
+}
+
+void Exchange::RefuseWithoutServer() {
+  Refuse(m_may_have_run        ? Refusal::kServerFailed
+         : m_progress.origin() ? Refusal::kVersionGone
+                               : Refusal::kNoServer);
 }
 
 void Exchange::SendTo(const Backends::Choice& choice, bool fresh) {
@@ -150,7 +167,7 @@
   const auto permit =
       m_progress.PermitSend(server, m_route->resumable ? after_event : "");
   if (!permit) {
-    Refuse(m_may_have_run ? Refusal::kServerFailed : Refusal::kNoServer);
+    RefuseWithoutServer();
     return;
   }
   m_server_id = server.id;
@@ -180,6 +197,7 @@
        {"server_zone", server.zone},
        {"version", server.version},
        {"begun_version", BegunVersion()},
+       {"begun_known_from", Name(m_origin_source)},
        {"load_per_slot_pct", static_cast<int>(choice.load * kPercent)},
        {"failures_pct", static_cast<int>(choice.failure_share * kPercent)},
        {"pace_pct", static_cast<int>(choice.slowdown * kPercent)},
@@ -338,6 +356,8 @@
   Fire(AttemptEvent::kRefuse);
   DetachServer(false);
   m_parts.metrics->CountRefusal(refusal);
+  if (m_route != nullptr && IsResumption())
+    m_parts.metrics->CountResumption(OutcomeOf(refusal));
   const Duration retry_after = RetryAfter(refusal);
   m_parts.log->Write(LogEvent::kRefused,
                      {{"request", m_info.attempt},
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -2,7 +2,8 @@
 // answer. ClientConnection creates an Exchange for each request; the decisions
 // on retries and refusals come from traffic/attempt.h.
 //
-//   preparing   checks the key, looks up history, reserves tokens
+//   preparing   checks the key, finds out which software began a stream that
+//               the client resumes, looks up history, reserves tokens
 //   connecting  chooses a backend server and connects to it
 //   sent        waits for the server's answer
 //   answering   forwards the answer to the client
@@ -22,6 +23,7 @@
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/metrics.h"
 #include "yuccawick/gateway/peer_service.h"
+#include "yuccawick/gateway/stream_origin_service.h"
 #include "yuccawick/gateway/turn_dispatcher.h"
 #include "yuccawick/gateway/turn_store.h"
 #include "yuccawick/pressure/memory_budget.h"
@@ -68,6 +70,7 @@
   const workspaces::KeyLease*                       key_lease = nullptr;
   RateLimiter*                                      limiter = nullptr;
   TurnDispatcher*                                   dispatcher = nullptr;
+  StreamOriginService*                              stream_origins = nullptr;
   pressure::MemoryBudgetPtr                         memory;
 };
 
@@ -99,6 +102,10 @@
   void                  StartTimer();
   void                  WaitForKeyLease();
   bool                  CheckKey();
+  // Whether the client resumes a stream that an earlier attempt began.
+  bool                  IsResumption() const;
+  void                  FindStreamOrigin();
+  void                  OnStreamOrigin(const FoundOrigin& found);
   void                  AcquireRateToken();
   void                  WaitForLog();
   void                  FindHistory();
@@ -114,6 +121,7 @@
   // Version of the software that began the client's answer; empty if none.
   std::string           BegunVersion() const;
   void                  Dispatch();
+  void                  RefuseWithoutServer();
   // Prompt size relative to a slot's share of the server's cache.
   double                PromptMemoryPart() const;
   // Ends the exchange and returns false if the key is no longer valid.
@@ -133,6 +141,7 @@
   void                  WriteAnswer(std::string_view bytes);
   void                  ObserveLaterAnswer();
   void                  BeginAnswer();
+  void                  ObserveBegunStream();
   void                  OnUnusableAnswer();
   void                  EndStream(traffic::AnswerEnd end);
   void                  ObserveOutcome();
@@ -211,6 +220,7 @@
   net::Head               m_answer;  // head of the current server's answer
   bool                    m_reading_paused = false;  // until the client reads
   traffic::AnswerProgress m_progress;
+  OriginSource            m_origin_source = OriginSource::kUnknown;
   std::string             m_plain_body;  // buffered body
   traffic::EventSplitter  m_events;
   std::string             m_output;  // event data for the turn record
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -151,10 +151,21 @@
 
 void Exchange::BeginAnswer() {
   m_progress.Begin();
+  if (m_progress.is_stream() && m_route->resumable) ObserveBegunStream();
   m_client->BeginAnswer(platform::EncodeAnswerHead(
       m_answer, kChunked, m_client->ClosesAfterAnswer()));
 }
 
+void Exchange::ObserveBegunStream() {
+  if (IsResumption()) {
+    m_parts.metrics->CountResumption(ResumptionOutcome::kContinued);
+    return;
+  }
+  m_origin_source = OriginSource::kThisNode;
+  m_parts.stream_origins->Announce(ScopedId(m_info.attempt),
+                                   m_progress.current());
+}
+
 void Exchange::OnBackendEnd() {
   const auto self = shared_from_this();
   if (m_client == nullptr) return;
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -72,6 +72,44 @@
                       {"service", m_service},
                       {"manifest", m_routes->manifest()->version},
                       {"left_ms", TimeLeft()}});
+  FindStreamOrigin();
+}
+
+bool Exchange::IsResumption() const {
+  return m_route->resumable && m_route->kind == RequestKind::kStreaming &&
+         !(m_info.last_event.empty() && m_info.resumes.empty());
+}
+
+void Exchange::FindStreamOrigin() {
+  if (!IsResumption()) {
+    AcquireRateToken();
+    return;
+  }
+  m_wait_refusal = Refusal::kVersionUnknown;
+  const std::string attempt =
+      m_info.resumes.empty() ? std::string() : ScopedId(m_info.resumes);
+  m_parts.stream_origins->Find(
+      attempt, *m_route, [self = shared_from_this()](const FoundOrigin& found) {
+        if (self->m_client != nullptr) self->OnStreamOrigin(found);
+      });
+}
+
+void Exchange::OnStreamOrigin(const FoundOrigin& found) {
+  if (!found.origin) {
+    Refuse(Refusal::kVersionUnknown);
+    return;
+  }
+  m_progress.ResumeAt(*found.origin);
+  m_origin_source = found.source;
+  // The route may have moved to another service since.
+  m_service = found.origin->service;
+  const bool allowed = std::any_of(
+      m_route->services.begin(), m_route->services.end(),
+      [this](const auto& each) { return each.service == m_service; });
+  if (!allowed || !m_parts.backends->HasServer(AllowedServers())) {
+    Refuse(Refusal::kVersionGone);
+    return;
+  }
   AcquireRateToken();
 }
 
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -98,6 +98,7 @@
                     }
                     m_callbacks.on_listing_ended();
                     m_callbacks.on_current(began);
+                    m_callbacks.on_followed(m_next_offset);
                     Follow();
                   });
 }
@@ -130,6 +131,7 @@
           return;
         }
         if (result->end == m_next_offset) m_callbacks.on_current(began);
+        m_callbacks.on_followed(m_next_offset);
         Schedule(result->records.empty() ? 0 : m_poll.pause,
                  &TopicFollower::Follow);
       });
@@ -143,9 +145,14 @@
       m_manifest_topic(
           loop, store, log, Topic::kOperator, "manifest",
           {ManifestReadWait(key_bound), kManifestPause},
-          {[this](const LogRecord& record) { HandleManifest(record); }, [] {},
-           [] {}, [this](bool reachable) { UpdateLogReachability(reachable); },
-           [this](Time as_of) { m_outputs.manifest_current(as_of); }}),
+          {[this](const LogRecord& record) { HandleManifest(record); },
+           [this] { m_listing_manifest = true; },
+           [this] { m_listing_manifest = false; },
+           [this](bool reachable) { UpdateLogReachability(reachable); },
+           [this](Time as_of) { m_outputs.manifest_current(as_of); },
+           [this](std::int64_t offset) {
+             m_outputs.followed(Topic::kOperator, offset);
+           }}),
       m_servers(loop, store, log, Topic::kServers, "servers",
                 {kMaxReadWait, kServersPause},
                 {[this](const LogRecord& record) { HandleServer(record); },
@@ -158,11 +165,14 @@
                  [this](bool reachable) {
                    m_directory.SetReachable(reachable, m_loop->now());
                  },
-                 [](Time) {}}),
+                 [](Time) {},
+                 [this](std::int64_t offset) {
+                   m_outputs.followed(Topic::kServers, offset);
+                 }}),
       m_nodes(loop, store, log, Topic::kNodes, "nodes",
               {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { HandleNode(record); }, [] {},
-               [] {}, [](bool) {}, [](Time) {}}) {}
+               [] {}, [](bool) {}, [](Time) {}, [](std::int64_t) {}}) {}
 
 void Follower::UpdateLogReachability(bool reachable) {
   if (std::exchange(m_log_reachable, reachable) != reachable) {
@@ -203,6 +213,10 @@
                                      {"routes", (*manifest)->routes.size()},
                                      {"offset", record.offset}});
   m_outputs.manifest(*manifest);
+  m_route_history.TakeManifest(**manifest, m_listing_manifest, m_loop->now());
+  m_software.routes =
+      std::make_shared<const traffic::RouteHistory>(m_route_history);
+  m_outputs.software(m_software);
 }
 
 void Follower::HandleNode(const LogRecord& record) {
@@ -262,15 +276,24 @@
 
 void Follower::EndServerListing() {
   m_listing_servers = false;
+  m_servers_listed = true;
   m_directory.ReplaceAll(m_listing, m_loop->now());
   m_servers_known = true;
   PublishServers();
 }
 
 void Follower::PublishServers() {
-  if (!m_servers_known || !m_directory.TakeChange()) return;
+  if (!m_servers_known) return;
+  const bool listed = std::exchange(m_servers_listed, false);
+  const bool changed = m_directory.TakeChange();
+  if (!changed && !listed) return;
   const auto list = m_directory.List();
-  int        draining = 0;
+  m_version_history.TakeServers(*list, listed, m_loop->now());
+  m_software.versions =
+      std::make_shared<const traffic::VersionHistory>(m_version_history);
+  m_outputs.software(m_software);
+  if (!changed) return;
+  int draining = 0;
   for (const auto& server : *list) draining += server.draining ? 1 : 0;
   m_log->Write(LogEvent::kServers,
                {{"count", list->size()}, {"draining", draining}});
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -18,6 +18,7 @@
 #include "yuccawick/programs/membership.h"
 #include "yuccawick/traffic/directory.h"
 #include "yuccawick/traffic/manifest.h"
+#include "yuccawick/traffic/software_history.h"
 
 namespace yuccawick::gateway {
 
@@ -35,6 +36,8 @@
     std::function<void(bool)>                       on_reachable;
     // Every record written before this time has been delivered.
     std::function<void(Time)>                       on_current;
+    // Every record before this offset has been delivered.
+    std::function<void(std::int64_t)>               on_followed;
   };
   // `wait`: longest time that a read waits for a record, in ms. `pause`: delay
   // after a read that returned records, in ms.
@@ -77,9 +80,15 @@
     // A node joined or, without a value, left.
     std::function<void(std::string, std::optional<programs::NodeInfo>)> node;
     // Called when the log becomes reachable or unreachable.
-    std::function<void(bool)> log_reachable;
+    std::function<void(bool)>                          log_reachable;
     // Every manifest written before this time has been delivered.
-    std::function<void(Time)> manifest_current;
+    std::function<void(Time)>                          manifest_current;
+    // Which software may have begun a stream changed. A later value includes
+    // the earlier ones.
+    std::function<void(traffic::SoftwareHistory)>      software;
+    // Every record of the manifest or the servers before this offset has been
+    // delivered.
+    std::function<void(platform::Topic, std::int64_t)> followed;
   };
   // `key_bound`: largest age of the manifest, in ms; none: any age.
   Follower(net::EventLoop* loop, platform::Store* store, Log* log,
@@ -104,13 +113,18 @@
   // Hash of each server's last entry without its renewal time, by key.
   std::unordered_map<std::string, std::uint64_t> m_entry_hashes;
   bool                                           m_listing_servers = false;
-  bool                                           m_servers_known = false;
-  std::int64_t  m_version = -1;       // of the manifest in force
-  std::uint64_t m_manifest_hash = 0;  // of the last manifest record
-  bool          m_log_reachable = true;
-  TopicFollower m_manifest_topic;
-  TopicFollower m_servers;
-  TopicFollower m_nodes;
+  bool                                           m_listing_manifest = false;
+  bool                     m_servers_listed = false;  // and not published since
+  traffic::VersionHistory  m_version_history;
+  traffic::RouteHistory    m_route_history;
+  traffic::SoftwareHistory m_software;
+  bool                     m_servers_known = false;
+  std::int64_t             m_version = -1;       // of the manifest in force
+  std::uint64_t            m_manifest_hash = 0;  // of the last manifest record
+  bool                     m_log_reachable = true;
+  TopicFollower            m_manifest_topic;
+  TopicFollower            m_servers;
+  TopicFollower            m_nodes;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -93,7 +93,8 @@
                  incarnation,
                  {settings.address, settings.inner_ports.front()},
                  settings.zone,
-                 MillicoresFor(settings)}),
+                 MillicoresFor(settings),
+                 true}),
       m_rate_coordinators(MakeRateCoordinators(
           loop, thresholds, &m_store, log, incarnation,
           [this](const std::string& workspace) {
@@ -101,6 +102,7 @@
           },
           settings.rate_window)),
       m_network(loop, thresholds, &m_members, log),
+      m_stream_origins(loop, thresholds, &m_store, &m_members, &m_network),
       m_rate_limiter(loop, thresholds, m_members.self(), &m_network,
                      &m_rate_coordinators,
                      [this](const std::string& key) {
@@ -108,7 +110,8 @@
                      }),
       m_dispatcher(loop, thresholds->concurrency_limit),
       m_peers(loop, thresholds, &m_members, &m_network, &m_token_coordinators,
-              &m_rate_limiter, &m_turns, &m_backends, &m_admission),
+              &m_rate_limiter, &m_turns, &m_backends, &m_admission,
+              &m_stream_origins),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
       m_metrics_server(loop, [metrics](std::string_view) {
         return SmallAnswer{200, metrics->Text()};
@@ -164,6 +167,7 @@
 
 void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
   m_routes = std::make_shared<traffic::RouteTable>(manifest);
+  m_stream_origins.TakeManifest(*manifest);
   Duration max_retention = 0;
   for (const traffic::Route& route : manifest->routes) {
     if (route.keeps_turns)
@@ -227,10 +231,20 @@
   for (int fd = net::Accept(m_listener, silence); fd >= 0;
        fd = net::Accept(m_listener, silence)) {
     m_accepted_at = m_loop->now();
-    const GatewayParts parts{
-        m_loop,          m_thresholds,  &m_backends, &m_turns,  &m_peers,
-        m_log,           m_metrics,     m_started,   &m_routes, &m_key_lease,
-        &m_rate_limiter, &m_dispatcher, m_memory};
+    const GatewayParts parts{m_loop,
+                             m_thresholds,
+                             &m_backends,
+                             &m_turns,
+                             &m_peers,
+                             m_log,
+                             m_metrics,
+                             m_started,
+                             &m_routes,
+                             &m_key_lease,
+                             &m_rate_limiter,
+                             &m_dispatcher,
+                             &m_stream_origins,
+                             m_memory};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
     m_clients.emplace(raw, std::move(connection));
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -28,9 +28,19 @@
   void TakeManifest(const traffic::ManifestPtr& manifest);
   void TakeServers(const traffic::ServerListPtr& servers);
   // The log became reachable or unreachable.
-  void TakeLogReachable(bool reachable) { m_peers.SetLogReachable(reachable); }
+  void TakeLogReachable(bool reachable) {
+    m_peers.SetLogReachable(reachable);
+    m_stream_origins.SetLogReachable(reachable);
+  }
   // All manifests written before `as_of` have been applied.
   void TakeManifestCurrent(Time as_of) { m_key_lease.Renew(as_of); }
+  void TakeSoftware(const traffic::SoftwareHistory& software) {
+    m_stream_origins.TakeSoftware(software);
+  }
+  // All records of the topic before `offset` have been applied.
+  void TakeFollowed(platform::Topic topic, std::int64_t offset) {
+    m_stream_origins.TakeFollowed(topic, offset);
+  }
   // A node joined or changed; without a value, it left.
   void TakeNode(const std::string&                       name,
                 const std::optional<programs::NodeInfo>& node);
@@ -102,6 +112,7 @@
   programs::Membership          m_members;
   std::vector<RateCoordinator>  m_rate_coordinators;  // by rate partition
   PeerNetwork                   m_network;
+  StreamOriginService           m_stream_origins;
   RateLimiter                   m_rate_limiter;
   TurnDispatcher                m_dispatcher;
   PeerService                   m_peers;
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -61,6 +61,14 @@
     const std::string name(Name(static_cast<traffic::AnswerFit>(i)));
     m_later_answers[i] = &later_answers.Add({{"fit", name}});
   }
+  constexpr std::array<const char*, kResumptionOutcomeCount> kResumptions{
+      "continued", "version_unknown", "version_gone", "other_refusal"};
+  auto& resumptions =
+      CounterFamily(registry, "yuccawick_resumptions_total",
+                    "Streams that clients resumed here, by outcome");
+  for (std::size_t i = 0; i < m_resumptions.size(); ++i) {
+    m_resumptions[i] = &resumptions.Add({{"outcome", kResumptions[i]}});
+  }
   AddLogCalls(registry);
   AddMemory(registry);
   auto& persisted =
@@ -167,6 +175,10 @@
   m_answers[static_cast<std::size_t>(kind)]->Increment();
 }
 
+void Metrics::CountResumption(ResumptionOutcome outcome) {
+  m_resumptions[static_cast<std::size_t>(outcome)]->Increment();
+}
+
 void Metrics::CountLaterAnswer(traffic::AnswerFit fit) {
   m_later_answers[static_cast<std::size_t>(fit)]->Increment();
 }
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -35,6 +35,15 @@
 };
 constexpr std::size_t kGaugeCount = 8;
 
+// What became of a stream that a client resumed at this node.
+enum class ResumptionOutcome : std::uint8_t {
+  kContinued,       // an event was passed on
+  kVersionUnknown,  // refused, see traffic::Refusal
+  kVersionGone,
+  kOtherRefusal,
+};
+constexpr std::size_t kResumptionOutcomeCount = 4;
+
 class Metrics {
  public:
   Metrics();
@@ -44,6 +53,7 @@
   void CountAnswer(traffic::RequestKind kind);
   // A server answered after a part of an answer had been passed on.
   void CountLaterAnswer(traffic::AnswerFit fit);
+  void CountResumption(ResumptionOutcome outcome);
   void CountStoreCall(const platform::CallReport& call);  // thread-safe
   void CountTurnPersisted(bool by_peer);
   void ObserveAnswer(double seconds);
@@ -74,6 +84,7 @@
   std::array<prometheus::Counter*, 4>                        m_retries{};
   std::array<prometheus::Counter*, 3>                        m_answers{};
   std::array<prometheus::Counter*, traffic::kAnswerFitCount> m_later_answers{};
+  std::array<prometheus::Counter*, kResumptionOutcomeCount>  m_resumptions{};
   std::array<prometheus::Counter*, 2> m_turns_persisted{};
   struct LogCalls {
     prometheus::Counter* succeeded = nullptr;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -79,8 +79,9 @@
                          programs::Membership* members, PeerNetwork* network,
                          std::vector<TokenCoordinator>* coordinators,
                          RateLimiter* limiter, TurnStore* turn_store,
-                         Backends*         backends,
-                         AdmissionService* admission_service)
+                         Backends*            backends,
+                         AdmissionService*    admission_service,
+                         StreamOriginService* stream_origins)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_members(members),
@@ -90,7 +91,8 @@
       m_turn_store(turn_store),
       m_peer_turns(loop, thresholds, members, network, turn_store),
       m_backends(backends),
-      m_admission(admission_service) {
+      m_admission(admission_service),
+      m_stream_origins(stream_origins) {
   network->SetMessageHandler(this);
 }
 
@@ -528,6 +530,12 @@
     case PeerMessage::WORK_CHARGES:
       ReceiveCharges(message);
       break;
+    case PeerMessage::STREAM_BEGUN:
+      m_stream_origins->ServeBegun(message);
+      break;
+    case PeerMessage::FIND_STREAM:
+      m_stream_origins->ServeFind(message, reply);
+      break;
     default:
       break;  // responses arrive on outbound connections
   }
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -1,6 +1,7 @@
 // Handles the messages between nodes: token reservations, and reports on server
-// load, capacity usage, charges and log outages. Messages about turns and rate
-// limits are passed on to PeerTurns and RateLimiter.
+// load, capacity usage, charges and log outages. Messages about turns, rate
+// limits and origins of streams are passed on to PeerTurns, RateLimiter and
+// StreamOriginService.
 //
 // Each program has a coordinator: the node that counts the tokens of its claim
 // partition. If the coordinator is unreachable, or the log is unreachable for
@@ -19,6 +20,7 @@
 #include "yuccawick/gateway/peer_network.h"
 #include "yuccawick/gateway/peer_turns.h"
 #include "yuccawick/gateway/rate_limiter.h"
+#include "yuccawick/gateway/stream_origin_service.h"
 #include "yuccawick/gateway/token_coordinator.h"
 
 namespace yuccawick::gateway {
@@ -40,7 +42,8 @@
               programs::Membership* members, PeerNetwork* network,
               std::vector<TokenCoordinator>* coordinators, RateLimiter* limiter,
               TurnStore* turn_store, Backends* backends,
-              AdmissionService* admission_service);
+              AdmissionService*    admission_service,
+              StreamOriginService* stream_origins);
 
   using ReserveDone = std::function<void(const Reservation&)>;
   // Retries for up to `patience` ms while the outcome is undecided.
@@ -116,6 +119,7 @@
   PeerTurns                      m_peer_turns;
   Backends*                      m_backends;
   AdmissionService*              m_admission;
+  StreamOriginService*           m_stream_origins;
   // Turns reserved here for other nodes, by their connection.
   std::unordered_map<PeerNetwork::ConnectionId, std::vector<TurnBudget>>
                                             m_reserved;
--- /dev/null
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -0,0 +1,104 @@
+// Finds out which software began a stream that a client resumes at this node.
+//
+// The node that passes on the first event of a stream tells a few nodes, which
+// every node can derive from the attempt that brought the event. They are in
+// different zones and are told without waiting for them, so the first event is
+// not delayed. A node where the stream is resumed searches, in this order:
+//
+//   its own memory
+//   the nodes that were told, for up to `origin_timeout` ms
+//   the origins that are possible at all: if only one version has been listed
+//     and the routes have not changed lately, no other can have begun it. The
+//     node first asks the log whether it has followed it to the end, because
+//     other nodes may already use servers that it does not know.
+//
+// An origin is never guessed: the stream is refused if none of these is sure.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "platform/store.h"
+#include "yuccawick/gateway/peer_network.h"
+#include "yuccawick/gateway/thresholds.h"
+#include "yuccawick/programs/membership.h"
+#include "yuccawick/traffic/manifest.h"
+#include "yuccawick/traffic/software_history.h"
+#include "yuccawick/traffic/stream_origins.h"
+
+namespace yuccawick::gateway {
+
+// Where the origin of a resumed stream is known from.
+enum class OriginSource : std::uint8_t {
+  kUnknown,
+  kThisNode,
+  kOtherNode,
+  kSoleOrigin,  // no other one is possible
+};
+constexpr std::size_t kOriginSourceCount = 4;
+std::string_view      Name(OriginSource source);
+
+struct FoundOrigin {
+  std::optional<traffic::StreamOrigin> origin;
+  OriginSource                         source = OriginSource::kUnknown;
+};
+
+class StreamOriginService {
+ public:
+  StreamOriginService(net::EventLoop* loop, const Thresholds* thresholds,
+                      platform::RecordLog*        store,
+                      const programs::Membership* members,
+                      PeerNetwork*                network);
+
+  // The first event of a stream is about to be passed on. `attempt` includes
+  // its workspace.
+  void Announce(const std::string&           attempt,
+                const traffic::StreamOrigin& origin);
+  // `attempt`: brought the first event; empty: the client did not name it.
+  using FindDone = std::function<void(const FoundOrigin&)>;
+  void Find(const std::string& attempt, const traffic::Route& route,
+            FindDone done);
+
+  void TakeManifest(const traffic::Manifest& manifest);
+  void TakeSoftware(const traffic::SoftwareHistory& software) {
+    m_software = software;
+  }
+  // All records of the topic before `offset` have been applied.
+  void TakeFollowed(platform::Topic topic, std::int64_t offset) {
+    m_followed[topic] = offset;
+  }
+  void SetLogReachable(bool reachable) { m_log_reachable = reachable; }
+
+  void ServeBegun(PeerMessage::Reader message);
+  void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
+
+ private:
+  void AskHolders(const traffic::StreamKey& key, FindDone done);
+  void FindSoleOrigin(const traffic::Route& route, FindDone done);
+  // Whether all records of the topic that exist now have been applied, if
+  // necessary after a wait until `give_up_at`.
+  using ConfirmDone = std::function<void(bool)>;
+  void ConfirmFollowed(platform::Topic topic, Time give_up_at,
+                       ConfirmDone done);
+  void WaitFollowed(platform::Topic topic, std::int64_t offset, Time give_up_at,
+                    ConfirmDone done);
+  // Nodes other than this one that remember the stream.
+  std::vector<programs::NodeInfo> OtherHolders(
+      const traffic::StreamKey& key) const;
+
+  net::EventLoop*                         m_loop;
+  const Thresholds*                       m_thresholds;
+  platform::RecordLog*                    m_store;
+  const programs::Membership*             m_members;
+  PeerNetwork*                            m_network;
+  traffic::StreamOrigins                  m_origins;
+  traffic::SoftwareHistory                m_software;
+  std::map<platform::Topic, std::int64_t> m_followed;
+  bool                                    m_log_reachable = true;
+};
+
+}  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -146,6 +146,13 @@
   // Other nodes --------------------------------------------------------------
   Duration peer_connect_timeout = 150;  // about ten round trips
   Duration find_timeout = 250;
+  // Software that began a stream is remembered this long, or for twice the
+  // longest timeout of a resumable route. Clients resume within a few seconds.
+  Duration stream_memory = 10'000;
+  // Longest time that a resumed stream waits for the nodes that remember its
+  // origin, then until this node has followed the log to its end.
+  Duration origin_timeout = 250;
+  Duration origin_wait = 900;
   // A turn reader needs one read at the end of the log; after a restart it has
   // earlier records to read first. It answers within reader_answer whatever the
   // log does; the requester waits for reader_timeout.
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
+#include <utility>
 
 namespace yuccawick::programs {
 namespace {
@@ -67,6 +69,29 @@
   return nodes;
 }
 
+std::vector<NodeInfo> Membership::ChooseStreamHolders(std::string_view key,
+                                                      std::size_t count) const {
+  std::vector<std::pair<double, const NodeInfo*>> ranked;
+  const auto add = [&](const NodeInfo& node) {
+    if (node.holds_streams && !Suspected(node.name))
+      ranked.emplace_back(Weight(key, node), &node);
+  };
+  add(m_self);
+  for (const auto& [name, node] : m_nodes) add(node);
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::set<std::string_view> zones;
+  // The best of each zone first, in order of rank.
+  std::stable_partition(ranked.begin(), ranked.end(), [&](const auto& each) {
+    return zones.insert(each.second->zone).second;
+  });
+  std::vector<NodeInfo> holders;
+  for (const auto& [weight, node] : ranked) {
+    if (holders.size() < count) holders.push_back(*node);
+  }
+  return holders;
+}
+
 const NodeInfo* Membership::Find(const std::string& name) const {
   const auto found = m_nodes.find(name);
   return found == m_nodes.end() ? nullptr : &found->second;
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -32,6 +32,8 @@
   std::string   zone;
   // Processing capacity in thousandths of a core.
   std::uint32_t millicores = kDefaultMillicores;
+  // Whether it remembers the origins of streams for other nodes.
+  bool          holds_streams = false;
 
   bool operator==(const NodeInfo&) const = default;
 };
@@ -57,6 +59,10 @@
   std::vector<NodeInfo> RankCoordinators(std::string_view key) const;
   // Like RankCoordinators(), but includes suspected nodes.
   std::vector<NodeInfo> RankAllNodes(std::string_view key) const;
+  // Up to `count` unsuspected nodes, possibly including self, that remember the
+  // stream `key`. They are in different zones if there are enough zones.
+  std::vector<NodeInfo> ChooseStreamHolders(std::string_view key,
+                                            std::size_t      count) const;
   bool                  Suspected(const std::string& name) const {
                      return m_suspects.contains(name);
   }
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -36,6 +36,7 @@
   address     @1 :Text;
   zone        @2 :Text;
   capacity    @3 :UInt32;  # thousandths of a core; 0: not said
+  holdsStreams @4 :Bool;   # answers findStream; older builds do not
 }
 
 struct ServerLoad {
@@ -169,6 +170,19 @@
   plenty       @8 :Bool;
 }
 
+# Identifies a stream: hash of the attempt that brought its first event.
+struct StreamKey {
+  high @0 :UInt64;
+  low  @1 :UInt64;
+}
+
+# The software that began a stream.
+struct StreamOrigin {
+  key     @0 :StreamKey;
+  service @1 :Text;  # empty: not known
+  version @2 :Text;
+}
+
 # One message between two nodes. An answer carries its question's number.
 struct PeerMessage {
   number @0 :UInt64;
@@ -191,5 +205,8 @@
     # In place of Reserved.start: the server that ran the program's last turn.
     startedAt   @16 :Text;
     workCharges @17 :List(WorkCharge);  # one home to the others
+    streamBegun @18 :StreamOrigin;  # to the nodes that remember it
+    findStream  @19 :StreamKey;
+    streamFound @20 :StreamOrigin;  # answers findStream
   }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -43,6 +43,8 @@
 CAPNP_DECLARE_SCHEMA(8bd0a79646a1d7d1);
 CAPNP_DECLARE_SCHEMA(d41690130789ac46);
 CAPNP_DECLARE_SCHEMA(d50d742b6de5ea76);
+CAPNP_DECLARE_SCHEMA(8fc63b26cf8ccf1a);
+CAPNP_DECLARE_SCHEMA(eb36670b24ee9d01);
 CAPNP_DECLARE_SCHEMA(cf586f855819257a);
 
 }  // namespace schemas
@@ -324,6 +326,36 @@
   };
 };
 
+struct StreamKey {
+  StreamKey() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8fc63b26cf8ccf1a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOrigin {
+  StreamOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb36670b24ee9d01, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage {
   PeerMessage() = delete;
 
@@ -348,6 +380,9 @@
     ROOM_USE,
     STARTED_AT,
     WORK_CHARGES,
+    STREAM_BEGUN,
+    FIND_STREAM,
+    STREAM_FOUND,
   };
 
   struct _capnpPrivate {
@@ -640,6 +675,8 @@
 
   inline  ::uint32_t getCapacity() const;
 
+  inline bool getHoldsStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -692,6 +729,9 @@
   inline  ::uint32_t getCapacity();
   inline void setCapacity( ::uint32_t value);
 
+  inline bool getHoldsStreams();
+  inline void setHoldsStreams(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2201,6 +2241,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamKey::Reader {
+public:
+  typedef StreamKey Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh() const;
+
+  inline  ::uint64_t getLow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamKey::Builder {
+public:
+  typedef StreamKey Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
+
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamKey::Pipeline {
+public:
+  typedef StreamKey Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOrigin::Reader {
+public:
+  typedef StreamOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::yuccawick::programs::wire::StreamKey::Reader getKey() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOrigin::Builder {
+public:
+  typedef StreamOrigin Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::yuccawick::programs::wire::StreamKey::Builder getKey();
+  inline void setKey( ::yuccawick::programs::wire::StreamKey::Reader value);
+  inline  ::yuccawick::programs::wire::StreamKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::yuccawick::programs::wire::StreamKey>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey> disownKey();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOrigin::Pipeline {
+public:
+  typedef StreamOrigin Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::yuccawick::programs::wire::StreamKey::Pipeline getKey();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerMessage::Reader {
 public:
   typedef PeerMessage Reads;
@@ -2286,6 +2509,18 @@
   inline bool hasWorkCharges() const;
   inline  ::capnp::List< ::yuccawick::programs::wire::WorkCharge,  ::capnp::Kind::STRUCT>::Reader getWorkCharges() const;
 
+  inline bool isStreamBegun() const;
+  inline bool hasStreamBegun() const;
+  inline  ::yuccawick::programs::wire::StreamOrigin::Reader getStreamBegun() const;
+
+  inline bool isFindStream() const;
+  inline bool hasFindStream() const;
+  inline  ::yuccawick::programs::wire::StreamKey::Reader getFindStream() const;
+
+  inline bool isStreamFound() const;
+  inline bool hasStreamFound() const;
+  inline  ::yuccawick::programs::wire::StreamOrigin::Reader getStreamFound() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2442,6 +2677,30 @@
   inline void adoptWorkCharges(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::WorkCharge,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::WorkCharge,  ::capnp::Kind::STRUCT>> disownWorkCharges();
 
+  inline bool isStreamBegun();
+  inline bool hasStreamBegun();
+  inline  ::yuccawick::programs::wire::StreamOrigin::Builder getStreamBegun();
+  inline void setStreamBegun( ::yuccawick::programs::wire::StreamOrigin::Reader value);
+  inline  ::yuccawick::programs::wire::StreamOrigin::Builder initStreamBegun();
+  inline void adoptStreamBegun(::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin> disownStreamBegun();
+
+  inline bool isFindStream();
+  inline bool hasFindStream();
+  inline  ::yuccawick::programs::wire::StreamKey::Builder getFindStream();
+  inline void setFindStream( ::yuccawick::programs::wire::StreamKey::Reader value);
+  inline  ::yuccawick::programs::wire::StreamKey::Builder initFindStream();
+  inline void adoptFindStream(::capnp::Orphan< ::yuccawick::programs::wire::StreamKey>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey> disownFindStream();
+
+  inline bool isStreamFound();
+  inline bool hasStreamFound();
+  inline  ::yuccawick::programs::wire::StreamOrigin::Builder getStreamFound();
+  inline void setStreamFound( ::yuccawick::programs::wire::StreamOrigin::Reader value);
+  inline  ::yuccawick::programs::wire::StreamOrigin::Builder initStreamFound();
+  inline void adoptStreamFound(::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin> disownStreamFound();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2936,6 +3195,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Node::Reader::getHoldsStreams() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::Builder::getHoldsStreams() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Node::Builder::setHoldsStreams(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServerLoad::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4231,6 +4504,141 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StreamKey::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamKey::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamKey::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamKey::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamKey::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamKey::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOrigin::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::StreamKey::Reader StreamOrigin::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::StreamKey::Builder StreamOrigin::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::yuccawick::programs::wire::StreamKey::Pipeline StreamOrigin::Pipeline::getKey() {
+  return  ::yuccawick::programs::wire::StreamKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamOrigin::Builder::setKey( ::yuccawick::programs::wire::StreamKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::StreamKey::Builder StreamOrigin::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::adoptKey(
+    ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey>&& value) {
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey> StreamOrigin::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamOrigin::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamOrigin::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::yuccawick::programs::wire::PeerMessage::Which PeerMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -5088,6 +5496,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isStreamBegun() const {
+  return which() == PeerMessage::STREAM_BEGUN;
+}
+inline bool PeerMessage::Builder::isStreamBegun() {
+  return which() == PeerMessage::STREAM_BEGUN;
+}
+inline bool PeerMessage::Reader::hasStreamBegun() const {
+  if (which() != PeerMessage::STREAM_BEGUN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamBegun() {
+  if (which() != PeerMessage::STREAM_BEGUN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Reader PeerMessage::Reader::getStreamBegun() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Builder PeerMessage::Builder::getStreamBegun() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamBegun( ::yuccawick::programs::wire::StreamOrigin::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Builder PeerMessage::Builder::initStreamBegun() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamBegun(
+    ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_BEGUN);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin> PeerMessage::Builder::disownStreamBegun() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_BEGUN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isFindStream() const {
+  return which() == PeerMessage::FIND_STREAM;
+}
+inline bool PeerMessage::Builder::isFindStream() {
+  return which() == PeerMessage::FIND_STREAM;
+}
+inline bool PeerMessage::Reader::hasFindStream() const {
+  if (which() != PeerMessage::FIND_STREAM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFindStream() {
+  if (which() != PeerMessage::FIND_STREAM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::StreamKey::Reader PeerMessage::Reader::getFindStream() const {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_STREAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::StreamKey::Builder PeerMessage::Builder::getFindStream() {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_STREAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFindStream( ::yuccawick::programs::wire::StreamKey::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_STREAM);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::StreamKey::Builder PeerMessage::Builder::initFindStream() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_STREAM);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFindStream(
+    ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::FIND_STREAM);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamKey> PeerMessage::Builder::disownFindStream() {
+  KJ_IREQUIRE((which() == PeerMessage::FIND_STREAM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isStreamFound() const {
+  return which() == PeerMessage::STREAM_FOUND;
+}
+inline bool PeerMessage::Builder::isStreamFound() {
+  return which() == PeerMessage::STREAM_FOUND;
+}
+inline bool PeerMessage::Reader::hasStreamFound() const {
+  if (which() != PeerMessage::STREAM_FOUND) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamFound() {
+  if (which() != PeerMessage::STREAM_FOUND) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Reader PeerMessage::Reader::getStreamFound() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_FOUND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Builder PeerMessage::Builder::getStreamFound() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_FOUND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamFound( ::yuccawick::programs::wire::StreamOrigin::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_FOUND);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::StreamOrigin::Builder PeerMessage::Builder::initStreamFound() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_FOUND);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamFound(
+    ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STREAM_FOUND);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::StreamOrigin> PeerMessage::Builder::disownStreamFound() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_FOUND),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -174,6 +174,7 @@
     builder.setAddress(node.address.Text());
     builder.setZone(node.zone);
     builder.setCapacity(node.millicores);
+    builder.setHoldsStreams(node.holds_streams);
   });
 }
 
@@ -183,10 +184,12 @@
     const auto reader = message->template getRoot<wire::Node>();
     const auto address = net::ParseEndpoint(ToString(reader.getAddress()));
     const auto capacity = reader.getCapacity();
-    return NodeInfo{name, ToString(reader.getIncarnation()),
+    return NodeInfo{name,
+                    ToString(reader.getIncarnation()),
                     address.value_or(net::Endpoint{}),
                     ToString(reader.getZone()),
-                    capacity > 0 ? capacity : kDefaultMillicores};
+                    capacity > 0 ? capacity : kDefaultMillicores,
+                    reader.getHoldsStreams()};
   });
   return node && node->address.port != 0 ? node : std::nullopt;
 }
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -16,24 +16,26 @@
   kBodyTooLarge,
   kTooSlow,  // the request was not received in time
   kNoRoute,
-  kUnknownKey,     // no workspace has this key
-  kUnknownTurn,    // the previous turn does not exist
-  kBudgetSpent,    // not enough tokens left for this turn
-  kOverLimit,      // rate limit of the workspace exceeded
-  kNotReady,       // no manifest loaded yet
-  kRouteUnsure,    // no such route, but the manifest may be stale
-  kKeyUnsure,      // the key may have been revoked or be new
-  kNoServer,       // no backend server available
-  kOverloaded,     // the chosen server is full
-  kNoRoom,         // no model server capacity for a new program
-  kNodeFull,       // memory budget of this node is exhausted
-  kLogAway,        // log unavailable, turns cannot be persisted
-  kHistoryUnsure,  // the turn may exist, but the log is unavailable
-  kBudgetUnsure,   // the budget cannot be claimed now
-  kLimitUnsure,    // usage of the workspace is unknown
-  kLateUnsent,     // timed out before it was sent
-  kLateSent,       // timed out after it was sent
-  kServerFailed,   // may have run; no response available
+  kUnknownKey,      // no workspace has this key
+  kUnknownTurn,     // the previous turn does not exist
+  kBudgetSpent,     // not enough tokens left for this turn
+  kOverLimit,       // rate limit of the workspace exceeded
+  kNotReady,        // no manifest loaded yet
+  kRouteUnsure,     // no such route, but the manifest may be stale
+  kKeyUnsure,       // the key may have been revoked or be new
+  kVersionUnknown,  // nothing tells which software began the stream
+  kVersionGone,     // no server with the software that began the stream
+  kNoServer,        // no backend server available
+  kOverloaded,      // the chosen server is full
+  kNoRoom,          // no model server capacity for a new program
+  kNodeFull,        // memory budget of this node is exhausted
+  kLogAway,         // log unavailable, turns cannot be persisted
+  kHistoryUnsure,   // the turn may exist, but the log is unavailable
+  kBudgetUnsure,    // the budget cannot be claimed now
+  kLimitUnsure,     // usage of the workspace is unknown
+  kLateUnsent,      // timed out before it was sent
+  kLateSent,        // timed out after it was sent
+  kServerFailed,    // may have run; no response available
   kCount,
 };
 constexpr std::size_t kRefusalCount = static_cast<std::size_t>(Refusal::kCount);
