A removed version counts longer than a stream lasts; memory of streams 5 s

How long a version must have been the only one follows from how long a stream lasts: twice the longest route timeout, 6 to 8 s on the sites. What needs longer is a version whose servers were removed while a node that is cut off from the log still uses them: it counts for 20 s more.

--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -148,7 +148,7 @@
   Duration find_timeout = 250;
   // Software that began a stream is remembered this long, or for twice the
   // longest timeout of a resumable route. Clients resume within a few seconds.
-  Duration stream_memory = 10'000;
+  Duration stream_memory = 5000;
   // Longest time that a resumed stream waits for the nodes that remember its
   // origin, then until this node has followed the log to its end.
   Duration origin_timeout = 250;
--- a/src/yuccawick/traffic/software_history.cc
+++ b/src/yuccawick/traffic/software_history.cc
@@ -17,8 +17,8 @@
   }
   for (auto& [service, versions] : m_versions) {
     std::erase_if(versions, [now](const auto& entry) {
-      return !entry.second.now &&
-             now - entry.second.until > kMaxSoftwareHistory;
+      return !entry.second.now && now - entry.second.until >
+                                      kMaxSoftwareHistory + kRemovedVersionTime;
     });
   }
   std::erase_if(m_versions,
@@ -32,7 +32,8 @@
     return std::nullopt;
   std::optional<std::string> sole;
   for (const auto& [version, presence] : versions->second) {
-    if (!presence.now && presence.until < begin) continue;
+    const bool gone = presence.until + kRemovedVersionTime < begin;
+    if (!presence.now && gone) continue;
     if (sole) return std::nullopt;
     sole = version;
   }
--- a/src/yuccawick/traffic/software_history.h
+++ b/src/yuccawick/traffic/software_history.h
@@ -20,6 +20,9 @@
 
 // Longest time (ms) that the histories cover.
 inline constexpr Duration kMaxSoftwareHistory = 600'000;
+// A version counts for this long (ms) after its last server was removed: a node
+// that is cut off from the log uses the server for as long as it runs.
+inline constexpr Duration kRemovedVersionTime = 20'000;
 
 class VersionHistory {
  public:
