A client cannot resume a turn that is stored

Where a route both keeps turns and is resumable, a client that resumed a turn had only the rest of its output recorded, and the next turn's prompt lacked the beginning (suspected by the last postmortem).

Cause: the record is what one answer passed on. Now such an attempt is refused before it runs, 503 partial_turn, and the turn is sent from its start. Turn::ClientResumesATurn_IsRefusedBeforeItRuns failed before (the turn ran).

--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -85,6 +85,11 @@
     AcquireRateToken();
     return;
   }
+  // The record of the turn would have only the rest of its output.
+  if (m_route->keeps_turns) {
+    Refuse(Refusal::kPartialTurn);
+    return;
+  }
   m_wait_refusal = Refusal::kVersionUnknown;
   const std::string attempt =
       m_info.resumes.empty() ? std::string() : ScopedId(m_info.resumes);
--- a/src/yuccawick/traffic/refusal.cc
+++ b/src/yuccawick/traffic/refusal.cc
@@ -18,13 +18,13 @@
     {"unknown_turn", 404, false},   {"budget_spent", 402, false},
     {"over_limit", 429, true},      {"not_ready", 503, true},
     {"route_unsure", 503, true},    {"key_unsure", 503, true},
-    {"version_unknown", 503, true}, {"version_gone", 503, true},
-    {"no_server", 503, true},       {"overloaded", 503, true},
-    {"no_room", 503, true},         {"node_full", 503, true},
-    {"log_away", 503, true},        {"history_unsure", 503, true},
-    {"budget_unsure", 503, true},   {"limit_unsure", 503, true},
-    {"late_unsent", 503, true},     {"late_sent", 504, false},
-    {"server_failed", 502, false},
+    {"partial_turn", 503, true},    {"version_unknown", 503, true},
+    {"version_gone", 503, true},    {"no_server", 503, true},
+    {"overloaded", 503, true},      {"no_room", 503, true},
+    {"node_full", 503, true},       {"log_away", 503, true},
+    {"history_unsure", 503, true},  {"budget_unsure", 503, true},
+    {"limit_unsure", 503, true},    {"late_unsent", 503, true},
+    {"late_sent", 504, false},      {"server_failed", 502, false},
 }};
 
 }  // namespace
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -23,6 +23,7 @@
   kNotReady,        // no manifest loaded yet
   kRouteUnsure,     // no such route, but the manifest may be stale
   kKeyUnsure,       // the key may have been revoked or be new
+  kPartialTurn,     // a turn that is stored has to be sent from its start
   kVersionUnknown,  // nothing tells which software began the stream
   kVersionGone,     // no server with the software that began the stream
   kNoServer,        // no backend server available
