Streams go on at the last servers of their version while these are leaving

Callers would have seen: each release cuts off the streams that only the last leaving servers could go on with, although these serve for two seconds more.

Now a server that was seen to begin to leave within leaving_use (800 ms, so that with the time until nodes learn of it no request comes later than the platform allows) still takes streams, and only those, that cannot go on elsewhere.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -32,6 +32,13 @@
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+bool Matches(const traffic::BackendServer& server,
+             const traffic::ServerFilter&  filter) {
+  return server.service == filter.service &&
+         (!filter.version || server.version == *filter.version) &&
+         !Contains(filter.avoid, server.id);
+}
+
 }  // namespace
 
 BackendConnection::BackendConnection(
@@ -179,6 +186,7 @@
     State& state =
         m_servers.try_emplace(server.id, m_thresholds->slowdown).first->second;
     if (state.server.version != server.version) Forget(&state);
+    UpdateLeaving(&state, server.draining);
     state.server = server;
     state.listed = true;
   }
@@ -191,6 +199,16 @@
   IndexServers();
 }
 
+// Only a change that this node has seen tells how long the server will serve.
+void Backends::UpdateLeaving(State* state, bool draining) const {
+  const bool was_ready = !state->server.id.empty() && !state->server.draining;
+  if (!draining) {
+    state->leaving_since.reset();
+  } else if (was_ready) {
+    state->leaving_since = m_loop->now();
+  }
+}
+
 void Backends::IndexServers() {
   std::unordered_map<std::string, std::vector<const traffic::BackendServer*>>
       usable;
@@ -271,12 +289,10 @@
 const Backends::State* Backends::FindUsable(
     const std::string& id, const traffic::ServerFilter& filter) const {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end() || Contains(filter.avoid, id)) return nullptr;
+  if (found == m_servers.end()) return nullptr;
   const State& state = found->second;
   const bool   usable =
-      state.listed && !state.server.draining &&
-      state.server.service == filter.service &&
-      (!filter.version || state.server.version == *filter.version);
+      state.listed && !state.server.draining && Matches(state.server, filter);
   return usable ? &state : nullptr;
 }
 
@@ -290,12 +306,13 @@
 
 std::optional<Backends::Choice> Backends::Choose(
     const traffic::ServerFilter& filter, const Prompt& prompt) {
-  traffic::ServerPool* pool = PoolFor(filter);
-  if (pool == nullptr) return std::nullopt;
   DropExpiredReports();
-  const std::string               warm = WarmServerFor(filter, *pool, prompt);
-  std::vector<traffic::Candidate> candidates =
-      CandidatesFor(pool, warm, filter.avoid);
+  std::vector<traffic::Candidate> candidates;
+  if (traffic::ServerPool* pool = PoolFor(filter)) {
+    const std::string warm = WarmServerFor(filter, *pool, prompt);
+    candidates = CandidatesFor(pool, warm, filter.avoid);
+  }
+  if (candidates.empty()) candidates = LeavingCandidates(filter);
   if (candidates.empty()) return std::nullopt;
   traffic::SampleCandidates(&candidates, m_thresholds->sampling, &m_random);
   for (traffic::Candidate& candidate : candidates) {
@@ -334,6 +351,24 @@
   return candidates;
 }
 
+std::vector<traffic::Candidate> Backends::LeavingCandidates(
+    const traffic::ServerFilter& filter) const {
+  std::vector<traffic::Candidate> candidates;
+  if (!filter.version) return candidates;
+  const Time oldest = m_loop->now() - m_thresholds->leaving_use;
+  for (const auto& [id, state] : m_servers) {
+    const bool usable = state.listed && state.leaving_since &&
+                        *state.leaving_since > oldest &&
+                        Matches(state.server, filter);
+    if (!usable) continue;
+    traffic::Candidate candidate;
+    candidate.server = &state.server;
+    candidate.same_zone = state.server.zone == m_zone;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
 std::string Backends::WarmServerFor(const traffic::ServerFilter& filter,
                                     const traffic::ServerPool&   pool,
                                     const Prompt&                prompt) const {
@@ -395,12 +430,13 @@
 }
 
 bool Backends::HasServer(const traffic::ServerFilter& filter) {
-  const traffic::ServerPool* pool = PoolFor(filter);
-  if (pool == nullptr) return false;
-  const auto& servers = pool->all();
-  return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+  const auto untried = [&](const auto* server) {
     return !Contains(filter.avoid, server->id);
-  });
+  };
+  const traffic::ServerPool* pool = PoolFor(filter);
+  const bool ready = pool != nullptr && std::any_of(pool->all().begin(),
+                                                    pool->all().end(), untried);
+  return ready || !LeavingCandidates(filter).empty();
 }
 
 BackendConnection* Backends::Acquire(const std::string& id, bool fresh) {
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -118,7 +118,9 @@
     std::int64_t tokens = 0;
     double       memory_part = 0;  // see traffic::Candidate
   };
-  // Chooses a server for a request; empty if none is usable.
+  // Chooses a server for a request; empty if none is usable. A server that is
+  // leaving is used for `leaving_use` ms if it is one of the last of the
+  // version: a stream cannot go on elsewhere.
   std::optional<Choice> Choose(const traffic::ServerFilter& filter,
                                const Prompt&                prompt);
   // The server's state as a Choice; empty if it is not listed.
@@ -183,6 +185,7 @@
     traffic::BackendServer          server;
     capacity::ServerSlowdown        slowdown;
     bool                            listed = true;
+    std::optional<Time>             leaving_since;  // if seen to begin
     int                             load = 0;
     traffic::Outcomes               outcomes;
     int                             failures = 0;
@@ -215,6 +218,9 @@
   std::vector<traffic::Candidate> CandidatesFor(
       traffic::ServerPool* pool, const std::string& warm,
       const std::vector<std::string>& avoid);
+  // Servers of the filter's version that began to leave a short time ago.
+  std::vector<traffic::Candidate> LeavingCandidates(
+      const traffic::ServerFilter& filter) const;
   // Sets load, failures and slowdown.
   void          FillObservations(const State&        state,
                                  traffic::Candidate* candidate) const;
@@ -229,6 +235,7 @@
   void          DropExpiredReports();
   void          Destroy(BackendConnection* connection);
   void          DropIdle(State* state);
+  void          UpdateLeaving(State* state, bool draining) const;
   // Forgets what was observed of the server before it restarted.
   void          Forget(State* state);
 
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -41,7 +41,11 @@
   // and the fraction of the announced time that is used otherwise.
   Duration     idle_limit = 600;
   double       idle_share = 0.6;
-  std::int64_t idle_connections = 16;   // per server
+  std::int64_t idle_connections = 16;  // per server
+  // A leaving server still takes streams that cannot go on elsewhere for this
+  // long. The platform lets it serve for 2000 after its notice, which nodes
+  // learn within 1000.
+  Duration     leaving_use = 800;
   Duration     failure_memory = 1500;   // a failed server is avoided this long
   Duration     prefix_memory = 20'000;  // a prompt is assumed cached this long
   Duration     load_memory = 700;  // a peer's load report is valid this long
