Resumptions without a known origin share their reads of the log's ends

Each such resumption asked for the ends of two topics; clients of a node that is gone come back all at once, and the platform allows few calls.

--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -174,26 +174,46 @@
 
 void StreamOriginService::ConfirmFollowed(Topic topic, Time give_up_at,
                                           ConfirmDone done) {
-  const Duration timeout = std::max<Duration>(1, give_up_at - m_loop->now());
+  ReadEnd(topic, [this, topic, give_up_at,
+                  done = std::move(done)](std::optional<std::int64_t> end) {
+    if (end) {
+      WaitFollowed(topic, *end, give_up_at, done);
+    } else {
+      done(false);
+    }
+  });
+}
+
+void StreamOriginService::ReadEnd(Topic topic, EndDone done) {
+  FollowedTopic& followed = m_followed[topic];
+  followed.waiting.push_back(std::move(done));
+  if (!followed.reading_end) StartEndRead(topic);
+}
+
+void StreamOriginService::StartEndRead(Topic topic) {
+  FollowedTopic& followed = m_followed[topic];
+  if (followed.waiting.empty()) return;
+  followed.reading_end = true;
   platform::ReadRange range;
-  range.from = m_followed[topic];
+  range.from = followed.applied;
   range.bytes = kSmallestPage;
   range.kind = platform::CallKind::kProbe;
-  m_store->Read(topic, 0, range, timeout,
-                [this, topic, give_up_at, done = std::move(done)](
+  m_store->Read(topic, 0, range, m_thresholds->origin_wait,
+                [this, topic, waiting = std::exchange(followed.waiting, {})](
                     const platform::StoreResult<platform::ReadPage>& result) {
-                  if (result) {
-                    WaitFollowed(topic, result->end, give_up_at, done);
-                  } else {
-                    done(false);
+                  m_followed[topic].reading_end = false;
+                  for (const EndDone& done : waiting) {
+                    done(result ? std::optional(result->end) : std::nullopt);
                   }
+                  if (!m_followed[topic].reading_end) StartEndRead(topic);
                 });
 }
 
 void StreamOriginService::WaitFollowed(Topic topic, std::int64_t offset,
                                        Time give_up_at, ConfirmDone done) {
-  if (m_followed[topic] >= offset || m_loop->now() >= give_up_at) {
-    done(m_followed[topic] >= offset);
+  const bool followed = m_followed[topic].applied >= offset;
+  if (followed || m_loop->now() >= give_up_at) {
+    done(followed);
     return;
   }
   m_loop->After(kFollowedPause,
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "platform/store.h"
 #include "yuccawick/gateway/peer_network.h"
@@ -69,7 +70,7 @@
   }
   // All records of the topic before `offset` have been applied.
   void TakeFollowed(platform::Topic topic, std::int64_t offset) {
-    m_followed[topic] = offset;
+    m_followed[topic].applied = offset;
   }
   void SetLogReachable(bool reachable) { m_log_reachable = reachable; }
 
@@ -84,21 +85,33 @@
   using ConfirmDone = std::function<void(bool)>;
   void ConfirmFollowed(platform::Topic topic, Time give_up_at,
                        ConfirmDone done);
+  // Reads the end of the topic, once for all calls since the last read began;
+  // empty if the log does not answer.
+  using EndDone = std::function<void(std::optional<std::int64_t>)>;
+  void ReadEnd(platform::Topic topic, EndDone done);
+  void StartEndRead(platform::Topic topic);
   void WaitFollowed(platform::Topic topic, std::int64_t offset, Time give_up_at,
                     ConfirmDone done);
+  // A topic of the log, as far as this node has followed it.
+  struct FollowedTopic {
+    std::int64_t         applied = 0;  // offset behind the last applied record
+    bool                 reading_end = false;
+    std::vector<EndDone> waiting;  // for the next read of the end
+  };
+
   // Nodes other than this one that remember the stream.
   std::vector<programs::NodeInfo> OtherHolders(
       const traffic::StreamKey& key) const;
 
-  net::EventLoop*                         m_loop;
-  const Thresholds*                       m_thresholds;
-  platform::RecordLog*                    m_store;
-  const programs::Membership*             m_members;
-  PeerNetwork*                            m_network;
-  traffic::StreamOrigins                  m_origins;
-  traffic::SoftwareHistory                m_software;
-  std::map<platform::Topic, std::int64_t> m_followed;
-  bool                                    m_log_reachable = true;
+  net::EventLoop*                          m_loop;
+  const Thresholds*                        m_thresholds;
+  platform::RecordLog*                     m_store;
+  const programs::Membership*              m_members;
+  PeerNetwork*                             m_network;
+  traffic::StreamOrigins                   m_origins;
+  traffic::SoftwareHistory                 m_software;
+  std::map<platform::Topic, FollowedTopic> m_followed;
+  bool                                     m_log_reachable = true;
 };
 
 }  // namespace yuccawick::gateway
