--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -99,6 +99,69 @@
   }
 }
 
+// Passes what the follower finds on the control thread to the gateway's loop.
+class TrafficOutputs {
+ public:
+  TrafficOutputs(net::EventLoop* traffic, gateway::Gateway* gateway)
+      : m_traffic(traffic),
+        m_gateway(gateway),
+        m_servers(traffic,
+                  [gateway](const traffic::ServerListPtr& servers) {
+                    gateway->TakeServers(servers);
+                  }),
+        m_software(traffic,
+                   [gateway](const traffic::SoftwareHistory& software) {
+                     gateway->TakeSoftware(software);
+                   }) {}
+
+  gateway::Follower::Outputs Make() {
+    return {[this](traffic::ManifestPtr manifest) {
+              Post([manifest = std::move(manifest)](gateway::Gateway* gateway) {
+                gateway->TakeManifest(manifest);
+              });
+            },
+            [this](traffic::ServerListPtr servers) {
+              m_servers.Put(std::move(servers));
+            },
+            [this](std::string name, std::optional<programs::NodeInfo> node) {
+              Post([name = std::move(name),
+                    node = std::move(node)](gateway::Gateway* gateway) {
+                gateway->TakeNode(name, node);
+              });
+            },
+            [this](bool reachable) {
+              Post([reachable](gateway::Gateway* gateway) {
+                gateway->TakeLogReachable(reachable);
+              });
+            },
+            [this](net::Time as_of) {
+              Post([as_of](gateway::Gateway* gateway) {
+                gateway->TakeManifestCurrent(as_of);
+              });
+            },
+            [this](traffic::SoftwareHistory software) {
+              m_software.Put(std::move(software));
+            },
+            [this](platform::Topic topic, std::int64_t offset) {
+              Post([topic, offset](gateway::Gateway* gateway) {
+                gateway->TakeFollowed(topic, offset);
+              });
+            }};
+  }
+
+ private:
+  template <class Call>
+  void Post(Call call) {
+    m_traffic->Post(
+        [gateway = m_gateway, call = std::move(call)] { call(gateway); });
+  }
+
+  net::EventLoop*                       m_traffic;
+  gateway::Gateway*                     m_gateway;
+  net::Newest<traffic::ServerListPtr>   m_servers;
+  net::Newest<traffic::SoftwareHistory> m_software;
+};
+
 int Serve(const platform::Settings& settings, const std::string& path,
           const gateway::Thresholds& thresholds) {
   const std::string incarnation = NewIncarnation(settings.node);
@@ -121,51 +184,13 @@
     log.Write(gateway::LogEvent::kFault, {{"what", "cannot listen"}});
     return 1;
   }
-  platform::Store                     store(&control, settings.store,
-                                            [&metrics](const platform::CallReport& call) {
+  platform::Store   store(&control, settings.store,
+                          [&metrics](const platform::CallReport& call) {
                           metrics.CountStoreCall(call);
                         });
-  net::Newest<traffic::ServerListPtr> newest_servers(
-      &traffic, [&gateway](const traffic::ServerListPtr& servers) {
-        gateway.TakeServers(servers);
-      });
-  net::Newest<traffic::SoftwareHistory> newest_software(
-      &traffic, [&gateway](const traffic::SoftwareHistory& software) {
-        gateway.TakeSoftware(software);
-      });
-  gateway::Follower follower(
-      &control, &store, &log,
-      {[&](traffic::ManifestPtr manifest) {
-         traffic.Post([&gateway, manifest = std::move(manifest)] {
-           gateway.TakeManifest(manifest);
-         });
-       },
-       [&](traffic::ServerListPtr servers) {
-         newest_servers.Put(std::move(servers));
-       },
-       [&](std::string name, std::optional<programs::NodeInfo> node) {
-         traffic.Post(
-             [&gateway, name = std::move(name), node = std::move(node)] {
-               gateway.TakeNode(name, node);
-             });
-       },
-       [&](bool reachable) {
-         traffic.Post(
-             [&gateway, reachable] { gateway.TakeLogReachable(reachable); });
-       },
-       [&](net::Time as_of) {
-         traffic.Post(
-             [&gateway, as_of] { gateway.TakeManifestCurrent(as_of); });
-       },
-       [&](traffic::SoftwareHistory software) {
-         newest_software.Put(std::move(software));
-       },
-       [&](platform::Topic topic, std::int64_t offset) {
-         traffic.Post([&gateway, topic, offset] {
-           gateway.TakeFollowed(topic, offset);
-         });
-       }},
-      settings.key_bound);
+  TrafficOutputs    outputs(&traffic, &gateway);
+  gateway::Follower follower(&control, &store, &log, outputs.Make(),
+                             settings.key_bound);
   control.Post([&] { follower.Start(); });
   std::thread control_thread([&] { control.Run(); });
   traffic.Run();
--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -89,7 +89,7 @@
 void StreamOriginService::Find(const std::string&    attempt,
                                const traffic::Route& route, FindDone done) {
   if (attempt.empty()) {
-    FindSoleOrigin(route, std::move(done));
+    FindSoleOrigin(route, done);
     return;
   }
   const StreamKey key = traffic::StreamKeyOf(attempt);
@@ -148,7 +148,7 @@
 }
 
 void StreamOriginService::FindSoleOrigin(const traffic::Route& route,
-                                         FindDone              done) {
+                                         const FindDone&       done) {
   const auto sole_origin = [this, route] {
     return m_software.SoleOrigin(route, m_origins.lifetime(), m_loop->now());
   };
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -79,7 +79,7 @@
 
  private:
   void AskHolders(const traffic::StreamKey& key, FindDone done);
-  void FindSoleOrigin(const traffic::Route& route, FindDone done);
+  void FindSoleOrigin(const traffic::Route& route, const FindDone& done);
   // Whether all records of the topic that exist now have been applied, if
   // necessary after a wait until `give_up_at`.
   using ConfirmDone = std::function<void(bool)>;
