A send that goes on with a stream needs to know who began it

AnswerProgress permitted a send behind an event if nobody had told it the stream's origin; no caller did that, but nothing prevented it.

--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -531,7 +531,7 @@
       ReceiveCharges(message);
       break;
     case PeerMessage::STREAM_BEGUN:
-      m_stream_origins->ServeBegun(message);
+      m_stream_origins->ReceiveBegun(message);
       break;
     case PeerMessage::FIND_STREAM:
       m_stream_origins->ServeFind(message, reply);
--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -81,7 +81,7 @@
   }
 }
 
-void StreamOriginService::ServeBegun(PeerMessage::Reader message) {
+void StreamOriginService::ReceiveBegun(PeerMessage::Reader message) {
   const auto begun = message.getStreamBegun();
   m_origins.Put(ReadKey(begun.getKey()), ReadOrigin(begun), m_loop->now());
 }
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -74,7 +74,7 @@
   }
   void SetLogReachable(bool reachable) { m_log_reachable = reachable; }
 
-  void ServeBegun(PeerMessage::Reader message);
+  void ReceiveBegun(PeerMessage::Reader message);
   void ServeFind(PeerMessage::Reader message, const PeerNetwork::Reply& reply);
 
  private:
--- a/src/yuccawick/traffic/answer_progress.cc
+++ b/src/yuccawick/traffic/answer_progress.cc
@@ -55,7 +55,8 @@
 
 std::optional<SendPermit> AnswerProgress::PermitSend(
     const BackendServer& server, std::string_view after_event) {
-  if (!MayServe(server)) return std::nullopt;
+  const bool origin_missing = !after_event.empty() && !m_origin;
+  if (origin_missing || !MayServe(server)) return std::nullopt;
   m_current = OriginOf(server);
   m_last_id = after_event;
   m_resumes = ParseId(m_last_id).has_value();
--- a/src/yuccawick/traffic/answer_progress.h
+++ b/src/yuccawick/traffic/answer_progress.h
@@ -7,8 +7,8 @@
 // answer as complete without one; it alone creates a SendPermit, and nothing is
 // sent without one.
 //
-//   progress.ResumeAt(origin);                  // if the client resumes a
-//   stream auto permit = progress.PermitSend(server, after_event);
+//   progress.ResumeAt(origin);                  // the client resumes a stream
+//   auto permit = progress.PermitSend(server, after_event);
 //   progress.OnHead(info, answer, is_stream);   // see fit()
 //   if (progress.OnEvent(id)) ...               // pass the event on
 //   progress.Begin();                           // the head is passed on
@@ -68,8 +68,9 @@
   const std::optional<StreamOrigin>& origin() const { return m_origin; }
   // Whether the server runs the software that began the stream, if any.
   bool                      MayServe(const BackendServer& server) const;
-  // Call for each send; empty unless MayServe(). `after_event`: id behind which
-  // the server is asked to go on; empty: from the first event.
+  // Call for each send. `after_event`: id behind which the server is asked to
+  // go on; empty: from the first event. Empty unless MayServe(), and for a send
+  // that goes on with a stream whose origin is not known.
   std::optional<SendPermit> PermitSend(const BackendServer& server,
                                        std::string_view     after_event);
   // The head of the server's answer to `request`. `is_stream`: it is passed on
