The reader of responses knows which method they answer

Callers saw HEAD answered with 504 when the deadline passed, whatever the server's status and headers, and with 502 if a length above the limit of bodies was stated; GET answered 304 or 204 with a length likewise. The server's connection was not used again.

Cause: HttpReader was never told the method of the request, and http-parser, which asks its user for this in on_headers_complete, framed every response by its headers. EndsWithConnection() knew some statuses, the limit none.

Change: ResponseHasBody(method, status) in net/message_body.h decides, before any header. The reader is told the method before each request (one at a time on a connection) and asks it; the limit, the reuse of the connection and has_body of the head follow. A 2xx to CONNECT has no body either, and its connection is not used again.

Weighed: telling the reader in its constructor (a connection serves many requests); a method in each Feed() (every caller would have to remember it); deciding in each sink (four places).

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -61,9 +61,10 @@
 
 BackendConnection::~BackendConnection() { m_loop->Cancel(&m_connect_timer); }
 
-void BackendConnection::Send(BackendHandler*  handler,
+void BackendConnection::Send(BackendHandler* handler, std::string_view method,
                              std::string_view request) {
   m_handler = handler;
+  m_reader.SetRequestMethod(method);
   m_answer_complete = false;
   m_in_sync = true;
   m_stream.Write(request);
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -58,8 +58,10 @@
                     std::function<void(BackendConnection*)> on_idle_lost);
   ~BackendConnection() override;
 
-  // Sends a request; `handler` receives its events until Detach().
-  void               Send(BackendHandler* handler, std::string_view request);
+  // Sends a request; `handler` receives its events until Detach(). `method` is
+  // that of the request.
+  void               Send(BackendHandler* handler, std::string_view method,
+                          std::string_view request);
   void               HoldReading(bool hold);
   bool               connected() const { return m_connected; }
   bool               reusable() const;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -210,7 +210,8 @@
     m_parts.limiter->Charge(m_workspace->name);
   const bool connected = m_connection->connected();
   m_connection->Send(
-      this, platform::EncodeRequest(m_head, forwarding) + m_prompt_body);
+      this, m_head.method,
+      platform::EncodeRequest(m_head, forwarding) + m_prompt_body);
   if (connected) OnBackendConnected();
 }
 
--- a/src/yuccawick/net/http.cc
+++ b/src/yuccawick/net/http.cc
@@ -5,10 +5,14 @@
 #include <charconv>
 #include <utility>
 
+#include "yuccawick/net/message_body.h"
+
 namespace yuccawick::net {
 namespace {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+// Result of on_headers_complete() for a message without a body.
+constexpr int              kSkipBody = 1;
 
 char ToLower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -59,15 +63,9 @@
   return SameName(*headers.Find("Transfer-Encoding"), "chunked");
 }
 
-// A response with neither a length nor chunks is delimited by connection close.
+// A body with neither a length nor chunks is delimited by connection close.
 bool EndsWithConnection(const Head& head) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  constexpr int kFirstFinal = 200;
-  const bool    has_body = head.status >= kFirstFinal &&
-                        head.status != kNoContent &&
-                        head.status != kNotModified;
-  return has_body && head.headers.Find("Content-Length") == nullptr &&
+  return head.has_body && head.headers.Find("Content-Length") == nullptr &&
          head.headers.Find("Transfer-Encoding") == nullptr;
 }
 
@@ -118,6 +116,10 @@
   return kCallbacks;
 }
 
+void HttpReader::SetRequestMethod(std::string_view method) {
+  m_method = method;
+}
+
 bool HttpReader::in_message() const { return m_in_body || !m_raw_head.empty(); }
 
 void HttpReader::StartMessage() {
@@ -225,26 +227,32 @@
   auto* self = static_cast<HttpReader*>(parser->data);
   if (self->m_value_seen || !self->m_field.empty()) self->AddHeader();
   Head& head = self->m_head;
-  head.keep_alive = http_should_keep_alive(parser) != 0;
   if (self->m_role == HttpRole::kRequests) {
     head.method = http_method_str(static_cast<http_method>(parser->method));
   } else {
     head.status = static_cast<int>(parser->status_code);
+    head.has_body = ResponseHasBody(self->m_method, head.status);
     head.ends_with_connection = EndsWithConnection(head);
   }
+  const bool has_body = head.has_body;
+  // http_should_keep_alive() takes a body without a length into account.
+  if (!has_body) parser->flags |= F_SKIPBODY;
+  head.keep_alive = http_should_keep_alive(parser) != 0 &&
+                    !OpensTunnel(self->m_method, head.status);
   if (parser->http_major != 1 || !HasValidFraming(head.headers)) {
     self->m_fault = HttpFault::kMalformed;
     return -1;
   }
   const bool has_length = head.headers.Find("Content-Length") != nullptr;
-  if (has_length && parser->content_length > self->m_limits.body_bytes) {
+  if (has_body && has_length &&
+      parser->content_length > self->m_limits.body_bytes) {
     self->m_fault = HttpFault::kBodyTooLarge;
     return -1;
   }
   self->m_sink->OnHead(std::move(head));
   // Otherwise the parser would treat what follows as another protocol.
   parser->upgrade = 0;
-  return 0;
+  return has_body ? 0 : kSkipBody;
 }
 
 int HttpReader::OnBodyBytes(http_parser* parser, const char* at,
--- a/src/yuccawick/net/http.h
+++ b/src/yuccawick/net/http.h
@@ -42,6 +42,7 @@
   int         status = 0;  // responses only
   std::string reason;      // responses only
   Headers     headers;
+  bool        has_body = true;     // false: ends with its head
   bool        keep_alive = false;  // the sender allows reuse of the connection
   bool        ends_with_connection = false;  // response without a length
 };
@@ -73,6 +74,10 @@
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
+  // kResponses: the method of the request that the next response answers. It
+  // decides whether that response has a body; see message_body.h. Call before
+  // each request that is sent.
+  void                     SetRequestMethod(std::string_view method);
   // Consumes bytes up to the end of the current message, so that the caller
   // decides when to read the next one. Returns the number consumed.
   std::size_t              Feed(std::string_view bytes);
@@ -103,6 +108,7 @@
   http_parser              m_parser{};
   std::optional<HttpFault> m_fault;
   std::string              m_raw_head;  // incomplete head
+  std::string              m_method;    // of the request
   Head                     m_head;
   std::string              m_field;
   std::string              m_value;
--- a/src/yuccawick/net/http_client.cc
+++ b/src/yuccawick/net/http_client.cc
@@ -37,6 +37,7 @@
     m_done = std::move(done);
     m_response = {};
     m_sent = m_connected;
+    m_reader.SetRequestMethod(call.method);
     std::string request = call.method + " " + call.target + " HTTP/1.1\r\n";
     AppendHeader(&request, "Host", m_client->m_server.Text());
     if (!call.content_type.empty()) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -114,5 +114,71 @@
   cr_assert_eq(run.ended, 0);
 }
 
+struct BodilessCase {
+  std::string method;  // of the request
+  std::string status;
+  bool        has_body;
+  bool        keep_alive = true;
+};
+
+// Guards against framing a response by its headers where its request's method
+// or its status excludes a body: what follows would be lost or read twice.
+Test(HttpReader, MethodOrStatusExcludesABody_ResponseEndsWithItsHead) {
+  const std::vector<BodilessCase> cases{{"HEAD", "200 OK", false},
+                                        {"HEAD", "404 Not Found", false},
+                                        {"GET", "204 No Content", false},
+                                        {"POST", "204 No Content", false},
+                                        {"GET", "304 Not Modified", false},
+                                        {"GET", "103 Early Hints", false},
+                                        {"CONNECT", "200 OK", false, false},
+                                        {"CONNECT", "404 Not Found", true},
+                                        {"GET", "200 OK", true},
+                                        {"POST", "205 Reset Content", true},
+                                        {"", "200 OK", true}};
+  for (const BodilessCase& c : cases) {
+    for (const std::string framing :
+         {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      const std::string response =
+          "HTTP/1.1 " + c.status + "\r\n" + framing + "\r\n";
+      for (std::size_t step = 1; step <= response.size(); ++step) {
+        ParserRun run(HttpRole::kResponses);
+        run.reader.SetRequestMethod(c.method);
+        run.Feed(response, step);
+        cr_assert_eq(run.heads.size(), 1);
+        const net::Head& head = run.heads[0];
+        cr_assert_eq(head.has_body, c.has_body, "%s %s", c.method.c_str(),
+                     c.status.c_str());
+        cr_assert_eq(run.ended, c.has_body ? 0 : 1);
+        cr_assert_eq(head.ends_with_connection, c.has_body && framing.empty());
+        cr_assert_eq(head.keep_alive,
+                     c.keep_alive && !head.ends_with_connection);
+      }
+    }
+  }
+}
+
+// Guards against refusing a head for a body that does not follow it.
+Test(HttpReader, LengthOfABodyThatDoesNotFollow_IsHeldAgainstNoLimit) {
+  ParserRun run(HttpRole::kResponses);
+  run.reader.SetRequestMethod("HEAD");
+  run.Feed("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", 400);
+  cr_assert_not(run.reader.fault());
+  cr_assert_eq(run.ended, 1);
+}
+
+// Guards against a method that still applies to the response of the request
+// after it.
+Test(HttpReader, NextRequestHasAnotherMethod_ItsResponseHasABody) {
+  ParserRun         run(HttpRole::kResponses);
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+  run.reader.SetRequestMethod("HEAD");
+  cr_assert_eq(run.reader.Feed(response + "abc"), response.size());
+  cr_assert_eq(run.ended, 1);
+  run.reader.SetRequestMethod("GET");
+  run.Feed(response + "abc", 400);
+  cr_assert_eq(run.ended, 2);
+  cr_assert(run.body == "abc");
+}
+
 }  // namespace
 }  // namespace yuccawick::tests
