Forwarded answers without a body end with their head

Callers saw, for an answer that has no body, a length of 0 in place of the server's, chunks and the last chunk behind the head of a 204, and a body that a server sent to HEAD as the start of their next answer (any text that this server writes, also a whole forged answer).

Cause: EncodeAnswerHead() and the chunks of ClientConnection framed an answer by the bytes at hand, whatever its status and the method.

Change: ResponseBody, made from method, status and the server's headers, encodes the framing headers, the parts and the end of a body, and nothing of them where there is none. A length that the server stated is kept where it may be (HEAD, 304); 204 has none. Transfer-Encoding concerns one connection and is dropped. Without a body the head is the end of the answer, so a begun answer's head is held back until EndAnswer(): a client would know of the end of a turn before the turn is stored.

Weighed: a special case at each of the three writers (the next writer would forget it); passing bool has_body along with a length of -1 for chunks (two values that can contradict each other); recomputing the length that GET would have (it isn't known).

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -163,18 +163,27 @@
   OnAnswerWritten();
 }
 
-void ClientConnection::BeginAnswer(std::string_view head) {
-  m_stream.Write(head);
+void ClientConnection::BeginAnswer(std::string              head,
+                                   const net::ResponseBody& body) {
+  m_answer_body = body;
+  if (body.exists()) {
+    m_stream.Write(head);
+  } else {
+    m_unsent_head = std::move(head);
+  }
 }
 
-void ClientConnection::WriteChunk(std::string_view bytes) {
-  std::string chunk;
-  net::AppendChunk(&chunk, bytes);
-  m_stream.Write(chunk);
+void ClientConnection::WritePart(std::string_view bytes) {
+  std::string part;
+  m_answer_body->AppendPart(&part, bytes);
+  m_stream.Write(part);
 }
 
 void ClientConnection::EndAnswer(traffic::AnswerEnd /*end*/) {
-  m_stream.Write(net::kLastChunk);
+  std::string rest = std::exchange(m_unsent_head, {});
+  m_answer_body->AppendEnd(&rest);
+  m_answer_body.reset();
+  m_stream.Write(rest);
   OnAnswerWritten();
 }
 
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "yuccawick/gateway/exchange.h"
@@ -53,8 +54,8 @@
   void OnMessageEnd() override;
 
   void SendAnswer(traffic::AnswerEnd end, std::string_view answer) override;
-  void BeginAnswer(std::string_view head) override;
-  void WriteChunk(std::string_view bytes) override;
+  void BeginAnswer(std::string head, const net::ResponseBody& body) override;
+  void WritePart(std::string_view bytes) override;
   void EndAnswer(traffic::AnswerEnd end) override;
   void BreakAnswer() override;
   bool ClosesAfterAnswer() const override;
@@ -96,6 +97,9 @@
   Time                      m_request_start_time = 0;
   net::TimerId              m_timer = 0;
   std::shared_ptr<Exchange> m_exchange;
+  // Of the answer that was begun.
+  std::optional<net::ResponseBody> m_answer_body;
+  std::string m_unsent_head;  // of an answer without a body
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -37,15 +37,16 @@
 namespace yuccawick::gateway {
 
 // The client side of an exchange, implemented by ClientConnection. An answer is
-// either sent in one piece, or begun, written in chunks, and ended or broken.
+// either sent in one piece, or begun, written in parts, and ended or broken.
 class ClientSide {
  public:
   virtual ~ClientSide() = default;
   // Sends a complete answer, head and body.
   virtual void SendAnswer(traffic::AnswerEnd end, std::string_view answer) = 0;
-  // Begins an answer whose body is sent in chunks.
-  virtual void BeginAnswer(std::string_view head) = 0;
-  virtual void WriteChunk(std::string_view bytes) = 0;  // no effect if empty
+  // Begins an answer whose body is sent in parts. Without a body, the head is
+  // the end of the answer and is sent by EndAnswer().
+  virtual void BeginAnswer(std::string head, const net::ResponseBody& body) = 0;
+  virtual void WritePart(std::string_view bytes) = 0;  // no effect if empty
   // Ends the answer as complete; the connection may serve another request.
   virtual void EndAnswer(traffic::AnswerEnd end) = 0;
   // The answer cannot be completed; resets the connection.
@@ -140,6 +141,8 @@
   void                  ForwardPlain();
   void                  WriteAnswer(std::string_view bytes);
   void                  ObserveLaterAnswer();
+  // The body of the client's answer, `bytes` long or, if not given, in chunks.
+  net::ResponseBody     ForwardedBody(std::optional<std::size_t> bytes) const;
   void                  BeginAnswer();
   void                  ObserveBegunStream();
   void                  OnUnusableAnswer();
--- a/src/yuccawick/gateway/exchange_answer.cc
+++ b/src/yuccawick/gateway/exchange_answer.cc
@@ -22,8 +22,6 @@
 // Answers up to this size (bytes) are buffered before forwarding, so that a
 // truncated answer can still be retried or reported as a failure.
 constexpr std::size_t      kMaxBufferedAnswer = 256UL * 1024;
-// Length of a body that is sent in chunks, for EncodeAnswerHead().
-constexpr std::int64_t     kChunked = -1;
 constexpr double           kMillisPerSecond = 1000.0;
 // Kind of the service time of stream events, shared by all routes; no route
 // has an empty name.
@@ -35,6 +33,7 @@
 
 // How the end of a server's answer is marked.
 std::string_view Framing(const net::Head& head) {
+  if (!head.has_body) return "head";
   if (head.ends_with_connection) return "connection";
   return head.headers.Find("Transfer-Encoding") != nullptr ? "chunks"
                                                            : "length";
@@ -84,7 +83,7 @@
 
 void Exchange::WriteAnswer(std::string_view bytes) {
   if (m_phase != AttemptPhase::kAnswering) Fire(AttemptEvent::kAnswerBegan);
-  m_client->WriteChunk(bytes);
+  m_client->WritePart(bytes);
   m_reading_paused = m_client->ClientBacklog() > kMaxBacklog;
   if (m_reading_paused) m_connection->HoldReading(true);
 }
@@ -152,8 +151,16 @@
 void Exchange::BeginAnswer() {
   m_progress.Begin();
   if (m_progress.is_stream() && m_route->resumable) ObserveBegunStream();
-  m_client->BeginAnswer(platform::EncodeAnswerHead(
-      m_answer, kChunked, m_client->ClosesAfterAnswer()));
+  const auto body = ForwardedBody(std::nullopt);
+  m_client->BeginAnswer(
+      platform::EncodeAnswerHead(m_answer, body, m_client->ClosesAfterAnswer()),
+      body);
+}
+
+net::ResponseBody Exchange::ForwardedBody(
+    std::optional<std::size_t> bytes) const {
+  return net::ResponseBody::Forwarded(m_head.method, m_answer.status,
+                                      m_answer.headers, bytes);
 }
 
 void Exchange::ObserveBegunStream() {
@@ -229,14 +236,15 @@
   if (!Fire(AttemptEvent::kAnswerEnded)) return;
   const bool is_turn = m_route->keeps_turns && IsSuccess(m_answer.status);
   if (!is_turn && !m_progress.begun()) {
-    const auto length = static_cast<std::int64_t>(m_plain_body.size());
-    const auto head = platform::EncodeAnswerHead(m_answer, length,
-                                                 m_client->ClosesAfterAnswer());
-    FinishAnswer(end, head + m_plain_body);
+    const auto  body = ForwardedBody(m_plain_body.size());
+    std::string answer = platform::EncodeAnswerHead(
+        m_answer, body, m_client->ClosesAfterAnswer());
+    body.AppendPart(&answer, m_plain_body);
+    FinishAnswer(end, answer);
     return;
   }
   if (!m_progress.begun()) BeginAnswer();
-  m_client->WriteChunk(m_plain_body);
+  m_client->WritePart(m_plain_body);
   if (is_turn) {
     RecordTurn(end);
   } else {
--- a/src/yuccawick/net/message_body.cc
+++ b/src/yuccawick/net/message_body.cc
@@ -8,6 +8,12 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+// Whether Content-Length may tell the length of a body that does not follow.
+bool MayStateMissingLength(std::string_view method, int status) {
+  return status >= kFirstSuccess && status != kNoContent &&
+         !OpensTunnel(method, status);
+}
+
 }  // namespace
 
 bool ResponseHasBody(std::string_view method, int status) {
@@ -20,4 +26,45 @@
          status <= kLastSuccess;
 }
 
+ResponseBody ResponseBody::OfLength(std::string_view method, int status,
+                                    std::size_t bytes) {
+  const bool exists = ResponseHasBody(method, status);
+  if (!exists && !MayStateMissingLength(method, status)) return {false, {}};
+  return {exists, std::to_string(bytes)};
+}
+
+ResponseBody ResponseBody::Forwarded(std::string_view method, int status,
+                                     const Headers&             headers,
+                                     std::optional<std::size_t> bytes) {
+  if (ResponseHasBody(method, status)) {
+    return bytes ? OfLength(method, status, *bytes)
+                 : ResponseBody(true, std::nullopt);
+  }
+  const std::string* stated = headers.Find("Content-Length");
+  if (stated == nullptr || !MayStateMissingLength(method, status))
+    return {false, std::nullopt};
+  return {false, *stated};
+}
+
+void ResponseBody::AppendHeaders(std::string* head) const {
+  if (m_length) {
+    AppendHeader(head, "Content-Length", *m_length);
+  } else if (m_exists) {
+    AppendHeader(head, "Transfer-Encoding", "chunked");
+  }
+}
+
+void ResponseBody::AppendPart(std::string* out, std::string_view bytes) const {
+  if (!m_exists) return;
+  if (m_length) {
+    out->append(bytes);
+  } else {
+    AppendChunk(out, bytes);
+  }
+}
+
+void ResponseBody::AppendEnd(std::string* out) const {
+  if (m_exists && !m_length) out->append(kLastChunk);
+}
+
 }  // namespace yuccawick::net
