Refusals of requests with HEAD have no body

Callers saw a refusal of the gateway's own to HEAD with a JSON body, which a client reads as the start of its next answer.

Cause: EncodeOwnAnswer() did not know the method and always wrote its body.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -148,8 +148,11 @@
   m_parts.metrics->CountRefusal(refusal);
   m_parts.log->Write(LogEvent::kRefused,
                      {{"reason", Name(refusal)}, {"status", Status(refusal)}});
-  m_stream.Write(
-      platform::EncodeOwnAnswer(Status(refusal), Name(refusal), {}, -1, true));
+  platform::OwnAnswer answer;
+  answer.status = Status(refusal);
+  answer.reason = Name(refusal);
+  answer.close = true;
+  m_stream.Write(platform::EncodeOwnAnswer(answer));
   Linger();
 }
 
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -371,8 +371,9 @@
                       {"took_ms", m_parts.loop->now() - m_start_time}});
   const bool close =
       refusal == Refusal::kMalformed || m_client->ClosesAfterAnswer();
-  const std::string answer = platform::EncodeOwnAnswer(
-      Status(refusal), Name(refusal), m_info.attempt, retry_after, close);
+  const std::string answer =
+      platform::EncodeOwnAnswer({m_head.method, Status(refusal), Name(refusal),
+                                 m_info.attempt, retry_after, close});
   ClientSide* client = m_client;
   End();
   client->SendAnswer(*end, answer);
