Refusals before an exchange know the method as well

Callers saw the same body behind the answer to HEAD when their request was refused before there was an exchange: malformed, a head or body too large, or not complete in time. The connection closes then, but a client that had sent its next request already reads the body as that answer.

Cause: ClientConnection::Refuse() has no decoded head to take a method from.

Change: HttpReader::method() tells the method as soon as the first word of the request line is there, also of a request that turns out to be malformed. A request whose first word is not complete counts as one with a body.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -149,6 +149,7 @@
   m_parts.log->Write(LogEvent::kRefused,
                      {{"reason", Name(refusal)}, {"status", Status(refusal)}});
   platform::OwnAnswer answer;
+  answer.method = m_reader.method();
   answer.status = Status(refusal);
   answer.reason = Name(refusal);
   answer.close = true;
--- a/src/yuccawick/net/http.cc
+++ b/src/yuccawick/net/http.cc
@@ -39,6 +39,13 @@
                      IsTokenChar);
 }
 
+// The first word of a request line, or nothing if more of it may follow.
+std::string_view MethodOf(std::string_view request_line) {
+  const auto end = request_line.find(' ');
+  return end == std::string_view::npos ? std::string_view()
+                                       : request_line.substr(0, end);
+}
+
 // Accepts a head, including its blank line, only if every line is unambiguous.
 bool IsStrictHead(std::string_view head) {
   bool first = true;
@@ -146,6 +153,7 @@
   const std::size_t before = m_raw_head.size();
   const std::size_t capacity = m_limits.head_bytes + kHeadEnd.size() - before;
   m_raw_head.append(bytes.substr(0, capacity));
+  if (m_role == HttpRole::kRequests) m_method = MethodOf(m_raw_head);
   const std::size_t from =
       before > kHeadEnd.size() ? before - kHeadEnd.size() : 0;
   const auto end = m_raw_head.find(kHeadEnd, from);
--- a/src/yuccawick/net/http.h
+++ b/src/yuccawick/net/http.h
@@ -78,6 +78,9 @@
   // decides whether that response has a body; see message_body.h. Call before
   // each request that is sent.
   void                     SetRequestMethod(std::string_view method);
+  // Method of the request that is read, also of one that is malformed or not
+  // complete, or that the next response answers. Empty if not known.
+  const std::string&       method() const { return m_method; }
   // Consumes bytes up to the end of the current message, so that the caller
   // decides when to read the next one. Returns the number consumed.
   std::size_t              Feed(std::string_view bytes);
@@ -108,7 +111,7 @@
   http_parser              m_parser{};
   std::optional<HttpFault> m_fault;
   std::string              m_raw_head;  // incomplete head
-  std::string              m_method;    // of the request
+  std::string              m_method;    // see method()
   Head                     m_head;
   std::string              m_field;
   std::string              m_value;
