A body that must not follow is not read as another request's answer

Callers could get an answer that another request's server had written: a server that sends a body to HEAD, or behind a 304, a moment after the head had its bytes read as the start of the answer to the next request on that connection. A body of the right form was passed on as that answer, or said 421 or "not run", so that a request that had run was sent again.

Cause: once such an answer ends with its head (as it should), its connection is idle and used again at once, while the body may be on its way. Bytes that arrive on an idle connection close it; nothing kept it idle long enough.

Change: after an answer whose headers describe a body that must not follow, the connection rests for unexpected_body_wait (200 ms, a threshold) before it is used again; bytes that arrive meanwhile close it. Answers that describe none are used again at once: a 204, a HEAD without a length.

Weighed: never using the connection again (safe, but a new connection for each HEAD); looking for bytes in the kernel before reuse (misses those on the way); trusting only answers that name the attempt (a 421 or 503 need not).

What arrives after the wait is still read: UNPROVED.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "yuccawick/net/message_body.h"
 #include "yuccawick/traffic/affinity.h"
 
 namespace yuccawick::gateway {
@@ -155,6 +156,9 @@
   constexpr int kFirstFinalStatus = 200;
   m_skipping_answer = head.status < kFirstFinalStatus ||
                       (m_handler != nullptr && !m_handler->OnBackendHead(head));
+  m_unexpected_body_wait = !head.has_body && net::DescribesBody(head.headers)
+                               ? m_thresholds->unexpected_body_wait
+                               : 0;
   m_keep_alive = head.keep_alive && !head.ends_with_connection;
   m_max_idle_time = IdleLimit(head.headers, *m_thresholds);
 }
@@ -443,15 +447,11 @@
 BackendConnection* Backends::Acquire(const std::string& id, bool fresh) {
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) return nullptr;
-  State& state = found->second;
-  while (!fresh && !state.idle.empty()) {
-    BackendConnection* idle_connection = state.idle.back();
-    state.idle.pop_back();
-    if (idle_connection->ReusableAt(m_loop->now())) {
-      ++state.load;
-      return idle_connection;
-    }
-    Destroy(idle_connection);
+  State&             state = found->second;
+  BackendConnection* idle_connection = fresh ? nullptr : TakeIdle(&state);
+  if (idle_connection != nullptr) {
+    ++state.load;
+    return idle_connection;
   }
   const int fd = net::Connect(state.server.endpoint,
                               static_cast<int>(m_thresholds->server_silence));
@@ -469,6 +469,20 @@
   return raw;
 }
 
+BackendConnection* Backends::TakeIdle(State* state) {
+  const Time now = m_loop->now();
+  auto&      idle = state->idle;
+  for (auto next = idle.end(); next != idle.begin();) {
+    BackendConnection* connection = *--next;
+    const bool         reusable = connection->ReusableAt(now);
+    if (reusable && connection->MayReceiveBody(now)) continue;
+    next = idle.erase(next);
+    if (reusable) return connection;
+    Destroy(connection);
+  }
+  return nullptr;
+}
+
 void Backends::Release(BackendConnection* connection) {
   const auto found = m_servers.find(connection->server_id());
   connection->Detach(m_loop->now());
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -70,6 +70,10 @@
   void               Close();
   const std::string& server_id() const { return m_server_id; }
   bool               ReusableAt(Time now) const;
+  // Whether the server may still send the body of an answer that has none.
+  bool               MayReceiveBody(Time now) const {
+                  return now < m_idle_since + m_unexpected_body_wait;
+  }
 
   void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
@@ -96,6 +100,7 @@
   bool                                    m_keep_alive = false;
   bool                                    m_in_sync = true;  // no surplus bytes
   Duration                                m_max_idle_time = 0;
+  Duration                                m_unexpected_body_wait = 0;
   Time                                    m_idle_since = 0;
 };
 
@@ -241,6 +246,10 @@
   // Forgets what was observed of the server before it restarted.
   void          Forget(State* state);
 
+  // Takes the idle connection used last out of the pool; nullptr if there is
+  // none that can be used now.
+  BackendConnection* TakeIdle(State* state);
+
   net::EventLoop*                                m_loop;
   const Thresholds*                              m_thresholds;
   std::string                                    m_zone;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -45,6 +45,7 @@
     Entry{"idle_limit", &T::idle_limit, 0, 600'000},
     Entry{"idle_share", &T::idle_share, 0, 1},
     Entry{"idle_connections", &T::idle_connections, 0, 10'000},
+    Entry{"unexpected_body_wait", &T::unexpected_body_wait, 0, 60'000},
     Entry{"leaving_use", &T::leaving_use, 0, 60'000},
     Entry{"failure_memory", &T::failure_memory, 0, 60'000},
     Entry{"prefix_memory", &T::prefix_memory, 0, 3'600'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -42,6 +42,10 @@
   Duration     idle_limit = 600;
   double       idle_share = 0.6;
   std::int64_t idle_connections = 16;  // per server
+  // After an answer whose headers describe a body that must not follow, the
+  // connection is not used for this long: a server that sends the body anyway
+  // would have it read as the next answer. Must be shorter than idle_limit.
+  Duration     unexpected_body_wait = 200;
   // A leaving server still takes streams that cannot go on elsewhere for this
   // long. The platform lets it serve for 2000 after its notice, which nodes
   // learn within 1000.
--- a/src/yuccawick/net/message_body.cc
+++ b/src/yuccawick/net/message_body.cc
@@ -21,6 +21,13 @@
          status != kNotModified && !OpensTunnel(method, status);
 }
 
+bool DescribesBody(const Headers& headers) {
+  const std::string* length = headers.Find("Content-Length");
+  const bool         empty =
+      length == nullptr || length->find_first_not_of('0') == std::string::npos;
+  return !empty || headers.Find("Transfer-Encoding") != nullptr;
+}
+
 bool OpensTunnel(std::string_view method, int status) {
   return method == "CONNECT" && status >= kFirstSuccess &&
          status <= kLastSuccess;
--- a/src/yuccawick/net/message_body.h
+++ b/src/yuccawick/net/message_body.h
@@ -25,6 +25,10 @@
 // `method`: of the request that the response answers; empty if it is not known.
 bool ResponseHasBody(std::string_view method, int status);
 
+// Whether the headers of a message name a body that is not empty. It follows
+// only if the message has a body.
+bool DescribesBody(const Headers& headers);
+
 // Whether what follows the head on the connection is not HTTP.
 bool OpensTunnel(std::string_view method, int status);
 
