An answer of another request is not skipped where its end is unknown

Callers could get text from the body of another request's answer as the answer to their HEAD: a server's answer that names another attempt is skipped, and was framed by the method of the current request, so its body was read as the next head. The other way, an answer to HEAD that came again before the answer to a GET swallowed that one, and the GET ended with 504.

Cause: whether a skipped answer has a body depends on the method of a request that the connection can't name. As long as no reader knew methods, it went by the headers and was right for GET only.

Change: on a connection that has carried a method whose answers have no body, an answer of another request means that the connection is out of step: the send fails and is repeated, where the route allows, on a new connection. On all other connections such answers are skipped as before.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -13,6 +13,7 @@
 
 constexpr net::HttpLimits kAnswerLimits{64UL * 1024, 64UL << 20};
 constexpr Duration        kMillisPerSecond = 1000;
+constexpr int             kOk = 200;
 // Servers considered for a program's cache affinity.
 constexpr std::size_t     kAffinityCandidates = 64;
 
@@ -66,6 +67,7 @@
                              std::string_view request) {
   m_handler = handler;
   m_reader.SetRequestMethod(method);
+  if (!net::ResponseHasBody(method, kOk)) m_method_excludes_body = true;
   m_answer_complete = false;
   m_in_sync = true;
   m_stream.Write(request);
@@ -119,7 +121,7 @@
     bytes.remove_prefix(consumed);
     // The handler may have detached during the callback.
     if (m_handler == nullptr) return;
-    if (m_reader.fault()) {
+    if (m_reader.fault() || !m_in_sync) {
       Fail(traffic::SendFailureCause::kBadAnswer);
       return;
     }
@@ -153,9 +155,12 @@
 }
 
 void BackendConnection::OnHead(net::Head head) {
-  constexpr int kFirstFinalStatus = 200;
-  m_skipping_answer = head.status < kFirstFinalStatus ||
-                      (m_handler != nullptr && !m_handler->OnBackendHead(head));
+  const bool interim = head.status < kOk;
+  const bool of_other_request =
+      !interim && m_handler != nullptr && !m_handler->OnBackendHead(head);
+  m_skipping_answer = interim || of_other_request;
+  // It has a body or not depending on which request it answers.
+  if (of_other_request && m_method_excludes_body) m_in_sync = false;
   m_unexpected_body_wait = !head.has_body && net::DescribesBody(head.headers)
                                ? m_thresholds->unexpected_body_wait
                                : 0;
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -98,7 +98,10 @@
   bool                                    m_skipping_answer = false;
   bool                                    m_answer_complete = false;
   bool                                    m_keep_alive = false;
-  bool                                    m_in_sync = true;  // no surplus bytes
+  // Where the next answer begins is known.
+  bool                                    m_in_sync = true;
+  // A request on this connection had a method whose answers have no body.
+  bool                                    m_method_excludes_body = false;
   Duration                                m_max_idle_time = 0;
   Duration                                m_unexpected_body_wait = 0;
   Time                                    m_idle_since = 0;
