Requests whose method has no body state no length

Servers saw HEAD with Content-Length: 0, which tells some of them to expect a body where the method has none (RFC 9110, 8.6: a request without a body should not state a length unless its method usually has one).

Cause: EncodeRequest() and HttpClient left the length out for GET alone.

Change: RequestStatesLength() decides for both; without a body GET, HEAD, DELETE, CONNECT and TRACE state none. So DELETE and TRACE, which stated 0 before, go without as well. A body that the client sent keeps its length.

--- a/src/yuccawick/net/http_client.cc
+++ b/src/yuccawick/net/http_client.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "yuccawick/net/message_body.h"
+
 namespace yuccawick::net {
 namespace {
 
@@ -43,7 +45,7 @@
     if (!call.content_type.empty()) {
       AppendHeader(&request, "Content-Type", call.content_type);
     }
-    if (call.method != "GET") {
+    if (RequestStatesLength(call.method, call.body.size())) {
       AppendHeader(&request, "Content-Length",
                    std::to_string(call.body.size()));
     }
--- a/src/yuccawick/net/message_body.cc
+++ b/src/yuccawick/net/message_body.cc
@@ -1,5 +1,8 @@
 #include "yuccawick/net/message_body.h"
 
+#include <algorithm>
+#include <array>
+
 namespace yuccawick::net {
 namespace {
 
@@ -33,6 +36,14 @@
          status <= kLastSuccess;
 }
 
+bool RequestStatesLength(std::string_view method, std::size_t body_bytes) {
+  constexpr std::array<std::string_view, 5> kUsuallyWithoutBody{
+      "GET", "HEAD", "DELETE", "CONNECT", "TRACE"};
+  return body_bytes > 0 ||
+         std::find(kUsuallyWithoutBody.begin(), kUsuallyWithoutBody.end(),
+                   method) == kUsuallyWithoutBody.end();
+}
+
 ResponseBody ResponseBody::OfLength(std::string_view method, int status,
                                     std::size_t bytes) {
   const bool exists = ResponseHasBody(method, status);
--- a/src/yuccawick/net/message_body.h
+++ b/src/yuccawick/net/message_body.h
@@ -32,6 +32,10 @@
 // Whether what follows the head on the connection is not HTTP.
 bool OpensTunnel(std::string_view method, int status);
 
+// Whether a request states the length of its body. Without a body, only methods
+// that usually have one state that it is empty.
+bool RequestStatesLength(std::string_view method, std::size_t body_bytes);
+
 // The body of a response that is written: its headers, parts and end.
 class ResponseBody {
  public:
