Readiness and metrics answer HEAD without a body

A probe that asks the readiness or metrics port with HEAD on a kept connection read the body as the start of its next answer.

Cause: SmallServer wrote its body whatever the method.

Change: it writes its answer through ResponseBody, like the other writers.

Evidence: SmallServer::RequestIsHead_AnswerIsAHeadAlone fails on the sources before (run).

--- a/src/yuccawick/gateway/small_server.cc
+++ b/src/yuccawick/gateway/small_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "yuccawick/net/http.h"
+#include "yuccawick/net/message_body.h"
 #include "yuccawick/net/stream.h"
 
 namespace yuccawick::gateway {
@@ -42,10 +43,13 @@
     std::string       out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
     out.append(net::StatusText(answer.status)).append("\r\n");
     net::AppendHeader(&out, "Content-Type", answer.content_type);
-    net::AppendHeader(&out, "Content-Length",
-                      std::to_string(answer.body.size()));
+    const auto body = net::ResponseBody::OfLength(m_head.method, answer.status,
+                                                  answer.body.size());
+    body.AppendHeaders(&out);
     if (!m_head.keep_alive) net::AppendHeader(&out, "Connection", "close");
-    m_stream.Write(out + "\r\n" + answer.body);
+    out += "\r\n";
+    body.AppendPart(&out, answer.body);
+    m_stream.Write(out);
     if (!m_head.keep_alive) m_stream.EndWriting();
     WatchIdle();
   }
