Test: entries answer HEAD without a body

The other stack (yw-entry, yw-agent) leaves framing to POCO, which knows the method; read, and now run: health, status, metrics, an unknown path and a program's page.

--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -219,6 +219,21 @@
   cr_assert_neq(whole.find("201"), std::string::npos, "%s", whole.c_str());
 }
 
+Test(Processes, RequestIsHead_AnswerIsAHeadAlone) {
+  // Guards against an answer to HEAD whose body is read as the next answer.
+  Running r;
+  cr_assert(r.ready);
+  for (const std::string target :
+       {"/healthz", "/status", "/metrics", "/v1/none", "/v1/programs/x"}) {
+    const std::string answer =
+        SendAndHalfClose(r.group.HttpOf("entry-1"),
+                         "HEAD " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_expect(answer.starts_with("HTTP/1.1 "), "%s", target.c_str());
+    cr_expect_eq(answer.find("\r\n\r\n") + 4, answer.size(), "%s: %s",
+                 target.c_str(), answer.c_str());
+  }
+}
+
 Test(Processes, ClientStallsMidRequest_GetsTypedErrorAfterTimeout) {
   // Guards against a stalled client that holds its connection forever or blocks
   // other callers.
