Connections that rest leave half of the pool to the others

Change: a connection that rests is kept only while the pool is less than half full. Besides, names: the first final status, an empty length.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -155,8 +155,9 @@
 }
 
 void BackendConnection::OnHead(net::Head head) {
-  const bool interim = head.status < kOk;
-  const bool of_other_request =
+  constexpr int kFirstFinalStatus = 200;
+  const bool    interim = head.status < kFirstFinalStatus;
+  const bool    of_other_request =
       !interim && m_handler != nullptr && !m_handler->OnBackendHead(head);
   m_skipping_answer = interim || of_other_request;
   // It has a body or not depending on which request it answers.
@@ -497,9 +498,12 @@
   }
   State& state = found->second;
   --state.load;
+  // Connections that cannot be used yet leave half of the pool to the others.
+  const std::int64_t most_idle =
+      m_thresholds->idle_connections /
+      (connection->MayReceiveBody(m_loop->now()) ? 2 : 1);
   const bool reuse = connection->reusable() && state.listed &&
-                     static_cast<std::int64_t>(state.idle.size()) <
-                         m_thresholds->idle_connections;
+                     static_cast<std::int64_t>(state.idle.size()) < most_idle;
   if (reuse) {
     state.idle.push_back(connection);
   } else {
--- a/src/yuccawick/net/message_body.cc
+++ b/src/yuccawick/net/message_body.cc
@@ -47,7 +47,8 @@
 ResponseBody ResponseBody::OfLength(std::string_view method, int status,
                                     std::size_t bytes) {
   const bool exists = ResponseHasBody(method, status);
-  if (!exists && !MayStateMissingLength(method, status)) return {false, {}};
+  if (!exists && !MayStateMissingLength(method, status))
+    return {false, std::nullopt};
   return {exists, std::to_string(bytes)};
 }
 
