Attempts of one request share a key in the logs; a server that broke off is probed

The logs couldn't tell whether three attempts were the same request, nor whether a server had ended or only reset a connection. accepted has a request_key (hash of workspace, method, host, target, body, program, session, previous turn), and a server that breaks a request off is asked whether it still runs: probed, with the outcome answered, ended or silent, and a counter. What is sent where is unchanged.

--- a/src/yuccawick/cli/explain.cc
+++ b/src/yuccawick/cli/explain.cc
@@ -69,10 +69,22 @@
   return lines;
 }
 
-// The request with this id, or all requests of the program with this id.
+// The request with this id and the other attempts of it, or all requests of the
+// program with this id.
 std::set<std::string> RequestsOf(const std::vector<Line>& lines,
                                  const std::string&       id) {
   std::set<std::string> requests;
+  std::set<std::string> keys;
+  for (const Line& line : lines) {
+    const bool own = line.Text("request") == id;
+    if (own && !line.Text("request_key").empty())
+      keys.insert(line.Text("request_key"));
+  }
+  for (const Line& line : lines) {
+    if (keys.contains(line.Text("request_key")) &&
+        !line.Text("request").empty())
+      requests.insert(line.Text("request"));
+  }
   for (const Line& line : lines) {
     if (line.Text("request") == id || line.Text("program") == id) {
       const std::string request = line.Text("request");
@@ -108,6 +120,8 @@
   const std::set<std::string> requests = RequestsOf(lines, id);
   std::set<std::string>       programs;
   std::set<std::string>       nodes;
+  // Servers that broke off one of the requests.
+  std::set<std::string>       broken_servers;
   // Coordinators that refused the program for lack of capacity.
   std::set<std::string>       coordinators;
   std::optional<Window>       window;
@@ -117,6 +131,7 @@
     window->to = line.time;
     nodes.insert(line.node);
     if (!line.Text("program").empty()) programs.insert(line.Text("program"));
+    if (line.event == "loss") broken_servers.insert(line.Text("server"));
     if (line.Text("reason") == "no_room") {
       const std::string coordinator = line.Text("tokens_counted_by");
       coordinators.insert(coordinator.empty() ? line.node : coordinator);
@@ -134,7 +149,9 @@
         in_window && IsNodeEvent(line.event) && nodes.contains(line.node);
     const bool capacity =
         in_window && line.event == "room" && coordinators.contains(line.node);
-    if (own || claim || node_event || capacity)
+    const bool probe = in_window && line.event == "probed" &&
+                       broken_servers.contains(line.Text("server"));
+    if (own || claim || node_event || capacity || probe)
       timeline.push_back(FormatEvent(line, window->from));
   }
   return timeline;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -237,6 +237,8 @@
 void Exchange::OnBackendFailed(SendFailureCause cause) {
   DetachServer(false);
   m_parts.backends->ObserveFailure(m_server_id);
+  if (cause == SendFailureCause::kBroken)
+    m_parts.probes->Probe(m_server_id, [](ProbeOutcome) {});
   OnSendFailed(cause);
 }
 
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/metrics.h"
 #include "yuccawick/gateway/peer_service.h"
+#include "yuccawick/gateway/server_probes.h"
 #include "yuccawick/gateway/stream_origin_service.h"
 #include "yuccawick/gateway/turn_dispatcher.h"
 #include "yuccawick/gateway/turn_store.h"
@@ -31,6 +32,7 @@
 #include "yuccawick/traffic/event_stream.h"
 #include "yuccawick/traffic/manifest.h"
 #include "yuccawick/traffic/refusal.h"
+#include "yuccawick/traffic/request_key.h"
 #include "yuccawick/traffic/urgency.h"
 #include "yuccawick/workspaces/key_lease.h"
 
@@ -72,6 +74,7 @@
   RateLimiter*                                      limiter = nullptr;
   TurnDispatcher*                                   dispatcher = nullptr;
   StreamOriginService*                              stream_origins = nullptr;
+  ServerProbes*                                     probes = nullptr;
   pressure::MemoryBudgetPtr                         memory;
 };
 
@@ -192,6 +195,7 @@
   const traffic::Route*                      m_route = nullptr;
   const workspaces::Workspace* m_workspace = nullptr;  // nullptr if none
   std::string                  m_service;
+  traffic::RequestKey          m_key;
   traffic::AttemptPhase        m_phase;
   Time                         m_start_time = 0;
   Time               m_deadline = 0;  // end of the attempt (ms, loop clock)
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -61,10 +61,14 @@
     return;
   }
   if (!CheckKey()) return;
+  m_key = traffic::RequestKeyOf(
+      m_workspace == nullptr ? std::string_view() : m_workspace->name,
+      m_head.method, m_head.target, m_body, m_info);
   m_parts.log->Write(LogEvent::kAccepted,
                      {{"request", m_info.attempt},
                       {"workspace", m_workspace == nullptr ? std::string_view()
                                                            : m_workspace->name},
+                      {"request_key", traffic::Text(m_key)},
                       {"program", m_info.program},
                       {"previous", m_info.previous_turn},
                       {"resumes", m_info.resumes},
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -78,6 +78,7 @@
                  traffic::MakePlacement(traffic::PlacementKind::kSoonestEnd,
                                         thresholds->placement),
                  m_memory),
+      m_probes(loop, thresholds, &m_backends, log, metrics),
       m_turns(loop, thresholds, &m_store, log, metrics, incarnation),
       m_fairness(thresholds->fairness,
                  [this](const std::string& workspace) {
@@ -168,6 +169,7 @@
 void Gateway::TakeManifest(const traffic::ManifestPtr& manifest) {
   m_routes = std::make_shared<traffic::RouteTable>(manifest);
   m_stream_origins.TakeManifest(*manifest);
+  m_probes.TakeManifest(manifest);
   Duration max_retention = 0;
   for (const traffic::Route& route : manifest->routes) {
     if (route.keeps_turns)
@@ -244,6 +246,7 @@
                              &m_rate_limiter,
                              &m_dispatcher,
                              &m_stream_origins,
+                             &m_probes,
                              m_memory};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "platform/store.h"
 #include "yuccawick/fairness/fair_share_policy.h"
 #include "yuccawick/gateway/client_connection.h"
+#include "yuccawick/gateway/server_probes.h"
 #include "yuccawick/gateway/small_server.h"
 
 namespace yuccawick::gateway {
@@ -104,6 +105,7 @@
   pressure::MemoryBudgetPtr     m_memory;
   pressure::MemoryCharge        m_turn_charge;
   Backends                      m_backends;
+  ServerProbes                  m_probes;
   TurnStore                     m_turns;
   fairness::FairSharePolicy     m_fairness;
   AdmissionService              m_admission;
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -34,6 +34,7 @@
   kAccepted,   // a request was read and matched a route
   kSent,       // sent to a backend server, with the reasons for the choice
   kLoss,       // a send failed, with the next step
+  kProbed,     // a server that broke off a request was asked if it still runs
   kContinued,  // a server answered after part of an answer was passed on
   kAnswered,   // the client received its whole answer
   kRefused,    // answered by the gateway itself, with an error
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -69,6 +69,14 @@
   for (std::size_t i = 0; i < m_resumptions.size(); ++i) {
     m_resumptions[i] = &resumptions.Add({{"outcome", kResumptions[i]}});
   }
+  auto& probes =
+      CounterFamily(registry, "yuccawick_server_probes_total",
+                    "Probes of backend servers that broke off a request or "
+                    "left it unanswered, by outcome");
+  for (std::size_t i = 0; i < m_probes.size(); ++i) {
+    const std::string name(Name(static_cast<ProbeOutcome>(i)));
+    m_probes[i] = &probes.Add({{"outcome", name}});
+  }
   AddLogCalls(registry);
   AddMemory(registry);
   auto& persisted =
@@ -163,6 +171,10 @@
   m_refusals[static_cast<std::size_t>(refusal)]->Increment();
 }
 
+void Metrics::CountProbe(ProbeOutcome outcome) {
+  m_probes[static_cast<std::size_t>(outcome)]->Increment();
+}
+
 void Metrics::CountSendFailure(traffic::SendFailureCause cause) {
   m_send_failures[static_cast<std::size_t>(cause)]->Increment();
 }
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -44,6 +44,11 @@
 };
 constexpr std::size_t kResumptionOutcomeCount = 4;
 
+// What a probe of a backend server found; see gateway/server_probes.h.
+enum class ProbeOutcome : std::uint8_t { kAnswered, kEnded, kSilent };
+constexpr std::size_t kProbeOutcomeCount = 3;
+std::string_view      Name(ProbeOutcome outcome);
+
 class Metrics {
  public:
   Metrics();
@@ -54,6 +59,7 @@
   // A server answered after a part of an answer had been passed on.
   void CountLaterAnswer(traffic::AnswerFit fit);
   void CountResumption(ResumptionOutcome outcome);
+  void CountProbe(ProbeOutcome outcome);
   void CountStoreCall(const platform::CallReport& call);  // thread-safe
   void CountTurnPersisted(bool by_peer);
   void ObserveAnswer(double seconds);
@@ -85,6 +91,7 @@
   std::array<prometheus::Counter*, 3>                        m_answers{};
   std::array<prometheus::Counter*, traffic::kAnswerFitCount> m_later_answers{};
   std::array<prometheus::Counter*, kResumptionOutcomeCount>  m_resumptions{};
+  std::array<prometheus::Counter*, kProbeOutcomeCount>       m_probes{};
   std::array<prometheus::Counter*, 2> m_turns_persisted{};
   struct LogCalls {
     prometheus::Counter* succeeded = nullptr;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -42,6 +42,7 @@
 constexpr std::array kEntries{
     Entry{"connect_timeout", &T::connect_timeout, 10, 60'000},
     Entry{"server_silence", &T::server_silence, 50, 60'000},
+    Entry{"probe_wait", &T::probe_wait, 10, 60'000},
     Entry{"idle_limit", &T::idle_limit, 0, 600'000},
     Entry{"idle_share", &T::idle_share, 0, 1},
     Entry{"idle_connections", &T::idle_connections, 0, 10'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -37,6 +37,9 @@
   // power sends no reset; without this limit a request on a reused connection
   // would hang until its route's timeout.
   Duration     server_silence = 1000;
+  // Longest time that a probe waits for a server. A server that runs answers
+  // in a round trip, unless all its slots are taken.
+  Duration     probe_wait = 300;
   // Longest idle time of a pooled connection when the server announces none,
   // and the fraction of the announced time that is used otherwise.
   Duration     idle_limit = 600;
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -55,6 +55,27 @@
   cr_assert(timeline->at(0).find("h  room  turns=9") != std::string::npos);
 }
 
+// The second attempt of a request names the servers of the first one.
+Test(Explain, LaterAttempt_TimelineShowsTheServersOfTheFirst) {
+  std::istringstream logs(
+      "{\"time_ms\":4000,\"event\":\"accepted\",\"node\":\"a\","
+      "\"request\":\"r1\",\"request_key\":\"k\"}\n"
+      "{\"time_ms\":4010,\"event\":\"loss\",\"node\":\"a\","
+      "\"request\":\"r1\",\"server\":\"s\"}\n"
+      "{\"time_ms\":4012,\"event\":\"probed\",\"node\":\"a\","
+      "\"server\":\"s\",\"outcome\":\"ended\"}\n"
+      "{\"time_ms\":4012,\"event\":\"probed\",\"node\":\"a\","
+      "\"server\":\"other\",\"outcome\":\"ended\"}\n"
+      "{\"time_ms\":4100,\"event\":\"accepted\",\"node\":\"b\","
+      "\"request\":\"r2\",\"request_key\":\"k\"}\n"
+      "{\"time_ms\":4100,\"event\":\"accepted\",\"node\":\"b\","
+      "\"request\":\"r3\",\"request_key\":\"l\"}\n");
+  const auto timeline = cli::Explain(logs, "r2");
+  cr_assert(timeline.has_value());
+  cr_assert_eq(timeline->size(), 4, "%zu", timeline->size());
+  cr_assert(timeline->at(2).find("outcome=ended") != std::string::npos);
+}
+
 Test(Explain, UnknownId_IsNotFound) {
   std::istringstream logs(kLogs);
   cr_assert(cli::Explain(logs, "none").error() == cli::ExplainFault::kNotFound);
