A repeat at the same server goes to no other while that server may run the request

Callers could have a call run at two servers where the route allows one: the entry of the server lapses, the connection breaks, the repeat at the same server finds no entry and goes to another one. A missing entry was taken for the end of its server.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -363,9 +363,16 @@
     SendTo(*same_server, true);
     return;
   }
-  // The server has been removed or replaced meanwhile, so another server may
-  // be used.
-  Dispatch();
+  // A server that is gone doesn't count towards those that the route allows.
+  // One whose entry lapsed may still run the request.
+  const bool may_use_another =
+      m_parts.suspects->IsGone(m_server_id) ||
+      static_cast<int>(m_sent_servers.size()) < m_route->max_attempts;
+  if (may_use_another) {
+    Dispatch();
+  } else {
+    Refuse(Refusal::kServerFailed);
+  }
 }
 
 // Ending ---------------------------------------------------------------------
