--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -176,9 +176,9 @@
 }
 
 void Exchange::RefuseWithoutServer() {
-  Refuse(m_may_have_run        ? Refusal::kServerFailed
-         : m_progress.origin() ? Refusal::kVersionGone
-                               : Refusal::kNoServer);
+  RefuseWhenKnown(m_may_have_run        ? Refusal::kServerFailed
+                  : m_progress.origin() ? Refusal::kVersionGone
+                                        : Refusal::kNoServer);
 }
 
 void Exchange::SendTo(const Backends::Choice& choice, bool fresh) {
@@ -324,14 +324,28 @@
     case NextStep::kRefuse:
     case NextStep::kFail:
     case NextStep::kCutOff:
-      // Other nodes have to know of an end before the client reaches them.
-      m_parts.suspects->WhenKnown(m_server_id, [self, step, cause] {
-        if (self->m_client != nullptr) self->EndAfterFailure(step, cause);
-      });
+      WhenServersKnown(0,
+                       [this, step, cause] { EndAfterFailure(step, cause); });
       break;
   }
 }
 
+void Exchange::WhenServersKnown(std::size_t index, std::function<void()> done) {
+  if (index == m_sent_servers.size()) {
+    done();
+    return;
+  }
+  m_parts.suspects->WhenKnown(
+      m_sent_servers[index],
+      [self = shared_from_this(), index, done = std::move(done)] {
+        if (self->m_client != nullptr) self->WhenServersKnown(index + 1, done);
+      });
+}
+
+void Exchange::RefuseWhenKnown(Refusal refusal) {
+  WhenServersKnown(0, [this, refusal] { Refuse(refusal); });
+}
+
 void Exchange::EndAfterFailure(NextStep step, SendFailureCause cause) {
   if (step == NextStep::kCutOff) {
     AbortAnswer(Name(cause));
@@ -371,7 +385,7 @@
   if (may_use_another) {
     Dispatch();
   } else {
-    Refuse(Refusal::kServerFailed);
+    RefuseWhenKnown(Refusal::kServerFailed);
   }
 }
 
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -147,6 +147,11 @@
   void                  SendToSameServer();
   // Takes a step that ends the exchange after a failed send.
   void EndAfterFailure(traffic::NextStep step, traffic::SendFailureCause cause);
+  // Calls `done` once it is known whether the servers that got the request,
+  // from the one at `index` on, still run. Other nodes have to know of an end
+  // before the client reaches them.
+  void WhenServersKnown(std::size_t index, std::function<void()> done);
+  void RefuseWhenKnown(traffic::Refusal refusal);
   // Answering
   void ForwardEvents(std::string_view bytes);
   // Moves the complete events to `out`; false if one of them does not go on
--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -43,22 +43,28 @@
     found = m_requests.try_emplace(key).first;
   }
   Request& request = found->second;
-  const auto [old, added] = request.marks.try_emplace(server, mark);
-  if (added && request.marks.size() > kMaxMarks) {
-    request.marks.erase(old);
+  if (!request.marks.contains(server) && !MakeRoomFor(key, &request.marks))
     return false;
-  }
+  const auto [old, added] = request.marks.try_emplace(server, mark);
   if (added) m_by_server[server].push_back(key);
-  if (!added) {
-    if (!Replaces(mark.state, old->second.state)) return false;
-    const bool same = old->second.state == mark.state;
-    const bool told = old->second.told;
-    old->second = mark;
-    old->second.told = mark.told || (same && told);
-    if (same) return false;
-  }
+  const SendMark before = old->second;
+  if (!added && !Replaces(mark.state, before.state)) return false;
+  const bool changed = added || before.state != mark.state;
+  old->second = mark;
+  old->second.told = mark.told || (!changed && before.told);
   old->second.at = now;
   request.changed_at = now;
+  return changed;
+}
+
+bool SuspectRequests::MakeRoomFor(const RequestKey& key, Marks* marks) {
+  if (marks->size() < kMaxMarks) return true;
+  const auto weakest = std::find_if(
+      marks->begin(), marks->end(),
+      [](const auto& entry) { return entry.second.state == SendState::kLeft; });
+  if (weakest == marks->end()) return false;
+  const std::string server = weakest->first;
+  EraseMark(key, server);
   return true;
 }
 
@@ -245,9 +251,10 @@
 void SuspectRequests::DropExpired(Time now) {
   std::vector<std::pair<RequestKey, std::string>> lapsed;
   std::vector<RequestKey>                         expired;
-  for (const auto& [key, request] : m_requests) {
+  for (auto& [key, request] : m_requests) {
     if (now - request.changed_at >= m_lifetime) expired.push_back(key);
-    for (const auto& [server, mark] : request.marks) {
+    for (auto& [server, mark] : request.marks) {
+      mark.state = StateAt(mark, now);
       if (mark.state == SendState::kLeft && HasLapsed(mark, now))
         lapsed.emplace_back(key, server);
     }
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -34,7 +34,7 @@
 // Servers that may end under one request, on all nodes together.
 inline constexpr int         kMaxServerEnds = 3;
 inline constexpr std::size_t kMaxSuspectRequests = 4096;
-// Marks of one request; more tell nothing further.
+// Marks of one request; it is refused long before.
 inline constexpr std::size_t kMaxMarks = 8;
 
 // What is known of a send of a request to one start of a server.
@@ -129,6 +129,8 @@
   std::vector<RequestKey> RequestsAt(const std::string& server) const;
   void EraseMark(const RequestKey& key, const std::string& server);
   void Erase(Requests::iterator request);
+  // Whether the request may have one more mark.
+  bool MakeRoomFor(const RequestKey& key, Marks* marks);
   // Drops the oldest request, if possible one whose marks don't count.
   void MakeRoom();
 
