A node that starts asks the others for marks, and is told of later ends at once

Trace: node-1 counted three ends and told the nodes that it knew; a node that had just started was not among them, since a start is learned from the log, up to half a second later, or not while the log is away for the others. Now a node asks each node that it finds, and an asked node tells it what is known and remembers it for what it tells later.

--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -159,7 +159,7 @@
     const bool  started =
         known == nullptr || known->incarnation != node->incarnation;
     m_members.Put(*node);
-    if (started) m_suspects.OnNodeStarted(*node);
+    if (started) m_suspects.OnNodeFound(*node);
   } else {
     m_members.Remove(name);
   }
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -50,7 +50,8 @@
     virtual void OnConnectionClosed(ConnectionId connection) = 0;
     // A node that was suspected can be reached again.
     virtual void OnPeerBack(const std::string& node) = 0;
-    // A response arrived after its request had timed out.
+    // A response arrived after its request had timed out, or one to a one-way
+    // message.
     virtual void OnLateResponse(const std::string&  node,
                                 PeerMessage::Reader message,
                                 std::uint64_t       number) = 0;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -247,6 +247,10 @@
 void PeerService::OnLateResponse(const std::string&  node,
                                  PeerMessage::Reader message,
                                  std::uint64_t       number) {
+  if (message.isRequestMarks()) {
+    m_suspects->ReceiveMarks(node, message);
+    return;
+  }
   const auto found = m_abandoned.find(number);
   if (found == m_abandoned.end()) return;
   const TurnBudget turn = found->second;
@@ -546,6 +550,9 @@
     case PeerMessage::REQUEST_MARKS:
       m_suspects->ReceiveMarks(node, message);
       break;
+    case PeerMessage::TELL_MARKS:
+      m_suspects->ServeTellMarks(node, message, reply);
+      break;
     default:
       break;  // responses arrive on outbound connections
   }
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -15,12 +15,10 @@
 using traffic::SendVerdict;
 
 // ms for which a silent server is not asked again.
-constexpr Duration    kSilenceMemory = 2000;
+constexpr Duration kSilenceMemory = 2000;
 // ms for which a send may go on after its attempt's deadline, as a node may be
 // slow to end it.
-constexpr Duration    kLateEnd = 1000;
-// Nodes that tell a node that started; any of them knows all marks.
-constexpr std::size_t kTellers = 3;
+constexpr Duration kLateEnd = 1000;
 
 std::string_view Name(MarkState state) {
   constexpr std::array<std::string_view, 6> kNames{
@@ -330,12 +328,28 @@
   Tell(all);
 }
 
+std::vector<NodeInfo> SuspectService::OtherNodes() {
+  std::erase_if(m_started, [this](const auto& entry) {
+    const NodeInfo* known = m_members->Find(entry.first);
+    return known != nullptr && known->incarnation == entry.second.incarnation;
+  });
+  auto nodes = m_members->Others();
+  std::erase_if(nodes, [this](const NodeInfo& node) {
+    return m_started.contains(node.name);
+  });
+  for (const auto& [name, node] : m_started) nodes.push_back(node);
+  return nodes;
+}
+
 void SuspectService::Tell(const std::vector<Told>& told) {
   if (told.empty()) return;
-  for (const NodeInfo& node : m_members->Others()) Send(node, told);
+  for (const NodeInfo& node : OtherNodes()) {
+    m_network->SendOneWay(
+        node, [&told](PeerMessage::Builder message) { Write(told, message); });
+  }
 }
 
-void SuspectService::TellNode(const NodeInfo& node) {
+std::vector<SuspectService::Told> SuspectService::AllTold() const {
   std::vector<Told> all;
   for (const RequestKey& key : m_requests.TellableRequests()) {
     for (const auto& [server, mark] : *m_requests.Find(key)) {
@@ -344,39 +358,54 @@
                      std::max<Duration>(0, mark.until - m_loop->now())});
     }
   }
-  if (!all.empty()) Send(node, all);
+  return all;
 }
 
-void SuspectService::OnNodeStarted(const NodeInfo& node) {
-  if (m_requests.size() == 0) return;
-  auto tellers = m_members->RankCoordinators(node.name);
-  std::erase_if(tellers, [&node](const NodeInfo& each) {
-    return each.name == node.name;
-  });
-  tellers.resize(std::min(tellers.size(), kTellers));
-  const bool is_teller =
-      std::any_of(tellers.begin(), tellers.end(), [this](const NodeInfo& each) {
-        return each.name == m_members->self().name;
-      });
-  if (is_teller) TellNode(node);
-}
-
-void SuspectService::Send(const NodeInfo& node, const std::vector<Told>& told) {
-  m_network->SendOneWay(node, [&told](PeerMessage::Builder message) {
-    auto list = message.initRequestMarks(static_cast<unsigned>(told.size()));
-    unsigned i = 0;
-    for (const Told& each : told) {
-      auto mark = list[i++];
-      auto key = mark.initKey();
-      key.setHigh(each.key.high);
-      key.setLow(each.key.low);
-      mark.setServer(each.server);
-      mark.setState(each.state);
-      mark.setLeftMs(static_cast<std::uint32_t>(each.left));
-    }
+void SuspectService::TellNode(const NodeInfo& node) {
+  const auto all = AllTold();
+  if (all.empty()) return;
+  m_network->SendOneWay(
+      node, [&all](PeerMessage::Builder message) { Write(all, message); });
+}
+
+void SuspectService::OnNodeFound(const NodeInfo& node) {
+  m_network->SendOneWay(node, [this](PeerMessage::Builder message) {
+    const NodeInfo& self = m_members->self();
+    auto            wire = message.initTellMarks();
+    wire.setIncarnation(self.incarnation);
+    wire.setAddress(self.address.Text());
+    wire.setZone(self.zone);
   });
 }
 
+void SuspectService::ServeTellMarks(const std::string&        node,
+                                    PeerMessage::Reader       message,
+                                    const PeerNetwork::Reply& reply) {
+  const auto wire = message.getTellMarks();
+  const auto address = net::ParseEndpoint(wire.getAddress().cStr());
+  if (node.empty() || !address) return;
+  m_started[node] = {node, wire.getIncarnation().cStr(), *address,
+                     wire.getZone().cStr()};
+  const auto all = AllTold();
+  if (all.empty()) return;
+  reply([&all](PeerMessage::Builder response) { Write(all, response); });
+}
+
+void SuspectService::Write(const std::vector<Told>& told,
+                           PeerMessage::Builder     message) {
+  auto     list = message.initRequestMarks(static_cast<unsigned>(told.size()));
+  unsigned i = 0;
+  for (const Told& each : told) {
+    auto mark = list[i++];
+    auto key = mark.initKey();
+    key.setHigh(each.key.high);
+    key.setLow(each.key.low);
+    mark.setServer(each.server);
+    mark.setState(each.state);
+    mark.setLeftMs(static_cast<std::uint32_t>(each.left));
+  }
+}
+
 void SuspectService::ReceiveMarks(const std::string&  node,
                                   PeerMessage::Reader message) {
   for (const auto mark : message.getRequestMarks()) {
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -13,12 +13,13 @@
 //   suspects.WhenKnown(server, done);               // before the client hears
 //
 // Messages are sent one way, and before the client gets an answer, so that they
-// are usually at the other nodes before the client is. A node that starts, or
-// was unreachable, gets all marks.
+// are usually at the other nodes before the client is. A node that starts asks
+// the others for all marks, and one that was unreachable gets them.
 #pragma once
 
 #include <functional>
 #include <list>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -79,8 +80,11 @@
   void ReceiveMarks(const std::string& node, PeerMessage::Reader message);
   // Tells everything to a node that was unreachable.
   void TellNode(const programs::NodeInfo& node);
-  // A few nodes tell everything to a node that started.
-  void OnNodeStarted(const programs::NodeInfo& node);
+  // A node joined or started again, unless it is this one that started.
+  void OnNodeFound(const programs::NodeInfo& node);
+  // The node started and knows nothing.
+  void ServeTellMarks(const std::string& node, PeerMessage::Reader message,
+                      const PeerNetwork::Reply& reply);
   void Sweep();  // call about twice a second
 
  private:
@@ -126,8 +130,13 @@
   std::vector<Told> Untold(const traffic::RequestKey& key);
   void              TellUntold(const std::vector<traffic::RequestKey>& keys);
   void              Tell(const std::vector<Told>& told);
-  void Send(const programs::NodeInfo& node, const std::vector<Told>& told);
-  void Receive(const Told& told);
+  // What other nodes were told of, all of it.
+  std::vector<Told> AllTold() const;
+  static void       Write(const std::vector<Told>& told,
+                          PeerMessage::Builder     message);
+  // The other nodes, also those that only announced themselves in a message.
+  std::vector<programs::NodeInfo> OtherNodes();
+  void                            Receive(const Told& told);
   void WriteLog(const Told& told, std::string_view node) const;
 
   net::EventLoop*                       m_loop;
@@ -143,6 +152,8 @@
   std::unordered_map<std::string, Gone> m_gone;  // by server id
   std::unordered_map<std::string, std::vector<std::function<void()>>>
       m_waiting;  // for a probe, by server id
+  // Nodes that started and are not, or as an earlier start, in m_members.
+  std::map<std::string, programs::NodeInfo> m_started;  // by name
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -232,5 +232,6 @@
     findStream  @19 :StreamKey;
     streamFound @20 :StreamOrigin;  # answers findStream
     requestMarks @21 :List(RequestMark);  # to all nodes
+    tellMarks    @22 :Node;  # the sender started; answered by requestMarks
   }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -428,6 +428,7 @@
     FIND_STREAM,
     STREAM_FOUND,
     REQUEST_MARKS,
+    TELL_MARKS,
   };
 
   struct _capnpPrivate {
@@ -2753,6 +2754,10 @@
   inline bool hasRequestMarks() const;
   inline  ::capnp::List< ::yuccawick::programs::wire::RequestMark,  ::capnp::Kind::STRUCT>::Reader getRequestMarks() const;
 
+  inline bool isTellMarks() const;
+  inline bool hasTellMarks() const;
+  inline  ::yuccawick::programs::wire::Node::Reader getTellMarks() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2941,6 +2946,14 @@
   inline void adoptRequestMarks(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::RequestMark,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::RequestMark,  ::capnp::Kind::STRUCT>> disownRequestMarks();
 
+  inline bool isTellMarks();
+  inline bool hasTellMarks();
+  inline  ::yuccawick::programs::wire::Node::Builder getTellMarks();
+  inline void setTellMarks( ::yuccawick::programs::wire::Node::Reader value);
+  inline  ::yuccawick::programs::wire::Node::Builder initTellMarks();
+  inline void adoptTellMarks(::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value);
+  inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> disownTellMarks();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6081,6 +6094,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isTellMarks() const {
+  return which() == PeerMessage::TELL_MARKS;
+}
+inline bool PeerMessage::Builder::isTellMarks() {
+  return which() == PeerMessage::TELL_MARKS;
+}
+inline bool PeerMessage::Reader::hasTellMarks() const {
+  if (which() != PeerMessage::TELL_MARKS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasTellMarks() {
+  if (which() != PeerMessage::TELL_MARKS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::yuccawick::programs::wire::Node::Reader PeerMessage::Reader::getTellMarks() const {
+  KJ_IREQUIRE((which() == PeerMessage::TELL_MARKS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::getTellMarks() {
+  KJ_IREQUIRE((which() == PeerMessage::TELL_MARKS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setTellMarks( ::yuccawick::programs::wire::Node::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TELL_MARKS);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::yuccawick::programs::wire::Node::Builder PeerMessage::Builder::initTellMarks() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TELL_MARKS);
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptTellMarks(
+    ::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::TELL_MARKS);
+  ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> PeerMessage::Builder::disownTellMarks() {
+  KJ_IREQUIRE((which() == PeerMessage::TELL_MARKS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::yuccawick::programs::wire::Node>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
