--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -69,19 +69,7 @@
   for (std::size_t i = 0; i < m_resumptions.size(); ++i) {
     m_resumptions[i] = &resumptions.Add({{"outcome", kResumptions[i]}});
   }
-  auto& probes =
-      CounterFamily(registry, "yuccawick_server_probes_total",
-                    "Probes of backend servers that broke off a request or "
-                    "left it unanswered, by outcome");
-  for (std::size_t i = 0; i < m_probes.size(); ++i) {
-    const std::string name(Name(static_cast<ProbeOutcome>(i)));
-    m_probes[i] = &probes.Add({{"outcome", name}});
-  }
-  m_server_ends =
-      &CounterFamily(registry, "yuccawick_server_ends_total",
-                     "Ends of backend servers, counted once for each request "
-                     "of this node that was under way there")
-           .Add({});
+  AddServerEnds(registry);
   AddLogCalls(registry);
   AddMemory(registry);
   auto& persisted =
@@ -110,6 +98,22 @@
                    "From the end of a stream to its turn being durable");
 }
 
+void Metrics::AddServerEnds(prometheus::Registry* registry) {
+  auto& probes =
+      CounterFamily(registry, "yuccawick_server_probes_total",
+                    "Probes of backend servers that broke off a request or "
+                    "left it unanswered, by outcome");
+  for (std::size_t i = 0; i < m_probes.size(); ++i) {
+    const std::string name(Name(static_cast<ProbeOutcome>(i)));
+    m_probes[i] = &probes.Add({{"outcome", name}});
+  }
+  m_server_ends =
+      &CounterFamily(registry, "yuccawick_server_ends_total",
+                     "Ends of backend servers, counted once for each request "
+                     "of this node that was under way there")
+           .Add({});
+}
+
 void Metrics::AddLogCalls(prometheus::Registry* registry) {
   auto& calls =
       CounterFamily(registry, "yuccawick_log_calls_total",
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -84,6 +84,7 @@
   std::string           Text() const;
 
  private:
+  void AddServerEnds(prometheus::Registry* registry);
   void AddLogCalls(prometheus::Registry* registry);
   void AddMemory(prometheus::Registry* registry);
 
--- a/src/yuccawick/traffic/request_key.cc
+++ b/src/yuccawick/traffic/request_key.cc
@@ -10,15 +10,14 @@
 RequestKey RequestKeyOf(std::string_view workspace, std::string_view method,
                         std::string_view target, std::string_view body,
                         const RequestInfo& info) {
+  const std::array<std::string_view, 7> fields{
+      workspace,    method,       info.host,         target,
+      info.program, info.session, info.previous_turn};
+  std::string text;
   // The length before each field keeps different requests from having the same
   // text.
-  std::string text;
-  for (const std::string_view field :
-       {workspace, method, std::string_view(info.host), target,
-        std::string_view(info.program), std::string_view(info.session),
-        std::string_view(info.previous_turn)}) {
+  for (const std::string_view field : fields)
     text.append(std::to_string(field.size())).append(" ").append(field);
-  }
   const XXH128_hash_t of_body = XXH3_128bits(body.data(), body.size());
   text.append(std::to_string(of_body.high64)).append(" ");
   text.append(std::to_string(of_body.low64));
--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -198,12 +198,13 @@
                                                           Time now) const {
   std::vector<std::string> servers;
   for (const auto& [server, keys] : m_by_server) {
-    const bool crowded =
-        std::any_of(keys.begin(), keys.end(), [&](const RequestKey& each) {
-          return each != key && StateAt(m_requests.at(each).marks.at(server),
-                                        now) == SendState::kUnderWay;
-        });
-    if (crowded) servers.push_back(server);
+    const auto is_crowding = [this, &key, now,
+                              &at = server](const RequestKey& other) {
+      const SendMark& mark = m_requests.at(other).marks.at(at);
+      return other != key && StateAt(mark, now) == SendState::kUnderWay;
+    };
+    if (std::any_of(keys.begin(), keys.end(), is_crowding))
+      servers.push_back(server);
   }
   return servers;
 }
