--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -145,6 +145,7 @@
   void                  OnSendFailed(traffic::SendFailureCause cause);
   void                  SendAgain(traffic::NextStep step);
   void                  SendToSameServer();
+
   // Takes a step that ends the exchange after a failed send.
   void EndAfterFailure(traffic::NextStep step, traffic::SendFailureCause cause);
   // Calls `done` once it is known whether the servers that got the request,
@@ -152,16 +153,17 @@
   // before the client reaches them.
   void WhenServersKnown(std::size_t index, std::function<void()> done);
   void RefuseWhenKnown(traffic::Refusal refusal);
+
   // Answering
-  void ForwardEvents(std::string_view bytes);
+  void              ForwardEvents(std::string_view bytes);
   // Moves the complete events to `out`; false if one of them does not go on
   // with what the client has received.
-  bool TakeEvents(std::string* out);
-  void ObserveFirstEvent();
-  void ObserveEventTimes(std::int64_t before);
-  void ForwardPlain();
-  void WriteAnswer(std::string_view bytes);
-  void ObserveLaterAnswer();
+  bool              TakeEvents(std::string* out);
+  void              ObserveFirstEvent();
+  void              ObserveEventTimes(std::int64_t before);
+  void              ForwardPlain();
+  void              WriteAnswer(std::string_view bytes);
+  void              ObserveLaterAnswer();
   // The body of the client's answer, `bytes` long or, if not given, in chunks.
   net::ResponseBody ForwardedBody(std::optional<std::size_t> bytes) const;
   void              BeginAnswer();
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -19,6 +19,8 @@
 // ms for which a send may go on after its attempt's deadline, as a node may be
 // slow to end it.
 constexpr Duration kLateEnd = 1000;
+// ms until a node that started is known from the log, or has ended.
+constexpr Duration kStartMemory = 30'000;
 
 std::string_view Name(MarkState state) {
   constexpr std::array<std::string_view, 6> kNames{
@@ -87,23 +89,29 @@
 
 bool SuspectService::TryDecide(const PendingCheck& check) {
   const SendVerdict verdict = Judge(check);
-  if (verdict == SendVerdict::kResolve) {
-    const auto unresolved = UnresolvedServers(check.key);
-    const bool may_change =
-        HasSendUnderWay(check.key) ||
-        std::any_of(
-            unresolved.begin(), unresolved.end(),
-            [this](const std::string& server) {
-              const auto gone = m_gone.find(server);
-              return m_probes->IsProbing(server) || gone == m_gone.end() ||
-                     m_loop->now() - gone->second.probed_at >= kSilenceMemory;
-            });
-    if (may_change && m_loop->now() < check.give_up_at) return false;
+  if (verdict == SendVerdict::kResolve && m_loop->now() < check.give_up_at &&
+      MayChange(check)) {
+    return false;
   }
   check.done(verdict == SendVerdict::kSend);
   return true;
 }
 
+bool SuspectService::MayChange(const PendingCheck& check) const {
+  if (!check.is_shared && HasSendUnderWay(check.key)) return true;
+  const auto servers = UnresolvedServers(check.key);
+  return std::any_of(
+      servers.begin(), servers.end(), [this](const std::string& server) {
+        return m_probes->IsProbing(server) || !WasSilentLately(server);
+      });
+}
+
+bool SuspectService::WasSilentLately(const std::string& server) const {
+  const auto gone = m_gone.find(server);
+  return gone != m_gone.end() &&
+         m_loop->now() - gone->second.probed_at < kSilenceMemory;
+}
+
 void SuspectService::DecidePending() {
   for (auto checks = std::exchange(m_pending, {}); !checks.empty();) {
     if (!TryDecide(checks.front())) {
@@ -135,13 +143,17 @@
 
 void SuspectService::AskServersOf(const RequestKey& key) {
   for (const std::string& server : UnresolvedServers(key)) {
-    const auto gone = m_gone.find(server);
-    const bool known = gone != m_gone.end() &&
-                       m_loop->now() - gone->second.probed_at < kSilenceMemory;
-    if (!known && !m_probes->IsProbing(server)) Ask(server);
+    if (!WasSilentLately(server) && !m_probes->IsProbing(server)) Ask(server);
   }
 }
 
+bool SuspectService::IsTold(const RequestKey& key) const {
+  const auto* marks = m_requests.Find(key);
+  return marks != nullptr &&
+         std::any_of(marks->begin(), marks->end(),
+                     [](const auto& entry) { return entry.second.told; });
+}
+
 std::vector<std::string> SuspectService::ServersToAvoid(
     const RequestKey& key) const {
   const Time               now = m_loop->now();
@@ -161,13 +173,9 @@
                                Duration left) {
   const Time now = m_loop->now();
   if (!m_requests.IsSuspect(key, now)) return;
-  const auto& marks = *m_requests.Find(key);
-  const bool  told =
-      std::any_of(marks.begin(), marks.end(),
-                  [](const auto& entry) { return entry.second.told; });
   m_requests.Put(key, server, {SendState::kUnderWay, now + left + kLateEnd},
                  now);
-  if (told) TellUntold({key});
+  if (IsTold(key)) TellUntold({key});
 }
 
 bool SuspectService::WasGone(const std::string& server, Time sent_at) const {
@@ -177,7 +185,9 @@
 
 void SuspectService::OnBroken(const RequestKey& key, const std::string& server,
                               Time sent_at) {
-  if (WasGone(server, sent_at)) {
+  // A server that was only silent may have run until now.
+  const auto gone = m_gone.find(server);
+  if (WasGone(server, sent_at) && gone->second.ended) {
     OnReleased(key, server);
     return;
   }
@@ -224,11 +234,7 @@
     OnReleased(key, server);
     return;
   }
-  const auto* marks = m_requests.Find(key);
-  if (marks == nullptr) return;
-  const bool told =
-      std::any_of(marks->begin(), marks->end(),
-                  [](const auto& entry) { return entry.second.told; });
+  const bool told = IsTold(key);
   m_requests.Clear(key);
   if (told) Tell({{key, {}, MarkState::ANSWERED}});
 }
@@ -288,16 +294,21 @@
   Tell(told);
 }
 
-void SuspectService::OnEnded(const std::string& server) {
+void SuspectService::SetGone(const std::string& server, bool ended) {
   const Time now = m_loop->now();
-  m_gone.try_emplace(server, Gone{now, now}).first->second.probed_at = now;
-  TellUntold(m_requests.MarkEnded(server, now));
+  Gone&      gone = m_gone.try_emplace(server, Gone{now, now}).first->second;
+  gone.probed_at = now;
+  gone.ended = gone.ended || ended;
+}
+
+void SuspectService::OnEnded(const std::string& server) {
+  SetGone(server, true);
+  TellUntold(m_requests.MarkEnded(server, m_loop->now()));
 }
 
 void SuspectService::OnSilent(const std::string& server) {
-  const Time now = m_loop->now();
-  m_gone.try_emplace(server, Gone{now, now}).first->second.probed_at = now;
-  TellUntold(m_requests.MarkSilent(server, now));
+  SetGone(server, false);
+  TellUntold(m_requests.MarkSilent(server, m_loop->now()));
 }
 
 // Other nodes ----------------------------------------------------------------
@@ -330,14 +341,16 @@
 
 std::vector<NodeInfo> SuspectService::OtherNodes() {
   std::erase_if(m_started, [this](const auto& entry) {
-    const NodeInfo* known = m_members->Find(entry.first);
-    return known != nullptr && known->incarnation == entry.second.incarnation;
+    const StartedNode& started = entry.second;
+    const NodeInfo*    known = m_members->Find(entry.first);
+    return m_loop->now() - started.asked_at >= kStartMemory ||
+           (known != nullptr && known->incarnation == started.node.incarnation);
   });
   auto nodes = m_members->Others();
   std::erase_if(nodes, [this](const NodeInfo& node) {
     return m_started.contains(node.name);
   });
-  for (const auto& [name, node] : m_started) nodes.push_back(node);
+  for (const auto& [name, started] : m_started) nodes.push_back(started.node);
   return nodes;
 }
 
@@ -384,8 +397,9 @@
   const auto wire = message.getTellMarks();
   const auto address = net::ParseEndpoint(wire.getAddress().cStr());
   if (node.empty() || !address) return;
-  m_started[node] = {node, wire.getIncarnation().cStr(), *address,
-                     wire.getZone().cStr()};
+  m_started[node] = {
+      {node, wire.getIncarnation().cStr(), *address, wire.getZone().cStr()},
+      m_loop->now()};
   const auto all = AllTold();
   if (all.empty()) return;
   reply([&all](PeerMessage::Builder response) { Write(all, response); });
@@ -433,7 +447,7 @@
       break;
     case MarkState::ENDED:
       m_requests.Put(told.key, told.server, {SendState::kEnded, 0, true}, now);
-      m_gone.try_emplace(told.server, Gone{now, now});
+      SetGone(told.server, true);
       // Requests of this node may have been under the server too.
       TellUntold(m_requests.MarkEnded(told.server, now));
       break;
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -80,7 +80,7 @@
   void ReceiveMarks(const std::string& node, PeerMessage::Reader message);
   // Tells everything to a node that was unreachable.
   void TellNode(const programs::NodeInfo& node);
-  // A node joined or started again, unless it is this one that started.
+  // This node or the other one has started. Asks for what it knows.
   void OnNodeFound(const programs::NodeInfo& node);
   // The node started and knows nothing.
   void ServeTellMarks(const std::string& node, PeerMessage::Reader message,
@@ -99,6 +99,11 @@
   struct Gone {
     Time since = 0;
     Time probed_at = 0;
+    bool ended = false;  // known to have ended, not only silent
+  };
+  struct StartedNode {
+    programs::NodeInfo node;
+    Time               asked_at = 0;
   };
   // What nodes are told of a request at one server.
   struct Told {
@@ -111,6 +116,9 @@
   traffic::SendVerdict     Judge(const PendingCheck& check) const;
   // Resolves the check if that is possible by now.
   bool                     TryDecide(const PendingCheck& check);
+  // Whether waiting may bring another verdict.
+  bool                     MayChange(const PendingCheck& check) const;
+  bool                     WasSilentLately(const std::string& server) const;
   void                     DecidePending();
   void                     AskServersOf(const traffic::RequestKey& key);
   std::vector<std::string> UnresolvedServers(
@@ -126,6 +134,9 @@
   void OnAlive(const std::string& server, Time sent_at);
   void OnEnded(const std::string& server);
   void OnSilent(const std::string& server);
+  void SetGone(const std::string& server, bool ended);
+  // Whether other nodes know of the request.
+  bool IsTold(const traffic::RequestKey& key) const;
   // What other nodes have not been told of the request.
   std::vector<Told> Untold(const traffic::RequestKey& key);
   void              TellUntold(const std::vector<traffic::RequestKey>& keys);
@@ -151,9 +162,9 @@
   std::list<PendingCheck>               m_pending;
   std::unordered_map<std::string, Gone> m_gone;  // by server id
   std::unordered_map<std::string, std::vector<std::function<void()>>>
-      m_waiting;  // for a probe, by server id
+                                     m_waiting;  // for a probe, by server id
   // Nodes that started and are not, or as an earlier start, in m_members.
-  std::map<std::string, programs::NodeInfo> m_started;  // by name
+  std::map<std::string, StartedNode> m_started;  // by name
 };
 
 }  // namespace yuccawick::gateway
