Logs of a stop: which requests a stopping node took, refused and cut off

Change: 'accepted' and 'refused' have node_ends_in_ms (-1: not stopping), 'stopping' has the requests in progress and the time until the end, 'cut_off' has phase, server and the time left to the request, and is written for each request that the end of the node cuts off; 'stopped' counts these. The time of the end is kept in traffic/graceful_stop.h; what is decided from it is as before.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -253,6 +253,10 @@
   RemoveSelf();
 }
 
+void ClientConnection::OnNodeEnd() {
+  if (m_exchange) m_exchange->OnNodeEnd();
+}
+
 void ClientConnection::RestartTimer() {
   m_parts.loop->Cancel(&m_timer);
   const traffic::ClientLimits limits = m_host->Limits();
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -38,6 +38,8 @@
   bool                   busy() const { return m_exchange != nullptr; }
   // Closes the connection if it is between two requests.
   void                   CloseIfIdle();
+  // The node ends now; logs the request in progress.
+  void                   OnNodeEnd();
   // Unsent bytes, and how long (ms) the client has read nothing.
   pressure::ClientBuffer buffer() const {
     return {m_stream.pending(), m_stream.stalled()};
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -83,6 +83,10 @@
 
 Duration Exchange::TimeLeft() const { return m_deadline - m_parts.loop->now(); }
 
+Duration Exchange::NodeTimeLeft() const {
+  return m_parts.stop->TimeLeft(m_parts.loop->now()).value_or(-1);
+}
+
 std::optional<Duration> Exchange::ProgramTimeLeft() const {
   if (!m_info.program_left) return std::nullopt;
   return *m_info.program_left - (m_parts.loop->now() - m_start_time);
@@ -454,6 +458,7 @@
                       {"phase", Name(refused_in)},
                       {"retry_after_ms", retry_after},
                       {"tokens_counted_by", m_reservation.coordinator},
+                      {"node_ends_in_ms", NodeTimeLeft()},
                       {"took_ms", m_parts.loop->now() - m_start_time}});
   const bool close =
       refusal == Refusal::kMalformed || m_client->ClosesAfterAnswer();
@@ -465,14 +470,23 @@
   client->SendAnswer(*end, answer);
 }
 
-void Exchange::AbortAnswer(std::string_view why) {
-  const auto self = shared_from_this();
-  GiveUpServer();
+void Exchange::LogCutOff(std::string_view why) {
   m_parts.log->Write(LogEvent::kCutOff,
                      {{"request", m_info.attempt},
                       {"why", why},
+                      {"phase", Name(m_phase)},
+                      {"server", m_server_id},
                       {"events", m_event_count},
+                      {"left_ms", TimeLeft()},
                       {"took_ms", m_parts.loop->now() - m_start_time}});
+}
+
+void Exchange::OnNodeEnd() { LogCutOff("node_ends"); }
+
+void Exchange::AbortAnswer(std::string_view why) {
+  const auto self = shared_from_this();
+  GiveUpServer();
+  LogCutOff(why);
   ClientSide* client = m_client;
   End();
   client->BreakAnswer();
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -32,6 +32,7 @@
 #include "yuccawick/pressure/memory_budget.h"
 #include "yuccawick/traffic/answer_progress.h"
 #include "yuccawick/traffic/event_stream.h"
+#include "yuccawick/traffic/graceful_stop.h"
 #include "yuccawick/traffic/manifest.h"
 #include "yuccawick/traffic/refusal.h"
 #include "yuccawick/traffic/request_key.h"
@@ -77,6 +78,7 @@
   TurnDispatcher*                                   dispatcher = nullptr;
   StreamOriginService*                              stream_origins = nullptr;
   SuspectService*                                   suspects = nullptr;
+  const traffic::GracefulStop*                      stop = nullptr;
   pressure::MemoryBudgetPtr                         memory;
 };
 
@@ -95,6 +97,8 @@
   // Aborts the answer of a client that does not read it, to free memory.
   void OnClientStalled() { AbortAnswer("reader_stalled"); }
   void ClientDrained();
+  // The node ends now; logs the request that it cuts off.
+  void OnNodeEnd();
 
   void OnBackendConnected() override;
   bool OnBackendHead(const net::Head& head) override;
@@ -179,10 +183,13 @@
   void OnDeadline();
   void Refuse(traffic::Refusal refusal);
   void AbortAnswer(std::string_view why);
+  void LogCutOff(std::string_view why);
   void End();
 
   static double           UniformRandom();  // uniform in [0, 1)
   Duration                TimeLeft() const;
+  // ms until a stopping node ends; -1 if the node is not stopping.
+  Duration                NodeTimeLeft() const;
   // Time until the program's deadline, if the client gave one.
   std::optional<Duration> ProgramTimeLeft() const;
   // Time for which no node has reached the log; empty while some node reaches
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -75,7 +75,8 @@
                       {"route", m_route->name},
                       {"service", m_service},
                       {"manifest", m_routes->manifest()->version},
-                      {"left_ms", TimeLeft()}});
+                      {"left_ms", TimeLeft()},
+                      {"node_ends_in_ms", NodeTimeLeft()}});
   IfSendable([this] { FindStreamOrigin(); });
 }
 
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -253,6 +253,7 @@
                              &m_dispatcher,
                              &m_stream_origins,
                              &m_suspects,
+                             &m_stop,
                              m_memory};
     auto connection = std::make_unique<ClientConnection>(parts, this, fd);
     ClientConnection* raw = connection.get();
@@ -384,9 +385,12 @@
 void Gateway::Stop() {
   if (m_stopping) return;
   m_stopping = true;
-  m_stop_deadline =
-      m_loop->now() + m_settings.stop_limit - m_thresholds->stop_margin;
-  m_log->Write(LogEvent::kStopping, {{"connections", m_clients.size()}});
+  m_stop.Begin(m_loop->now(),
+               m_settings.stop_limit - m_thresholds->stop_margin);
+  m_log->Write(LogEvent::kStopping,
+               {{"connections", m_clients.size()},
+                {"requests", CountRequests()},
+                {"node_ends_in_ms", *m_stop.TimeLeft(m_loop->now())}});
   m_loop->After(m_thresholds->balancer_lag, [this] {
     m_closing = true;
     CloseIdle();
@@ -394,6 +398,12 @@
   });
 }
 
+std::size_t Gateway::CountRequests() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_clients.begin(), m_clients.end(),
+                    [](const auto& client) { return client.first->busy(); }));
+}
+
 void Gateway::StopListening() {
   if (m_listener < 0) return;
   m_loop->Forget(m_listener);
@@ -412,24 +422,31 @@
   // down. Listening until connections stop arriving avoids dropping a
   // connection that was already accepted, which would lose its request.
   const bool quiet = m_loop->now() - m_accepted_at >= m_thresholds->stop_quiet;
-  if (quiet || m_loop->now() >= m_stop_deadline - m_thresholds->last_requests)
-    StopListening();
+  const Duration left = *m_stop.TimeLeft(m_loop->now());
+  if (quiet || left <= m_thresholds->last_requests) StopListening();
   CloseIdle();
   const bool served =
       m_listener < 0 && m_clients.empty() && m_turns.pending_persists() == 0;
-  if (served || m_loop->now() >= m_stop_deadline) {
-    m_log->Write(LogEvent::kStopped,
-                 {{"connections_cut", m_clients.size()},
-                  {"turns_not_durable", m_turns.pending_persists()}});
-    for (TokenCoordinator& coordinator : m_token_coordinators)
-      coordinator.ReleaseAllUnused();
-    m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
-                m_thresholds->log_timeout,
-                [](const platform::StoreResult<platform::Appended>&) {});
-    m_loop->After(kFinalAppendTime, [this] { m_loop->Stop(); });
-    return;
+  if (served || left <= 0) {
+    Finish();
+  } else {
+    m_loop->After(kStopCheckInterval, [this] { FinishWhenIdle(); });
   }
-  m_loop->After(kStopCheckInterval, [this] { FinishWhenIdle(); });
+}
+
+void Gateway::Finish() {
+  for (const auto& [raw, owned] : m_clients) raw->OnNodeEnd();
+  m_log->Write(LogEvent::kStopped,
+               {{"connections_cut", m_clients.size()},
+                {"requests_cut", CountRequests()},
+                {"turns_not_durable", m_turns.pending_persists()},
+                {"left_ms", *m_stop.TimeLeft(m_loop->now())}});
+  for (TokenCoordinator& coordinator : m_token_coordinators)
+    coordinator.ReleaseAllUnused();
+  m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
+              m_thresholds->log_timeout,
+              [](const platform::StoreResult<platform::Appended>&) {});
+  m_loop->After(kFinalAppendTime, [this] { m_loop->Stop(); });
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -78,6 +78,9 @@
   void                      CloseIdle();
   void                      StopListening();
   void                      FinishWhenIdle();
+  void                      Finish();
+  // Requests in progress.
+  std::size_t               CountRequests() const;
   bool                      Ready() const;
   // Empty if the service has no engine or its servers are unknown.
   capacity::ServiceCapacity CapacityFor(const std::string& service) const;
@@ -126,7 +129,7 @@
   bool                          m_servers_known = false;
   bool                          m_stopping = false;
   bool                          m_closing = false;
-  Time                          m_stop_deadline = 0;
+  traffic::GracefulStop         m_stop;
   Time                          m_accepted_at = 0;  // last connection accepted
   Time                          m_usage_logged_at = 0;
   std::shared_ptr<const traffic::RouteTable> m_routes;
