A stopping node begins only requests that end before it does

Cause: what a node accepts and when it ends were two numbers that knew nothing of each other or of the request. It took everything until 1.8 s before its end, and later over open connections, while routes allow 3 s and more. Shown by the new log lines: each cut_off with why=node_ends had been accepted with node_ends_in_ms smaller than left_ms. Ruled out: waiting at the node before the send (took_ms of the cuts is the server's work), a process that ends too early (the kill comes 0.6 s later, the work needs up to 1 s more).

The listener closes when requests as they come would be refused, so that the next process serves them; what began before SIGTERM and does not end in time gets 502 node_ends. last_requests is gone, handover_delay new. Why this works: the exchange ends by its own bound at the latest, and no bound that begins lies behind the end.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -71,8 +71,9 @@
     m_input.erase(0, consumed);
     if (m_reader.fault()) {
       Refuse(RefusalFor(*m_reader.fault()));
-    } else if (std::exchange(m_out_of_memory, false)) {
-      RejectForMemory();
+    } else if (const auto refusal =
+                   std::exchange(m_early_refusal, std::nullopt)) {
+      RejectEarly(*refusal);
     } else if (std::exchange(m_request_complete, false)) {
       StartExchange();
     }
@@ -89,8 +90,12 @@
   m_head = std::move(head);
   m_body.clear();
   RestartTimer();
-  m_out_of_memory = !ReserveBodyMemory(DeclaredLength(m_head.headers));
-  if (m_out_of_memory) return;
+  if (!EndsInTime()) {
+    m_early_refusal = traffic::Refusal::kNodeStops;
+  } else if (!ReserveBodyMemory(DeclaredLength(m_head.headers))) {
+    m_early_refusal = traffic::Refusal::kNodeFull;
+  }
+  if (m_early_refusal) return;
   m_body.reserve(DeclaredLength(m_head.headers));
   const std::string* expect = m_head.headers.Find("Expect");
   if (expect != nullptr && net::SameName(*expect, "100-continue")) {
@@ -99,12 +104,12 @@
 }
 
 void ClientConnection::OnBody(std::string_view bytes) {
-  if (m_out_of_memory) return;
+  if (m_early_refusal) return;
   const std::size_t size = m_body.size() + bytes.size();
   // The length of a chunked body is not known in advance.
   if (pressure::kBodyCopies * size > m_body_charge.bytes() &&
       !ReserveBodyMemory(size)) {
-    m_out_of_memory = true;
+    m_early_refusal = traffic::Refusal::kNodeFull;
     return;
   }
   m_body += bytes;
@@ -133,15 +138,22 @@
   exchange->Start();
 }
 
-void ClientConnection::RejectForMemory() {
+bool ClientConnection::EndsInTime() const {
+  if (!m_parts.stop->begun()) return true;
+  const auto bound =
+      Exchange::MaxDuration(m_parts, m_host->Routes().get(), m_head);
+  return !bound || m_parts.stop->Allows(m_parts.loop->now() + *bound);
+}
+
+void ClientConnection::RejectEarly(traffic::Refusal refusal) {
   m_parts.loop->Cancel(&m_timer);
   m_request_complete = false;
-  // The body is still unread, and other nodes may have memory.
+  // The body is still unread, and other nodes may serve the request.
   m_close_after_answer = true;
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
                                           std::move(m_head), std::string());
   const auto exchange = m_exchange;
-  exchange->Reject(traffic::Refusal::kNodeFull);
+  exchange->Reject(refusal);
 }
 
 void ClientConnection::Refuse(traffic::Refusal refusal) {
@@ -253,8 +265,18 @@
   RemoveSelf();
 }
 
+void ClientConnection::OnNodeStopping() {
+  const auto exchange = m_exchange;
+  if (exchange) {
+    exchange->OnNodeStopping();
+  } else if (!m_lingering && m_reader.in_body() && !EndsInTime()) {
+    RejectEarly(traffic::Refusal::kNodeStops);
+  }
+}
+
 void ClientConnection::OnNodeEnd() {
-  if (m_exchange) m_exchange->OnNodeEnd();
+  const auto exchange = m_exchange;
+  if (exchange) exchange->OnNodeEnd();
 }
 
 void ClientConnection::RestartTimer() {
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -38,7 +38,10 @@
   bool                   busy() const { return m_exchange != nullptr; }
   // Closes the connection if it is between two requests.
   void                   CloseIfIdle();
-  // The node ends now; logs the request in progress.
+  // Refuses the request in progress if it might end after the node and has not
+  // begun yet; call often while the node stops.
+  void                   OnNodeStopping();
+  // The node ends now.
   void                   OnNodeEnd();
   // Unsent bytes, and how long (ms) the client has read nothing.
   pressure::ClientBuffer buffer() const {
@@ -61,6 +64,7 @@
   void EndAnswer(traffic::AnswerEnd end) override;
   void BreakAnswer() override;
   bool ClosesAfterAnswer() const override;
+  void CloseAfterAnswer() override { m_close_after_answer = true; }
   std::size_t ClientBacklog() const override { return m_stream.pending(); }
 
  private:
@@ -70,7 +74,11 @@
   void OnAnswerWritten();
   // Reserves memory for the body; false if the node's budget is used up.
   bool ReserveBodyMemory(std::size_t body_bytes);
-  void RejectForMemory();
+  // Whether a request with the current head would end before the node if its
+  // body ended now.
+  bool EndsInTime() const;
+  // Refuses a request whose body is not received completely.
+  void RejectEarly(traffic::Refusal refusal);
   // Answers input that is not a valid request, and closes the connection.
   void Refuse(traffic::Refusal refusal);
   void RestartTimer();
@@ -82,19 +90,20 @@
   void RestartLinger();
   void RemoveSelf();
 
-  GatewayParts              m_parts;
-  ClientHost*               m_host;
-  pressure::MemoryCharge    m_body_charge;
-  pressure::MemoryCharge    m_output_charge;
-  net::Stream               m_stream;
-  net::HttpReader           m_reader;
-  std::string               m_input;  // received and not yet parsed
-  net::Head                 m_head;
-  std::string               m_body;
-  bool                      m_request_complete = false;  // ready to start
-  bool                      m_out_of_memory = false;  // for the current request
-  bool                      m_close_after_answer = false;
-  bool                      m_lingering = false;
+  GatewayParts                    m_parts;
+  ClientHost*                     m_host;
+  pressure::MemoryCharge          m_body_charge;
+  pressure::MemoryCharge          m_output_charge;
+  net::Stream                     m_stream;
+  net::HttpReader                 m_reader;
+  std::string                     m_input;  // received and not yet parsed
+  net::Head                       m_head;
+  std::string                     m_body;
+  bool                            m_request_complete = false;  // ready to start
+  // Refusal of the current request, whose body is discarded.
+  std::optional<traffic::Refusal> m_early_refusal;
+  bool                            m_close_after_answer = false;
+  bool                            m_lingering = false;
   bool                      m_processing = false;  // inside ProcessInput()
   Time                      m_request_start_time = 0;
   net::TimerId              m_timer = 0;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -115,14 +115,22 @@
       !newest_workspaces || newest_workspaces->FindByKey(m_info.key) != nullptr;
   const bool lease_valid = m_parts.key_lease->Holds(m_parts.loop->ReadClock());
   if (key_known && lease_valid) return true;
+  EndUnsent(key_known ? Refusal::kKeyUnsure : Refusal::kUnknownKey, "key_gone");
+  return false;
+}
+
+bool Exchange::EnsureEndsInTime() {
+  if (m_parts.stop->Allows(m_deadline)) return true;
+  EndUnsent(Refusal::kNodeStops, Name(Refusal::kNodeStops));
+  return false;
+}
+
+void Exchange::EndUnsent(Refusal not_run, std::string_view why) {
   if (m_progress.begun()) {
-    AbortAnswer("key_gone");
-  } else if (m_may_have_run) {
-    Refuse(Refusal::kServerFailed);
+    AbortAnswer(why);
   } else {
-    Refuse(key_known ? Refusal::kKeyUnsure : Refusal::kUnknownKey);
+    Refuse(m_may_have_run ? Refusal::kServerFailed : not_run);
   }
-  return false;
 }
 
 std::string Exchange::BegunVersion() const {
@@ -186,7 +194,7 @@
 }
 
 void Exchange::SendTo(const Backends::Choice& choice, bool fresh) {
-  if (!EnsureKeyValid()) return;
+  if (!EnsureKeyValid() || !EnsureEndsInTime()) return;
   const traffic::BackendServer& server = choice.server;
   const std::string             after_event =
       m_progress.begun() ? m_progress.last_id() : m_info.last_event;
@@ -395,11 +403,15 @@
 
 // Ending ---------------------------------------------------------------------
 
+bool Exchange::MayHaveRun() const {
+  return m_may_have_run || m_phase == AttemptPhase::kSent ||
+         m_phase == AttemptPhase::kAnswering;
+}
+
 void Exchange::OnDeadline() {
   const auto self = shared_from_this();
   if (m_client == nullptr) return;
-  const bool sent = m_may_have_run || m_phase == AttemptPhase::kSent ||
-                    m_phase == AttemptPhase::kAnswering;
+  const bool sent = MayHaveRun();
   if (sent && !m_progress.begun())
     m_parts.backends->ObserveBadAnswer(m_server_id);
   GiveUpServer();
@@ -422,6 +434,10 @@
     mean_delay = std::max(m_rate_retry_delay, limits.return_delay);
   }
   if (refusal == Refusal::kNoRoom) mean_delay = m_reservation.retry_delay;
+  if (refusal == Refusal::kNodeStops) {
+    mean_delay = m_parts.peers->OthersServeZone() ? limits.handover_delay
+                                                  : limits.start_delay;
+  }
   if (IsLogOutage(refusal)) {
     const auto outage = OutageAge();
     if (outage && *outage >= limits.log_wait && m_deadline > 0) {
@@ -458,8 +474,11 @@
                       {"phase", Name(refused_in)},
                       {"retry_after_ms", retry_after},
                       {"tokens_counted_by", m_reservation.coordinator},
+                      {"left_ms", m_deadline == 0 ? 0 : TimeLeft()},
                       {"node_ends_in_ms", NodeTimeLeft()},
                       {"took_ms", m_parts.loop->now() - m_start_time}});
+  // A node that refused one request will refuse the next one like it.
+  if (refusal == Refusal::kNodeStops) m_client->CloseAfterAnswer();
   const bool close =
       refusal == Refusal::kMalformed || m_client->ClosesAfterAnswer();
   const std::string answer =
@@ -481,7 +500,20 @@
                       {"took_ms", m_parts.loop->now() - m_start_time}});
 }
 
-void Exchange::OnNodeEnd() { LogCutOff("node_ends"); }
+void Exchange::OnNodeStopping() {
+  if (m_client != nullptr && m_phase == AttemptPhase::kPreparing)
+    EnsureEndsInTime();
+}
+
+void Exchange::OnNodeEnd() {
+  const auto self = shared_from_this();
+  if (m_client == nullptr) return;
+  if (m_progress.begun()) {
+    AbortAnswer(Name(Refusal::kNodeEnds));
+  } else {
+    Refuse(MayHaveRun() ? Refusal::kNodeEnds : Refusal::kNodeStops);
+  }
+}
 
 void Exchange::AbortAnswer(std::string_view why) {
   const auto self = shared_from_this();
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -57,6 +57,7 @@
   // The answer cannot be completed; resets the connection.
   virtual void BreakAnswer() = 0;
   virtual bool ClosesAfterAnswer() const = 0;
+  virtual void CloseAfterAnswer() = 0;
   virtual std::size_t ClientBacklog() const = 0;  // unsent bytes
 };
 
@@ -78,7 +79,7 @@
   TurnDispatcher*                                   dispatcher = nullptr;
   StreamOriginService*                              stream_origins = nullptr;
   SuspectService*                                   suspects = nullptr;
-  const traffic::GracefulStop*                      stop = nullptr;
+  traffic::GracefulStop*                            stop = nullptr;
   pressure::MemoryBudgetPtr                         memory;
 };
 
@@ -97,8 +98,15 @@
   // Aborts the answer of a client that does not read it, to free memory.
   void OnClientStalled() { AbortAnswer("reader_stalled"); }
   void ClientDrained();
-  // The node ends now; logs the request that it cuts off.
+  // Refuses a request that waits and might end after the node.
+  void OnNodeStopping();
+  // The node ends now.
   void OnNodeEnd();
+  // The longest time (ms) that a request with this head may take once it is
+  // complete; empty if it cannot be served at all.
+  static std::optional<Duration> MaxDuration(const GatewayParts&        parts,
+                                             const traffic::RouteTable* routes,
+                                             const net::Head&           head);
 
   void OnBackendConnected() override;
   bool OnBackendHead(const net::Head& head) override;
@@ -109,6 +117,9 @@
  private:
   // Preparing
   bool                  CheckRequest();
+  static Duration       MaxDuration(const GatewayParts&         parts,
+                                    const traffic::Route&       route,
+                                    const traffic::RequestInfo& info);
   void                  StartTimer();
   void                  WaitForKeyLease();
   bool                  CheckKey();
@@ -142,13 +153,19 @@
   double                PromptMemoryPart() const;
   // Ends the exchange and returns false if the key is no longer valid.
   bool                  EnsureKeyValid();
-  void                  SendTo(const Backends::Choice& choice, bool fresh);
-  void                  DetachServer(bool reuse);
+  // Ends the exchange and returns false if it might end after the node.
+  bool                  EnsureEndsInTime();
+  // Ends the exchange instead of sending the request (again). `not_run`: the
+  // refusal if no server has got it yet; `why`: for the log, if a part of the
+  // answer was passed on.
+  void EndUnsent(traffic::Refusal not_run, std::string_view why);
+  void SendTo(const Backends::Choice& choice, bool fresh);
+  void DetachServer(bool reuse);
   // Gives the current send up before its answer is whole.
-  void                  GiveUpServer();
-  void                  OnSendFailed(traffic::SendFailureCause cause);
-  void                  SendAgain(traffic::NextStep step);
-  void                  SendToSameServer();
+  void GiveUpServer();
+  void OnSendFailed(traffic::SendFailureCause cause);
+  void SendAgain(traffic::NextStep step);
+  void SendToSameServer();
 
   // Takes a step that ends the exchange after a failed send.
   void EndAfterFailure(traffic::NextStep step, traffic::SendFailureCause cause);
@@ -187,6 +204,7 @@
   void End();
 
   static double           UniformRandom();  // uniform in [0, 1)
+  bool                    MayHaveRun() const;
   Duration                TimeLeft() const;
   // ms until a stopping node ends; -1 if the node is not stopping.
   Duration                NodeTimeLeft() const;
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -38,6 +38,8 @@
 void Exchange::Start() {
   if (!CheckRequest()) return;
   StartTimer();
+  m_parts.stop->OnRequest(m_deadline - m_start_time);
+  if (!EnsureEndsInTime()) return;
   WaitForKeyLease();
 }
 
@@ -126,9 +128,32 @@
 void Exchange::Reject(Refusal refusal) {
   // Decodes the attempt id, if the request has one, for the answer.
   platform::DecodeRequest(m_head, &m_info);
+  const auto bound = MaxDuration(m_parts, m_routes.get(), m_head);
+  if (bound) {
+    m_deadline = m_start_time + *bound;
+    m_parts.stop->OnRequest(*bound);
+  }
   Refuse(refusal);
 }
 
+std::optional<Duration> Exchange::MaxDuration(const GatewayParts&        parts,
+                                              const traffic::RouteTable* routes,
+                                              const net::Head&           head) {
+  traffic::RequestInfo info;
+  if (routes == nullptr || !platform::DecodeRequest(head, &info))
+    return std::nullopt;
+  const traffic::Route* route = routes->Find(info.host, head.target);
+  if (route == nullptr) return std::nullopt;
+  return MaxDuration(parts, *route, info);
+}
+
+Duration Exchange::MaxDuration(const GatewayParts&         parts,
+                               const traffic::Route&       route,
+                               const traffic::RequestInfo& info) {
+  if (!info.deadline) return route.timeout;
+  return std::min(route.timeout, *info.deadline - parts.thresholds->answer_way);
+}
+
 bool Exchange::CheckRequest() {
   if (!platform::DecodeRequest(m_head, &m_info) || m_info.attempt.empty()) {
     Refuse(Refusal::kMalformed);
@@ -166,9 +191,7 @@
 }
 
 void Exchange::StartTimer() {
-  Duration limit = m_route->timeout;
-  if (m_info.deadline)
-    limit = std::min(limit, *m_info.deadline - m_parts.thresholds->answer_way);
+  const Duration limit = MaxDuration(m_parts, *m_route, m_info);
   m_deadline = m_start_time + limit;
   m_timer = m_parts.loop->After(limit, [this] {
     m_timer = 0;
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -142,7 +142,7 @@
   m_store.Put(platform::Topic::kNodes, m_settings.node,
               programs::EncodeNode(m_members.self()), m_thresholds->log_timeout,
               [this](const platform::StoreResult<platform::Appended>& result) {
-                if (result || m_stopping) return;
+                if (result || m_stop.begun()) return;
                 m_loop->After(kAnnounceRetryDelay, [this] { Announce(); });
               });
 }
@@ -153,7 +153,7 @@
     // A delayed write of an earlier run replaced or removed this node's entry.
     const bool is_this_run =
         node && node->incarnation == m_members.self().incarnation;
-    if (!is_this_run && !m_stopping) Announce();
+    if (!is_this_run && !m_stop.begun()) Announce();
   } else if (node) {
     const auto* known = m_members.Find(name);
     const bool  started =
@@ -218,7 +218,7 @@
 }
 
 bool Gateway::Ready() const {
-  return m_routes != nullptr && m_servers_known && !m_stopping &&
+  return m_routes != nullptr && m_servers_known && !m_stop.begun() &&
          !ShouldYieldClients() && !IsMemoryLow();
 }
 
@@ -383,19 +383,16 @@
 }
 
 void Gateway::Stop() {
-  if (m_stopping) return;
-  m_stopping = true;
+  if (m_stop.begun()) return;
   m_stop.Begin(m_loop->now(),
-               m_settings.stop_limit - m_thresholds->stop_margin);
+               {m_settings.stop_limit - m_thresholds->stop_margin,
+                m_thresholds->balancer_lag, m_thresholds->stop_quiet});
   m_log->Write(LogEvent::kStopping,
                {{"connections", m_clients.size()},
                 {"requests", CountRequests()},
                 {"node_ends_in_ms", *m_stop.TimeLeft(m_loop->now())}});
-  m_loop->After(m_thresholds->balancer_lag, [this] {
-    m_closing = true;
-    CloseIdle();
-    FinishWhenIdle();
-  });
+  m_peers.SendStopping();
+  ContinueStop();
 }
 
 std::size_t Gateway::CountRequests() const {
@@ -412,35 +409,37 @@
 }
 
 void Gateway::CloseIdle() {
+  for (ClientConnection* connection : Connections()) connection->CloseIfIdle();
+}
+
+std::vector<ClientConnection*> Gateway::Connections() const {
   std::vector<ClientConnection*> connections;
   for (const auto& [raw, owned] : m_clients) connections.push_back(raw);
-  for (ClientConnection* connection : connections) connection->CloseIfIdle();
+  return connections;
 }
 
-void Gateway::FinishWhenIdle() {
-  // The balancer may keep sending clients while many nodes of the zone are
-  // down. Listening until connections stop arriving avoids dropping a
-  // connection that was already accepted, which would lose its request.
-  const bool quiet = m_loop->now() - m_accepted_at >= m_thresholds->stop_quiet;
-  const Duration left = *m_stop.TimeLeft(m_loop->now());
-  if (quiet || left <= m_thresholds->last_requests) StopListening();
-  CloseIdle();
+void Gateway::ContinueStop() {
+  const Time now = m_loop->now();
+  if (!m_stop.KeepsListening(now, m_accepted_at)) StopListening();
+  for (ClientConnection* connection : Connections())
+    connection->OnNodeStopping();
+  if (m_stop.ClosesConnections(now)) CloseIdle();
   const bool served =
       m_listener < 0 && m_clients.empty() && m_turns.pending_persists() == 0;
-  if (served || left <= 0) {
+  if (served || *m_stop.TimeLeft(now) <= 0) {
     Finish();
   } else {
-    m_loop->After(kStopCheckInterval, [this] { FinishWhenIdle(); });
+    m_loop->After(kStopCheckInterval, [this] { ContinueStop(); });
   }
 }
 
 void Gateway::Finish() {
-  for (const auto& [raw, owned] : m_clients) raw->OnNodeEnd();
   m_log->Write(LogEvent::kStopped,
                {{"connections_cut", m_clients.size()},
                 {"requests_cut", CountRequests()},
                 {"turns_not_durable", m_turns.pending_persists()},
                 {"left_ms", *m_stop.TimeLeft(m_loop->now())}});
+  for (ClientConnection* connection : Connections()) connection->OnNodeEnd();
   for (TokenCoordinator& coordinator : m_token_coordinators)
     coordinator.ReleaseAllUnused();
   m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -57,7 +57,8 @@
   // True during shutdown, and while this node is isolated or low on memory: the
   // balancer then directs the client's next connection to another node.
   bool                  Closing() const override {
-    return m_closing || ShouldYieldClients() || IsMemoryLow();
+    return m_stop.ClosesConnections(m_loop->now()) || ShouldYieldClients() ||
+           IsMemoryLow();
   }
   void RemoveConnection(ClientConnection* connection) override;
   const pressure::MemoryBudget& memory() const { return *m_memory; }
@@ -67,23 +68,26 @@
   void OnHangup() override {}
 
  private:
-  SmallAnswer               AnswerReadiness() const;
-  void                      Announce();
-  void                      Tick();
-  void                      SendReportsPeriodically();
-  void                      WriteLogUsage();
+  SmallAnswer                    AnswerReadiness() const;
+  void                           Announce();
+  void                           Tick();
+  void                           SendReportsPeriodically();
+  void                           WriteLogUsage();
   // Logs the workspaces with the largest usage margin.
-  void                      WriteUsageMargins();
-  void                      WriteSlowdownChanges();
-  void                      CloseIdle();
-  void                      StopListening();
-  void                      FinishWhenIdle();
-  void                      Finish();
+  void                           WriteUsageMargins();
+  void                           WriteSlowdownChanges();
+  void                           CloseIdle();
+  void                           StopListening();
+  // Repeats itself until all requests have ended or the time is up.
+  void                           ContinueStop();
+  void                           Finish();
+  // A copy, because the connections may remove themselves.
+  std::vector<ClientConnection*> Connections() const;
   // Requests in progress.
-  std::size_t               CountRequests() const;
-  bool                      Ready() const;
+  std::size_t                    CountRequests() const;
+  bool                           Ready() const;
   // Empty if the service has no engine or its servers are unknown.
-  capacity::ServiceCapacity CapacityFor(const std::string& service) const;
+  capacity::ServiceCapacity      CapacityFor(const std::string& service) const;
   std::optional<workspaces::RateLimit> RateLimitFor(
       const std::string& workspace) const;
   // 0 if the workspace has no priority of its own.
@@ -127,8 +131,6 @@
   SmallServer                   m_metrics_server;
   int                           m_listener = -1;
   bool                          m_servers_known = false;
-  bool                          m_stopping = false;
-  bool                          m_closing = false;
   traffic::GracefulStop         m_stop;
   Time                          m_accepted_at = 0;  // last connection accepted
   Time                          m_usage_logged_at = 0;
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -400,6 +400,14 @@
   }
 }
 
+void PeerService::SendStopping() {
+  for (const NodeInfo& node : m_members->Others()) {
+    if (node.zone != m_members->self().zone) continue;
+    m_network->SendOneWay(
+        node, [](PeerMessage::Builder message) { message.setStopping(); });
+  }
+}
+
 void PeerService::SendLoads() {
   auto       report = m_backends->LocalReport();
   const bool report_due =
@@ -529,6 +537,9 @@
     case PeerMessage::LOG_AWAY:
       m_peer_turns.MarkLogUnavailable(node);
       break;
+    case PeerMessage::STOPPING:
+      m_members->SetStopping(node);
+      break;
     case PeerMessage::RATE_ASK:
       m_limiter->ServeRequest(message, reply);
       break;
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -60,6 +60,10 @@
   // nodes, and capacity usage and charges to the other coordinators. Probes
   // suspected nodes. Call often.
   void     SendReports();
+  // Tells the nodes of this zone that this node takes no more clients.
+  void     SendStopping();
+  // Whether another node of this zone takes clients, as far as known.
+  bool     OthersServeZone() const { return m_members->OthersServeZone(); }
   // The longest current log outage, in ms: of all turn partitions, or of any
   // one claim partition; 0: none.
   Duration LongestOutage() const;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -146,7 +146,7 @@
     Entry{"balancer_lag", &T::balancer_lag, 0, 60'000},
     Entry{"stop_margin", &T::stop_margin, 0, 60'000},
     Entry{"stop_quiet", &T::stop_quiet, 0, 60'000},
-    Entry{"last_requests", &T::last_requests, 0, 60'000},
+    Entry{"handover_delay", &T::handover_delay, 1, 60'000},
 };
 
 // Requires `small` < `large`; `why` is the error message.
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -202,12 +202,15 @@
   // Time until the balancer has noticed a failing readiness check and sends no
   // more connections: it checks once a second and needs two misses.
   Duration balancer_lag = 2600;
-  Duration stop_margin = 700;  // reserved before the kill that follows SIGTERM
+  // Between the end of the last answer and the kill that follows SIGTERM: the
+  // answer reaches its client, and claimed tokens are given back.
+  Duration stop_margin = 700;
   // Shutdown goes on once no connection has arrived for this long after
   // balancer_lag. Must exceed the second between two checks of the balancer.
   Duration stop_quiet = 1200;
-  // Reserved for requests in flight: a turn at a busy server.
-  Duration last_requests = 1800;
+  // Mean retry delay of a client that a stopping node refuses while other nodes
+  // of its zone serve: these can take it at once.
+  Duration handover_delay = 20;
 };
 
 enum class ThresholdFault : std::uint8_t {
--- a/src/yuccawick/net/event_loop.h
+++ b/src/yuccawick/net/event_loop.h
@@ -61,6 +61,7 @@
   // number of sockets with events.
   int     RunOnce(Duration wait);
   void    Stop() { m_stopped = true; }
+  bool    stopped() const { return m_stopped; }
   Time    now() const { return m_now; }  // start of the current iteration
   // Current time. Differs from now() if the process was suspended or handlers
   // ran for long within this iteration.
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -29,10 +29,30 @@
 void Membership::Put(const NodeInfo& node) {
   if (node.name == m_self.name) return;
   auto& stored_node = m_nodes[node.name];
-  if (stored_node.incarnation != node.incarnation) m_suspects.erase(node.name);
+  if (stored_node.incarnation != node.incarnation) {
+    m_suspects.erase(node.name);
+    m_stopping.erase(node.name);
+  }
   stored_node = node;
 }
 
+void Membership::Remove(const std::string& name) {
+  m_nodes.erase(name);
+  m_stopping.erase(name);
+}
+
+void Membership::SetStopping(const std::string& name) {
+  if (m_nodes.contains(name)) m_stopping.insert(name);
+}
+
+bool Membership::OthersServeZone() const {
+  return std::any_of(m_nodes.begin(), m_nodes.end(), [this](const auto& entry) {
+    const auto& [name, node] = entry;
+    return node.zone == m_self.zone && !Suspected(name) &&
+           !m_stopping.contains(name);
+  });
+}
+
 bool Membership::Suspect(const std::string& name, Time now) {
   const auto [suspicion, added] = m_suspects.try_emplace(name);
   // Repeated failures do not restart the probe interval.
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,7 +44,7 @@
   explicit Membership(NodeInfo self) : m_self(std::move(self)) {}
 
   void Put(const NodeInfo& node);
-  void Remove(const std::string& name) { m_nodes.erase(name); }
+  void Remove(const std::string& name);
   // Records that the node did not answer. It coordinates no key, and no request
   // that a client waits for is sent to it, until Trust() or a new incarnation.
   // Returns true if it was not suspected before.
@@ -66,6 +67,10 @@
   bool                  Suspected(const std::string& name) const {
                      return m_suspects.contains(name);
   }
+  // The node takes no more clients, until a new incarnation.
+  void                  SetStopping(const std::string& name);
+  // Whether an unsuspected node of this zone takes clients, other than self.
+  bool                  OthersServeZone() const;
   const NodeInfo&       self() const { return m_self; }
   const NodeInfo*       Find(const std::string& name) const;
   std::vector<NodeInfo> Others() const;  // without self and suspected nodes
@@ -79,6 +84,7 @@
   NodeInfo                         m_self;
   std::map<std::string, NodeInfo>  m_nodes;     // other nodes, by name
   std::map<std::string, Suspicion> m_suspects;  // by name
+  std::set<std::string>            m_stopping;  // names of other nodes
 };
 
 // Intervals between probes of a suspected node, in ms. A probe costs a
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -233,5 +233,6 @@
     streamFound @20 :StreamOrigin;  # answers findStream
     requestMarks @21 :List(RequestMark);  # to all nodes
     tellMarks    @22 :Node;  # the sender started; answered by requestMarks
+    stopping     @23 :Void;  # the sender takes no more clients; to its zone
   }
 }
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -429,6 +429,7 @@
     STREAM_FOUND,
     REQUEST_MARKS,
     TELL_MARKS,
+    STOPPING,
   };
 
   struct _capnpPrivate {
@@ -2758,6 +2759,9 @@
   inline bool hasTellMarks() const;
   inline  ::yuccawick::programs::wire::Node::Reader getTellMarks() const;
 
+  inline bool isStopping() const;
+  inline  ::capnp::Void getStopping() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2954,6 +2958,10 @@
   inline void adoptTellMarks(::capnp::Orphan< ::yuccawick::programs::wire::Node>&& value);
   inline ::capnp::Orphan< ::yuccawick::programs::wire::Node> disownTellMarks();
 
+  inline bool isStopping();
+  inline  ::capnp::Void getStopping();
+  inline void setStopping( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6148,6 +6156,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isStopping() const {
+  return which() == PeerMessage::STOPPING;
+}
+inline bool PeerMessage::Builder::isStopping() {
+  return which() == PeerMessage::STOPPING;
+}
+inline  ::capnp::Void PeerMessage::Reader::getStopping() const {
+  KJ_IREQUIRE((which() == PeerMessage::STOPPING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void PeerMessage::Builder::getStopping() {
+  KJ_IREQUIRE((which() == PeerMessage::STOPPING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setStopping( ::capnp::Void value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, PeerMessage::STOPPING);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/yuccawick/traffic/refusal.cc
+++ b/src/yuccawick/traffic/refusal.cc
@@ -25,7 +25,8 @@
     {"history_unsure", 503, true},  {"budget_unsure", 503, true},
     {"limit_unsure", 503, true},    {"late_unsent", 503, true},
     {"late_sent", 504, false},      {"server_failed", 502, false},
-    {"server_ends", 502, false},
+    {"server_ends", 502, false},    {"node_stops", 503, true},
+    {"node_ends", 502, false},
 }};
 
 }  // namespace
--- a/src/yuccawick/traffic/refusal.h
+++ b/src/yuccawick/traffic/refusal.h
@@ -38,6 +38,8 @@
   kLateSent,        // timed out after it was sent
   kServerFailed,    // may have run; no response available
   kServerEnds,      // too many servers ended under this request
+  kNodeStops,       // this node might end before the request
+  kNodeEnds,        // this node ended before the request, which may have run
   kCount,
 };
 constexpr std::size_t kRefusalCount = static_cast<std::size_t>(Refusal::kCount);
