A new connection keeps time for its first request

Cause: idle connections of a stopping node, or of one that yields its clients, are closed every 50 or 500 ms, and one without a request counted as idle at once. Change: it is spared for 200 ms (first_request).

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -44,7 +44,8 @@
       m_body_charge(parts.memory, pressure::MemoryKind::kRequests),
       m_output_charge(parts.memory, pressure::MemoryKind::kToClients),
       m_stream(parts.loop, this, fd, false, &m_output_charge),
-      m_reader(net::HttpRole::kRequests, LimitsOf(host->Limits()), this) {
+      m_reader(net::HttpRole::kRequests, LimitsOf(host->Limits()), this),
+      m_opened_at(parts.loop->now()) {
   RestartTimer();
 }
 
@@ -261,6 +262,10 @@
       m_stream.pending() > 0) {
     return;
   }
+  const bool awaits_first_request =
+      m_request_start_time == 0 &&
+      m_parts.loop->now() - m_opened_at < m_parts.thresholds->first_request;
+  if (awaits_first_request) return;
   m_stream.Close();
   RemoveSelf();
 }
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -36,7 +36,8 @@
   ~ClientConnection() override;
 
   bool                   busy() const { return m_exchange != nullptr; }
-  // Closes the connection if it is between two requests.
+  // Closes the connection if it is between two requests. A new one keeps some
+  // time for its first request, which is on its way.
   void                   CloseIfIdle();
   // Refuses the request in progress if it might end after the node and has not
   // begun yet; call often while the node stops.
@@ -105,7 +106,8 @@
   bool                            m_close_after_answer = false;
   bool                            m_lingering = false;
   bool                      m_processing = false;  // inside ProcessInput()
-  Time                      m_request_start_time = 0;
+  Time                      m_opened_at = 0;
+  Time                      m_request_start_time = 0;  // 0: none yet
   net::TimerId              m_timer = 0;
   std::shared_ptr<Exchange> m_exchange;
   // Of the answer that was begun.
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -95,6 +95,7 @@
     Entry{"answer_way", &T::answer_way, 0, 1000},
     Entry{"return_delay", &T::return_delay, 1, 60'000},
     Entry{"start_delay", &T::start_delay, 1, 60'000},
+    Entry{"first_request", &T::first_request, 0, 60'000},
     Entry{"client_silence", &T::client_silence, 50, 600'000},
     Entry{"linger", &T::linger, 0, 60'000},
     Entry{"reader_patience", &T::reader_patience, 100, 600'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -85,6 +85,9 @@
   // which a slot of a server becomes free.
   Duration return_delay = 150;
   Duration start_delay = 300;  // lower bound of the retry delay during startup
+  // Time for the first request of a new connection to arrive before the
+  // connection counts as idle.
+  Duration first_request = 200;
   // Longest time that bytes to a client may stay unacknowledged. Clients give
   // up sooner.
   Duration client_silence = 5000;
