--- a/src/yuccawick/cli/explain.cc
+++ b/src/yuccawick/cli/explain.cc
@@ -32,9 +32,9 @@
 
 // Events of the node itself that may explain how it treated a request.
 bool IsNodeEvent(const std::string& event) {
-  constexpr std::array<std::string_view, 9> kNodeEvents{
-      "log_lost", "log_back", "manifest", "servers", "peer",
-      "started",  "stopping", "settings", "dropped"};
+  constexpr std::array<std::string_view, 10> kNodeEvents{
+      "log_lost", "log_back", "manifest", "servers",  "peer",
+      "started",  "stopping", "stopped",  "settings", "dropped"};
   return std::find(kNodeEvents.begin(), kNodeEvents.end(), event) !=
          kNodeEvents.end();
 }
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -76,6 +76,22 @@
   cr_assert(timeline->at(2).find("outcome=ended") != std::string::npos);
 }
 
+// Guards against a timeline that does not tell that the node ended.
+Test(Explain, RequestCutOffByAStop_TimelineShowsTheStop) {
+  std::istringstream logs(
+      "{\"time_ms\":1000,\"event\":\"stopping\",\"node\":\"a\"}\n"
+      "{\"time_ms\":3000,\"event\":\"accepted\",\"node\":\"a\","
+      "\"request\":\"r1\",\"left_ms\":9000,\"node_ends_in_ms\":5300}\n"
+      "{\"time_ms\":8300,\"event\":\"stopped\",\"node\":\"a\","
+      "\"requests_cut\":1}\n"
+      "{\"time_ms\":8300,\"event\":\"refused\",\"node\":\"a\","
+      "\"request\":\"r1\",\"reason\":\"node_ends\"}\n");
+  const auto timeline = cli::Explain(logs, "r1");
+  cr_assert_eq(timeline->size(), 4);
+  cr_assert(timeline->at(2).find("stopped  requests_cut=1") !=
+            std::string::npos);
+}
+
 Test(Explain, UnknownId_IsNotFound) {
   std::istringstream logs(kLogs);
   cr_assert(cli::Explain(logs, "none").error() == cli::ExplainFault::kNotFound);
