--- /dev/null
+++ b/review/standin-2/cases.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "review/standin-2/world.hpp"
+
+namespace review {
+
+bool Trouble();
+int  Verdict(World* world, bool broken, const std::string& what);
+void AnswerWhole(Server* server, const Server::JobPtr& job);
+
+int RunBudget(World* world);
+
+}  // namespace review
