--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -35,6 +35,7 @@
   signal(SIGPIPE, SIG_IGN);
   const std::string name = argv[1];
   review::World     world(argv[2]);
+  if (name == "drain") return review::RunDrain(&world);
   if (name == "attempts") return review::RunAttempts(&world);
   if (name == "budget") return review::RunBudget(&world);
   return 2;
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -8,6 +8,7 @@
 int  Verdict(World* world, bool broken, const std::string& what);
 void AnswerWhole(Server* server, const Server::JobPtr& job);
 
+int RunDrain(World* world);
 int RunAttempts(World* world);
 int RunBudget(World* world);
 
