--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -38,5 +38,6 @@
   if (name == "drain") return review::RunDrain(&world);
   if (name == "attempts") return review::RunAttempts(&world);
   if (name == "budget") return review::RunBudget(&world);
+  if (name == "limits") return review::RunLimits(&world);
   return 2;
 }
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -11,5 +11,6 @@
 int RunDrain(World* world);
 int RunAttempts(World* world);
 int RunBudget(World* world);
+int RunLimits(World* world);
 
 }  // namespace review
