--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -39,5 +39,6 @@
   if (name == "attempts") return review::RunAttempts(&world);
   if (name == "budget") return review::RunBudget(&world);
   if (name == "limits") return review::RunLimits(&world);
+  if (name == "memory") return review::RunMemory(&world);
   return 2;
 }
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -12,5 +12,6 @@
 int RunAttempts(World* world);
 int RunBudget(World* world);
 int RunLimits(World* world);
+int RunMemory(World* world);
 
 }  // namespace review
--- a/review/standin-2/limits.cpp
+++ b/review/standin-2/limits.cpp
@@ -49,16 +49,16 @@
     const net::Time calm = m_world->now() + 4000;  // contactMs and 1 s
     while (m_world->now() < calm) Calls(*gateway);
     int refused = 0;
-    for (auto& client : m_clients) {
+    for (std::size_t i = 0; i < m_clients.size(); ++i) {
+      auto& client = m_clients[i];
       if (client->closed()) {
         m_world->Note("a kept channel was closed");
         continue;
       }
-      m_world->AskNext(client.get(),
-                       Text("POST", "/file/x",
-                            "Attempt-Id: " + m_world->NewAttempt() +
-                                "\r\nDeadline-Ms: 3000\r\n",
-                            std::string(kBody, 'b')));
+      m_world->AskNext(client.get(), Text("POST", "/file/x",
+                                          Call(m_world->NewAttempt(), i) +
+                                              "Deadline-Ms: 3000\r\n",
+                                          std::string(kBody, 'b')));
       ++m_requests;
       m_world->Until([&] { return client->done(); }, 3500);
       m_world->Note("POST of " + std::to_string(kBody) +
@@ -67,11 +67,11 @@
                                         : std::string("closed")));
       if (client->complete() && client->status() == 413) ++refused;
     }
-    const auto other =
-        m_world->Ask(*gateway, Text("POST", "/file/x",
-                                    "Attempt-Id: " + m_world->NewAttempt() +
-                                        "\r\nDeadline-Ms: 3000\r\n",
-                                    std::string(kBody, 'b')));
+    const auto other = m_world->Ask(
+        *gateway, Text("POST", "/file/x",
+                       Call(m_world->NewAttempt(), m_clients.size()) +
+                           "Deadline-Ms: 3000\r\n",
+                       std::string(kBody, 'b')));
     ++m_requests;
     m_world->Until([&] { return other->done(); }, 3500);
     m_world->Note("the same POST on a new channel: " +
@@ -84,13 +84,19 @@
   }
 
  private:
-  static std::string Page(const std::string& id) {
-    return Text("GET", "/page/x",
-                "Attempt-Id: " + id + "\r\nDeadline-Ms: 1200\r\n");
+  // Headers of a call of the program that uses a channel.
+  static std::string Call(const std::string& id, std::size_t channel) {
+    const std::string program = "p" + std::to_string(channel);
+    return "Attempt-Id: " + id + "\r\nProgram-Id: " + program +
+           "\r\nSession-Id: " + program + "\r\nProgram-Deadline-Ms: 20000\r\n";
+  }
+  static std::string Page(const std::string& id, std::size_t channel) {
+    return Text("GET", "/page/x", Call(id, channel) + "Deadline-Ms: 1200\r\n");
   }
   void Open(const Gateway& gateway) {
     for (int i = 0; i < kClients; ++i) {
-      m_clients.push_back(m_world->Ask(gateway, Page(m_world->NewAttempt())));
+      m_clients.push_back(
+          m_world->Ask(gateway, Page(m_world->NewAttempt(), m_clients.size())));
       ++m_requests;
     }
     m_world->Until(
@@ -105,9 +111,10 @@
   }
   // One more request on each kept channel, then a pause of a second.
   void Calls(const Gateway& /*gateway*/) {
-    for (auto& client : m_clients) {
+    for (std::size_t i = 0; i < m_clients.size(); ++i) {
+      auto& client = m_clients[i];
       if (client->closed()) continue;
-      m_world->AskNext(client.get(), Page(m_world->NewAttempt()));
+      m_world->AskNext(client.get(), Page(m_world->NewAttempt(), i));
       ++m_requests;
     }
     m_world->Pass(1000);
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -191,7 +191,8 @@
           "\"agent\",\"stream\",\"engine\",\"platform\"]\n"
        << "[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \""
        << m_clients.Text() << "\"\nready = \"" << m_ready.Text() << "\"\n"
-       << "[limits]\ncpuShare = 0.5\ncores = 1\nmemoryMb = 130\n"
+       << "[limits]\ncpuShare = 0.5\ncores = 1\nmemoryMb = " << world->memory_mb
+       << "\n"
           "maxFds = 8200\nlinkMbps = 1000.0\ndiskMb = 0\n"
        << "[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
        << "[bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\n"
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -147,6 +147,7 @@
   std::vector<std::unique_ptr<Server>>  servers;
   std::vector<std::unique_ptr<Gateway>> gateways;
   std::vector<Arrival>                  arrivals;
+  int memory_mb = 130;  // of the gateways that are added from now on
 
  private:
   net::Time     m_started;
