--- a/review/standin-2/budget.cpp
+++ b/review/4/case.cpp
@@ -1,11 +1,11 @@
 // Programs run sub-agents in parallel when the node that counts the tokens of
 // some of them is restarted with SIGTERM.
+#include "review/standin-2/case.hpp"
+
 #include <signal.h>
 
 #include <algorithm>
 
-#include "review/standin-2/cases.hpp"
-
 namespace review {
 namespace {
 
@@ -270,6 +270,6 @@
 
 }  // namespace
 
-int RunBudget(World* world) { return Budget(world).Run(); }
+int RunCase(World* world) { return Budget(world).Run(); }
 
 }  // namespace review
--- a/review/standin-2/drain.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 // A server that is leaving breaks off one of its streams more than drainMs
 // after the store has acknowledged its notice.
-#include "review/standin-2/cases.hpp"
+#include "review/standin-2/case.hpp"
 
 namespace review {
 namespace {
@@ -147,6 +147,6 @@
 
 }  // namespace
 
-int RunDrain(World* world) { return Drain(world).Run(); }
+int RunCase(World* world) { return Drain(world).Run(); }
 
 }  // namespace review
--- a/review/standin-2/limits.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,6 @@
 // A node is killed and starts again while the store is down. Its clients keep
 // the channels that they opened then.
-#include "review/standin-2/cases.hpp"
+#include "review/standin-2/case.hpp"
 
 namespace review {
 namespace {
@@ -140,6 +140,6 @@
 
 }  // namespace
 
-int RunLimits(World* world) { return Limits(world).Run(); }
+int RunCase(World* world) { return Limits(world).Run(); }
 
 }  // namespace review
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/case.hpp
@@ -8,10 +8,7 @@
 int  Verdict(World* world, bool broken, const std::string& what);
 void AnswerWhole(Server* server, const Server::JobPtr& job);
 
-int RunDrain(World* world);
-int RunAttempts(World* world);
-int RunBudget(World* world);
-int RunLimits(World* world);
-int RunMemory(World* world);
+// What a case does; each has its own in review/N/case.cpp.
+int RunCase(World* world);
 
 }  // namespace review
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/main.cpp
@@ -1,7 +1,6 @@
-// One review case a run: cases NAME RECORD. Exit code 1 if the rule was broken,
-// 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the trouble out.
-#include "review/standin-2/cases.hpp"
-
+// The main program of each case: case-N RECORD. Exit code 1 if the rule was
+// broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
+// trouble out.
 #include <signal.h>
 
 #include <algorithm>
@@ -9,6 +8,8 @@
 #include <cstdlib>
 #include <cstring>
 
+#include "review/standin-2/case.hpp"
+
 namespace review {
 
 bool Trouble() {
@@ -31,14 +32,8 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 3) return 2;
+  if (argc != 2) return 2;
   signal(SIGPIPE, SIG_IGN);
-  const std::string name = argv[1];
-  review::World     world(argv[2]);
-  if (name == "drain") return review::RunDrain(&world);
-  if (name == "attempts") return review::RunAttempts(&world);
-  if (name == "budget") return review::RunBudget(&world);
-  if (name == "limits") return review::RunLimits(&world);
-  if (name == "memory") return review::RunMemory(&world);
-  return 2;
+  review::World world(argv[1]);
+  return review::RunCase(&world);
 }
