Logs tell which marks of a request are taken back, and which sends were given up

Whether a server ended later or was never asked again could not be told: taking back a mark and giving up a send wrote nothing. No change of logic.

--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -210,6 +210,9 @@
       doubtful ? SendMark{SendState::kUnresolved}
                : SendMark{SendState::kLeft, now + m_thresholds->left_memory},
       now);
+  WriteLog(
+      {key, server, doubtful ? MarkState::UNRESOLVED : MarkState::RELEASED},
+      {});
   // The client may be at another node before a silent server is known as such.
   if (doubtful) TellUntold({key});
   if (!heard) Ask(server);
@@ -289,8 +292,14 @@
 void SuspectService::OnAlive(const std::string& server, Time sent_at) {
   m_gone.erase(server);
   std::vector<Told> told;
+  const auto        under_server = m_requests.Under(server);
   for (const RequestKey& key : m_requests.Refute(server, sent_at))
     told.push_back({key, server, MarkState::ALIVE});
+  for (const RequestKey& key : under_server) {
+    const auto* marks = m_requests.Find(key);
+    if (marks == nullptr || !marks->contains(server))
+      WriteLog({key, server, MarkState::ALIVE}, {});
+  }
   Tell(told);
 }
 
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -88,14 +88,18 @@
   // `is_shared`: callers that have nothing to do with each other may send it,
   // so that one of its sends under way says nothing about another one.
   // `usable_servers`: of its service.
-  SendVerdict Judge(const RequestKey& key, bool is_shared,
-                    std::size_t usable_servers, Time now) const;
+  SendVerdict             Judge(const RequestKey& key, bool is_shared,
+                                std::size_t usable_servers, Time now) const;
+  // The requests with a mark at the server.
+  std::vector<RequestKey> Under(const std::string& server) const {
+    return RequestsAt(server);
+  }
   // Whether a mark other than kLeft is known.
-  bool        IsSuspect(const RequestKey& key, Time now) const;
+  bool IsSuspect(const RequestKey& key, Time now) const;
   // Number of servers that ended under the request.
-  int         CountEnds(const RequestKey& key) const;
-  bool        HasMarks(const std::string& server) const {
-           return m_by_server.contains(server);
+  int  CountEnds(const RequestKey& key) const;
+  bool HasMarks(const std::string& server) const {
+    return m_by_server.contains(server);
   }
   // Servers at which other suspect requests are under way. A suspect request
   // that is sent to another one does not end together with them.
