A server that is too busy for a health check has not ended

Callers saw a request that may go to one server run at two: the server reset it, a health check found no slot within 300 ms, and its silence counted as its end, which opens the way to a further server. Only a known end does so now; silence leaves the request with the same server.

--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -391,7 +391,7 @@
 
 void Exchange::SendToSameServer() {
   const auto same_server = m_parts.backends->Find(m_server_id);
-  const bool has_ended = m_parts.suspects->IsGone(m_server_id);
+  const bool has_ended = m_parts.suspects->HasEnded(m_server_id);
   if (same_server && m_progress.MayServe(same_server->server) && !has_ended) {
     SendTo(*same_server, true);
     return;
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -77,10 +77,6 @@
   // Calls `done` once it is known, and told, whether the server still runs; at
   // once if nobody asks. At the latest after two probes.
   void WhenKnown(const std::string& server, std::function<void()> done);
-  // Whether the last probe of the server got no answer.
-  bool IsGone(const std::string& server) const {
-    return m_gone.contains(server);
-  }
   // Whether the server is known to have ended. One that answers nothing may be
   // busy, and still run what it was sent.
   bool HasEnded(const std::string& server) const;
