Marks of ended servers outlive a loss of all nodes

Callers saw: all nodes are killed after the second try of a request that ends its servers, start again, and let it end three more.

Ends, and early ends of a request that has several marks, are written to a keyed topic of the platform's log, one record a mark, so that nodes never overwrite each other's. The client of a failed attempt waits for the acknowledgement, for mark_save_wait (150 ms) at most. All nodes follow the topic, which also carries marks past cut links between nodes; until a node has read it, a request may put one server at risk there. The node that ranks first for a key deletes the record once the mark is gone. Cost: one waiting read per node and 4 s, an append an end.

--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -115,38 +115,47 @@
                    }) {}
 
   gateway::Follower::Outputs Make() {
-    return {[this](traffic::ManifestPtr manifest) {
-              Post([manifest = std::move(manifest)](gateway::Gateway* gateway) {
-                gateway->TakeManifest(manifest);
-              });
-            },
-            [this](traffic::ServerListPtr servers) {
-              m_servers.Put(std::move(servers));
-            },
-            [this](std::string name, std::optional<programs::NodeInfo> node) {
-              Post([name = std::move(name),
-                    node = std::move(node)](gateway::Gateway* gateway) {
-                gateway->TakeNode(name, node);
-              });
-            },
-            [this](bool reachable) {
-              Post([reachable](gateway::Gateway* gateway) {
-                gateway->TakeLogReachable(reachable);
-              });
-            },
-            [this](net::Time as_of) {
-              Post([as_of](gateway::Gateway* gateway) {
-                gateway->TakeManifestCurrent(as_of);
-              });
-            },
-            [this](traffic::SoftwareHistory software) {
-              m_software.Put(std::move(software));
-            },
-            [this](platform::Topic topic, std::int64_t offset) {
-              Post([topic, offset](gateway::Gateway* gateway) {
-                gateway->TakeFollowed(topic, offset);
-              });
-            }};
+    return {
+        [this](traffic::ManifestPtr manifest) {
+          Post([manifest = std::move(manifest)](gateway::Gateway* gateway) {
+            gateway->TakeManifest(manifest);
+          });
+        },
+        [this](traffic::ServerListPtr servers) {
+          m_servers.Put(std::move(servers));
+        },
+        [this](std::string name, std::optional<programs::NodeInfo> node) {
+          Post([name = std::move(name),
+                node = std::move(node)](gateway::Gateway* gateway) {
+            gateway->TakeNode(name, node);
+          });
+        },
+        [this](bool reachable) {
+          Post([reachable](gateway::Gateway* gateway) {
+            gateway->TakeLogReachable(reachable);
+          });
+        },
+        [this](net::Time as_of) {
+          Post([as_of](gateway::Gateway* gateway) {
+            gateway->TakeManifestCurrent(as_of);
+          });
+        },
+        [this](traffic::SoftwareHistory software) {
+          m_software.Put(std::move(software));
+        },
+        [this](platform::Topic topic, std::int64_t offset) {
+          Post([topic, offset](gateway::Gateway* gateway) {
+            gateway->TakeFollowed(topic, offset);
+          });
+        },
+        [this](platform::LogRecord record) {
+          Post([record = std::move(record)](gateway::Gateway* gateway) {
+            gateway->TakeHistory(record);
+          });
+        },
+        [this] {
+          Post([](gateway::Gateway* gateway) { gateway->TakeHistoryListed(); });
+        }};
   }
 
  private:
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -29,6 +29,7 @@
 // Nodes change rarely, and no change is needed at once.
 constexpr Duration kNodesWait = 4000;    // ms
 constexpr Duration kNodesPause = 500;    // ms
+constexpr Duration kHistoryPause = 100;  // ms
 constexpr Duration kListTimeout = 1000;  // ms
 constexpr Duration kRetryDelay = 120;    // ms after a failure
 constexpr Duration kManifestPause = 20;  // ms; manifests are rare
@@ -172,7 +173,12 @@
       m_nodes(loop, store, log, Topic::kNodes, "nodes",
               {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { HandleNode(record); }, [] {},
-               [] {}, [](bool) {}, [](Time) {}, [](std::int64_t) {}}) {}
+               [] {}, [](bool) {}, [](Time) {}, [](std::int64_t) {}}),
+      m_history(loop, store, log, Topic::kHistory, "history",
+                {kNodesWait, kHistoryPause},
+                {[this](const LogRecord& record) { m_outputs.history(record); },
+                 [] {}, [this] { m_outputs.history_listed(); }, [](bool) {},
+                 [](Time) {}, [](std::int64_t) {}}) {}
 
 void Follower::UpdateLogReachability(bool reachable) {
   if (std::exchange(m_log_reachable, reachable) != reachable) {
@@ -184,6 +190,7 @@
   m_manifest_topic.Start();
   m_servers.Start();
   m_nodes.Start();
+  m_history.Start();
   Tick();
 }
 
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -89,6 +89,11 @@
     // Every record of the manifest or the servers before this offset has been
     // delivered.
     std::function<void(platform::Topic, std::int64_t)> followed;
+    // A record of Topic::kHistory.
+    std::function<void(platform::LogRecord)>           history;
+    // Every record of Topic::kHistory that existed at the start of this node
+    // has been delivered.
+    std::function<void()>                              history_listed;
   };
   // `key_bound`: largest age of the manifest, in ms; none: any age.
   Follower(net::EventLoop* loop, platform::Store* store, Log* log,
@@ -125,6 +130,7 @@
   TopicFollower            m_manifest_topic;
   TopicFollower            m_servers;
   TopicFollower            m_nodes;
+  TopicFollower            m_history;
 };
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -43,6 +43,12 @@
   void TakeFollowed(platform::Topic topic, std::int64_t offset) {
     m_stream_origins.TakeFollowed(topic, offset);
   }
+  // A record of Topic::kHistory.
+  void TakeHistory(const platform::LogRecord& record) {
+    m_suspects.TakeHistory(record);
+  }
+  // All records of Topic::kHistory were taken once.
+  void TakeHistoryListed() { m_suspects.SetComplete(); }
   // A node joined or changed; without a value, it left.
   void TakeNode(const std::string&                       name,
                 const std::optional<programs::NodeInfo>& node);
@@ -123,6 +129,7 @@
   std::vector<RateCoordinator>  m_rate_coordinators;  // by rate partition
   PeerNetwork                   m_network;
   StreamOriginService           m_stream_origins;
+  DurableMarks                  m_durable_marks;
   SuspectService                m_suspects;
   RateLimiter                   m_rate_limiter;
   TurnDispatcher                m_dispatcher;
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -14,6 +14,7 @@
 using traffic::SendMark;
 using traffic::SendState;
 using traffic::SendVerdict;
+using traffic::SuspectRequests;
 
 // ms for which a silent server is not asked again.
 constexpr Duration kSilenceMemory = 2000;
@@ -51,16 +52,20 @@
                                const Thresholds* thresholds, Backends* backends,
                                ServerProbes*               probes,
                                const programs::Membership* members,
-                               PeerNetwork* network, Log* log, Metrics* metrics)
+                               PeerNetwork*                network,
+                               DurableMarks* durable_marks, Log* log,
+                               Metrics* metrics)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_backends(backends),
       m_probes(probes),
       m_members(members),
       m_network(network),
+      m_durable_marks(durable_marks),
       m_log(log),
       m_metrics(metrics),
       m_requests(thresholds->suspect_memory) {
+  m_requests.SetComplete(false);
   m_backends->SetIdleLostCallback(
       [this](const std::string& server) { AskIfMarked(server); });
   m_backends->SetServerChangeCallback(
@@ -205,6 +210,7 @@
   }
   m_requests.Put(key, server,
                  {SendState::kUnresolved, now + m_thresholds->end_watch}, now);
+  m_requests.SetBroken(key);
   Ask(server);
 }
 
@@ -261,7 +267,7 @@
   if (m_probes->IsProbing(server)) {
     m_waiting[server].push_back(std::move(done));
   } else {
-    done();
+    m_durable_marks->WhenSaved(server, std::move(done));
   }
 }
 
@@ -330,7 +336,8 @@
   }
   auto waiting = m_waiting.extract(server);
   if (!waiting.empty()) {
-    for (const auto& done : waiting.mapped()) done();
+    for (const auto& done : waiting.mapped())
+      m_durable_marks->WhenSaved(server, done);
   }
   DecidePending();
 }
@@ -388,10 +395,34 @@
       if (told.state == MarkState::ENDED) m_metrics->CountServerEnd();
       all.push_back(told);
     }
+    SaveMarks(key);
   }
   Tell(all);
 }
 
+void SuspectService::SaveMarks(const RequestKey& key) {
+  const auto* marks = m_requests.Find(key);
+  if (marks == nullptr) return;
+  // A single early end is frequent, and most servers go on after it.
+  const bool saves_all = m_requests.HasBroken(key) && marks->size() > 1;
+  for (const auto& [server, mark] : *marks) {
+    const bool ended = mark.state == SendState::kEnded;
+    if (ended || (saves_all && SuspectRequests::IsOpen(mark)))
+      m_durable_marks->Save({key, server, ended});
+  }
+}
+
+void SuspectService::TakeHistory(const platform::LogRecord& record) {
+  const auto kept = m_durable_marks->Take(record);
+  if (!kept) return;
+  const bool is_new = m_requests.Find(kept->key) == nullptr ||
+                      !m_requests.Find(kept->key)->contains(kept->server);
+  if (!kept->ended && !is_new) return;
+  Receive({kept->key, kept->server,
+           kept->ended ? MarkState::ENDED : MarkState::UNRESOLVED,
+           kept->ended ? 0 : m_thresholds->end_watch});
+}
+
 std::vector<NodeInfo> SuspectService::OtherNodes() {
   std::erase_if(m_started, [this](const auto& entry) {
     const StartedNode& started = entry.second;
@@ -545,6 +576,10 @@
     if (m_backends->Find(server) && !WasSilentLately(server))
       AskIfMarked(server);
   }
+  m_durable_marks->Sweep([this](const RequestKey& key, const auto& server) {
+    const auto* marks = m_requests.Find(key);
+    return marks != nullptr && marks->contains(server);
+  });
   std::erase_if(m_asked_at, [&](const auto& entry) {
     return now - entry.second >= m_thresholds->probe_pause;
   });
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -14,6 +14,11 @@
 //   suspects.OnBroken(key, server, sent_at);        // or one of the others
 //   suspects.WhenKnown(server, done);               // before the client hears
 //
+// Ends, and early ends of a request that has several marks, are written to the
+// platform's log as well, so that they outlive a loss of all nodes; see
+// durable_marks.h. Until a node has read them, a request may have one marked
+// server there.
+//
 // Messages are sent one way, and before the client gets an answer, so that they
 // are usually at the other nodes before the client is. A node that starts asks
 // the others for all marks, and one that was unreachable gets them.
@@ -28,6 +33,7 @@
 #include <vector>
 
 #include "yuccawick/gateway/backends.h"
+#include "yuccawick/gateway/durable_marks.h"
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/metrics.h"
 #include "yuccawick/gateway/peer_network.h"
@@ -42,7 +48,7 @@
   SuspectService(net::EventLoop* loop, const Thresholds* thresholds,
                  Backends* backends, ServerProbes* probes,
                  const programs::Membership* members, PeerNetwork* network,
-                 Log* log, Metrics* metrics);
+                 DurableMarks* durable_marks, Log* log, Metrics* metrics);
 
   // Where the request may be sent; never kResolve. `done` is called once, at
   // once unless servers have to be asked first, which takes up to `probe_wait`
@@ -74,13 +80,18 @@
   void OnServerChange(const std::string& server, Backends::ServerChange change);
   // The server answered what was sent at `sent_at`.
   void OnServerAnswered(const std::string& server, Time sent_at);
-  // Calls `done` once it is known, and told, whether the server still runs; at
-  // once if nobody asks. At the latest after two probes.
+  // Calls `done` once it is known, told and written to the log whether the
+  // server still runs; at once if nobody asks. At the latest after two probes
+  // and `mark_save_wait` ms.
   void WhenKnown(const std::string& server, std::function<void()> done);
   // Whether the server is known to have ended. One that answers nothing may be
   // busy, and still run what it was sent.
   bool HasEnded(const std::string& server) const;
 
+  // A record of Topic::kHistory.
+  void TakeHistory(const platform::LogRecord& record);
+  // All records of Topic::kHistory were taken once.
+  void SetComplete() { m_requests.SetComplete(true); }
   void ReceiveMarks(const std::string& node, PeerMessage::Reader message);
   // Tells everything to a node that was unreachable.
   void TellNode(const programs::NodeInfo& node);
@@ -145,6 +156,9 @@
   // What other nodes have not been told of the request.
   std::vector<Told> Untold(const traffic::RequestKey& key);
   void              TellUntold(const std::vector<traffic::RequestKey>& keys);
+  // Writes the marks of the request to the log that a loss of all nodes must
+  // not forget.
+  void              SaveMarks(const traffic::RequestKey& key);
   void              Tell(const std::vector<Told>& told);
   // What other nodes were told of, all of it.
   std::vector<Told> AllTold() const;
@@ -161,6 +175,7 @@
   ServerProbes*                         m_probes;
   const programs::Membership*           m_members;
   PeerNetwork*                          m_network;
+  DurableMarks*                         m_durable_marks;
   Log*                                  m_log;
   Metrics*                              m_metrics;
   traffic::SuspectRequests              m_requests;
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -46,6 +46,9 @@
   // A server that ends within this time of a send that ended without a whole
   // answer may have been ended by it.
   Duration     end_watch = 10'000;
+  // Longest time that the answer to a client waits until the log has the mark
+  // of a server that ended. Longer than an append while the log is well.
+  Duration     mark_save_wait = 150;
   // Shortest time between two probes of a server that may have ended.
   Duration     probe_pause = 300;
   // A send that is given up after this time without a byte from its server
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -167,6 +167,26 @@
   });
 }
 
+std::string EncodeMark(const KeptMark& mark) {
+  return Encode([&](auto* message) {
+    auto builder = message->template initRoot<wire::RequestMark>();
+    builder.initKey().setHigh(mark.key.high);
+    builder.getKey().setLow(mark.key.low);
+    builder.setServer(mark.server);
+    builder.setState(mark.ended ? wire::MarkState::ENDED
+                                : wire::MarkState::UNRESOLVED);
+  });
+}
+
+std::optional<KeptMark> DecodeMark(std::string_view bytes) {
+  return Decode<KeptMark>(bytes, [](auto* message) {
+    const auto reader = message->template getRoot<wire::RequestMark>();
+    return KeptMark{{reader.getKey().getHigh(), reader.getKey().getLow()},
+                    ToString(reader.getServer()),
+                    reader.getState() == wire::MarkState::ENDED};
+  });
+}
+
 std::string EncodeNode(const NodeInfo& node) {
   return Encode([&](auto* message) {
     auto builder = message->template initRoot<wire::Node>();
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -14,6 +14,7 @@
 #include "yuccawick/programs/record.capnp.h"
 #include "yuccawick/programs/token_ledger.h"
 #include "yuccawick/programs/turn_history.h"
+#include "yuccawick/traffic/request_key.h"
 #include "yuccawick/workspaces/rate_ledger.h"
 
 namespace yuccawick::programs {
@@ -41,6 +42,15 @@
 std::optional<NodeInfo> DecodeNode(const std::string& name,
                                    std::string_view   bytes);
 
+// A mark of a suspect request; see traffic/suspect_requests.h.
+struct KeptMark {
+  traffic::RequestKey key;
+  std::string         server;
+  bool                ended = false;  // else it is not known
+};
+std::string             EncodeMark(const KeptMark& mark);
+std::optional<KeptMark> DecodeMark(std::string_view bytes);
+
 void       Write(const Turn& turn, wire::Turn::Builder builder);
 Turn       Read(wire::Turn::Reader reader);
 void       Write(const TokenClaim& claim, wire::Claim::Builder builder);
--- a/src/yuccawick/traffic/request_key.cc
+++ b/src/yuccawick/traffic/request_key.cc
@@ -21,6 +21,10 @@
   const XXH128_hash_t of_body = XXH3_128bits(body.data(), body.size());
   text.append(std::to_string(of_body.high64)).append(" ");
   text.append(std::to_string(of_body.low64));
+  return HashOf(text);
+}
+
+RequestKey HashOf(std::string_view text) {
   const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
   return {hash.high64, hash.low64};
 }
--- a/src/yuccawick/traffic/request_key.h
+++ b/src/yuccawick/traffic/request_key.h
@@ -27,6 +27,8 @@
 RequestKey  RequestKeyOf(std::string_view workspace, std::string_view method,
                          std::string_view target, std::string_view body,
                          const RequestInfo& info);
+// Hash of any text, as a key of the same form.
+RequestKey  HashOf(std::string_view text);
 // 32 hexadecimal digits, for logs.
 std::string Text(const RequestKey& key);
 
--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -36,7 +36,6 @@
   return true;
 }
 
-// Whether the server may still end under the send.
 bool SuspectRequests::IsOpen(const SendMark& mark) {
   return mark.state == SendState::kWatched ||
          mark.state == SendState::kUnresolved;
@@ -237,7 +236,9 @@
       running.push_back(server);
   }
   // The last server of a service is kept for the other requests.
-  const int allowed = unmarked <= 1 ? kMaxServerEnds - 1 : kMaxServerEnds;
+  const int allowed = !m_complete     ? 1
+                      : unmarked <= 1 ? kMaxServerEnds - 1
+                                      : kMaxServerEnds;
   if (ended >= allowed) return {SendVerdict::kRefuse, {}};
   if (ended + possible < allowed) return {};
   if (running.empty()) return {SendVerdict::kResolve, {}};
@@ -252,6 +253,16 @@
          });
 }
 
+void SuspectRequests::SetBroken(const RequestKey& key) {
+  const auto found = m_requests.find(key);
+  if (found != m_requests.end()) found->second.broken = true;
+}
+
+bool SuspectRequests::HasBroken(const RequestKey& key) const {
+  const auto found = m_requests.find(key);
+  return found != m_requests.end() && found->second.broken;
+}
+
 int SuspectRequests::CountEnds(const RequestKey& key) const {
   const Marks* marks = Find(key);
   if (marks == nullptr) return 0;
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -115,11 +115,20 @@
   // `is_shared`: callers that have nothing to do with each other may send it,
   // so that one of its sends says little about another one. `usable_servers`:
   // ids, of its service.
+  // Whether the marks of all nodes are known. While they are not, a request may
+  // have one mark that counts instead of kMaxServerEnds.
+  void         SetComplete(bool complete) { m_complete = complete; }
   SendDecision Judge(const RequestKey& key, bool is_shared,
                      const std::vector<std::string>& usable_servers,
                      Time                            now) const;
   // Whether a mark other than kLeft is known.
   bool         IsSuspect(const RequestKey& key, Time now) const;
+  // A connection broke off under the request, so that it was not merely given
+  // up.
+  void         SetBroken(const RequestKey& key);
+  bool         HasBroken(const RequestKey& key) const;
+  // Whether the server may still end under the send.
+  static bool  IsOpen(const SendMark& mark);
   // Number of servers that ended under the request.
   int          CountEnds(const RequestKey& key) const;
   bool         HasMarks(const std::string& server) const {
@@ -151,6 +160,7 @@
   struct Request {
     Marks marks;
     Time  changed_at = 0;
+    bool  broken = false;
   };
   struct KeyHash {
     std::size_t operator()(const RequestKey& key) const { return key.low; }
@@ -162,7 +172,6 @@
   static bool             HasLapsed(const SendMark& mark, Time now);
   static SendState        StateAt(const SendMark& mark, Time now);
   static bool             IsCounted(const Request& request);
-  static bool             IsOpen(const SendMark& mark);
   // Whether a whole answer to the request was seen lately.
   bool                    WasAnswered(const RequestKey& key, Time now) const;
   std::vector<RequestKey> RequestsAt(const std::string& server) const;
@@ -174,6 +183,7 @@
   void MakeRoom();
 
   Duration                                                 m_lifetime;
+  bool                                                     m_complete = true;
   Requests                                                 m_requests;
   std::unordered_map<std::string, std::vector<RequestKey>> m_by_server;
   std::unordered_map<RequestKey, Time, KeyHash>            m_answered;
