--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -210,7 +210,6 @@
   }
   m_requests.Put(key, server,
                  {SendState::kUnresolved, now + m_thresholds->end_watch}, now);
-  m_requests.SetBroken(key);
   Ask(server);
 }
 
@@ -404,7 +403,7 @@
   const auto* marks = m_requests.Find(key);
   if (marks == nullptr) return;
   // A single early end is frequent, and most servers go on after it.
-  const bool saves_all = m_requests.HasBroken(key) && marks->size() > 1;
+  const bool saves_all = m_requests.CountOpenAndEnded(key) > 1;
   for (const auto& [server, mark] : *marks) {
     const bool ended = mark.state == SendState::kEnded;
     if (ended || (saves_all && SuspectRequests::IsOpen(mark)))
--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -253,14 +253,13 @@
          });
 }
 
-void SuspectRequests::SetBroken(const RequestKey& key) {
-  const auto found = m_requests.find(key);
-  if (found != m_requests.end()) found->second.broken = true;
-}
-
-bool SuspectRequests::HasBroken(const RequestKey& key) const {
-  const auto found = m_requests.find(key);
-  return found != m_requests.end() && found->second.broken;
+int SuspectRequests::CountOpenAndEnded(const RequestKey& key) const {
+  const Marks* marks = Find(key);
+  if (marks == nullptr) return 0;
+  return static_cast<int>(
+      std::count_if(marks->begin(), marks->end(), [](const auto& entry) {
+        return IsOpen(entry.second) || entry.second.state == SendState::kEnded;
+      }));
 }
 
 int SuspectRequests::CountEnds(const RequestKey& key) const {
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -123,10 +123,8 @@
                      Time                            now) const;
   // Whether a mark other than kLeft is known.
   bool         IsSuspect(const RequestKey& key, Time now) const;
-  // A connection broke off under the request, so that it was not merely given
-  // up.
-  void         SetBroken(const RequestKey& key);
-  bool         HasBroken(const RequestKey& key) const;
+  // Number of servers that ended under the request or may still do so.
+  int          CountOpenAndEnded(const RequestKey& key) const;
   // Whether the server may still end under the send.
   static bool  IsOpen(const SendMark& mark);
   // Number of servers that ended under the request.
@@ -160,7 +158,6 @@
   struct Request {
     Marks marks;
     Time  changed_at = 0;
-    bool  broken = false;
   };
   struct KeyHash {
     std::size_t operator()(const RequestKey& key) const { return key.low; }
