A stream whose versions left before all nodes were killed is never joined

Clients saw: two versions serve, or the older has just left, all nodes are killed and start again; a stream that is taken up then is answered 200 and goes on at another version. Cause: a node that had run for stream_memory with one version in sight took it for the only one there ever was; what other versions had begun streams was known to the killed nodes only. Same class as marks of ended servers: what has to outlive all nodes was kept in their memory. A route that moved to another service before the kill was joined the same way.

Each node writes the versions of services, and the services behind resumable routes, to the history topic of the log when it first sees them (one record each, the writes are spread over the nodes), and counts those that any node has seen in the last ten minutes. Until it has read them it takes no origin for the only one.

--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -183,6 +183,12 @@
   version @2 :Text;
 }
 
+# Software under which streams may have begun; see traffic/software_history.h.
+struct PossibleOrigin {
+  group  @0 :Text;
+  member @1 :Text;
+}
+
 # Identifies a request over all its attempts; see traffic/request_key.h.
 struct RequestKey {
   high @0 :UInt64;
--- a/src/yuccawick/programs/record.capnp.c++
+++ b/src/yuccawick/programs/record.capnp.c++
@@ -1998,6 +1998,65 @@
   1, 3, i_eb36670b24ee9d01, nullptr, nullptr, { &s_eb36670b24ee9d01, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_f4dfe4a1ba93a2c6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    198, 162, 147, 186, 161, 228, 223, 244,
+     13,   0,   0,   0,   1,   0,   0,   0,
+    231, 195, 240, 162, 177, 246, 241, 214,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,  46,  99,
+     97, 112, 110, 112,  58,  80, 111, 115,
+    115, 105,  98, 108, 101,  79, 114, 105,
+    103, 105, 110,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    103, 114, 111, 117, 112,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109,  98, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f4dfe4a1ba93a2c6 = b_f4dfe4a1ba93a2c6.words;
+#if !CAPNP_LITE
+static const uint16_t m_f4dfe4a1ba93a2c6[] = {0, 1};
+static const uint16_t i_f4dfe4a1ba93a2c6[] = {0, 1};
+const ::capnp::_::RawSchema s_f4dfe4a1ba93a2c6 = {
+  0xf4dfe4a1ba93a2c6, b_f4dfe4a1ba93a2c6.words, 48, nullptr, m_f4dfe4a1ba93a2c6,
+  0, 2, i_f4dfe4a1ba93a2c6, nullptr, nullptr, { &s_f4dfe4a1ba93a2c6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_d7ff588d1b75ffe4 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     228, 255, 117,  27, 141,  88, 255, 215,
@@ -2818,6 +2877,14 @@
 constexpr ::capnp::_::RawSchema const* StreamOrigin::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// PossibleOrigin
+constexpr uint16_t PossibleOrigin::_capnpPrivate::dataWordSize;
+constexpr uint16_t PossibleOrigin::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PossibleOrigin::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PossibleOrigin::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // RequestKey
 constexpr uint16_t RequestKey::_capnpPrivate::dataWordSize;
 constexpr uint16_t RequestKey::_capnpPrivate::pointerCount;
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -45,6 +45,7 @@
 CAPNP_DECLARE_SCHEMA(d50d742b6de5ea76);
 CAPNP_DECLARE_SCHEMA(8fc63b26cf8ccf1a);
 CAPNP_DECLARE_SCHEMA(eb36670b24ee9d01);
+CAPNP_DECLARE_SCHEMA(f4dfe4a1ba93a2c6);
 CAPNP_DECLARE_SCHEMA(d7ff588d1b75ffe4);
 CAPNP_DECLARE_SCHEMA(8710e1ae22c5b4c5);
 enum class MarkState_8710e1ae22c5b4c5: uint16_t {
@@ -369,6 +370,21 @@
   };
 };
 
+struct PossibleOrigin {
+  PossibleOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4dfe4a1ba93a2c6, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RequestKey {
   RequestKey() = delete;
 
@@ -2472,6 +2488,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class PossibleOrigin::Reader {
+public:
+  typedef PossibleOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline bool hasMember() const;
+  inline  ::capnp::Text::Reader getMember() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PossibleOrigin::Builder {
+public:
+  typedef PossibleOrigin Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline bool hasMember();
+  inline  ::capnp::Text::Builder getMember();
+  inline void setMember( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMember(unsigned int size);
+  inline void adoptMember(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMember();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PossibleOrigin::Pipeline {
+public:
+  typedef PossibleOrigin Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RequestKey::Reader {
 public:
   typedef RequestKey Reads;
@@ -4901,6 +5008,74 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PossibleOrigin::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PossibleOrigin::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PossibleOrigin::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PossibleOrigin::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PossibleOrigin::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PossibleOrigin::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PossibleOrigin::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PossibleOrigin::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PossibleOrigin::Reader::hasMember() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PossibleOrigin::Builder::hasMember() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PossibleOrigin::Reader::getMember() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PossibleOrigin::Builder::getMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PossibleOrigin::Builder::setMember( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PossibleOrigin::Builder::initMember(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PossibleOrigin::Builder::adoptMember(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PossibleOrigin::Builder::disownMember() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RequestKey::Reader::getHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -167,6 +167,23 @@
   });
 }
 
+std::string EncodePossibleOrigin(const traffic::PossibleOrigin& origin) {
+  return Encode([&](auto* message) {
+    auto builder = message->template initRoot<wire::PossibleOrigin>();
+    builder.setGroup(origin.group);
+    builder.setMember(origin.member);
+  });
+}
+
+std::optional<traffic::PossibleOrigin> DecodePossibleOrigin(
+    std::string_view bytes) {
+  return Decode<traffic::PossibleOrigin>(bytes, [](auto* message) {
+    const auto reader = message->template getRoot<wire::PossibleOrigin>();
+    return traffic::PossibleOrigin{ToString(reader.getGroup()),
+                                   ToString(reader.getMember())};
+  });
+}
+
 std::string EncodeMark(const KeptMark& mark) {
   return Encode([&](auto* message) {
     auto builder = message->template initRoot<wire::RequestMark>();
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -15,6 +15,7 @@
 #include "yuccawick/programs/token_ledger.h"
 #include "yuccawick/programs/turn_history.h"
 #include "yuccawick/traffic/request_key.h"
+#include "yuccawick/traffic/software_history.h"
 #include "yuccawick/workspaces/rate_ledger.h"
 
 namespace yuccawick::programs {
@@ -42,6 +43,10 @@
 std::optional<NodeInfo> DecodeNode(const std::string& name,
                                    std::string_view   bytes);
 
+std::string EncodePossibleOrigin(const traffic::PossibleOrigin& origin);
+std::optional<traffic::PossibleOrigin> DecodePossibleOrigin(
+    std::string_view bytes);
+
 // A mark of a suspect request; see traffic/suspect_requests.h.
 struct KeptMark {
   traffic::RequestKey key;
--- a/src/yuccawick/traffic/software_history.h
+++ b/src/yuccawick/traffic/software_history.h
@@ -1,15 +1,17 @@
-// Which software could have begun a stream lately: the versions listed for each
+// Which software could have begun a stream: the versions listed for each
 // service, and the services of each host's routes.
 //
 // A stream whose origin no node remembers can still be resumed if only one
 // origin is possible. Both histories have to see every record of the log: what
 // existed between two listings is not known, so a listing starts them anew.
+// What nodes saw before that is in PossibleOrigins, which they keep in the log.
 #pragma once
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "yuccawick/net/event_loop.h"
 #include "yuccawick/traffic/directory.h"
@@ -59,12 +61,53 @@
   std::map<std::string, HostRoutes> m_hosts;
 };
 
+// A version of a service, or a service of a route, under which streams may have
+// begun.
+struct PossibleOrigin {
+  std::string group;   // the service, or the host
+  std::string member;  // the version, or a path prefix and a service
+
+  auto operator<=>(const PossibleOrigin&) const = default;
+};
+PossibleOrigin VersionOrigin(const BackendServer& server);
+PossibleOrigin RouteOrigin(const std::string& host,
+                           const std::string& path_prefix,
+                           const std::string& service);
+
+// All origins that any node has seen in the last kMaxSoftwareHistory ms.
+// Clients may resume a stream at any time after it broke off.
+class PossibleOrigins {
+ public:
+  // `present`: those of now. Returns whether one of them was not known before.
+  bool Take(const std::vector<PossibleOrigin>& present, Time now);
+  // Another node, or this one before its start, has seen it. Returns whether it
+  // was not known before.
+  bool TakeRecorded(const PossibleOrigin& origin, Time now);
+  // Forgets those that were last seen too long ago and returns them.
+  std::vector<PossibleOrigin> DropExpired(Time now);
+  bool                        HasOtherVersion(const std::string& service,
+                                              const std::string& version) const;
+  // Whether another service was behind a route that a request to this route may
+  // have taken.
+  bool HasOtherService(const Route& route, const std::string& service) const;
+
+ private:
+  struct Presence {
+    bool now = false;
+    Time seen_at = 0;  // if not present now
+  };
+  std::map<PossibleOrigin, Presence> m_origins;
+};
+
 struct SoftwareHistory {
-  std::shared_ptr<const VersionHistory> versions;
-  std::shared_ptr<const RouteHistory>   routes;
+  std::shared_ptr<const VersionHistory>  versions;
+  std::shared_ptr<const RouteHistory>    routes;
+  // nullptr until what the log keeps of it is known.
+  std::shared_ptr<const PossibleOrigins> origins;
 
-  // The only possible origin of the route's streams in the last `window` ms;
-  // empty if there may have been several.
+  // The only possible origin of the route's streams; empty if there may have
+  // been several. `window` is the time (ms) within which all nodes have told
+  // what they saw.
   std::optional<StreamOrigin> SoleOrigin(const Route& route, Duration window,
                                          Time now) const;
 };
