Bytes that can become no answer end a send at once

Callers saw 504 at their deadline, or later, where a server pours interim heads or comments without end; a probe whose answer has an endless body was taken for silence after 300 ms. Cause: bounds were on single heads, events and bodies, none on what may lie between them. An answer may have 32 interim heads, 1 MB of comments between two events, and a probe's answer 64 kB, whose head has said all.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -14,6 +14,8 @@
 constexpr net::HttpLimits kAnswerLimits{64UL * 1024, 64UL << 20};
 constexpr Duration        kMillisPerSecond = 1000;
 constexpr int             kOk = 200;
+// Interim answers to one request; servers send one or two.
+constexpr int             kMaxInterimAnswers = 32;
 // Servers considered for a program's cache affinity.
 constexpr std::size_t     kAffinityCandidates = 64;
 
@@ -73,6 +75,7 @@
   if (!net::ResponseHasBody(method, kOk)) m_method_excludes_body = true;
   m_answer_complete = false;
   m_in_sync = true;
+  m_interim_answers = 0;
   m_stream.Write(request);
 }
 
@@ -164,6 +167,7 @@
   const bool    of_other_request =
       !interim && m_handler != nullptr && !m_handler->OnBackendHead(head);
   m_skipping_answer = interim || of_other_request;
+  if (interim && ++m_interim_answers > kMaxInterimAnswers) m_in_sync = false;
   // It has a body or not depending on which request it answers.
   if (of_other_request && m_method_excludes_body) m_in_sync = false;
   m_unexpected_body_wait = !head.has_body && net::DescribesBody(head.headers)
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -97,6 +97,7 @@
   net::TimerId                            m_connect_timer = 0;
   bool                                    m_connected = false;
   bool                                    m_skipping_answer = false;
+  int                                     m_interim_answers = 0;
   bool                                    m_answer_complete = false;
   bool                                    m_keep_alive = false;
   // Where the next answer begins is known.
--- a/src/yuccawick/gateway/server_probes.cc
+++ b/src/yuccawick/gateway/server_probes.cc
@@ -8,8 +8,10 @@
 namespace yuccawick::gateway {
 namespace {
 
+// Bytes of an answer to a probe after which its connection is closed.
+constexpr std::size_t kMaxBodyBytes = 64UL * 1024;
 // ms until the next connection after the server reset a new one.
-constexpr Duration kReconnectPause = 30;
+constexpr Duration    kReconnectPause = 30;
 
 }  // namespace
 
@@ -26,7 +28,7 @@
       : m_probes(probes), m_server(server) {
     m_timer = probes->m_loop->After(probes->m_thresholds->probe_wait, [this] {
       m_timer = 0;
-      Finish(ProbeOutcome::kSilent);
+      Finish(m_outcome);
     });
     Connect();
   }
@@ -42,7 +44,10 @@
                                                       : ProbeOutcome::kEnded;
     return true;
   }
-  void OnBackendBody(std::string_view /*bytes*/) override {}
+  void OnBackendBody(std::string_view bytes) override {
+    m_body_bytes += bytes.size();
+    if (m_body_bytes > kMaxBodyBytes) Finish(m_outcome);
+  }
   void OnBackendEnd() override {
     m_probes->m_backends->Release(std::exchange(m_connection, nullptr));
     Finish(m_outcome);
@@ -110,7 +115,8 @@
   net::TimerId           m_reconnect_timer = 0;
   bool                   m_fresh = false;  // opens a new connection
   bool                   m_finished = false;
-  ProbeOutcome           m_outcome = ProbeOutcome::kSilent;
+  std::size_t            m_body_bytes = 0;
+  ProbeOutcome           m_outcome = ProbeOutcome::kSilent;  // by its head
 };
 
 ServerProbes::ServerProbes(net::EventLoop* loop, const Thresholds* thresholds,
--- a/src/yuccawick/traffic/event_stream.cc
+++ b/src/yuccawick/traffic/event_stream.cc
@@ -44,7 +44,7 @@
   m_buffer.erase(0, m_start);
   m_start = 0;
   m_buffer.append(bytes);
-  return m_buffer.size() <= kMaxEventBytes;
+  return m_buffer.size() <= kMaxEventBytes && m_comment_bytes <= kMaxEventBytes;
 }
 
 bool EventSplitter::Next(StreamEvent* event) {
@@ -64,6 +64,7 @@
   event->bytes = rest.substr(0, size);
   m_start += size;
   ParseEventFields(event);
+  m_comment_bytes = event->is_comment ? m_comment_bytes + size : 0;
   return true;
 }
 
--- a/src/yuccawick/traffic/event_stream.h
+++ b/src/yuccawick/traffic/event_stream.h
@@ -16,12 +16,13 @@
   bool is_comment = false;  // without id and data: comments, retry times
 };
 
-// Maximum size of an event, in bytes.
+// Maximum size of an event, and of the comments between two events, in bytes.
 inline constexpr std::size_t kMaxEventBytes = 1UL << 20;
 
 class EventSplitter {
  public:
-  // Appends received bytes; false if an event exceeds kMaxEventBytes.
+  // Appends received bytes; false if an event, or the comments since the last
+  // event, exceed kMaxEventBytes.
   bool Add(std::string_view bytes);
   // Returns the next complete event, whose views are valid until the next call
   // of Add(); false if there is none.
@@ -32,6 +33,7 @@
  private:
   std::string m_buffer;
   std::size_t m_start = 0;
+  std::size_t m_comment_bytes = 0;  // since the last event
 };
 
 }  // namespace yuccawick::traffic
