--- a/src/yuccawick/gateway/durable_marks.cc
+++ b/src/yuccawick/gateway/durable_marks.cc
@@ -72,7 +72,7 @@
     m_records.erase(record.key);
     return std::nullopt;
   }
-  const auto mark = programs::DecodeMark(record.value);
+  auto mark = programs::DecodeMark(record.value);
   if (!mark) {
     m_log->Write(LogEvent::kFault,
                  {{"what", "undecodable mark"}, {"key", record.key}});
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -389,12 +389,13 @@
 void SuspectService::TellUntold(const std::vector<RequestKey>& keys) {
   std::vector<Told> all;
   for (const RequestKey& key : keys) {
-    for (const Told& told : Untold(key)) {
+    const auto untold = Untold(key);
+    if (!untold.empty()) SaveMarks(key);
+    for (const Told& told : untold) {
       WriteLog(told, {});
       if (told.state == MarkState::ENDED) m_metrics->CountServerEnd();
       all.push_back(told);
     }
-    SaveMarks(key);
   }
   Tell(all);
 }
