--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -126,7 +126,7 @@
 }
 
 // A copy, since callers erase marks.
-std::vector<RequestKey> SuspectRequests::RequestsAt(
+std::vector<RequestKey> SuspectRequests::Under(
     const std::string& server) const {
   const auto found = m_by_server.find(server);
   return found == m_by_server.end() ? std::vector<RequestKey>() : found->second;
@@ -135,7 +135,7 @@
 std::vector<RequestKey> SuspectRequests::OnRan(const std::string& server,
                                                Time               ran_at) {
   std::vector<RequestKey> told;
-  for (const RequestKey& key : RequestsAt(server)) {
+  for (const RequestKey& key : Under(server)) {
     SendMark& mark = m_requests.at(key).marks.at(server);
     if (mark.at > ran_at) continue;
     const bool was_wrong =
@@ -153,7 +153,7 @@
 std::vector<RequestKey> SuspectRequests::MarkEnded(const std::string& server,
                                                    Time               now) {
   std::vector<RequestKey> under_server;
-  for (const RequestKey& key : RequestsAt(server)) {
+  for (const RequestKey& key : Under(server)) {
     SendMark& mark = m_requests.at(key).marks.at(server);
     if (mark.state == SendState::kLeft && HasLapsed(mark, now)) continue;
     // The node that sent it will see whether the server received it.
@@ -169,7 +169,7 @@
 std::vector<RequestKey> SuspectRequests::MarkSilent(const std::string& server,
                                                     Time               now) {
   std::vector<RequestKey> under_server;
-  for (const RequestKey& key : RequestsAt(server)) {
+  for (const RequestKey& key : Under(server)) {
     SendMark&  mark = m_requests.at(key).marks.at(server);
     const bool left = mark.state == SendState::kLeft && !HasLapsed(mark, now);
     if (left) mark.told = false;
@@ -181,7 +181,7 @@
 }
 
 void SuspectRequests::OnLeaving(const std::string& server) {
-  for (const RequestKey& key : RequestsAt(server)) {
+  for (const RequestKey& key : Under(server)) {
     if (IsOpen(m_requests.at(key).marks.at(server))) EraseMark(key, server);
   }
 }
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -112,12 +112,12 @@
   // The server leaves as planned: no request causes its end from now on.
   void                    OnLeaving(const std::string& server);
 
-  // `is_shared`: callers that have nothing to do with each other may send it,
-  // so that one of its sends says little about another one. `usable_servers`:
-  // ids, of its service.
   // Whether the marks of all nodes are known. While they are not, a request may
   // have one mark that counts instead of kMaxServerEnds.
   void         SetComplete(bool complete) { m_complete = complete; }
+  // `is_shared`: callers that have nothing to do with each other may send it,
+  // so that one of its sends says little about another one. `usable_servers`:
+  // ids, of its service.
   SendDecision Judge(const RequestKey& key, bool is_shared,
                      const std::vector<std::string>& usable_servers,
                      Time                            now) const;
@@ -133,9 +133,7 @@
             return m_by_server.contains(server);
   }
   // The requests with a mark at the server.
-  std::vector<RequestKey> Under(const std::string& server) const {
-    return RequestsAt(server);
-  }
+  std::vector<RequestKey>  Under(const std::string& server) const;
   // Whether it is this node's task to find out what became of the server.
   bool                     HasOwnMarks(const std::string& server) const;
   // Servers with own marks that were not seen to run at `until` or later.
@@ -165,19 +163,18 @@
   using Requests = std::unordered_map<RequestKey, Request, KeyHash>;
 
   // Whether what is known `now` replaces what was known of the same send.
-  static bool             Replaces(SendState now, SendState before);
-  static bool             HasLapsed(const SendMark& mark, Time now);
-  static SendState        StateAt(const SendMark& mark, Time now);
-  static bool             IsCounted(const Request& request);
+  static bool      Replaces(SendState now, SendState before);
+  static bool      HasLapsed(const SendMark& mark, Time now);
+  static SendState StateAt(const SendMark& mark, Time now);
+  static bool      IsCounted(const Request& request);
   // Whether a whole answer to the request was seen lately.
-  bool                    WasAnswered(const RequestKey& key, Time now) const;
-  std::vector<RequestKey> RequestsAt(const std::string& server) const;
-  void EraseMark(const RequestKey& key, const std::string& server);
-  void Erase(Requests::iterator request);
+  bool             WasAnswered(const RequestKey& key, Time now) const;
+  void             EraseMark(const RequestKey& key, const std::string& server);
+  void             Erase(Requests::iterator request);
   // Whether the request may have one more mark.
-  bool MakeRoomFor(const RequestKey& key, Marks* marks);
+  bool             MakeRoomFor(const RequestKey& key, Marks* marks);
   // Drops the oldest request, if possible one whose marks don't count.
-  void MakeRoom();
+  void             MakeRoom();
 
   Duration                                                 m_lifetime;
   bool                                                     m_complete = true;
