A version that still serves keeps its record in the log

Clients would see streams joined from two versions: a node that saw no server of a version for ten minutes, for example one that was cut off, deletes the version's record, and a loss of all nodes then leaves nobody who knows it. Cause: a node that still sees the version took note of the deletion only. It writes the record again.

StreamVersion::RecordOfAServingVersionIsDeleted_IsNeverJoined failed before: 6 of 18 streams joined.

--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -200,7 +200,8 @@
     return;
   }
   if (record.removed) {
-    m_recorded_origins.erase(record.key);
+    // By a node that has not seen it for long; this one may still see it.
+    if (m_recorded_origins.erase(record.key) > 0) UpdateOrigins();
     return;
   }
   const auto origin = programs::DecodePossibleOrigin(record.value);
