Marks of a node that is gone are resolved by another one

Callers saw a request end six servers where its node is killed between the break and the end, and the client comes back half a minute later. Cause: a mark of another node was dropped 10 s after end_watch without a verdict, and only the node that sent the request asked. Evidence: one line 'watched' for each server in the logs, and neither 'ended' nor 'alive' afterwards.

Such a mark stays. The node that ranks first for the server asks it when its entry lapses, and 10 s after end_watch if nothing was told until then.

--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -280,8 +280,15 @@
       });
 }
 
+bool SuspectService::HasToResolve(const std::string& server) const {
+  if (m_requests.HasOwnMarks(server)) return true;
+  if (!m_requests.HasMarks(server)) return false;
+  const auto nodes = m_members->RankCoordinators(server);
+  return !nodes.empty() && nodes.front().name == m_members->self().name;
+}
+
 void SuspectService::AskIfMarked(const std::string& server) {
-  if (!m_requests.HasOwnMarks(server) || m_probes->IsProbing(server)) return;
+  if (m_probes->IsProbing(server) || !HasToResolve(server)) return;
   const auto     asked = m_asked_at.find(server);
   const Duration wait =
       asked == m_asked_at.end()
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -144,7 +144,10 @@
   std::vector<std::string> UsableServers(const std::string& service) const;
 
   void Ask(const std::string& server);
-  // Asks the server soon if this node has to find out what became of it.
+  // Whether this node has to find out what became of the server: it has own
+  // marks there, or ranks first to do it for nodes that are gone.
+  bool HasToResolve(const std::string& server) const;
+  // Asks the server soon if this node has to.
   void AskIfMarked(const std::string& server);
   void OnProbed(const std::string& server, Time asked_at, ProbeOutcome outcome);
   void OnAlive(const std::string& server, Time sent_at);
--- a/src/yuccawick/traffic/suspect_requests.cc
+++ b/src/yuccawick/traffic/suspect_requests.cc
@@ -200,7 +200,8 @@
   for (const auto& [server, keys] : m_by_server) {
     const auto is_due = [&, &at = server](const RequestKey& key) {
       const SendMark& mark = m_requests.at(key).marks.at(at);
-      return IsOpen(mark) && !mark.remote && HasLapsed(mark, now);
+      const Time      since = mark.remote ? now - kRemoteGrace : now;
+      return IsOpen(mark) && HasLapsed(mark, since);
     };
     if (std::any_of(keys.begin(), keys.end(), is_due))
       servers.push_back(server);
@@ -333,10 +334,8 @@
     if (now - request.changed_at >= m_lifetime) expired.push_back(key);
     for (auto& [server, mark] : request.marks) {
       mark.state = StateAt(mark, now);
-      const bool left = mark.state == SendState::kLeft && HasLapsed(mark, now);
-      const bool abandoned = mark.state == SendState::kWatched && mark.remote &&
-                             now - mark.until >= kRemoteGrace;
-      if (left || abandoned) lapsed.emplace_back(key, server);
+      if (mark.state == SendState::kLeft && HasLapsed(mark, now))
+        lapsed.emplace_back(key, server);
     }
   }
   for (const auto& [key, server] : lapsed) EraseMark(key, server);
--- a/src/yuccawick/traffic/suspect_requests.h
+++ b/src/yuccawick/traffic/suspect_requests.h
@@ -51,7 +51,8 @@
 inline constexpr Duration    kRestartNotice = 1500;
 // ms for which a whole answer shows that a shared request is harmless.
 inline constexpr Duration    kAnswerMemory = 10'000;
-// ms after `until` in which the node that sent the request tells of its mark.
+// ms after `until` in which the node that sent the request tells what became of
+// its mark. Then that node is taken to be gone.
 inline constexpr Duration    kRemoteGrace = 10'000;
 
 // What is known of a send of a request to one start of a server.
@@ -136,7 +137,8 @@
   std::vector<RequestKey>  Under(const std::string& server) const;
   // Whether it is this node's task to find out what became of the server.
   bool                     HasOwnMarks(const std::string& server) const;
-  // Servers with own marks that were not seen to run at `until` or later.
+  // Servers with open marks that were not seen to run at `until` or later: own
+  // marks, and those that their own node did not resolve for kRemoteGrace.
   std::vector<std::string> ServersToAsk(Time now) const;
   // Servers at which other suspect requests are under way. A suspect request
   // that is sent to another one does not end together with them.
