First early ends of requests are written to the log, within a limit

Callers saw a request end six servers where all nodes are killed between the break and the end of each. Cause: an early end was written to the log only if the request had another mark. Evidence: try after try 'watched' with ends=0, and no mark read at the start.

All nodes together write optional_marks (10) first early ends a second; a send that fails waits for the record as for others. Above that the first mark of a request can still be lost with all nodes. The node that wrote a record deletes it, since the one that ranks first may have read it after the mark was gone, and a deleted record takes back an early end of another node. A record that says less than is known is replaced.

--- a/src/yuccawick/gateway/durable_marks.cc
+++ b/src/yuccawick/gateway/durable_marks.cc
@@ -1,5 +1,6 @@
 #include "yuccawick/gateway/durable_marks.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccawick::gateway {
@@ -18,6 +19,24 @@
 
 }  // namespace
 
+bool DurableMarks::TakeAllowance() {
+  constexpr double kMillisPerSecond = 1000;
+  const net::Time  now = m_loop->now();
+  const auto       nodes = static_cast<double>(m_members->All().size() + 1);
+  const double     rate = m_thresholds->optional_marks / nodes;
+  const double     gained =
+      static_cast<double>(now - m_allowance_at) * rate / kMillisPerSecond;
+  m_allowance = std::min(kMaxAllowance, m_allowance + gained);
+  m_allowance_at = now;
+  if (m_allowance < 1) return false;
+  m_allowance -= 1;
+  return true;
+}
+
+void DurableMarks::SaveOptional(const KeptMark& mark) {
+  if (!m_records.contains(RecordKey(mark)) && TakeAllowance()) Save(mark);
+}
+
 void DurableMarks::Save(const KeptMark& mark) {
   const std::string key = RecordKey(mark);
   const auto [record, added] = m_records.try_emplace(key, Record{mark});
@@ -30,6 +49,7 @@
 
 void DurableMarks::Write(const std::string& key) {
   Record& record = m_records.at(key);
+  record.own = true;
   record.saving = true;
   ++m_saving[record.mark.server];
   m_store->Put(Topic::kHistory, key, programs::EncodeMark(record.mark),
@@ -66,11 +86,13 @@
   }
 }
 
-std::optional<KeptMark> DurableMarks::Take(const platform::LogRecord& record) {
+std::optional<DurableMarks::Change> DurableMarks::Take(
+    const platform::LogRecord& record) {
   if (!record.key.starts_with(kKeyPrefix)) return std::nullopt;
   if (record.removed) {
-    m_records.erase(record.key);
-    return std::nullopt;
+    const auto removed = m_records.extract(record.key);
+    if (removed.empty()) return std::nullopt;
+    return Change{removed.mapped().mark, true};
   }
   auto mark = programs::DecodeMark(record.value);
   if (!mark) {
@@ -80,9 +102,12 @@
   }
   Record& known =
       m_records.try_emplace(record.key, Record{*mark}).first->second;
+  known.mark.ended = known.mark.ended || mark->ended;
   // A later record of the same mark may say less.
-  if (known.mark.ended == mark->ended) known.saved = true;
-  return mark;
+  known.saved = known.mark.ended == mark->ended;
+  // The node may have forgotten an early end of its own meanwhile.
+  if (known.own && !mark->ended) return std::nullopt;
+  return Change{*mark, false};
 }
 
 void DurableMarks::Sweep(const IsKnown& is_known) {
@@ -93,18 +118,24 @@
   for (const auto& [key, record] : m_records) {
     if (!is_known(record.mark.key, record.mark.server)) {
       gone.push_back(key);
-    } else if (!record.saved && !record.saving && writes < kMaxWrites) {
+    } else if (record.own && !record.saved && !record.saving &&
+               writes < kMaxWrites) {
       ++writes;
       Write(key);
     }
   }
   for (const std::string& key : gone) {
-    m_records.erase(key);
+    const bool own = m_records.extract(key).mapped().own;
     const auto nodes = m_members->RankCoordinators(key);
-    if (nodes.empty() || nodes.front().name != m_members->self().name) continue;
-    m_store->Put(Topic::kHistory, key, std::nullopt, m_thresholds->log_timeout,
-                 [](const platform::StoreResult<platform::Appended>&) {});
+    const bool ranks_first =
+        !nodes.empty() && nodes.front().name == m_members->self().name;
+    if (own || ranks_first) Delete(key);
   }
 }
 
+void DurableMarks::Delete(const std::string& key) {
+  m_store->Put(Topic::kHistory, key, std::nullopt, m_thresholds->log_timeout,
+               [](const platform::StoreResult<platform::Appended>&) {});
+}
+
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/durable_marks.h
+++ b/src/yuccawick/gateway/durable_marks.h
@@ -2,8 +2,9 @@
 // nodes doesn't forget them; see suspect_service.h.
 //
 // Each mark is a record of its own under a key of Topic::kHistory, so that
-// nodes never overwrite each other's marks. All nodes follow the topic; the
-// node that ranks first for a key deletes its record once its mark is gone.
+// nodes never overwrite each other's marks. All nodes follow the topic. Once a
+// mark is gone, the node that wrote its record and the one that ranks first for
+// its key delete it.
 //
 //   marks.Save(mark);
 //   marks.WhenSaved(server, done);   // before a client hears of the end
@@ -27,6 +28,9 @@
 
 class DurableMarks {
  public:
+  // Optional marks that a node may save at once.
+  static constexpr double kMaxAllowance = 4;
+
   DurableMarks(net::EventLoop* loop, const Thresholds* thresholds,
                platform::Store* store, const programs::Membership* members,
                Log* log)
@@ -39,11 +43,18 @@
   // No effect if the log is known to hold it. Repeated until the log
   // acknowledges it or the mark is gone.
   void Save(const programs::KeptMark& mark);
+  // The same, for marks that are worth little each: no effect while all nodes
+  // together save more than `optional_marks` of them a second.
+  void SaveOptional(const programs::KeptMark& mark);
   // Calls `done` once no first try to save a mark of the server is under way:
   // at once, or after `mark_save_wait` ms at the latest.
   void WhenSaved(const std::string& server, std::function<void()> done);
-  // A record of the topic; empty if it removes a mark or is none.
-  std::optional<programs::KeptMark> Take(const platform::LogRecord& record);
+  struct Change {
+    programs::KeptMark mark;
+    bool               removed = false;
+  };
+  // What a record of the topic tells; empty if nothing that is not known here.
+  std::optional<Change> Take(const platform::LogRecord& record);
   using IsKnown = std::function<bool(const traffic::RequestKey& key,
                                      const std::string&         server)>;
   // Saves again what was not acknowledged, and deletes the records of marks
@@ -53,10 +64,13 @@
  private:
   struct Record {
     programs::KeptMark mark;
+    bool               own = false;  // written by this node
     bool               saved = false;
     bool               saving = false;
   };
+  bool TakeAllowance();
   void Write(const std::string& key);
+  void Delete(const std::string& key);
   void OnWritten(const std::string& key, const std::string& server,
                  bool written);
 
@@ -67,6 +81,8 @@
   Log*                          m_log;
   std::map<std::string, Record> m_records;
   std::map<std::string, int>    m_saving;  // by server
+  double                        m_allowance = kMaxAllowance;
+  net::Time                     m_allowance_at = 0;
   std::map<std::string, std::vector<std::function<void()>>> m_waiting;
 };
 
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -410,24 +410,34 @@
 void SuspectService::SaveMarks(const RequestKey& key) {
   const auto* marks = m_requests.Find(key);
   if (marks == nullptr) return;
-  // A single early end is frequent, and most servers go on after it.
-  const bool saves_all = m_requests.CountOpenAndEnded(key) > 1;
+  const bool has_several = m_requests.CountOpenAndEnded(key) > 1;
   for (const auto& [server, mark] : *marks) {
     const bool ended = mark.state == SendState::kEnded;
-    if (ended || (saves_all && SuspectRequests::IsOpen(mark)))
+    if (ended || (has_several && SuspectRequests::IsOpen(mark))) {
       m_durable_marks->Save({key, server, ended});
+    } else if (SuspectRequests::IsOpen(mark)) {
+      // Frequent where servers are in trouble; most of them go on.
+      m_durable_marks->SaveOptional({key, server, ended});
+    }
   }
 }
 
 void SuspectService::TakeHistory(const platform::LogRecord& record) {
-  const auto kept = m_durable_marks->Take(record);
-  if (!kept) return;
-  const bool is_new = m_requests.Find(kept->key) == nullptr ||
-                      !m_requests.Find(kept->key)->contains(kept->server);
-  if (!kept->ended && !is_new) return;
-  Receive({kept->key, kept->server,
-           kept->ended ? MarkState::ENDED : MarkState::UNRESOLVED,
-           kept->ended ? 0 : m_thresholds->end_watch});
+  const auto change = m_durable_marks->Take(record);
+  if (!change) return;
+  const auto& [key, server, ended] = change->mark;
+  if (change->removed) {
+    // An end is forgotten after `suspect_memory`, by each node for itself.
+    if (!ended) m_requests.WithdrawRemote(key, server);
+    // The record may have been that of another send to the same server.
+    SaveMarks(key);
+    return;
+  }
+  const auto* marks = m_requests.Find(key);
+  const bool  is_new = marks == nullptr || !marks->contains(server);
+  if (!ended && !is_new) return;
+  Receive({key, server, ended ? MarkState::ENDED : MarkState::UNRESOLVED,
+           ended ? 0 : m_thresholds->end_watch});
 }
 
 std::vector<NodeInfo> SuspectService::OtherNodes() {
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -14,10 +14,10 @@
 //   suspects.OnBroken(key, server, sent_at);        // or one of the others
 //   suspects.WhenKnown(server, done);               // before the client hears
 //
-// Ends, and early ends of a request that has several marks, are written to the
-// platform's log as well, so that they outlive a loss of all nodes; see
-// durable_marks.h. Until a node has read them, a request may have one marked
-// server there.
+// Ends and early ends are written to the platform's log as well, so that they
+// outlive a loss of all nodes; see durable_marks.h. The first early end of a
+// request is left out while there are many. Until a node has read the log, a
+// request may have one marked server there.
 //
 // Messages are sent one way, and before the client gets an answer, so that they
 // are usually at the other nodes before the client is. A node that starts asks
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -46,6 +46,7 @@
     Entry{"suspect_memory", &T::suspect_memory, 1000, 3'600'000},
     Entry{"end_watch", &T::end_watch, 0, 60'000},
     Entry{"mark_save_wait", &T::mark_save_wait, 10, 5000},
+    Entry{"optional_marks", &T::optional_marks, 0, 1000},
     Entry{"probe_pause", &T::probe_pause, 10, 10'000},
     Entry{"doubt_after", &T::doubt_after, 1, 60'000},
     Entry{"idle_limit", &T::idle_limit, 0, 600'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -49,6 +49,9 @@
   // Longest time that the answer to a client waits until the log has the mark
   // of a server that ended. Longer than an append while the log is well.
   Duration     mark_save_wait = 150;
+  // First early ends of requests that all nodes together write to the log, per
+  // second; 0: none.
+  double       optional_marks = 10;
   // Shortest time between two probes of a server that may have ended.
   Duration     probe_pause = 300;
   // A send that is given up after this time without a byte from its server
