Streams go on after a loss of all nodes while several versions serve

A node that is told of a stream for others keeps it in the log while another origin is possible (several versions of the service in the last 10 minutes, or a route to several services). Origins are remembered for 60 s (origin_memory), 4,096 of them at most as before; the time after which a sole origin is certain stays as it was.

--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -103,7 +103,9 @@
           },
           settings.rate_window)),
       m_network(loop, thresholds, &m_members, log),
-      m_stream_origins(loop, thresholds, &m_store, &m_members, &m_network),
+      m_durable_origins(loop, thresholds, &m_store, &m_members, log),
+      m_stream_origins(loop, thresholds, &m_store, &m_members, &m_network,
+                       &m_durable_origins),
       m_durable_marks(loop, thresholds, &m_store, &m_members, log),
       m_suspects(loop, thresholds, &m_backends, &m_probes, &m_members,
                  &m_network, &m_durable_marks, log, metrics),
@@ -132,6 +134,7 @@
     m_log->Write(LogEvent::kFault, {{"what", "no address for metrics"}});
   }
   if (!m_network.Listen(m_members.self().address)) return false;
+  m_stream_origins.Start();
   Announce();
   Tick();
   WatchMemory();
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -128,6 +128,7 @@
   programs::Membership          m_members;
   std::vector<RateCoordinator>  m_rate_coordinators;  // by rate partition
   PeerNetwork                   m_network;
+  DurableOrigins                m_durable_origins;
   StreamOriginService           m_stream_origins;
   DurableMarks                  m_durable_marks;
   SuspectService                m_suspects;
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -44,6 +44,7 @@
   kWaiting,   // the turn waits for the platform's log before it is sent
   kClaim,     // tokens of a program were claimed
   kScan,      // the log was searched for turns
+  kOrigins,   // origins of streams were read from the log
   kLimit,     // requests refused by a workspace's rate limit
   kRoom,      // capacity of a service's model servers changed or ran out
   kShare,     // admission threshold of a workspace with high usage
--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -53,17 +53,31 @@
                                          const Thresholds*           thresholds,
                                          platform::RecordLog*        store,
                                          const programs::Membership* members,
-                                         PeerNetwork*                network)
+                                         PeerNetwork*                network,
+                                         DurableOrigins* durable_origins)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_store(store),
       m_members(members),
       m_network(network),
-      m_origins(thresholds->stream_memory) {}
+      m_durable_origins(durable_origins),
+      m_origins(thresholds->origin_memory),
+      m_tell_window(thresholds->stream_memory) {}
+
+void StreamOriginService::Start() {
+  m_durable_origins->Load(
+      [this](const StreamKey& key, const StreamOrigin& origin) {
+        m_origins.Put(key, origin, m_loop->now());
+      });
+}
+
+std::vector<NodeInfo> StreamOriginService::Holders(const StreamKey& key) const {
+  return m_members->ChooseStreamHolders(traffic::Text(key), kHolders);
+}
 
 std::vector<NodeInfo> StreamOriginService::OtherHolders(
     const StreamKey& key) const {
-  auto holders = m_members->ChooseStreamHolders(traffic::Text(key), kHolders);
+  auto holders = Holders(key);
   std::erase_if(holders, [this](const NodeInfo& node) {
     return node.name == m_members->self().name;
   });
@@ -74,7 +88,11 @@
                                    const StreamOrigin& origin) {
   const StreamKey key = traffic::StreamKeyOf(attempt);
   m_origins.Put(key, origin, m_loop->now());
-  for (const NodeInfo& node : OtherHolders(key)) {
+  for (const NodeInfo& node : Holders(key)) {
+    if (node.name == m_members->self().name) {
+      Hold(key, origin);
+      continue;
+    }
     m_network->SendOneWay(node, [&](PeerMessage::Builder message) {
       Write(key, origin, message.initStreamBegun());
     });
@@ -83,7 +101,19 @@
 
 void StreamOriginService::ReceiveBegun(PeerMessage::Reader message) {
   const auto begun = message.getStreamBegun();
-  m_origins.Put(ReadKey(begun.getKey()), ReadOrigin(begun), m_loop->now());
+  Hold(ReadKey(begun.getKey()), ReadOrigin(begun));
+}
+
+void StreamOriginService::Hold(const StreamKey&    key,
+                               const StreamOrigin& origin) {
+  m_origins.Put(key, origin, m_loop->now());
+  const bool held = m_origins.Find(key, m_loop->now()) == origin;
+  if (held && MayBeOther(origin)) m_durable_origins->Put(key, origin);
+}
+
+bool StreamOriginService::MayBeOther(const StreamOrigin& origin) const {
+  return !m_software.origins || m_split_services.contains(origin.service) ||
+         m_software.origins->HasOtherVersion(origin.service, origin.version);
 }
 
 void StreamOriginService::Find(const std::string&    attempt,
@@ -150,7 +180,7 @@
 void StreamOriginService::FindSoleOrigin(const traffic::Route& route,
                                          const FindDone&       done) {
   const auto sole_origin = [this, route] {
-    return m_software.SoleOrigin(route, m_origins.lifetime(), m_loop->now());
+    return m_software.SoleOrigin(route, m_tell_window, m_loop->now());
   };
   if (!m_log_reachable || !sole_origin()) {
     done({});
@@ -223,11 +253,19 @@
 }
 
 void StreamOriginService::TakeManifest(const traffic::Manifest& manifest) {
-  Duration lifetime = m_thresholds->stream_memory;
+  m_tell_window = m_thresholds->stream_memory;
+  m_split_services.clear();
   for (const traffic::Route& route : manifest.routes) {
-    if (route.resumable) lifetime = std::max(lifetime, 2 * route.timeout);
+    if (!route.resumable) continue;
+    m_tell_window = std::max(m_tell_window, 2 * route.timeout);
+    if (route.services.size() == 1) continue;
+    for (const traffic::WeightedService& each : route.services)
+      m_split_services.insert(each.service);
   }
+  const Duration lifetime =
+      std::max(m_tell_window, m_thresholds->origin_memory);
   m_origins.SetLifetime(lifetime);
+  m_durable_origins->SetLifetime(lifetime);
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -12,6 +12,9 @@
 //     node first asks the log whether it has followed it to the end, because
 //     other nodes may already use servers that it does not know.
 //
+// While another origin is possible, nodes that were told keep what they were
+// told in the log, and know it again after a restart; see durable_origins.h.
+//
 // An origin is never guessed: the stream is refused if none of these is sure.
 #pragma once
 
@@ -19,11 +22,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "platform/store.h"
+#include "yuccawick/gateway/durable_origins.h"
 #include "yuccawick/gateway/peer_network.h"
 #include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/programs/membership.h"
@@ -52,9 +57,11 @@
  public:
   StreamOriginService(net::EventLoop* loop, const Thresholds* thresholds,
                       platform::RecordLog*        store,
-                      const programs::Membership* members,
-                      PeerNetwork*                network);
+                      const programs::Membership* members, PeerNetwork* network,
+                      DurableOrigins* durable_origins);
 
+  // Reads what this node remembered before its start.
+  void Start();
   // The first event of a stream is about to be passed on. `attempt` includes
   // its workspace.
   void Announce(const std::string&           attempt,
@@ -99,17 +106,27 @@
     std::vector<EndDone> waiting;  // for the next read of the end
   };
 
-  // Nodes other than this one that remember the stream.
+  // The nodes that remember the stream, perhaps including this one.
+  std::vector<programs::NodeInfo> Holders(const traffic::StreamKey& key) const;
   std::vector<programs::NodeInfo> OtherHolders(
       const traffic::StreamKey& key) const;
+  // Remembers the stream for others.
+  void Hold(const traffic::StreamKey& key, const traffic::StreamOrigin& origin);
+  // Whether streams of the service may have other origins than this one.
+  bool MayBeOther(const traffic::StreamOrigin& origin) const;
 
   net::EventLoop*                          m_loop;
   const Thresholds*                        m_thresholds;
   platform::RecordLog*                     m_store;
   const programs::Membership*              m_members;
   PeerNetwork*                             m_network;
+  DurableOrigins*                          m_durable_origins;
   traffic::StreamOrigins                   m_origins;
+  // ms within which all nodes have told which software they sent streams to.
+  Duration                                 m_tell_window;
   traffic::SoftwareHistory                 m_software;
+  // Services of resumable routes that have several.
+  std::set<std::string>                    m_split_services;
   std::map<platform::Topic, FollowedTopic> m_followed;
   bool                                     m_log_reachable = true;
 };
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -136,6 +136,7 @@
     Entry{"peer_connect_timeout", &T::peer_connect_timeout, 5, 60'000},
     Entry{"find_timeout", &T::find_timeout, 5, 60'000},
     Entry{"stream_memory", &T::stream_memory, 0, 600'000},
+    Entry{"origin_memory", &T::origin_memory, 0, 3'600'000},
     Entry{"origin_timeout", &T::origin_timeout, 5, 60'000},
     Entry{"origin_wait", &T::origin_wait, 0, 60'000},
     Entry{"reader_answer", &T::reader_answer, 5, 60'000},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -177,9 +177,12 @@
   // Other nodes --------------------------------------------------------------
   Duration peer_connect_timeout = 150;  // about ten round trips
   Duration find_timeout = 250;
-  // Software that began a stream is remembered this long, or for twice the
-  // longest timeout of a resumable route. Clients resume within a few seconds.
+  // Nodes tell each other within this time, or twice the longest timeout of a
+  // resumable route, which software they sent streams to.
   Duration stream_memory = 5000;
+  // Software that began a stream is remembered this long, as far as there is
+  // room: a client may resume long after its stream broke off.
+  Duration origin_memory = 60'000;
   // Longest time that a resumed stream waits for the nodes that remember its
   // origin, then until this node has followed the log to its end.
   Duration origin_timeout = 250;
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -183,6 +183,16 @@
   version @2 :Text;
 }
 
+# The streams that software began, as a node keeps them in the log.
+struct OriginStreams {
+  service @0 :Text;
+  version @1 :Text;
+  streams @2 :List(StreamKey);
+}
+struct StreamBatch {
+  origins @0 :List(OriginStreams);
+}
+
 # Software under which streams may have begun; see traffic/software_history.h.
 struct PossibleOrigin {
   group  @0 :Text;
--- a/src/yuccawick/programs/record.capnp.c++
+++ b/src/yuccawick/programs/record.capnp.c++
@@ -1998,6 +1998,138 @@
   1, 3, i_eb36670b24ee9d01, nullptr, nullptr, { &s_eb36670b24ee9d01, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<67> b_84c254bb6c18bf20 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     32, 191,  24, 108, 187,  84, 194, 132,
+     13,   0,   0,   0,   1,   0,   0,   0,
+    231, 195, 240, 162, 177, 246, 241, 214,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,  46,  99,
+     97, 112, 110, 112,  58,  79, 114, 105,
+    103, 105, 110,  83, 116, 114, 101,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 114, 101,  97, 109, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     26, 207, 140, 207,  38,  59, 198, 143,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_84c254bb6c18bf20 = b_84c254bb6c18bf20.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_84c254bb6c18bf20[] = {
+  &s_8fc63b26cf8ccf1a,
+};
+static const uint16_t m_84c254bb6c18bf20[] = {0, 2, 1};
+static const uint16_t i_84c254bb6c18bf20[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_84c254bb6c18bf20 = {
+  0x84c254bb6c18bf20, b_84c254bb6c18bf20.words, 67, d_84c254bb6c18bf20, m_84c254bb6c18bf20,
+  1, 3, i_84c254bb6c18bf20, nullptr, nullptr, { &s_84c254bb6c18bf20, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_c15d373843460cd1 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    209,  12,  70,  67,  56,  55,  93, 193,
+     13,   0,   0,   0,   1,   0,   0,   0,
+    231, 195, 240, 162, 177, 246, 241, 214,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,  46,  99,
+     97, 112, 110, 112,  58,  83, 116, 114,
+    101,  97, 109,  66,  97, 116,  99, 104,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    111, 114, 105, 103, 105, 110, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     32, 191,  24, 108, 187,  84, 194, 132,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c15d373843460cd1 = b_c15d373843460cd1.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_c15d373843460cd1[] = {
+  &s_84c254bb6c18bf20,
+};
+static const uint16_t m_c15d373843460cd1[] = {0};
+static const uint16_t i_c15d373843460cd1[] = {0};
+const ::capnp::_::RawSchema s_c15d373843460cd1 = {
+  0xc15d373843460cd1, b_c15d373843460cd1.words, 37, d_c15d373843460cd1, m_c15d373843460cd1,
+  1, 1, i_c15d373843460cd1, nullptr, nullptr, { &s_c15d373843460cd1, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_f4dfe4a1ba93a2c6 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     198, 162, 147, 186, 161, 228, 223, 244,
@@ -2877,6 +3009,22 @@
 constexpr ::capnp::_::RawSchema const* StreamOrigin::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// OriginStreams
+constexpr uint16_t OriginStreams::_capnpPrivate::dataWordSize;
+constexpr uint16_t OriginStreams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind OriginStreams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* OriginStreams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StreamBatch
+constexpr uint16_t StreamBatch::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamBatch::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StreamBatch::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamBatch::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // PossibleOrigin
 constexpr uint16_t PossibleOrigin::_capnpPrivate::dataWordSize;
 constexpr uint16_t PossibleOrigin::_capnpPrivate::pointerCount;
--- a/src/yuccawick/programs/record.capnp.h
+++ b/src/yuccawick/programs/record.capnp.h
@@ -45,6 +45,8 @@
 CAPNP_DECLARE_SCHEMA(d50d742b6de5ea76);
 CAPNP_DECLARE_SCHEMA(8fc63b26cf8ccf1a);
 CAPNP_DECLARE_SCHEMA(eb36670b24ee9d01);
+CAPNP_DECLARE_SCHEMA(84c254bb6c18bf20);
+CAPNP_DECLARE_SCHEMA(c15d373843460cd1);
 CAPNP_DECLARE_SCHEMA(f4dfe4a1ba93a2c6);
 CAPNP_DECLARE_SCHEMA(d7ff588d1b75ffe4);
 CAPNP_DECLARE_SCHEMA(8710e1ae22c5b4c5);
@@ -370,6 +372,36 @@
   };
 };
 
+struct OriginStreams {
+  OriginStreams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84c254bb6c18bf20, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamBatch {
+  StreamBatch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c15d373843460cd1, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PossibleOrigin {
   PossibleOrigin() = delete;
 
@@ -2488,6 +2520,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class OriginStreams::Reader {
+public:
+  typedef OriginStreams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OriginStreams::Builder {
+public:
+  typedef OriginStreams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>> disownStreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OriginStreams::Pipeline {
+public:
+  typedef OriginStreams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamBatch::Reader {
+public:
+  typedef StreamBatch Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrigins() const;
+  inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Reader getOrigins() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamBatch::Builder {
+public:
+  typedef StreamBatch Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrigins();
+  inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Builder getOrigins();
+  inline void setOrigins( ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Builder initOrigins(unsigned int size);
+  inline void adoptOrigins(::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>> disownOrigins();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamBatch::Pipeline {
+public:
+  typedef StreamBatch Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PossibleOrigin::Reader {
 public:
   typedef PossibleOrigin Reads;
@@ -5008,6 +5222,142 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool OriginStreams::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginStreams::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OriginStreams::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OriginStreams::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginStreams::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OriginStreams::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OriginStreams::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OriginStreams::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OriginStreams::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginStreams::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OriginStreams::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OriginStreams::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OriginStreams::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OriginStreams::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OriginStreams::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OriginStreams::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool OriginStreams::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginStreams::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Reader OriginStreams::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Builder OriginStreams::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void OriginStreams::Builder::setStreams( ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>::Builder OriginStreams::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void OriginStreams::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>> OriginStreams::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::StreamKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool StreamBatch::Reader::hasOrigins() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamBatch::Builder::hasOrigins() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Reader StreamBatch::Reader::getOrigins() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Builder StreamBatch::Builder::getOrigins() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamBatch::Builder::setOrigins( ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>::Builder StreamBatch::Builder::initOrigins(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamBatch::Builder::adoptOrigins(
+    ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>> StreamBatch::Builder::disownOrigins() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::yuccawick::programs::wire::OriginStreams,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool PossibleOrigin::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -184,6 +184,40 @@
   });
 }
 
+std::string EncodeStreams(const std::vector<OriginStreams>& batch) {
+  return Encode([&](auto* message) {
+    auto builder = message->template initRoot<wire::StreamBatch>();
+    auto list = builder.initOrigins(static_cast<unsigned>(batch.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const OriginStreams& each = batch[i];
+      list[i].setService(each.origin.service);
+      list[i].setVersion(each.origin.version);
+      auto streams =
+          list[i].initStreams(static_cast<unsigned>(each.streams.size()));
+      for (unsigned k = 0; k < streams.size(); ++k) {
+        streams[k].setHigh(each.streams[k].high);
+        streams[k].setLow(each.streams[k].low);
+      }
+    }
+  });
+}
+
+std::optional<std::vector<OriginStreams>> DecodeStreams(
+    std::string_view bytes) {
+  return Decode<std::vector<OriginStreams>>(bytes, [](auto* message) {
+    std::vector<OriginStreams> batch;
+    const auto reader = message->template getRoot<wire::StreamBatch>();
+    for (const auto origin : reader.getOrigins()) {
+      OriginStreams each{
+          {ToString(origin.getService()), ToString(origin.getVersion())}, {}};
+      for (const auto key : origin.getStreams())
+        each.streams.push_back({key.getHigh(), key.getLow()});
+      batch.push_back(std::move(each));
+    }
+    return batch;
+  });
+}
+
 std::string EncodeMark(const KeptMark& mark) {
   return Encode([&](auto* message) {
     auto builder = message->template initRoot<wire::RequestMark>();
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -16,6 +16,7 @@
 #include "yuccawick/programs/turn_history.h"
 #include "yuccawick/traffic/request_key.h"
 #include "yuccawick/traffic/software_history.h"
+#include "yuccawick/traffic/stream_origins.h"
 #include "yuccawick/workspaces/rate_ledger.h"
 
 namespace yuccawick::programs {
@@ -47,6 +48,14 @@
 std::optional<traffic::PossibleOrigin> DecodePossibleOrigin(
     std::string_view bytes);
 
+// The streams that began under an origin; see traffic/stream_origins.h.
+struct OriginStreams {
+  traffic::StreamOrigin           origin;
+  std::vector<traffic::StreamKey> streams;
+};
+std::string EncodeStreams(const std::vector<OriginStreams>& batch);
+std::optional<std::vector<OriginStreams>> DecodeStreams(std::string_view bytes);
+
 // A mark of a suspect request; see traffic/suspect_requests.h.
 struct KeptMark {
   traffic::RequestKey key;
