Streams that began before another version came are kept in the log too

Clients saw streams refused after a loss of all nodes if the second version was added after their first event. Cause: a stream was written to the log if another origin was possible when it began, and not once one became possible. Nodes now write what they remember when the possible origins change. A batch is written at once if the last one is old enough, so that less is lost with all nodes.

--- a/src/yuccawick/gateway/durable_origins.cc
+++ b/src/yuccawick/gateway/durable_origins.cc
@@ -145,12 +145,14 @@
 
 void DurableOrigins::WriteLater() {
   if (!m_loaded || m_queue.empty() || std::exchange(m_writing, true)) return;
-  m_loop->After(Pause(), [this] { Write(); });
+  const Duration wait = m_written_at + Pause() - m_loop->now();
+  m_loop->After(std::max<Duration>(0, wait), [this] { Write(); });
 }
 
 void DurableOrigins::Write() {
   Batch batch = std::exchange(m_queue, {});
   m_queued = 0;
+  m_written_at = m_loop->now();
   const std::string value = programs::EncodeStreams(batch);
   m_store->Put(Topic::kStreams, NextKey(), value, m_thresholds->log_timeout,
                [this, batch = std::move(batch)](
--- a/src/yuccawick/gateway/durable_origins.h
+++ b/src/yuccawick/gateway/durable_origins.h
@@ -7,7 +7,7 @@
 // loss of all nodes each reads what it remembered, and no more.
 //
 //   origins.Load(on_origin);   // once, at the start
-//   origins.Put(key, origin);  // written within some hundred ms
+//   origins.Put(key, origin);  // written at once, or with the next batch
 #pragma once
 
 #include <cstdint>
@@ -66,6 +66,7 @@
   std::vector<platform::LogRecord> m_records;  // while loading
   bool                             m_loaded = false;
   bool                             m_writing = false;
+  net::Time                        m_written_at = 0;
   std::uint64_t                    m_next_slot = 0;
   Batch                            m_queue;
   std::size_t                      m_queued = 0;  // streams
--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -107,8 +107,23 @@
 void StreamOriginService::Hold(const StreamKey&    key,
                                const StreamOrigin& origin) {
   m_origins.Put(key, origin, m_loop->now());
-  const bool held = m_origins.Find(key, m_loop->now()) == origin;
-  if (held && MayBeOther(origin)) m_durable_origins->Put(key, origin);
+  if (MayBeOther(origin) && m_origins.TakeNew(key))
+    m_durable_origins->Put(key, origin);
+}
+
+void StreamOriginService::TakeSoftware(
+    const traffic::SoftwareHistory& software) {
+  const bool changed = m_software.origins != software.origins;
+  m_software = software;
+  if (changed) SaveStreams();
+}
+
+void StreamOriginService::SaveStreams() {
+  const auto wanted = [this](const StreamOrigin& origin) {
+    return MayBeOther(origin);
+  };
+  for (const auto& [key, origin] : m_origins.TakeNew(wanted))
+    m_durable_origins->Put(key, origin);
 }
 
 bool StreamOriginService::MayBeOther(const StreamOrigin& origin) const {
@@ -266,6 +281,7 @@
       std::max(m_tell_window, m_thresholds->origin_memory);
   m_origins.SetLifetime(lifetime);
   m_durable_origins->SetLifetime(lifetime);
+  SaveStreams();
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -72,9 +72,7 @@
             FindDone done);
 
   void TakeManifest(const traffic::Manifest& manifest);
-  void TakeSoftware(const traffic::SoftwareHistory& software) {
-    m_software = software;
-  }
+  void TakeSoftware(const traffic::SoftwareHistory& software);
   // All records of the topic before `offset` have been applied.
   void TakeFollowed(platform::Topic topic, std::int64_t offset) {
     m_followed[topic].applied = offset;
@@ -112,6 +110,8 @@
       const traffic::StreamKey& key) const;
   // Remembers the stream for others.
   void Hold(const traffic::StreamKey& key, const traffic::StreamOrigin& origin);
+  // Writes remembered streams to the log that may have other origins now.
+  void SaveStreams();
   // Whether streams of the service may have other origins than this one.
   bool MayBeOther(const traffic::StreamOrigin& origin) const;
 
--- a/src/yuccawick/traffic/stream_origins.cc
+++ b/src/yuccawick/traffic/stream_origins.cc
@@ -40,6 +40,23 @@
   return valid ? found->second.origin : std::nullopt;
 }
 
+bool StreamOrigins::TakeNew(const StreamKey& key) {
+  const auto found = m_entries.find(key);
+  return found != m_entries.end() && found->second.origin &&
+         !std::exchange(found->second.taken, true);
+}
+
+std::vector<StreamOrigins::Stream> StreamOrigins::TakeNew(
+    const Wanted& wanted) {
+  std::vector<Stream> streams;
+  for (auto& [key, entry] : m_entries) {
+    if (entry.taken || !entry.origin || !wanted(*entry.origin)) continue;
+    entry.taken = true;
+    streams.push_back({key, *entry.origin});
+  }
+  return streams;
+}
+
 void StreamOrigins::DropExpired(Time now) {
   while (!m_order.empty()) {
     const auto oldest = m_entries.find(m_order.front());
--- a/src/yuccawick/traffic/stream_origins.h
+++ b/src/yuccawick/traffic/stream_origins.h
@@ -15,10 +15,12 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "yuccawick/net/event_loop.h"
 #include "yuccawick/traffic/directory.h"
@@ -58,12 +60,22 @@
   // twice. Origins above kMaxOriginBytes are ignored.
   void     Put(const StreamKey& key, const StreamOrigin& origin, Time now);
   std::optional<StreamOrigin> Find(const StreamKey& key, Time now) const;
-  std::size_t                 size() const { return m_entries.size(); }
+  // Whether the stream is known and was not taken before. Takes it.
+  bool                        TakeNew(const StreamKey& key);
+  // The streams that were not taken before and whose origin `wanted` accepts.
+  struct Stream {
+    StreamKey    key;
+    StreamOrigin origin;
+  };
+  using Wanted = std::function<bool(const StreamOrigin& origin)>;
+  std::vector<Stream> TakeNew(const Wanted& wanted);
+  std::size_t         size() const { return m_entries.size(); }
 
  private:
   struct Entry {
     std::optional<StreamOrigin> origin;  // none: contradictory
     Time                        put_at = 0;
+    bool                        taken = false;
   };
   void DropExpired(Time now);
 
