Marks that the log did not take from a node that is gone are written by another

Callers saw a request end six servers: three while the log was away, then the node that saw them was killed, and later all nodes. Cause: only the node that found an end wrote it, and repeated that until the log took it. The node that ranks first for the request writes marks of others that the log never held.

--- a/src/yuccawick/gateway/durable_marks.cc
+++ b/src/yuccawick/gateway/durable_marks.cc
@@ -47,9 +47,15 @@
   Write(key);
 }
 
+bool DurableMarks::WasWritten(const KeptMark& mark) const {
+  const auto record = m_records.find(RecordKey(mark));
+  return record != m_records.end() && record->second.mark.ended == mark.ended;
+}
+
 void DurableMarks::Write(const std::string& key) {
   Record& record = m_records.at(key);
   record.own = true;
+  record.deleted = false;
   record.saving = true;
   ++m_saving[record.mark.server];
   m_store->Put(Topic::kHistory, key, programs::EncodeMark(record.mark),
@@ -90,9 +96,10 @@
     const platform::LogRecord& record) {
   if (!record.key.starts_with(kKeyPrefix)) return std::nullopt;
   if (record.removed) {
-    const auto removed = m_records.extract(record.key);
-    if (removed.empty()) return std::nullopt;
-    return Change{removed.mapped().mark, true};
+    const auto removed = m_records.find(record.key);
+    if (removed == m_records.end()) return std::nullopt;
+    removed->second = {.mark = removed->second.mark, .deleted = true};
+    return Change{removed->second.mark, true};
   }
   auto mark = programs::DecodeMark(record.value);
   if (!mark) {
@@ -103,6 +110,7 @@
   Record& known =
       m_records.try_emplace(record.key, Record{*mark}).first->second;
   known.mark.ended = known.mark.ended || mark->ended;
+  known.deleted = false;
   // A later record of the same mark may say less.
   known.saved = known.mark.ended == mark->ended;
   // The node may have forgotten an early end of its own meanwhile.
@@ -125,11 +133,11 @@
     }
   }
   for (const std::string& key : gone) {
-    const bool own = m_records.extract(key).mapped().own;
-    const auto nodes = m_members->RankCoordinators(key);
-    const bool ranks_first =
+    const Record record = m_records.extract(key).mapped();
+    const auto   nodes = m_members->RankCoordinators(key);
+    const bool   ranks_first =
         !nodes.empty() && nodes.front().name == m_members->self().name;
-    if (own || ranks_first) Delete(key);
+    if (!record.deleted && (record.own || ranks_first)) Delete(key);
   }
 }
 
--- a/src/yuccawick/gateway/durable_marks.h
+++ b/src/yuccawick/gateway/durable_marks.h
@@ -46,6 +46,8 @@
   // The same, for marks that are worth little each: no effect while all nodes
   // together save more than `optional_marks` of them a second.
   void SaveOptional(const programs::KeptMark& mark);
+  // Whether the log held the mark at any time, or this node is to write it.
+  bool WasWritten(const programs::KeptMark& mark) const;
   // Calls `done` once no first try to save a mark of the server is under way:
   // at once, or after `mark_save_wait` ms at the latest.
   void WhenSaved(const std::string& server, std::function<void()> done);
@@ -67,6 +69,7 @@
     bool               own = false;  // written by this node
     bool               saved = false;
     bool               saving = false;
+    bool               deleted = false;
   };
   bool TakeAllowance();
   void Write(const std::string& key);
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -282,9 +282,7 @@
 
 bool SuspectService::HasToResolve(const std::string& server) const {
   if (m_requests.HasOwnMarks(server)) return true;
-  if (!m_requests.HasMarks(server)) return false;
-  const auto nodes = m_members->RankCoordinators(server);
-  return !nodes.empty() && nodes.front().name == m_members->self().name;
+  return m_requests.HasMarks(server) && RanksFirst(server);
 }
 
 void SuspectService::AskIfMarked(const std::string& server) {
@@ -422,6 +420,24 @@
   }
 }
 
+void SuspectService::SaveMarksOfOthers() {
+  for (const RequestKey& key : m_requests.TellableRequests()) {
+    const bool has_several = m_requests.CountOpenAndEnded(key) > 1;
+    for (const auto& [server, mark] : *m_requests.Find(key)) {
+      const bool ended = mark.state == SendState::kEnded;
+      if (!ended && !(has_several && SuspectRequests::IsOpen(mark))) continue;
+      const programs::KeptMark kept{key, server, ended};
+      if (!m_durable_marks->WasWritten(kept) && RanksFirst(traffic::Text(key)))
+        m_durable_marks->Save(kept);
+    }
+  }
+}
+
+bool SuspectService::RanksFirst(const std::string& key) const {
+  const auto nodes = m_members->RankCoordinators(key);
+  return !nodes.empty() && nodes.front().name == m_members->self().name;
+}
+
 void SuspectService::TakeHistory(const platform::LogRecord& record) {
   const auto change = m_durable_marks->Take(record);
   if (!change) return;
@@ -593,6 +609,7 @@
     if (m_backends->Find(server) && !WasSilentLately(server))
       AskIfMarked(server);
   }
+  SaveMarksOfOthers();
   m_durable_marks->Sweep([this](const RequestKey& key, const auto& server) {
     const auto* marks = m_requests.Find(key);
     return marks != nullptr && marks->contains(server);
--- a/src/yuccawick/gateway/suspect_service.h
+++ b/src/yuccawick/gateway/suspect_service.h
@@ -147,6 +147,8 @@
   // Whether this node has to find out what became of the server: it has own
   // marks there, or ranks first to do it for nodes that are gone.
   bool HasToResolve(const std::string& server) const;
+  // Whether it is this node that does for `key` what one node has to.
+  bool RanksFirst(const std::string& key) const;
   // Asks the server soon if this node has to.
   void AskIfMarked(const std::string& server);
   void OnProbed(const std::string& server, Time asked_at, ProbeOutcome outcome);
@@ -162,6 +164,8 @@
   // Writes the marks of the request to the log that a loss of all nodes must
   // not forget.
   void              SaveMarks(const traffic::RequestKey& key);
+  // Writes those marks of other nodes that the log did not take from them.
+  void              SaveMarksOfOthers();
   void              Tell(const std::vector<Told>& told);
   // What other nodes were told of, all of it.
   std::vector<Told> AllTold() const;
