--- a/src/yuccawick/gateway/durable_origins.cc
+++ b/src/yuccawick/gateway/durable_origins.cc
@@ -20,7 +20,7 @@
 
 constexpr Duration kListTimeout = 1000;  // ms
 constexpr Duration kRetryDelay = 500;    // ms after a failure
-constexpr Duration kMinPause = 250;      // ms between two batches
+constexpr Duration kMinPause = 100;      // ms between two batches
 // ms between two batches for each node: 100 batches a second of all nodes.
 constexpr Duration kPausePerNode = 10;
 
