Deletions of marks and origins that the log did not take are repeated

A record whose deletion failed stayed in the log for good, and counted again after each start of all nodes: its mark for suspect_memory, its version for ten minutes. Cause: the outcome of the deletion was not looked at.

No test of its own: the stand-in store shows no newest records. The tests of stream versions, deadly and harmless requests pass as before.

--- a/src/yuccawick/gateway/durable_marks.cc
+++ b/src/yuccawick/gateway/durable_marks.cc
@@ -40,8 +40,9 @@
 void DurableMarks::Save(const KeptMark& mark) {
   const std::string key = RecordKey(mark);
   const auto [record, added] = m_records.try_emplace(key, Record{mark});
-  const bool same = !added && record->second.mark.ended == mark.ended;
-  if (same && (record->second.saved || record->second.saving)) return;
+  const Record& known = record->second;
+  const bool    same = !added && known.mark.ended == mark.ended;
+  if (same && !known.deleting && (known.saved || known.saving)) return;
   record->second.mark = mark;
   record->second.saved = false;
   Write(key);
@@ -133,17 +134,31 @@
     }
   }
   for (const std::string& key : gone) {
-    const Record record = m_records.extract(key).mapped();
-    const auto   nodes = m_members->RankCoordinators(key);
-    const bool   ranks_first =
-        !nodes.empty() && nodes.front().name == m_members->self().name;
-    if (!record.deleted && (record.own || ranks_first)) Delete(key);
+    const Record& record = m_records.at(key);
+    if (record.deleted || !(record.own || RanksFirst(key))) {
+      m_records.erase(key);
+    } else if (!record.deleting && writes < kMaxWrites) {
+      ++writes;
+      Delete(key);
+    }
   }
 }
 
+bool DurableMarks::RanksFirst(const std::string& key) const {
+  const auto nodes = m_members->RankCoordinators(key);
+  return !nodes.empty() && nodes.front().name == m_members->self().name;
+}
+
 void DurableMarks::Delete(const std::string& key) {
-  m_store->Put(Topic::kHistory, key, std::nullopt, m_thresholds->log_timeout,
-               [](const platform::StoreResult<platform::Appended>&) {});
+  m_records.at(key).deleting = true;
+  m_store->Put(
+      Topic::kHistory, key, std::nullopt, m_thresholds->log_timeout,
+      [this, key](const platform::StoreResult<platform::Appended>& result) {
+        const auto deleted = m_records.find(key);
+        if (deleted == m_records.end()) return;
+        deleted->second.deleting = false;
+        deleted->second.deleted = result.has_value();
+      });
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/durable_marks.h
+++ b/src/yuccawick/gateway/durable_marks.h
@@ -59,8 +59,8 @@
   std::optional<Change> Take(const platform::LogRecord& record);
   using IsKnown = std::function<bool(const traffic::RequestKey& key,
                                      const std::string&         server)>;
-  // Saves again what was not acknowledged, and deletes the records of marks
-  // that are not known any more. Call about twice a second.
+  // Repeats what was not acknowledged, and deletes the records of marks that
+  // are not known any more. Call about twice a second.
   void Sweep(const IsKnown& is_known);
 
  private:
@@ -69,11 +69,14 @@
     bool               own = false;  // written by this node
     bool               saved = false;
     bool               saving = false;
+    bool               deleting = false;
     bool               deleted = false;
   };
   bool TakeAllowance();
   void Write(const std::string& key);
   void Delete(const std::string& key);
+  // Whether this node does what one node has to do for the record.
+  bool RanksFirst(const std::string& key) const;
   void OnWritten(const std::string& key, const std::string& server,
                  bool written);
 
--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -28,12 +28,13 @@
 // ms added to the wait: the time of a slow answer.
 constexpr Duration kResponseMargin = 500;
 // Nodes change rarely, and no change is needed at once.
-constexpr Duration kNodesWait = 4000;    // ms
-constexpr Duration kNodesPause = 500;    // ms
-constexpr Duration kHistoryPause = 100;  // ms
-constexpr Duration kListTimeout = 1000;  // ms
-constexpr Duration kRetryDelay = 120;    // ms after a failure
-constexpr Duration kManifestPause = 20;  // ms; manifests are rare
+constexpr Duration kNodesWait = 4000;        // ms
+constexpr Duration kNodesPause = 500;        // ms
+constexpr Duration kHistoryPause = 100;      // ms
+constexpr Duration kListTimeout = 1000;      // ms
+constexpr Duration kRetryDelay = 120;        // ms after a failure
+constexpr Duration kRecordRetryDelay = 500;  // ms, to write an origin again
+constexpr Duration kManifestPause = 20;      // ms; manifests are rare
 // Servers renew their entries continuously; batching the renewals saves calls.
 // Must stay well below the 2 s in which a leaving server stops receiving work.
 constexpr Duration kServersPause = 300;    // ms
@@ -232,7 +233,7 @@
       m_unrecorded_origins.insert(origin);
   }
   if (!m_unrecorded_origins.empty() && !std::exchange(m_recording, true))
-    RecordLater();
+    RecordLater(0);
 }
 
 void Follower::PublishOrigins() {
@@ -247,8 +248,8 @@
   return std::uniform_int_distribution<Duration>(0, most)(m_random);
 }
 
-void Follower::RecordLater() {
-  m_loop->After(DrawNodePause(), [this] { RecordNext(); });
+void Follower::RecordLater(Duration delay) {
+  m_loop->After(delay + DrawNodePause(), [this] { RecordNext(); });
 }
 
 void Follower::RecordNext() {
@@ -264,21 +265,28 @@
   std::advance(next, m_random() % m_unrecorded_origins.size());
   m_store->Put(Topic::kHistory, OriginKey(*next),
                programs::EncodePossibleOrigin(*next), kListTimeout,
-               [this](const StoreResult<platform::Appended>&) {
-                 RecordLater();  // an acknowledged one comes back as a record
+               [this](const StoreResult<platform::Appended>& result) {
+                 // An acknowledged one comes back as a record.
+                 RecordLater(result ? 0 : kRecordRetryDelay);
                });
 }
 
 void Follower::DropExpiredOrigins() {
   const auto dropped = m_origins.DropExpired(m_loop->now());
   if (!dropped.empty()) PublishOrigins();
-  for (const traffic::PossibleOrigin& origin : dropped) {
-    m_loop->After(DrawNodePause(), [this, key = OriginKey(origin)] {
-      if (m_recorded_origins.erase(key) == 0) return;
-      m_store->Put(Topic::kHistory, key, std::nullopt, kListTimeout,
-                   [](const StoreResult<platform::Appended>&) {});
-    });
-  }
+  for (const traffic::PossibleOrigin& origin : dropped)
+    DeleteLater(OriginKey(origin), 0);
+}
+
+// The first node that does it spares the others.
+void Follower::DeleteLater(const std::string& key, Duration delay) {
+  m_loop->After(delay + DrawNodePause(), [this, key] {
+    if (!m_recorded_origins.contains(key)) return;
+    m_store->Put(Topic::kHistory, key, std::nullopt, kListTimeout,
+                 [this, key](const StoreResult<platform::Appended>& result) {
+                   if (!result) DeleteLater(key, kRecordRetryDelay);
+                 });
+  });
 }
 
 void Follower::UpdateLogReachability(bool reachable) {
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -112,9 +112,12 @@
   void     UpdateOrigins();
   void     PublishOrigins();
   // Write the origins that no node has recorded, one after the other.
-  void     RecordLater();
+  void     RecordLater(Duration delay);
   void     RecordNext();
   void     DropExpiredOrigins();
+  // Deletes the record of an origin unless another node does; repeated until
+  // the log acknowledges it.
+  void     DeleteLater(const std::string& key, Duration delay);
   // Uniform in [0, 20 ms for each node).
   Duration DrawNodePause();
   void     HandleManifest(const platform::LogRecord& record);
