--- a/src/yuccawick/gateway/follower.cc
+++ b/src/yuccawick/gateway/follower.cc
@@ -7,7 +7,6 @@
 
 #include "platform/manifest_codec.h"
 #include "yuccawick/programs/record.h"
-#include "yuccawick/traffic/request_key.h"
 
 namespace yuccawick::gateway {
 namespace {
@@ -28,28 +27,16 @@
 // ms added to the wait: the time of a slow answer.
 constexpr Duration kResponseMargin = 500;
 // Nodes change rarely, and no change is needed at once.
-constexpr Duration kNodesWait = 4000;        // ms
-constexpr Duration kNodesPause = 500;        // ms
-constexpr Duration kHistoryPause = 100;      // ms
-constexpr Duration kListTimeout = 1000;      // ms
-constexpr Duration kRetryDelay = 120;        // ms after a failure
-constexpr Duration kRecordRetryDelay = 500;  // ms, to write an origin again
-constexpr Duration kManifestPause = 20;      // ms; manifests are rare
+constexpr Duration kNodesWait = 4000;    // ms
+constexpr Duration kNodesPause = 500;    // ms
+constexpr Duration kHistoryPause = 100;  // ms
+constexpr Duration kListTimeout = 1000;  // ms
+constexpr Duration kRetryDelay = 120;    // ms after a failure
+constexpr Duration kManifestPause = 20;  // ms; manifests are rare
 // Servers renew their entries continuously; batching the renewals saves calls.
 // Must stay well below the 2 s in which a leaving server stops receiving work.
 constexpr Duration kServersPause = 300;    // ms
 constexpr Duration kExpiryInterval = 100;  // ms; for expired servers
-// ms over which nodes spread writes that one of them has to make.
-constexpr Duration kPausePerNode = 20;
-
-constexpr std::string_view kOriginPrefix = "origin/";
-
-// Hashed, since a key has 255 bytes at most.
-std::string OriginKey(const traffic::PossibleOrigin& origin) {
-  return std::string(kOriginPrefix) +
-         traffic::Text(traffic::HashOf(origin.group)) + "/" +
-         traffic::Text(traffic::HashOf(origin.member));
-}
 
 Duration ManifestReadWait(std::optional<Duration> key_bound) {
   return std::min(
@@ -157,7 +144,10 @@
       m_store(store),
       m_log(log),
       m_outputs(std::move(outputs)),
-      m_random(std::random_device{}()),
+      m_origin_records(loop, store, log,
+                       [this](const traffic::PossibleOrigins& origins) {
+                         PublishOrigins(origins);
+                       }),
       m_manifest_topic(
           loop, store, log, Topic::kOperator, "manifest",
           {ManifestReadWait(key_bound), kManifestPause},
@@ -189,106 +179,26 @@
               {kNodesWait, kNodesPause},
               {[this](const LogRecord& record) { HandleNode(record); }, [] {},
                [] {}, [](bool) {}, [](Time) {}, [](std::int64_t) {}}),
-      m_history(loop, store, log, Topic::kHistory, "history",
-                {kNodesWait, kHistoryPause},
-                {[this](const LogRecord& record) { HandleHistory(record); },
-                 [] {}, [this] { EndHistoryListing(); }, [](bool) {},
-                 [](Time) {}, [](std::int64_t) {}}) {}
+      m_history(
+          loop, store, log, Topic::kHistory, "history",
+          {kNodesWait, kHistoryPause},
+          {[this](const LogRecord& record) { HandleHistory(record); }, [] {},
+           [this] {
+             m_origin_records.EndListing();
+             m_outputs.history_listed();
+           },
+           [](bool) {}, [](Time) {}, [](std::int64_t) {}}) {}
 
 void Follower::HandleHistory(const LogRecord& record) {
-  if (!record.key.starts_with(kOriginPrefix)) {
-    m_outputs.history(record);
-    return;
-  }
-  if (record.removed) {
-    // By a node that has not seen it for long; this one may still see it.
-    if (m_recorded_origins.erase(record.key) > 0) UpdateOrigins();
-    return;
-  }
-  const auto origin = programs::DecodePossibleOrigin(record.value);
-  if (!origin) {
-    m_log->Write(LogEvent::kFault,
-                 {{"what", "undecodable origin"}, {"key", record.key}});
-    return;
-  }
-  m_recorded_origins.insert(record.key);
-  if (m_origins.TakeRecorded(*origin, m_loop->now())) PublishOrigins();
-}
-
-void Follower::EndHistoryListing() {
-  m_history_listed = true;
-  m_outputs.history_listed();
-  UpdateOrigins();
-  PublishOrigins();
-}
-
-void Follower::UpdateOrigins() {
-  std::vector<traffic::PossibleOrigin> present = m_version_origins;
-  present.insert(present.end(), m_route_origins.begin(), m_route_origins.end());
-  if (m_origins.Take(present, m_loop->now())) PublishOrigins();
-  // Before the listing it is not known which are recorded.
-  if (!m_history_listed) return;
-  for (const traffic::PossibleOrigin& origin : present) {
-    if (!m_recorded_origins.contains(OriginKey(origin)))
-      m_unrecorded_origins.insert(origin);
-  }
-  if (!m_unrecorded_origins.empty() && !std::exchange(m_recording, true))
-    RecordLater(0);
+  if (!m_origin_records.Take(record)) m_outputs.history(record);
 }
 
-void Follower::PublishOrigins() {
-  if (!m_history_listed) return;
+void Follower::PublishOrigins(const traffic::PossibleOrigins& origins) {
   m_software.origins =
-      std::make_shared<const traffic::PossibleOrigins>(m_origins);
+      std::make_shared<const traffic::PossibleOrigins>(origins);
   m_outputs.software(m_software);
 }
 
-Duration Follower::DrawNodePause() {
-  const auto most = kPausePerNode * static_cast<Duration>(m_node_names.size());
-  return std::uniform_int_distribution<Duration>(0, most)(m_random);
-}
-
-void Follower::RecordLater(Duration delay) {
-  m_loop->After(delay + DrawNodePause(), [this] { RecordNext(); });
-}
-
-void Follower::RecordNext() {
-  std::erase_if(m_unrecorded_origins, [this](const auto& origin) {
-    return m_recorded_origins.contains(OriginKey(origin));
-  });
-  if (m_unrecorded_origins.empty()) {
-    m_recording = false;
-    return;
-  }
-  // Nodes begin at different ones, so that they share the work.
-  auto next = m_unrecorded_origins.begin();
-  std::advance(next, m_random() % m_unrecorded_origins.size());
-  m_store->Put(Topic::kHistory, OriginKey(*next),
-               programs::EncodePossibleOrigin(*next), kListTimeout,
-               [this](const StoreResult<platform::Appended>& result) {
-                 // An acknowledged one comes back as a record.
-                 RecordLater(result ? 0 : kRecordRetryDelay);
-               });
-}
-
-void Follower::DropExpiredOrigins() {
-  const auto dropped = m_origins.DropExpired(m_loop->now());
-  if (!dropped.empty()) PublishOrigins();
-  for (const traffic::PossibleOrigin& origin : dropped)
-    DeleteLater(OriginKey(origin), 0);
-}
-
-// The first node that does it spares the others.
-void Follower::DeleteLater(const std::string& key, Duration delay) {
-  m_loop->After(delay + DrawNodePause(), [this, key] {
-    if (!m_recorded_origins.contains(key)) return;
-    m_store->Put(Topic::kHistory, key, std::nullopt, kListTimeout,
-                 [this, key](const StoreResult<platform::Appended>& result) {
-                   if (!result) DeleteLater(key, kRecordRetryDelay);
-                 });
-  });
-}
-
 void Follower::UpdateLogReachability(bool reachable) {
   if (std::exchange(m_log_reachable, reachable) != reachable) {
     m_outputs.log_reachable(reachable);
@@ -305,7 +215,7 @@
 
 void Follower::Tick() {
   m_directory.Expire(m_loop->now());
-  DropExpiredOrigins();
+  m_origin_records.DropExpired();
   PublishServers();
   m_log->Flush();
   m_loop->After(kExpiryInterval, [this] { Tick(); });
@@ -329,11 +239,11 @@
   m_log->Write(LogEvent::kManifest, {{"version", m_version},
                                      {"routes", (*manifest)->routes.size()},
                                      {"offset", record.offset}});
-  m_route_origins.clear();
+  OriginRecords::Origins origins;
   for (const traffic::Route& route : (*manifest)->routes) {
     if (!route.resumable) continue;
     for (const traffic::WeightedService& each : route.services) {
-      m_route_origins.push_back(
+      origins.insert(
           traffic::RouteOrigin(route.host, route.path_prefix, each.service));
     }
   }
@@ -342,12 +252,13 @@
   m_software.routes =
       std::make_shared<const traffic::RouteHistory>(m_route_history);
   m_outputs.software(m_software);
-  UpdateOrigins();
+  m_origin_records.SetRoutes(std::move(origins));
 }
 
 void Follower::HandleNode(const LogRecord& record) {
   if (record.removed) {
     m_node_names.erase(record.key);
+    m_origin_records.SetNodeCount(m_node_names.size());
     m_outputs.node(record.key, std::nullopt);
     return;
   }
@@ -361,6 +272,7 @@
                                  {"state", "announced"},
                                  {"address", node->address.Text()}});
   m_node_names.insert(record.key);
+  m_origin_records.SetNodeCount(m_node_names.size());
   m_outputs.node(record.key, node);
 }
 
@@ -419,16 +331,11 @@
   m_version_history.TakeServers(*list, listed, m_loop->now());
   m_software.versions =
       std::make_shared<const traffic::VersionHistory>(m_version_history);
-  std::set<traffic::PossibleOrigin> versions;
-  for (const auto& server : *list)
-    versions.insert(traffic::VersionOrigin(server));
   m_outputs.software(m_software);
-  std::vector<traffic::PossibleOrigin> origins(versions.begin(),
-                                               versions.end());
-  if (origins != m_version_origins) {
-    m_version_origins = std::move(origins);
-    UpdateOrigins();
-  }
+  OriginRecords::Origins origins;
+  for (const auto& server : *list)
+    origins.insert(traffic::VersionOrigin(server));
+  m_origin_records.SetVersions(std::move(origins));
   if (!changed) return;
   int draining = 0;
   for (const auto& server : *list) draining += server.draining ? 1 : 0;
--- a/src/yuccawick/gateway/follower.h
+++ b/src/yuccawick/gateway/follower.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +17,7 @@
 
 #include "platform/store.h"
 #include "yuccawick/gateway/log.h"
+#include "yuccawick/gateway/origin_records.h"
 #include "yuccawick/programs/membership.h"
 #include "yuccawick/traffic/directory.h"
 #include "yuccawick/traffic/manifest.h"
@@ -74,8 +74,7 @@
 };
 
 // Decodes the followed topics and passes changes to the callbacks in Outputs,
-// on the control thread. Keeps the possible origins of streams in the log, so
-// that they outlive a loss of all nodes.
+// on the control thread.
 class Follower {
  public:
   struct Outputs {
@@ -105,28 +104,16 @@
   void Start();
 
  private:
-  void     UpdateLogReachability(bool reachable);
-  void     HandleHistory(const platform::LogRecord& record);
-  void     EndHistoryListing();
-  // Publishes the possible origins of now, and records new ones in the log.
-  void     UpdateOrigins();
-  void     PublishOrigins();
-  // Write the origins that no node has recorded, one after the other.
-  void     RecordLater(Duration delay);
-  void     RecordNext();
-  void     DropExpiredOrigins();
-  // Deletes the record of an origin unless another node does; repeated until
-  // the log acknowledges it.
-  void     DeleteLater(const std::string& key, Duration delay);
-  // Uniform in [0, 20 ms for each node).
-  Duration DrawNodePause();
-  void     HandleManifest(const platform::LogRecord& record);
-  void     HandleNode(const platform::LogRecord& record);
-  void     HandleServer(const platform::LogRecord& record);
-  bool     IsRenewal(const platform::LogRecord& record);
-  void     EndServerListing();
-  void     PublishServers();
-  void     Tick();
+  void UpdateLogReachability(bool reachable);
+  void HandleHistory(const platform::LogRecord& record);
+  void PublishOrigins(const traffic::PossibleOrigins& origins);
+  void HandleManifest(const platform::LogRecord& record);
+  void HandleNode(const platform::LogRecord& record);
+  void HandleServer(const platform::LogRecord& record);
+  bool IsRenewal(const platform::LogRecord& record);
+  void EndServerListing();
+  void PublishServers();
+  void Tick();
 
   net::EventLoop*                                m_loop;
   platform::Store*                               m_store;
@@ -142,24 +129,16 @@
   traffic::VersionHistory  m_version_history;
   traffic::RouteHistory    m_route_history;
   traffic::SoftwareHistory m_software;
-  traffic::PossibleOrigins m_origins;
-  // Of the servers and of the manifest of now.
-  std::vector<traffic::PossibleOrigin> m_version_origins;
-  std::vector<traffic::PossibleOrigin> m_route_origins;
-  std::set<std::string> m_recorded_origins;  // keys of their records
-  std::set<traffic::PossibleOrigin> m_unrecorded_origins;
-  bool                              m_recording = false;
-  std::set<std::string>             m_node_names;
-  bool                              m_history_listed = false;
-  std::mt19937_64                   m_random;
-  bool                              m_servers_known = false;
-  std::int64_t                      m_version = -1;  // of the manifest in force
-  std::uint64_t m_manifest_hash = 0;  // of the last manifest record
-  bool          m_log_reachable = true;
-  TopicFollower m_manifest_topic;
-  TopicFollower m_servers;
-  TopicFollower m_nodes;
-  TopicFollower m_history;
+  OriginRecords            m_origin_records;
+  std::set<std::string>    m_node_names;
+  bool                     m_servers_known = false;
+  std::int64_t             m_version = -1;       // of the manifest in force
+  std::uint64_t            m_manifest_hash = 0;  // of the last manifest record
+  bool                     m_log_reachable = true;
+  TopicFollower            m_manifest_topic;
+  TopicFollower            m_servers;
+  TopicFollower            m_nodes;
+  TopicFollower            m_history;
 };
 
 }  // namespace yuccawick::gateway
