--- a/src/yuccawick/gateway/durable_marks.h
+++ b/src/yuccawick/gateway/durable_marks.h
@@ -28,7 +28,7 @@
 
 class DurableMarks {
  public:
-  // Optional marks that a node may save at once.
+  // Optional marks that a node may save in a burst.
   static constexpr double kMaxAllowance = 4;
 
   DurableMarks(net::EventLoop* loop, const Thresholds* thresholds,
@@ -43,8 +43,7 @@
   // No effect if the log is known to hold it. Repeated until the log
   // acknowledges it or the mark is gone.
   void Save(const programs::KeptMark& mark);
-  // The same, for marks that are worth little each: no effect while all nodes
-  // together save more than `optional_marks` of them a second.
+  // Like Save() within the limit of `optional_marks`; no effect above it.
   void SaveOptional(const programs::KeptMark& mark);
   // Whether the log held the mark at any time, or this node is to write it.
   bool WasWritten(const programs::KeptMark& mark) const;
@@ -55,7 +54,7 @@
     programs::KeptMark mark;
     bool               removed = false;
   };
-  // What a record of the topic tells; empty if nothing that is not known here.
+  // What a record of the topic changes here; empty if nothing.
   std::optional<Change> Take(const platform::LogRecord& record);
   using IsKnown = std::function<bool(const traffic::RequestKey& key,
                                      const std::string&         server)>;
@@ -72,6 +71,7 @@
     bool               deleting = false;
     bool               deleted = false;
   };
+  // Whether one more optional mark is within the limit. Counts it.
   bool TakeAllowance();
   void Write(const std::string& key);
   void Delete(const std::string& key);
--- a/src/yuccawick/gateway/stream_origin_service.cc
+++ b/src/yuccawick/gateway/stream_origin_service.cc
@@ -107,7 +107,7 @@
 void StreamOriginService::Hold(const StreamKey&    key,
                                const StreamOrigin& origin) {
   m_origins.Put(key, origin, m_loop->now());
-  if (MayBeOther(origin) && m_origins.TakeNew(key))
+  if (IsAmbiguous(origin) && m_origins.TakeNew(key))
     m_durable_origins->Put(key, origin);
 }
 
@@ -120,13 +120,13 @@
 
 void StreamOriginService::SaveStreams() {
   const auto wanted = [this](const StreamOrigin& origin) {
-    return MayBeOther(origin);
+    return IsAmbiguous(origin);
   };
   for (const auto& [key, origin] : m_origins.TakeNew(wanted))
     m_durable_origins->Put(key, origin);
 }
 
-bool StreamOriginService::MayBeOther(const StreamOrigin& origin) const {
+bool StreamOriginService::IsAmbiguous(const StreamOrigin& origin) const {
   return !m_software.origins || m_split_services.contains(origin.service) ||
          m_software.origins->HasOtherVersion(origin.service, origin.version);
 }
--- a/src/yuccawick/gateway/stream_origin_service.h
+++ b/src/yuccawick/gateway/stream_origin_service.h
@@ -110,10 +110,10 @@
       const traffic::StreamKey& key) const;
   // Remembers the stream for others.
   void Hold(const traffic::StreamKey& key, const traffic::StreamOrigin& origin);
-  // Writes remembered streams to the log that may have other origins now.
+  // Writes the remembered streams to the log whose origin is ambiguous by now.
   void SaveStreams();
-  // Whether streams of the service may have other origins than this one.
-  bool MayBeOther(const traffic::StreamOrigin& origin) const;
+  // Whether streams of the service may have begun under another origin.
+  bool IsAmbiguous(const traffic::StreamOrigin& origin) const;
 
   net::EventLoop*                          m_loop;
   const Thresholds*                        m_thresholds;
