--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -336,7 +336,8 @@
     OnPrepared();
     return;
   }
-  TurnBudget turn{ScopedId(m_info.program), *m_info.budget, m_info.max_tokens};
+  TurnBudget turn{
+      ScopedId(m_info.program), {}, *m_info.budget, m_info.max_tokens};
   FillAdmissionRequest(&turn);
   m_wait_refusal = Refusal::kBudgetUnsure;
   const Duration patience =
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -26,12 +26,13 @@
 std::vector<TokenCoordinator> MakeTokenCoordinators(
     net::EventLoop* loop, const Thresholds* thresholds,
     platform::RecordLog* store, Log* log, const std::string& incarnation,
-    AdmissionService* admission_service) {
+    const programs::TokenLedger::SenderCheck& sender_runs,
+    AdmissionService*                         admission_service) {
   std::vector<TokenCoordinator> coordinators;
   coordinators.reserve(kClaimPartitions);  // elements must not be moved
   for (int i = 0; i < kClaimPartitions; ++i) {
     coordinators.emplace_back(loop, thresholds, store, log, incarnation, i,
-                              admission_service);
+                              sender_runs, admission_service);
   }
   return coordinators;
 }
@@ -88,7 +89,9 @@
           loop, &thresholds->admission, &m_fairness, log, metrics,
           [this](const std::string& service) { return CapacityFor(service); }),
       m_token_coordinators(MakeTokenCoordinators(
-          loop, thresholds, &m_store, log, incarnation, &m_admission)),
+          loop, thresholds, &m_store, log, incarnation,
+          [this](const std::string& sender) { return m_members.Runs(sender); },
+          &m_admission)),
       m_key_lease(settings.key_bound),
       m_members({settings.node,
                  incarnation,
@@ -117,7 +120,7 @@
       m_dispatcher(loop, thresholds->concurrency_limit),
       m_peers(loop, thresholds, &m_members, &m_network, &m_token_coordinators,
               &m_rate_limiter, &m_turns, &m_backends, &m_admission,
-              &m_stream_origins, &m_suspects),
+              &m_stream_origins, &m_suspects, log),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
       m_metrics_server(loop, [metrics](std::string_view) {
         return SmallAnswer{200, metrics->Text()};
@@ -428,8 +431,8 @@
   for (ClientConnection* connection : Connections())
     connection->OnNodeStopping();
   if (m_stop.ClosesConnections(now)) CloseIdle();
-  const bool served =
-      m_listener < 0 && m_clients.empty() && m_turns.pending_persists() == 0;
+  const bool served = m_listener < 0 && m_clients.empty() &&
+                      m_turns.pending_persists() == 0 && AllTurnsSettled();
   if (served || *m_stop.TimeLeft(now) <= 0) {
     Finish();
   } else {
@@ -437,15 +440,24 @@
   }
 }
 
+bool Gateway::AllTurnsSettled() const {
+  return m_peers.unsettled_turns() == 0 &&
+         std::none_of(m_token_coordinators.begin(), m_token_coordinators.end(),
+                      [](const TokenCoordinator& coordinator) {
+                        return coordinator.HasSettlements();
+                      });
+}
+
 void Gateway::Finish() {
   m_log->Write(LogEvent::kStopped,
                {{"connections_cut", m_clients.size()},
                 {"requests_cut", CountRequests()},
                 {"turns_not_durable", m_turns.pending_persists()},
+                {"turns_not_settled", m_peers.unsettled_turns()},
                 {"left_ms", *m_stop.TimeLeft(m_loop->now())}});
   for (ClientConnection* connection : Connections()) connection->OnNodeEnd();
   for (TokenCoordinator& coordinator : m_token_coordinators)
-    coordinator.ReleaseAllUnused();
+    coordinator.Close();
   m_store.Put(platform::Topic::kNodes, m_settings.node, std::nullopt,
               m_thresholds->log_timeout,
               [](const platform::StoreResult<platform::Appended>&) {});
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -86,6 +86,7 @@
   void                           StopListening();
   // Repeats itself until all requests have ended or the time is up.
   void                           ContinueStop();
+  bool                           AllTurnsSettled() const;
   void                           Finish();
   // A copy, because the connections may remove themselves.
   std::vector<ClientConnection*> Connections() const;
--- a/src/yuccawick/gateway/log.cc
+++ b/src/yuccawick/gateway/log.cc
@@ -43,13 +43,13 @@
 }  // namespace
 
 std::string_view Name(LogEvent event) {
-  constexpr std::array<std::string_view, 31> kNames{
+  constexpr std::array<std::string_view, 32> kNames{
       "started",     "stopping", "stopped",   "settings", "manifest", "servers",
       "log_lost",    "log_back", "log_use",   "accepted", "sent",     "loss",
       "probed",      "suspect",  "continued", "answered", "refused",  "cut_off",
-      "client_left", "waiting",  "claim",     "scan",     "origins",  "limit",
-      "room",        "share",    "pace",      "pressure", "peer",     "dropped",
-      "fault"};
+      "client_left", "waiting",  "claim",     "settled",  "scan",     "origins",
+      "limit",       "room",     "share",     "pace",     "pressure", "peer",
+      "dropped",     "fault"};
   return kNames[static_cast<std::size_t>(event)];
 }
 
--- a/src/yuccawick/gateway/log.h
+++ b/src/yuccawick/gateway/log.h
@@ -43,6 +43,7 @@
   kClientLeft,
   kWaiting,   // the turn waits for the platform's log before it is sent
   kClaim,     // tokens of a program were claimed
+  kSettled,   // what a turn used was recorded late, or not at all
   kScan,      // the log was searched for turns
   kOrigins,   // origins of streams were read from the log
   kLimit,     // requests refused by a workspace's rate limit
--- a/src/yuccawick/gateway/peer_service.cc
+++ b/src/yuccawick/gateway/peer_service.cc
@@ -73,6 +73,26 @@
   return request;
 }
 
+// Without a response the request may have been granted.
+Reservation ReadReserveResponse(const TurnBudget&                  turn,
+                                const std::string&                 coordinator,
+                                std::optional<PeerMessage::Reader> response) {
+  Reservation result{ReserveOutcome::kUnsure, turn, coordinator};
+  result.claimed = !response;
+  if (!response) return result;
+  if (response->isGranted()) {
+    result.outcome = ReserveOutcome::kStart;
+    result.server = response->getGranted().getServer().cStr();
+  } else if (response->isRoomRefusal()) {
+    result.outcome = ReserveOutcome::kNoRoom;
+    result.retry_delay = response->getRoomRefusal().getRetryMs();
+  } else if (response->isNotGranted()) {
+    result.outcome = FromWire(response->getNotGranted().getOutcome());
+    result.claimed = response->getNotGranted().getClaimed();
+  }
+  return result;
+}
+
 }  // namespace
 
 PeerService::PeerService(net::EventLoop* loop, const Thresholds* thresholds,
@@ -82,7 +102,7 @@
                          Backends*            backends,
                          AdmissionService*    admission_service,
                          StreamOriginService* stream_origins,
-                         SuspectService*      suspects)
+                         SuspectService* suspects, Log* log)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_members(members),
@@ -94,7 +114,11 @@
       m_backends(backends),
       m_admission(admission_service),
       m_stream_origins(stream_origins),
-      m_suspects(suspects) {
+      m_suspects(suspects),
+      m_settler(loop, thresholds, members, network, coordinators, log,
+                [this](int partition) {
+                  return RankCoordinators(TokenCoordinatorKey(partition));
+                }) {
   network->SetMessageHandler(this);
 }
 
@@ -104,42 +128,84 @@
   return (*m_coordinators)[static_cast<std::size_t>(ClaimPartitionOf(program))];
 }
 
-void PeerService::ReserveLocally(const TurnBudget&  turn,
-                                 const ReserveDone& done) {
-  CoordinatorOf(turn.program)
-      .Reserve(turn, [this, turn, done](ReserveOutcome outcome) {
-        done({outcome,
-              turn,
-              {},
-              CoordinatorOf(turn.program).LastServer(turn.program),
-              m_admission->RetryDelay(turn.admission_request)});
-      });
+void PeerService::Reserve(TurnBudget turn, Duration patience,
+                          const ReserveDone& done) {
+  turn.id = {m_members->self().incarnation, ++m_last_reservation};
+  ReserveFrom(std::make_shared<ReserveCall>(
+                  ReserveCall{std::move(turn), m_loop->now() + patience, done}),
+              0);
 }
 
-void PeerService::Reserve(const TurnBudget& turn, Duration patience,
-                          const ReserveDone& done) {
-  ReserveFrom(turn, 0, m_loop->now() + patience, done);
+void PeerService::ReserveFrom(const ReserveCallPtr& call, std::size_t rank) {
+  const auto coordinators = RankCoordinators(
+      TokenCoordinatorKey(ClaimPartitionOf(call->turn.program)));
+  if (rank >= std::min(coordinators.size(), kMaxCoordinatorsTried)) {
+    RetryReserve(call);
+    return;
+  }
+  const NodeInfo& coordinator = coordinators[rank];
+  const auto      on_result = [this, call, rank](const Reservation& result) {
+    OnReserveResult(call, rank, result);
+  };
+  if (coordinator.name == m_members->self().name) {
+    ReserveLocally(call->turn, on_result);
+  } else {
+    SendReserve(coordinator, call->turn, on_result);
+  }
+}
+
+void PeerService::OnReserveResult(const ReserveCallPtr& call, std::size_t rank,
+                                  const Reservation& result) {
+  call->claimed = call->claimed || result.claimed;
+  if (result.outcome == ReserveOutcome::kUnsure) {
+    // This coordinator cannot reach the log; the next in rank may reach it.
+    ReserveFrom(call, rank + 1);
+  } else if (result.outcome == ReserveOutcome::kHold) {
+    RetryReserve(call);
+  } else {
+    FinishReserve(call, result);
+  }
 }
 
-void PeerService::RetryReserve(const TurnBudget& turn, Time retry_deadline,
-                               const ReserveDone& done) {
+void PeerService::RetryReserve(const ReserveCallPtr& call) {
   if (IsIsolated() ||
-      m_loop->now() + m_thresholds->reserve_pause >= retry_deadline) {
-    done({ReserveOutcome::kUnsure, turn, {}});
+      m_loop->now() + m_thresholds->reserve_pause >= call->retry_deadline) {
+    FinishReserve(call, {ReserveOutcome::kUnsure, call->turn, {}});
     return;
   }
   m_loop->After(m_thresholds->reserve_pause,
-                [this, turn, retry_deadline, done] {
-                  ReserveFrom(turn, 0, retry_deadline, done);
-                });
+                [this, call] { ReserveFrom(call, 0); });
+}
+
+void PeerService::FinishReserve(const ReserveCallPtr& call,
+                                const Reservation&    result) {
+  // A claim that gets to the log later must grant nothing.
+  if (call->claimed && result.outcome != ReserveOutcome::kStart)
+    EndTurn({ReserveOutcome::kUnsure, call->turn, {}}, 0, {});
+  call->done(result);
+}
+
+void PeerService::ReserveLocally(const TurnBudget&  turn,
+                                 const ReserveDone& done) {
+  CoordinatorOf(turn.program)
+      .Reserve(turn, [this, turn, done](const ReserveResult& result) {
+        done({result.outcome, turn, m_members->self().name,
+              CoordinatorOf(turn.program).LastServer(turn.program),
+              m_admission->RetryDelay(turn.admission_request), result.claimed});
+      });
 }
 
-// Nodes that reported the log unavailable are ranked last. Otherwise all
+// Nodes that stop are ranked last: what they coordinate moves at their end, and
+// a turn that is reserved late in a stop would have to be settled elsewhere.
+// Nodes that reported the log unavailable are ranked last too. Otherwise all
 // coordinators tried for a partition could be cut off from the log, and its
 // programs would be refused for as long as the outage lasts.
 std::vector<NodeInfo> PeerService::RankCoordinators(
     const std::string& key) const {
-  auto       coordinators = m_members->RankCoordinators(key);
+  auto coordinators = m_members->RankCoordinators(key);
+  std::stable_partition(
+      coordinators.begin(), coordinators.end(),
+      [this](const NodeInfo& node) { return !m_members->Stopping(node.name); });
   // After an outage that includes this node the plain ranking applies: nodes
   // learn of the recovery at different times, and rankings that differ between
   // nodes would make several of them claim in one partition.
@@ -154,59 +220,20 @@
   return coordinators;
 }
 
-void PeerService::ReserveFrom(const TurnBudget& turn, std::size_t rank,
-                              Time retry_deadline, const ReserveDone& done) {
-  const auto coordinators =
-      RankCoordinators(TokenCoordinatorKey(ClaimPartitionOf(turn.program)));
-  if (rank >= std::min(coordinators.size(), kMaxCoordinatorsTried)) {
-    RetryReserve(turn, retry_deadline, done);
-    return;
-  }
-  const NodeInfo& coordinator = coordinators[rank];
-  const auto      on_decided = [this, turn, rank, retry_deadline,
-                           done](const Reservation& result) {
-    if (result.outcome == ReserveOutcome::kUnsure) {
-      // This coordinator cannot reach the log; the next in rank may reach it.
-      ReserveFrom(turn, rank + 1, retry_deadline, done);
-    } else if (result.outcome == ReserveOutcome::kHold) {
-      RetryReserve(turn, retry_deadline, done);
-    } else {
-      done(result);
-    }
-  };
-  if (coordinator.name == m_members->self().name) {
-    ReserveLocally(turn, on_decided);
-  } else {
-    SendReserve(coordinator, turn, on_decided);
-  }
-}
-
 void PeerService::SendReserve(const NodeInfo&   coordinator,
                               const TurnBudget& turn, const ReserveDone& done) {
   auto       number = std::make_shared<std::uint64_t>(0);
   const auto on_response = [this, number, turn, name = coordinator.name,
                             done](std::optional<PeerMessage::Reader> response) {
-    if (response && response->isReserved()) {
-      const auto outcome = FromWire(response->getReserved());
-      if (outcome == ReserveOutcome::kUnsure)
-        m_peer_turns.MarkLogUnavailable(name);
-      done({outcome, turn, name});
-      return;
-    }
-    if (response && response->isStartedAt()) {
-      done({ReserveOutcome::kStart, turn, name,
-            response->getStartedAt().cStr()});
-      return;
+    if (!response) {
+      if (m_abandoned.size() >= kMaxAbandoned)
+        m_abandoned.erase(m_abandoned.begin());
+      m_abandoned.emplace(*number, turn);
     }
-    if (response && response->isRoomRefusal()) {
-      const auto retry_delay = response->getRoomRefusal().getRetryMs();
-      done({ReserveOutcome::kNoRoom, turn, name, {}, retry_delay});
-      return;
-    }
-    if (m_abandoned.size() >= kMaxAbandoned)
-      m_abandoned.erase(m_abandoned.begin());
-    m_abandoned.emplace(*number, turn);
-    done({ReserveOutcome::kUnsure, turn, name});
+    const Reservation result = ReadReserveResponse(turn, name, response);
+    if (response && result.outcome == ReserveOutcome::kUnsure)
+      m_peer_turns.MarkLogUnavailable(name);
+    done(result);
   };
   *number = m_network->SendRequest(
       coordinator,
@@ -215,6 +242,7 @@
         reserve.setProgram(turn.program);
         reserve.setBudget(turn.budget);
         reserve.setMost(turn.max_tokens);
+        programs::Write(turn.id, reserve.initId());
         WriteAdmissionRequest(turn.admission_request, &reserve);
       },
       m_thresholds->reserve_timeout, on_response);
@@ -222,26 +250,9 @@
 
 void PeerService::EndTurn(const Reservation& reservation, programs::Tokens used,
                           const std::string& server) {
-  if (reservation.coordinator.empty()) {
-    CoordinatorOf(reservation.turn.program)
-        .EndTurn(reservation.turn, used, server);
-  } else {
-    SendSettle(reservation.coordinator, reservation.turn, used, server);
-  }
-}
-
-void PeerService::SendSettle(const std::string& coordinator,
-                             const TurnBudget& turn, programs::Tokens used,
-                             const std::string& server) {
-  const NodeInfo* node = m_members->Find(coordinator);
-  if (node == nullptr) return;
-  m_network->SendOneWay(*node, [&](PeerMessage::Builder message) {
-    auto settle = message.initSettle();
-    settle.setProgram(turn.program);
-    settle.setMost(turn.max_tokens);
-    settle.setUsed(used);
-    settle.setServer(server);
-  });
+  const TurnBudget& turn = reservation.turn;
+  m_settler.Settle({turn.program, {turn.id, turn.max_tokens, used}, server},
+                   reservation.coordinator);
 }
 
 void PeerService::OnLateResponse(const std::string&  node,
@@ -251,83 +262,87 @@
     m_suspects->ReceiveMarks(node, message);
     return;
   }
-  const auto found = m_abandoned.find(number);
-  if (found == m_abandoned.end()) return;
-  const TurnBudget turn = found->second;
-  m_abandoned.erase(found);
-  const bool reserved =
-      message.isStartedAt() ||
-      (message.isReserved() &&
-       FromWire(message.getReserved()) == ReserveOutcome::kStart);
-  // The request timed out here, so no turn uses the reservation.
-  if (reserved) SendSettle(node, turn, 0, {});
+  const auto abandoned = m_abandoned.extract(number);
+  if (abandoned.empty() || !message.isGranted()) return;
+  const NodeInfo* coordinator = m_members->Find(node);
+  if (coordinator == nullptr) return;
+  // The request timed out here. If the turn runs, another coordinator has
+  // admitted it.
+  m_network->SendOneWay(*coordinator, [&](PeerMessage::Builder notice) {
+    auto elsewhere = notice.initTurnElsewhere();
+    elsewhere.setProgram(abandoned.mapped().program);
+    programs::Write(abandoned.mapped().id, elsewhere.initId());
+  });
 }
 
 void PeerService::ServeReserve(PeerNetwork::ConnectionId connection,
                                PeerMessage::Reader       message,
                                PeerNetwork::Reply        reply) {
   const auto       reserve = message.getReserve();
-  const TurnBudget turn{reserve.getProgram().cStr(), reserve.getBudget(),
+  const TurnBudget turn{reserve.getProgram().cStr(),
+                        programs::Read(reserve.getId()), reserve.getBudget(),
                         reserve.getMost(), ReadAdmissionRequest(reserve)};
-  m_reserved.try_emplace(connection);
+  m_granted.try_emplace(connection);
   CoordinatorOf(turn.program)
       .Reserve(turn, [this, connection, turn,
-                      reply = std::move(reply)](ReserveOutcome outcome) {
-        const auto found = m_reserved.find(connection);
-        if (found == m_reserved.end()) {
-          // The requester has disconnected and will not run the turn.
-          if (outcome == ReserveOutcome::kStart)
-            CoordinatorOf(turn.program).EndTurn(turn, 0);
-          return;
+                      reply = std::move(reply)](const ReserveResult& result) {
+        const auto found = m_granted.find(connection);
+        if (result.outcome == ReserveOutcome::kStart) {
+          if (found == m_granted.end()) {
+            // The requester has disconnected and asks another coordinator.
+            CoordinatorOf(turn.program).AbandonTurn(turn.id);
+            return;
+          }
+          found->second.push_back({turn.program, turn.id});
         }
-        if (outcome == ReserveOutcome::kStart) found->second.push_back(turn);
         reply([&](PeerMessage::Builder response) {
-          RespondToReserve(turn, outcome, response);
+          RespondToReserve(turn, result, response);
         });
       });
 }
 
 void PeerService::RespondToReserve(const TurnBudget&    turn,
-                                   ReserveOutcome       outcome,
+                                   const ReserveResult& result,
                                    PeerMessage::Builder response) {
-  const std::string server =
-      CoordinatorOf(turn.program).LastServer(turn.program);
-  if (outcome == ReserveOutcome::kNoRoom) {
+  if (result.outcome == ReserveOutcome::kNoRoom) {
     response.initRoomRefusal().setRetryMs(static_cast<std::uint32_t>(
         m_admission->RetryDelay(turn.admission_request)));
-  } else if (outcome == ReserveOutcome::kStart && !server.empty()) {
-    response.setStartedAt(server);
+  } else if (result.outcome == ReserveOutcome::kStart) {
+    response.initGranted().setServer(
+        CoordinatorOf(turn.program).LastServer(turn.program));
   } else {
-    response.setReserved(ToWire(outcome));
+    auto not_granted = response.initNotGranted();
+    not_granted.setOutcome(ToWire(result.outcome));
+    not_granted.setClaimed(result.claimed);
   }
 }
 
 void PeerService::ServeSettle(PeerNetwork::ConnectionId connection,
-                              PeerMessage::Reader       message) {
-  const auto settle = message.getSettle();
-  const auto it = m_reserved.find(connection);
-  if (it == m_reserved.end()) return;
-  const std::string program = settle.getProgram().cStr();
-  const auto        turn = std::find_if(
-             it->second.begin(), it->second.end(), [&](const TurnBudget& each) {
-        return each.program == program && each.max_tokens == settle.getMost();
+                              PeerMessage::Reader       message,
+                              PeerNetwork::Reply        reply) {
+  const auto      settle = message.getSettle();
+  const EndedTurn turn{settle.getProgram().cStr(),
+                       programs::Read(settle.getSettlement()),
+                       settle.getServer().cStr()};
+  const auto      granted = m_granted.find(connection);
+  if (granted != m_granted.end()) {
+    std::erase_if(granted->second, [&](const RemoteTurn& each) {
+      return each.id == turn.settlement.id;
+    });
+  }
+  CoordinatorOf(turn.program)
+      .Settle(turn, [reply = std::move(reply)](bool recorded) {
+        reply([recorded](PeerMessage::Builder response) {
+          response.setSettled(recorded);
+        });
       });
-  // If missing, the turn was charged in full when an earlier connection
-  // closed.
-  if (turn == it->second.end()) return;
-  const TurnBudget ended = *turn;
-  it->second.erase(turn);
-  CoordinatorOf(ended.program)
-      .EndTurn(ended, settle.getUsed(), settle.getServer().cStr());
 }
 
 void PeerService::OnConnectionClosed(PeerNetwork::ConnectionId connection) {
-  auto node = m_reserved.extract(connection);
+  const auto node = m_granted.extract(connection);
   if (node.empty()) return;
-  // The usage of these turns will not be reported, so each is charged
-  // max_tokens.
-  for (const TurnBudget& turn : node.mapped())
-    CoordinatorOf(turn.program).EndTurn(turn, turn.max_tokens);
+  for (const RemoteTurn& turn : node.mapped())
+    CoordinatorOf(turn.program).AbandonTurn(turn.id);
 }
 
 void PeerService::OnPeerBack(const std::string& node) {
@@ -401,8 +416,8 @@
 }
 
 void PeerService::SendStopping() {
+  m_members->SetStopping(m_members->self().name);
   for (const NodeInfo& node : m_members->Others()) {
-    if (node.zone != m_members->self().zone) continue;
     m_network->SendOneWay(
         node, [](PeerMessage::Builder message) { message.setStopping(); });
   }
@@ -526,7 +541,11 @@
       ServeReserve(connection, message, std::move(reply));
       break;
     case PeerMessage::SETTLE:
-      ServeSettle(connection, message);
+      ServeSettle(connection, message, std::move(reply));
+      break;
+    case PeerMessage::TURN_ELSEWHERE:
+      CoordinatorOf(message.getTurnElsewhere().getProgram().cStr())
+          .AbandonTurn(programs::Read(message.getTurnElsewhere().getId()));
       break;
     case PeerMessage::KEEP_TURN:
       m_peer_turns.ServePersist(message, reply);
--- a/src/yuccawick/gateway/peer_service.h
+++ b/src/yuccawick/gateway/peer_service.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -23,18 +24,21 @@
 #include "yuccawick/gateway/stream_origin_service.h"
 #include "yuccawick/gateway/suspect_service.h"
 #include "yuccawick/gateway/token_coordinator.h"
+#include "yuccawick/gateway/turn_settler.h"
 
 namespace yuccawick::gateway {
 
-// Tokens reserved for a turn, and the node that settles them.
+// Tokens reserved for a turn.
 struct Reservation {
   ReserveOutcome outcome = ReserveOutcome::kUnsure;
   TurnBudget     turn;
-  std::string    coordinator;  // node name; empty: this node
+  std::string    coordinator;  // node that decided; empty: none did
   // Server that ran the program's last turn and may have its prompt cached;
   // empty: unknown.
   std::string    server = {};
   Duration       retry_delay = 0;  // ms; set with kNoRoom
+  // See ReserveResult.
+  bool           claimed = false;
 };
 
 class PeerService final : public PeerNetwork::MessageHandler {
@@ -44,15 +48,18 @@
               std::vector<TokenCoordinator>* coordinators, RateLimiter* limiter,
               TurnStore* turn_store, Backends* backends,
               AdmissionService*    admission_service,
-              StreamOriginService* stream_origins, SuspectService* suspects);
+              StreamOriginService* stream_origins, SuspectService* suspects,
+              Log* log);
 
   using ReserveDone = std::function<void(const Reservation&)>;
-  // Retries for up to `patience` ms while the outcome is undecided.
-  void Reserve(const TurnBudget& turn, Duration patience,
-               const ReserveDone& done);
+  // Retries for up to `patience` ms while the outcome is undecided. Names the
+  // turn: its id need not be set.
+  void Reserve(TurnBudget turn, Duration patience, const ReserveDone& done);
   // `server`: the server that ran the turn; empty: none.
   void EndTurn(const Reservation& reservation, programs::Tokens used,
                const std::string& server);
+  // Ended turns whose use of tokens the log does not have yet.
+  std::size_t unsettled_turns() const { return m_settler.pending(); }
   // The candidate coordinators of a key, in order of preference.
   std::vector<programs::NodeInfo> RankCoordinators(
       const std::string& key) const;
@@ -60,7 +67,8 @@
   // nodes, and capacity usage and charges to the other coordinators. Probes
   // suspected nodes. Call often.
   void     SendReports();
-  // Tells the nodes of this zone that this node takes no more clients.
+  // Tells all nodes that this node takes no more clients and coordinates
+  // nothing new.
   void     SendStopping();
   // Whether another node of this zone takes clients, as far as known.
   bool     OthersServeZone() const { return m_members->OthersServeZone(); }
@@ -86,15 +94,24 @@
                       std::uint64_t number) override;
 
  private:
+  // A turn that is being reserved, over all coordinators that are asked.
+  struct ReserveCall {
+    TurnBudget  turn;
+    Time        retry_deadline = 0;
+    ReserveDone done;
+    bool        claimed = false;  // some coordinator may have claimed for it
+  };
+  using ReserveCallPtr = std::shared_ptr<ReserveCall>;
+
   void ReserveLocally(const TurnBudget& turn, const ReserveDone& done);
-  // `rank`: rank of the coordinator to try, from 0. `retry_deadline`: end of
-  // retries.
-  void ReserveFrom(const TurnBudget& turn, std::size_t rank,
-                   Time retry_deadline, const ReserveDone& done);
+  // `rank`: rank of the coordinator to try, from 0.
+  void ReserveFrom(const ReserveCallPtr& call, std::size_t rank);
+  void OnReserveResult(const ReserveCallPtr& call, std::size_t rank,
+                       const Reservation& result);
+  void RetryReserve(const ReserveCallPtr& call);
+  void FinishReserve(const ReserveCallPtr& call, const Reservation& result);
   void SendReserve(const programs::NodeInfo& coordinator,
                    const TurnBudget& turn, const ReserveDone& done);
-  void RetryReserve(const TurnBudget& turn, Time retry_deadline,
-                    const ReserveDone& done);
   void Probe(const programs::NodeInfo& node);
   void WatchIsolation();
   void SendLoads();
@@ -106,14 +123,12 @@
   void ReceiveCharges(PeerMessage::Reader message);
   void ServeReserve(PeerNetwork::ConnectionId connection,
                     PeerMessage::Reader message, PeerNetwork::Reply reply);
-  void RespondToReserve(const TurnBudget& turn, ReserveOutcome outcome,
+  void RespondToReserve(const TurnBudget& turn, const ReserveResult& result,
                         PeerMessage::Builder response);
   void ServeSettle(PeerNetwork::ConnectionId connection,
-                   PeerMessage::Reader       message);
+                   PeerMessage::Reader message, PeerNetwork::Reply reply);
   TokenCoordinator& CoordinatorOf(const std::string& program);
   void ReceiveLoads(const std::string& node, PeerMessage::Reader message);
-  void SendSettle(const std::string& coordinator, const TurnBudget& turn,
-                  programs::Tokens used, const std::string& server);
 
   net::EventLoop*                m_loop;
   const Thresholds*              m_thresholds;
@@ -127,9 +142,15 @@
   AdmissionService*              m_admission;
   StreamOriginService*           m_stream_origins;
   SuspectService*                m_suspects;
-  // Turns reserved here for other nodes, by their connection.
-  std::unordered_map<PeerNetwork::ConnectionId, std::vector<TurnBudget>>
-                                            m_reserved;
+  TurnSettler                    m_settler;
+  std::uint64_t                  m_last_reservation = 0;
+  // Turns granted here to other nodes, by their connection.
+  struct RemoteTurn {
+    std::string             program;
+    programs::ReservationId id;
+  };
+  std::unordered_map<PeerNetwork::ConnectionId, std::vector<RemoteTurn>>
+                                            m_granted;
   // Reserve requests that timed out, by request number.
   std::map<std::uint64_t, TurnBudget>       m_abandoned;
   Backends::ServerReports                   m_sent_report;
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -145,25 +145,16 @@
   double   outage_hold_share = 0.45;
 
   // Tokens -------------------------------------------------------------------
-  // Unused tokens of a turn are released after this delay, so that the next or
-  // a parallel turn can use them.
-  Duration     give_back_delay = 60;
-  // Programs whose budget covers at least ahead_turns turns claim
-  // 1/ahead_divisor of it in advance. That part is lost if the coordinator
-  // crashes, which smaller budgets could not afford.
-  std::int64_t ahead_turns = 11;
-  std::int64_t ahead_divisor = 8;
-  // The advance is kept this long after the last turn; must be longer than the
-  // think time.
-  Duration     ahead_memory = 1500;
-  // Includes the log call of a coordinator that must claim first. If it is too
-  // short, a second coordinator claims tokens for the same turn.
-  Duration     reserve_timeout = 700;
-  // A coordinator answers within this time, with "hold" if it waits for the log
-  // or for other turns. The requester then asks the same coordinator again; a
-  // second coordinator would split the program's tokens.
-  Duration     home_answer = 350;
-  Duration     reserve_pause = 80;  // between two attempts to reserve tokens
+  // What a turn used is appended after this delay, so that the program's next
+  // claim takes it along and one append carries several settlements.
+  Duration settle_delay = 60;
+  // Includes the log call of a coordinator.
+  Duration reserve_timeout = 700;
+  // A coordinator answers within this time, whatever the log does. The
+  // requester then asks the next one under the same id, so the turn is granted
+  // once.
+  Duration home_answer = 350;
+  Duration reserve_pause = 80;  // between two attempts to reserve tokens
 
   // Limits of workspaces ------------------------------------------------------
   // A coordinator that must claim first needs a log call, but answers within
--- a/src/yuccawick/gateway/token_coordinator.cc
+++ b/src/yuccawick/gateway/token_coordinator.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <utility>
 
 #include "yuccawick/programs/record.h"
@@ -14,10 +15,9 @@
 using platform::StoreFailure;
 using platform::StoreResult;
 using platform::Topic;
-using programs::TokenAnswer;
-
-// Time after which idle accounts are removed; the same as in the ledger.
-constexpr Duration kAccountRetention = programs::kLedgerRetention;  // ms
+using programs::ReservationId;
+using programs::TokenClaim;
+using programs::TurnSettlement;
 
 }  // namespace
 
@@ -36,11 +36,11 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
-TokenCoordinator::TokenCoordinator(net::EventLoop*      loop,
-                                   const Thresholds*    thresholds,
-                                   platform::RecordLog* store, Log* log,
-                                   std::string incarnation, int partition,
-                                   AdmissionService* admission_service)
+TokenCoordinator::TokenCoordinator(
+    net::EventLoop* loop, const Thresholds* thresholds,
+    platform::RecordLog* store, Log* log, std::string incarnation,
+    int partition, programs::TokenLedger::SenderCheck sender_runs,
+    AdmissionService* admission_service)
     : m_loop(loop),
       m_thresholds(thresholds),
       m_store(store),
@@ -48,18 +48,20 @@
       m_log(log),
       m_incarnation(std::move(incarnation)),
       m_partition(partition),
+      m_sender_runs(std::move(sender_runs)),
       m_appender(loop, thresholds, store, &m_health, Topic::kClaims, partition,
                  m_incarnation),
       m_admission(admission_service) {}
 
 // Reservations ---------------------------------------------------------------
 
-void TokenCoordinator::Reserve(const TurnBudget& turn, Done done) {
-  const auto [account, added] = m_accounts.try_emplace(
-      turn.program, Account{programs::TokenAccount(turn.budget), 0, {}});
-  account->second.max_tokens = turn.max_tokens;
+void TokenCoordinator::Reserve(const TurnBudget& turn, ReserveDone done) {
+  if (m_closed) {
+    done({ReserveOutcome::kUnsure});
+    return;
+  }
   const std::uint64_t number = ++m_last_request;
-  account->second.waiting.push_back({number, turn, std::move(done)});
+  m_programs[turn.program].waiting.push_back({number, turn, std::move(done)});
   m_loop->After(m_thresholds->home_answer,
                 [this, program = turn.program, number] {
                   AbandonRequest(program, number);
@@ -69,49 +71,56 @@
 
 void TokenCoordinator::Serve(const std::string& program) {
   struct Decision {
-    Done           done;
-    ReserveOutcome outcome;
+    ReserveDone   done;
+    ReserveResult result;
   };
   std::vector<Decision> decisions;
-  Account&              account = m_accounts.at(program);
-  account.last_used = m_loop->now();
+  Program&              state = m_programs.at(program);
+  state.last_used = m_loop->now();
   std::vector<PendingRequest> undecided;
-  for (PendingRequest& request : account.waiting) {
-    const auto outcome = Admit(&account, &request)
-                             ? Decide(&account, request)
+  for (PendingRequest& request : state.waiting) {
+    const auto outcome = Admit(&state, &request)
+                             ? Decide(request)
                              : std::optional(ReserveOutcome::kNoRoom);
     if (!outcome) {
       undecided.push_back(std::move(request));
       continue;
     }
-    if (*outcome != ReserveOutcome::kStart) CancelAdmission(request);
-    decisions.push_back({std::move(request.done), *outcome});
+    if (*outcome == ReserveOutcome::kStart) {
+      m_running.emplace(request.turn.id, request.turn.admission_request);
+    } else {
+      CancelAdmission(request);
+    }
+    decisions.push_back({std::move(request.done),
+                         {*outcome, request.claimed && !request.denied}});
   }
-  account.waiting = std::move(undecided);
-  const bool unused =
-      !account.started && !account.claiming && account.waiting.empty();
+  state.waiting = std::move(undecided);
+  const bool unused = !state.started && !state.appending &&
+                      state.waiting.empty() && state.settlements.empty();
   if (unused) {
-    m_accounts.erase(program);
+    m_programs.erase(program);
   } else {
-    Balance(program, &account);
+    Balance(program, &state);
   }
   // Called last, because a callback may call Reserve() again.
-  for (const Decision& decision : decisions) decision.done(decision.outcome);
+  for (const Decision& decision : decisions) decision.done(decision.result);
 }
 
-bool TokenCoordinator::Admit(Account* account, PendingRequest* request) {
+bool TokenCoordinator::Admit(Program* state, PendingRequest* request) {
   // Until the claims are read, new programs cannot be distinguished.
   if (request->admitted || !m_caught_up) return true;
+  // Granted before, but the answer did not arrive in time.
+  if (m_running.contains(request->turn.id)) return true;
   if (m_admission != nullptr) {
     admission::AdmissionRequest admission_request =
         request->turn.admission_request;
     admission_request.under_way = admission_request.under_way ||
-                                  account->started ||
+                                  state->started ||
                                   m_ledger.Granted(request->turn.program) > 0;
     if (!m_admission->TryAdmit(admission_request)) return false;
   }
   request->admitted = true;
-  account->started = true;
+  state->started = true;
   return true;
 }
 
@@ -122,13 +131,14 @@
 }
 
 std::optional<ReserveOutcome> TokenCoordinator::Decide(
-    Account* account, const PendingRequest& request) const {
-  const programs::Tokens max_tokens = request.turn.max_tokens;
-  if (account->tokens.Reserve(max_tokens) == TokenAnswer::kStart) {
+    const PendingRequest& request) const {
+  const TurnBudget& turn = request.turn;
+  if (m_caught_up && m_ledger.IsGranted(turn.program, turn.id))
     return ReserveOutcome::kStart;
-  }
   if (request.denied) {
-    if (account->tokens.MayFitLater(max_tokens)) return std::nullopt;
+    const bool may_fit_later = m_ledger.MayFitLater(
+        turn.program, turn.max_tokens, m_loop->now(), m_sender_runs);
+    if (may_fit_later) return std::nullopt;
     return ReserveOutcome::kSpent;
   }
   // Claims and reads are retried until the log is back. Waiting for them would
@@ -140,119 +150,172 @@
 }
 
 // Responds before the requester's timeout, so that a coordinator that waits for
-// the log is not suspected. Tokens granted for the request later are released.
+// the log is not suspected.
 void TokenCoordinator::AbandonRequest(const std::string& program,
                                       std::uint64_t      number) {
-  const auto account = m_accounts.find(program);
-  if (account == m_accounts.end()) return;
-  auto&      waiting = account->second.waiting;
+  const auto state = m_programs.find(program);
+  if (state == m_programs.end()) return;
+  auto&      waiting = state->second.waiting;
   const auto request = std::find_if(
       waiting.begin(), waiting.end(),
       [number](const auto& each) { return each.number == number; });
   if (request == waiting.end()) return;
-  const Done done = std::move(request->done);
-  const bool unavailable = !request->denied && m_health.unavailable();
+  const ReserveDone   done = std::move(request->done);
+  const ReserveResult result =
+      request->denied
+          ? ReserveResult{ReserveOutcome::kHold}
+          : ReserveResult{ReserveOutcome::kUnsure, request->claimed};
   CancelAdmission(*request);
   waiting.erase(request);
-  // The tokens held for this request may be released now.
   Serve(program);
-  done(unavailable ? ReserveOutcome::kUnsure : ReserveOutcome::kHold);
+  done(result);
 }
 
 std::string TokenCoordinator::LastServer(const std::string& program) const {
-  const auto found = m_accounts.find(program);
-  return found == m_accounts.end() ? std::string() : found->second.server;
+  const auto found = m_programs.find(program);
+  return found == m_programs.end() ? std::string() : found->second.server;
 }
 
-void TokenCoordinator::EndTurn(const TurnBudget& turn, programs::Tokens used,
-                               const std::string& server) {
-  if (m_admission != nullptr)
-    m_admission->OnTurnEnded(turn.admission_request, used);
-  const auto found = m_accounts.find(turn.program);
-  if (found == m_accounts.end()) return;
-  found->second.tokens.EndTurn(turn.max_tokens, used);
-  if (!server.empty()) found->second.server = server;
-  // They lack fewer tokens now, so a new claim may succeed.
-  for (PendingRequest& request : found->second.waiting) request.denied = false;
-  Serve(turn.program);
-}
-
-// Claims ---------------------------------------------------------------------
+// Settlements ----------------------------------------------------------------
 
-// Only one claim per account is pending at a time, since the size of the next
-// depends on the result.
-void TokenCoordinator::Balance(const std::string& program, Account* account) {
-  if (account->claiming) return;
-  if (!m_caught_up) {
-    if (!account->waiting.empty()) CatchUp();
+void TokenCoordinator::Settle(const EndedTurn& turn, SettleDone done) {
+  const TurnSettlement& settlement = turn.settlement;
+  EndAdmission(settlement.id, settlement.used);
+  if (m_ledger.IsSettled(turn.program, settlement.id)) {
+    done(true);
     return;
   }
-  programs::Tokens  wish = TokensAhead(*account) - account->tokens.Available();
-  const TurnBudget* first = nullptr;
-  for (const PendingRequest& request : account->waiting) {
-    if (request.denied) continue;
-    if (first == nullptr) first = &request.turn;
-    wish += request.turn.max_tokens;
-  }
-  if (first != nullptr) {
-    SendClaim(program, account, first->max_tokens, wish);
-  } else if (account->waiting.empty() &&
-             account->tokens.Available() <
-                 std::min(account->max_tokens, TokensAhead(*account)) &&
-             !m_appender.busy()) {
-    SendClaim(program, account, account->max_tokens, wish);
-  } else if (account->waiting.empty() && account->tokens.Available() > 0) {
-    const Duration delay = TokensAhead(*account) > 0
-                               ? m_thresholds->ahead_memory
-                               : m_thresholds->give_back_delay;
-    m_release_at[program] = m_loop->now() + delay;
-    ScheduleReleases();
+  // Called by whichever comes first, the log or the timer.
+  const auto callback = std::make_shared<SettleDone>(std::move(done));
+  const auto complete = [callback](bool recorded) {
+    const SettleDone taken = std::exchange(*callback, nullptr);
+    if (taken) taken(recorded);
+  };
+  m_loop->After(m_thresholds->home_answer, [complete] { complete(false); });
+  Program& state = m_programs[turn.program];
+  state.last_used = m_loop->now();
+  if (!turn.server.empty()) state.server = turn.server;
+  const auto same = std::find_if(
+      state.settlements.begin(), state.settlements.end(),
+      [&](const auto& each) { return each.settlement.id == settlement.id; });
+  if (same != state.settlements.end()) {
+    same->done.emplace_back(complete);
+  } else {
+    state.settlements.push_back({settlement, {complete}});
+    Balance(turn.program, &state);
   }
 }
 
-programs::Tokens TokenCoordinator::TokensAhead(const Account& account) const {
-  const auto budget = account.tokens.budget();
-  const bool budget_is_small =
-      budget < m_thresholds->ahead_turns * account.max_tokens;
-  if (budget_is_small || account.spent) return 0;
-  return std::max(account.max_tokens, budget / m_thresholds->ahead_divisor);
+void TokenCoordinator::AbandonTurn(const ReservationId& id) {
+  const auto found = m_running.find(id);
+  if (found != m_running.end()) EndAdmission(id, found->second.max_tokens);
+}
+
+void TokenCoordinator::EndAdmission(const ReservationId& id,
+                                    programs::Tokens     used) {
+  const auto turn = m_running.extract(id);
+  if (!turn.empty() && m_admission != nullptr)
+    m_admission->OnTurnEnded(turn.mapped(), used);
+}
+
+bool TokenCoordinator::HasSettlements() const {
+  return std::any_of(
+      m_programs.begin(), m_programs.end(), [](const auto& entry) {
+        return entry.second.appending || !entry.second.settlements.empty();
+      });
+}
+
+// Settlements are delayed, so that the program's next claim takes them along
+// and one append carries those of several programs.
+void TokenCoordinator::ScheduleSettlements(const std::string& program) {
+  m_settling.push_back(program);
+  if (m_settling.size() > 1) return;  // a timer runs
+  m_loop->After(m_thresholds->settle_delay, [this] {
+    for (const std::string& due : std::exchange(m_settling, {}))
+      AppendSettlements(due);
+  });
+}
+
+void TokenCoordinator::AppendSettlements(const std::string& program) {
+  const auto found = m_programs.find(program);
+  if (found == m_programs.end()) return;
+  Program& state = found->second;
+  // Sent once the record on its way is decided, or the claims have been read.
+  if (state.settlements.empty() || state.appending) return;
+  if (m_caught_up) {
+    SendRecord(program, &state);
+  } else {
+    CatchUp();
+  }
 }
 
-void TokenCoordinator::SendClaim(const std::string& program, Account* account,
-                                 programs::Tokens max_tokens,
-                                 programs::Tokens wish) {
-  programs::TokenClaim claim = account->tokens.NextClaim(max_tokens);
-  claim.wish = std::max(claim.need, wish);
-  claim.program = program;
-  claim.number = ++m_last_record;
-  account->claiming = true;
-  m_claims.emplace(claim.number, OpenClaim{program, claim.need});
-  SendRecord(std::move(claim));
+// Records --------------------------------------------------------------------
+
+// Only one record per program is on its way at a time: it states what was
+// granted before it.
+void TokenCoordinator::Balance(const std::string& program, Program* state) {
+  if (state->appending) return;
+  if (!m_caught_up) {
+    if (!state->waiting.empty() || !state->settlements.empty()) CatchUp();
+    return;
+  }
+  if (!state->settlements.empty()) {
+    // What was denied may fit once these are settled.
+    for (PendingRequest& request : state->waiting) request.denied = false;
+  }
+  const bool claims =
+      std::any_of(state->waiting.begin(), state->waiting.end(),
+                  [](const auto& request) { return !request.denied; });
+  if (claims) {
+    SendRecord(program, state);
+  } else if (!state->settlements.empty()) {
+    ScheduleSettlements(program);
+  }
 }
 
-void TokenCoordinator::SendRecord(programs::TokenClaim record) {
-  record.node = m_incarnation;
-  record.before = m_ledger.Granted(record.program);
-  std::string encoded = programs::EncodeClaim(record);
+void TokenCoordinator::SendRecord(const std::string& program, Program* state) {
+  TokenClaim claim{program};
+  claim.before = m_ledger.Granted(program);
+  claim.writer = m_incarnation;
+  auto settlements = std::exchange(state->settlements, {});
+  for (const PendingSettlement& each : settlements)
+    claim.settled.push_back(each.settlement);
+  for (PendingRequest& request : state->waiting) {
+    if (request.denied) continue;
+    request.claimed = true;
+    claim.reservations.push_back({request.turn.id, request.turn.max_tokens});
+    claim.budget = request.turn.budget;
+  }
+  state->appending = true;
+  std::string encoded = programs::EncodeClaim(claim);
   m_appender.Add(
-      encoded, [this, encoded, record](const Appender::Result& result) {
+      encoded, [this, encoded, claim, settlements = std::move(settlements)](
+                   const Appender::Result& result) {
         if (result) {
-          OnRecordAppended(encoded, result->offset);
+          OnRecordAppended(claim, encoded, result->offset);
         } else {
           m_log->Write(LogEvent::kFault, {{"what", "claim refused by the log"},
-                                          {"program", record.program},
+                                          {"program", claim.program},
                                           {"status", result.error().status}});
-          OnClaimRefused(record.number);
+          OnRecordRefused(claim);
+        }
+        for (const PendingSettlement& each : settlements) {
+          for (const SettleDone& done : each.done) done(result.has_value());
         }
       });
 }
 
 // Own records are not read back: once a read was pending, every claim would
 // wait for the next read, for as long as the log's reads are slow.
-void TokenCoordinator::OnRecordAppended(const std::string& record,
+void TokenCoordinator::OnRecordAppended(const TokenClaim&  claim,
+                                        const std::string& record,
                                         std::int64_t       offset) {
-  if (offset < m_next_offset) return;  // already read
+  if (offset < m_next_offset) {  // already read
+    OnRecordDecided(claim);
+    return;
+  }
   m_appended.emplace(offset, record);
+  m_undecided.emplace(offset, claim);
   if (m_caught_up) ApplyAppended();
   if (m_next_offset > offset) return;
   // Records of other nodes precede this record.
@@ -265,51 +328,50 @@
   while (!m_appended.empty() && m_appended.begin()->first == m_next_offset) {
     const std::string record = std::move(m_appended.begin()->second);
     m_appended.erase(m_appended.begin());
-    ++m_next_offset;
-    ApplyRecord(record);
+    const std::int64_t offset = m_next_offset++;
+    ApplyRecord(record, offset);
   }
 }
 
-void TokenCoordinator::OnClaimDecided(std::uint64_t    number,
-                                      programs::Tokens granted) {
-  const auto claim = m_claims.extract(number);
-  if (claim.empty()) return;
-  const auto& [program, need] = claim.mapped();
-  Account& account = m_accounts.at(program);
-  account.claiming = false;
-  account.tokens.OnGranted(granted);
-  m_log->Write(LogEvent::kClaim, {{"program", program},
-                                  {"number", static_cast<std::int64_t>(number)},
-                                  {"need", need},
-                                  {"granted", granted}});
-  if (granted == 0) {
-    account.spent = true;
-    // Any request that lacks as many tokens would be denied too.
-    for (PendingRequest& request : account.waiting) {
-      const auto missing_tokens =
-          request.turn.max_tokens - account.tokens.Available();
-      request.denied = request.denied || missing_tokens >= need;
+void TokenCoordinator::OnRecordDecided(const TokenClaim& claim) {
+  const auto found = m_programs.find(claim.program);
+  if (found == m_programs.end()) return;
+  Program& state = found->second;
+  state.appending = false;
+  std::size_t granted = 0;
+  for (const programs::TokenReservation& reservation : claim.reservations) {
+    if (m_ledger.IsGranted(claim.program, reservation.id)) {
+      ++granted;
+      continue;
+    }
+    for (PendingRequest& request : state.waiting) {
+      if (request.turn.id == reservation.id) request.denied = true;
     }
   }
-  Serve(program);
+  m_log->Write(LogEvent::kClaim, {{"program", claim.program},
+                                  {"turns", claim.reservations.size()},
+                                  {"granted", granted},
+                                  {"settled", claim.settled.size()},
+                                  {"tokens", m_ledger.Granted(claim.program)},
+                                  {"budget", claim.budget}});
+  Serve(claim.program);
 }
 
-// Ends a claim without a decision: the log refused it or deleted its record.
-void TokenCoordinator::OnClaimRefused(std::uint64_t number) {
-  const auto claim = m_claims.extract(number);
-  if (claim.empty()) return;
-  Account& account = m_accounts.at(claim.mapped().program);
-  account.claiming = false;
-  for (const PendingRequest& request : std::exchange(account.waiting, {})) {
+void TokenCoordinator::OnRecordRefused(const TokenClaim& claim) {
+  const auto found = m_programs.find(claim.program);
+  if (found == m_programs.end()) return;
+  found->second.appending = false;
+  for (const PendingRequest& request :
+       std::exchange(found->second.waiting, {})) {
     CancelAdmission(request);
-    request.done(ReserveOutcome::kUnsure);
+    request.done({ReserveOutcome::kUnsure});
   }
 }
 
 // Reads ----------------------------------------------------------------------
 
-// Reads the existing claims before the first own claim: each claim states the
-// tokens granted before it, for readers that find older records deleted.
+// Reads the existing claims before the first own record: each states the tokens
+// granted before it, for readers that find older records deleted.
 void TokenCoordinator::CatchUp() {
   if (!m_reading) ReadPage();
 }
@@ -317,23 +379,25 @@
 void TokenCoordinator::FinishCatchUp() {
   if (std::exchange(m_caught_up, true)) return;
   std::vector<std::string> programs;
-  for (const auto& [program, account] : m_accounts) programs.push_back(program);
+  for (const auto& [program, state] : m_programs) programs.push_back(program);
   for (const std::string& program : programs) {
-    if (m_accounts.contains(program)) Serve(program);
+    if (m_programs.contains(program)) Serve(program);
   }
 }
 
-// The log has deleted records that were not read. The ledger is out of date and
-// is rebuilt from later records, which state what was granted before them.
+// The log has deleted records that were not read. Later records state what was
+// granted before them.
 void TokenCoordinator::SkipTo(std::int64_t first) {
   m_next_offset = first;
-  m_ledger = {};
-  // Own claims among the deleted records were decided, but the outcome cannot
-  // be read.
-  std::vector<std::uint64_t> open_claims;
-  for (const auto& [number, claim] : m_claims) open_claims.push_back(number);
-  if (!m_appender.busy()) {
-    for (const std::uint64_t number : open_claims) OnClaimRefused(number);
+  m_ledger.MarkStale();
+  // The outcome of own records among the deleted ones cannot be read. Their
+  // turns are claimed again under the same ids.
+  while (!m_undecided.empty() && m_undecided.begin()->first < first) {
+    const auto claim = m_undecided.extract(m_undecided.begin());
+    const auto state = m_programs.find(claim.mapped().program);
+    if (state == m_programs.end()) continue;
+    state->second.appending = false;
+    Serve(claim.mapped().program);
   }
   ReadPage();
 }
@@ -397,68 +461,45 @@
     if (record.offset < m_next_offset)
       continue;  // applied when it was appended
     m_next_offset = record.offset + 1;
-    ApplyRecord(record.value);
+    ApplyRecord(record.value, record.offset);
   }
   m_next_offset = std::max(m_next_offset, page.next);
   ApplyAppended();
   m_reading = false;
 }
 
-void TokenCoordinator::ApplyRecord(const std::string& record) {
+void TokenCoordinator::ApplyRecord(const std::string& record,
+                                   std::int64_t       offset) {
+  const auto own = m_undecided.extract(offset);
   const auto claim = programs::DecodeClaim(record);
   if (!claim) {
     m_log->Write(LogEvent::kFault, {{"what", "undecodable claim"}});
     return;
   }
-  const auto granted = m_ledger.Apply(*claim, m_loop->now());
-  if (claim->node != m_incarnation || claim->taken) return;
-  OnClaimDecided(claim->number, granted);
-}
-
-// Releases -------------------------------------------------------------------
-
-// Releases are delayed because the next turn may need the tokens, and so that
-// one append carries several releases.
-void TokenCoordinator::ScheduleReleases() {
-  if (std::exchange(m_release_scheduled, true)) return;
-  m_loop->After(m_thresholds->give_back_delay, [this] {
-    m_release_scheduled = false;
-    std::vector<std::string> due_programs;
-    for (const auto& [program, time] : m_release_at) {
-      if (time <= m_loop->now()) due_programs.push_back(program);
-    }
-    for (const std::string& program : due_programs) {
-      m_release_at.erase(program);
-      const auto account = m_accounts.find(program);
-      if (account != m_accounts.end()) Release(program, &account->second);
-    }
-    if (!m_release_at.empty()) ScheduleReleases();
-  });
-}
-
-void TokenCoordinator::Release(const std::string& program, Account* account) {
-  if (account->claiming || !account->waiting.empty()) return;
-  const auto released = account->tokens.ReleaseUnused();
-  if (released <= 0) return;
-  programs::TokenClaim release;
-  release.number = ++m_last_record;
-  release.program = program;
-  release.wish = -released;
-  release.taken = true;
-  SendRecord(std::move(release));
-}
-
-void TokenCoordinator::ReleaseAllUnused() {
-  for (auto& [program, account] : m_accounts) Release(program, &account);
+  m_ledger.Apply(*claim, m_loop->now());
+  for (const TurnSettlement& settlement : claim->settled)
+    EndAdmission(settlement.id, settlement.used);
+  if (!own.empty()) {
+    OnRecordDecided(*claim);
+    return;
+  }
+  const auto state = m_programs.find(claim->program);
+  if (state == m_programs.end()) return;
+  if (!claim->settled.empty()) {
+    for (PendingRequest& request : state->second.waiting)
+      request.denied = false;
+  }
+  Serve(claim->program);
 }
 
 void TokenCoordinator::Sweep() {
   const Time now = m_loop->now();
   m_ledger.Expire(now);
-  std::erase_if(m_accounts, [now](const auto& entry) {
-    const Account& account = entry.second;
-    return now - account.last_used > kAccountRetention &&
-           account.waiting.empty() && !account.claiming;
+  std::erase_if(m_programs, [now](const auto& entry) {
+    const Program& state = entry.second;
+    return now - state.last_used > programs::kLedgerRetention &&
+           state.waiting.empty() && state.settlements.empty() &&
+           !state.appending;
   });
 }
 
--- a/src/yuccawick/programs/membership.cc
+++ b/src/yuccawick/programs/membership.cc
@@ -42,7 +42,7 @@
 }
 
 void Membership::SetStopping(const std::string& name) {
-  if (m_nodes.contains(name)) m_stopping.insert(name);
+  if (name == m_self.name || m_nodes.contains(name)) m_stopping.insert(name);
 }
 
 bool Membership::OthersServeZone() const {
@@ -112,6 +112,13 @@
   return holders;
 }
 
+bool Membership::Runs(const std::string& incarnation) const {
+  return incarnation == m_self.incarnation ||
+         std::any_of(m_nodes.begin(), m_nodes.end(), [&](const auto& entry) {
+           return entry.second.incarnation == incarnation;
+         });
+}
+
 const NodeInfo* Membership::Find(const std::string& name) const {
   const auto found = m_nodes.find(name);
   return found == m_nodes.end() ? nullptr : &found->second;
--- a/src/yuccawick/programs/membership.h
+++ b/src/yuccawick/programs/membership.h
@@ -67,10 +67,17 @@
   bool                  Suspected(const std::string& name) const {
                      return m_suspects.contains(name);
   }
-  // The node takes no more clients, until a new incarnation.
-  void                  SetStopping(const std::string& name);
+  // The node, possibly self, takes no more clients and ends soon, until a new
+  // incarnation.
+  void SetStopping(const std::string& name);
+  bool Stopping(const std::string& name) const {
+    return m_stopping.contains(name);
+  }
   // Whether an unsuspected node of this zone takes clients, other than self.
   bool                  OthersServeZone() const;
+  // Whether the node still runs as far as known: it has not been replaced by a
+  // later start, and its announcement has not lapsed.
+  bool                  Runs(const std::string& incarnation) const;
   const NodeInfo&       self() const { return m_self; }
   const NodeInfo*       Find(const std::string& name) const;
   std::vector<NodeInfo> Others() const;  // without self and suspected nodes
@@ -84,7 +91,7 @@
   NodeInfo                         m_self;
   std::map<std::string, NodeInfo>  m_nodes;     // other nodes, by name
   std::map<std::string, Suspicion> m_suspects;  // by name
-  std::set<std::string>            m_stopping;  // names of other nodes
+  std::set<std::string>            m_stopping;  // names of nodes
 };
 
 // Intervals between probes of a suspected node, in ms. A probe costs a
--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -17,17 +17,32 @@
   parts    @6 :UInt32;  # 0: one
 }
 
+# Names the tokens of one turn; see programs/token_ledger.h.
+struct ReservationId {
+  sender @0 :Text;    # incarnation of the node that sends the turn
+  number @1 :UInt64;  # unique there
+}
+
+struct TokenReservation {
+  id        @0 :ReservationId;
+  maxTokens @1 :Int64;
+}
+
+struct TurnSettlement {
+  id       @0 :ReservationId;
+  reserved @1 :Int64;
+  used     @2 :Int64;
+}
+
 struct Claim {
-  number  @0 :UInt64;
-  node    @1 :Text;
-  program @2 :Text;
-  budget  @3 :Int64;
-  need    @4 :Int64;
-  wish    @5 :Int64;
-  taken   @6 :Bool;  # counts whether it fits or not; below zero: given back
-  # Granted before, as far as the claiming node knew: for readers that find older
+  program @0 :Text;
+  budget  @1 :Int64;  # as the client states it
+  # Granted before, as far as the writer knew: for readers that find older
   # records deleted.
-  before  @7 :Int64;
+  before       @2 :Int64;
+  settled      @3 :List(TurnSettlement);  # counted first
+  reservations @4 :List(TokenReservation);
+  writer       @5 :Text;  # incarnation; decides nothing
 }
 
 # A node that takes traffic, as it announces itself to the others.
@@ -65,6 +80,7 @@
   leftMs       @8 :Int64;  # until the program should be finished
   hasLeft      @9 :Bool;   # leftMs is said
   route        @10 :Text;  # its name
+  id           @11 :ReservationId;
 }
 
 enum Reserved {
@@ -96,11 +112,27 @@
   partition @4 :UInt8;   # of the claims, that the programs belong to
 }
 
-struct Settle {
+# Answers reserve where the turn may run.
+struct Granted {
+  server @0 :Text;  # that ran the program's last turn; empty: not known
+}
+
+# Answers reserve where the turn may not run, or not yet.
+struct NotGranted {
+  outcome @0 :Reserved;
+  claimed @1 :Bool;  # a claim with the reservation may be in the log, or get there
+}
+
+# A turn that was granted here runs under another coordinator's count.
+struct TurnElsewhere {
   program @0 :Text;
-  most    @1 :Int64;  # as reserved
-  used    @2 :Int64;
-  server  @3 :Text;  # backend server that ran the turn; empty: not known
+  id      @1 :ReservationId;
+}
+
+struct Settle {
+  program    @0 :Text;
+  settlement @1 :TurnSettlement;
+  server     @2 :Text;  # backend server that ran the turn; empty: not known
 }
 
 struct FindTurn {
@@ -230,7 +262,7 @@
     hello     @1 :Node;
     loads     @2 :List(ServerLoad);
     reserve   @3 :Reserve;
-    reserved  @4 :Reserved;
+    notGranted @4 :NotGranted;
     settle    @5 :Settle;
     keepTurn  @6 :KeepTurn;
     turnKept  @7 :TurnKept;
@@ -242,14 +274,15 @@
     rateAnswer  @13 :RateAnswer;
     roomRefusal @14 :RoomRefusal;     # answers reserve
     roomUse     @15 :List(RoomUse);   # one home to the others
-    # In place of Reserved.start: the server that ran the program's last turn.
-    startedAt   @16 :Text;
+    granted     @16 :Granted;
     workCharges @17 :List(WorkCharge);  # one home to the others
     streamBegun @18 :StreamOrigin;  # to the nodes that remember it
     findStream  @19 :StreamKey;
     streamFound @20 :StreamOrigin;  # answers findStream
     requestMarks @21 :List(RequestMark);  # to all nodes
     tellMarks    @22 :Node;  # the sender started; answered by requestMarks
-    stopping     @23 :Void;  # the sender takes no more clients; to its zone
+    stopping     @23 :Void;  # the sender takes no more clients; to all nodes
+    settled      @24 :Bool;  # answers settle: whether the log has it
+    turnElsewhere @25 :TurnElsewhere;
   }
 }
--- a/src/yuccawick/programs/record.cc
+++ b/src/yuccawick/programs/record.cc
@@ -97,26 +97,52 @@
   });
 }
 
+void Write(const ReservationId& id, wire::ReservationId::Builder builder) {
+  builder.setSender(id.sender);
+  builder.setNumber(id.number);
+}
+
+ReservationId Read(wire::ReservationId::Reader reader) {
+  return {ToString(reader.getSender()), reader.getNumber()};
+}
+
+void Write(const TurnSettlement&         settlement,
+           wire::TurnSettlement::Builder builder) {
+  Write(settlement.id, builder.initId());
+  builder.setReserved(settlement.reserved);
+  builder.setUsed(settlement.used);
+}
+
+TurnSettlement Read(wire::TurnSettlement::Reader reader) {
+  return {Read(reader.getId()), reader.getReserved(), reader.getUsed()};
+}
+
 void Write(const TokenClaim& claim, wire::Claim::Builder builder) {
-  builder.setNumber(claim.number);
-  builder.setNode(claim.node);
   builder.setProgram(claim.program);
   builder.setBudget(claim.budget);
-  builder.setNeed(claim.need);
-  builder.setWish(claim.wish);
-  builder.setTaken(claim.taken);
   builder.setBefore(claim.before);
+  builder.setWriter(claim.writer);
+  auto settled =
+      builder.initSettled(static_cast<unsigned>(claim.settled.size()));
+  for (unsigned i = 0; i < settled.size(); ++i)
+    Write(claim.settled[i], settled[i]);
+  auto reservations = builder.initReservations(
+      static_cast<unsigned>(claim.reservations.size()));
+  for (unsigned i = 0; i < reservations.size(); ++i) {
+    Write(claim.reservations[i].id, reservations[i].initId());
+    reservations[i].setMaxTokens(claim.reservations[i].max_tokens);
+  }
 }
 
 TokenClaim Read(wire::Claim::Reader reader) {
-  return {reader.getNumber(),
-          ToString(reader.getNode()),
-          ToString(reader.getProgram()),
-          reader.getBudget(),
-          reader.getNeed(),
-          reader.getWish(),
-          reader.getTaken(),
-          reader.getBefore()};
+  TokenClaim claim{ToString(reader.getProgram()), reader.getBudget(),
+                   reader.getBefore()};
+  for (const auto each : reader.getSettled())
+    claim.settled.push_back(Read(each));
+  for (const auto each : reader.getReservations())
+    claim.reservations.push_back({Read(each.getId()), each.getMaxTokens()});
+  claim.writer = ToString(reader.getWriter());
+  return claim;
 }
 
 std::string EncodeClaim(const TokenClaim& claim) {
--- a/src/yuccawick/programs/record.h
+++ b/src/yuccawick/programs/record.h
@@ -70,4 +70,10 @@
 void       Write(const TokenClaim& claim, wire::Claim::Builder builder);
 TokenClaim Read(wire::Claim::Reader reader);
 
+void Write(const ReservationId& id, wire::ReservationId::Builder builder);
+ReservationId  Read(wire::ReservationId::Reader reader);
+void           Write(const TurnSettlement&         settlement,
+                     wire::TurnSettlement::Builder builder);
+TurnSettlement Read(wire::TurnSettlement::Reader reader);
+
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/token_ledger.cc
+++ b/src/yuccawick/programs/token_ledger.cc
@@ -5,71 +5,83 @@
 
 namespace yuccawick::programs {
 
-Tokens TokenLedger::Apply(const TokenClaim& claim, Time now) {
-  const auto [found, added] = m_entries.try_emplace(claim.program);
-  Entry& entry = found->second;
-  if (added) entry.granted = claim.before;
+void TokenLedger::Apply(const TokenClaim& claim, Time now) {
+  Entry& entry = m_entries[claim.program];
+  if (std::exchange(entry.stale, false)) entry.granted = claim.before;
   entry.expires_at = now + kLedgerRetention;
-  const bool is_new_claim =
-      entry.applied.emplace(claim.node, claim.number).second;
-  if (!is_new_claim) return 0;
-  if (claim.taken) {
-    // The grant being released may be unknown here; do not go below 0.
-    entry.granted = std::max<Tokens>(0, entry.granted + claim.wish);
-    return 0;
-  }
-  if (entry.budget == 0) entry.budget = claim.budget;
+  for (const TurnSettlement& settlement : claim.settled)
+    Settle(settlement, &entry);
+  for (const TokenReservation& reservation : claim.reservations)
+    Grant(reservation, claim.budget, now, &entry);
+}
+
+void TokenLedger::Settle(const TurnSettlement& settlement, Entry* entry) {
+  if (!entry->settled.insert(settlement.id).second) return;
+  // Without a grant it ends a reservation that no claim has reached yet, or one
+  // whose claim has been deleted and was counted by `before`. The first kind
+  // has used nothing.
+  const bool was_granted = entry->unsettled.erase(settlement.id) > 0;
+  if (!was_granted && settlement.used == 0) return;
+  const Tokens unused =
+      std::max<Tokens>(0, settlement.reserved - settlement.used);
+  entry->granted = std::max<Tokens>(0, entry->granted - unused);
+}
+
+void TokenLedger::Grant(const TokenReservation& reservation, Tokens budget,
+                        Time now, Entry* entry) {
+  const auto& [id, max_tokens] = reservation;
+  if (entry->unsettled.contains(id) || entry->settled.contains(id)) return;
   // Clients should state the same budget each time; if not, the lowest applies.
-  entry.budget = std::min(entry.budget, claim.budget);
-  const Tokens remaining = entry.budget - entry.granted;
-  if (remaining < claim.need) return 0;
-  const Tokens granted =
-      std::max(claim.need, std::min(claim.wish, remaining / 2));
-  entry.granted += granted;
-  return granted;
+  const Tokens limit = budget + max_tokens;
+  entry->limit = entry->limit == 0 ? limit : std::min(entry->limit, limit);
+  if (entry->granted + max_tokens > entry->limit) return;
+  entry->granted += max_tokens;
+  entry->unsettled.emplace(id, Unsettled{max_tokens, now});
 }
 
-Tokens TokenLedger::Granted(const std::string& program) const {
+const TokenLedger::Entry* TokenLedger::Find(const std::string& program) const {
   const auto found = m_entries.find(program);
-  return found == m_entries.end() ? 0 : found->second.granted;
+  return found == m_entries.end() ? nullptr : &found->second;
 }
 
-void TokenLedger::Expire(Time now) {
-  std::erase_if(m_entries, [now](const auto& entry) {
-    return entry.second.expires_at < now;
-  });
+bool TokenLedger::IsGranted(const std::string&   program,
+                            const ReservationId& id) const {
+  const Entry* entry = Find(program);
+  return entry != nullptr && entry->unsettled.contains(id);
 }
 
-TokenAnswer TokenAccount::Reserve(Tokens max_tokens) {
-  if (Available() < max_tokens) return TokenAnswer::kClaim;
-  m_reserved += max_tokens;
-  return TokenAnswer::kStart;
+bool TokenLedger::IsSettled(const std::string&   program,
+                            const ReservationId& id) const {
+  const Entry* entry = Find(program);
+  return entry != nullptr && entry->settled.contains(id);
 }
 
-bool TokenAccount::MayFitLater(Tokens max_tokens) const {
-  return m_reserved > 0 && m_used + max_tokens <= m_granted;
+Tokens TokenLedger::Granted(const std::string& program) const {
+  const Entry* entry = Find(program);
+  return entry == nullptr ? 0 : entry->granted;
 }
 
-TokenClaim TokenAccount::NextClaim(Tokens max_tokens) const {
-  TokenClaim claim;
-  // One turn may exceed the budget.
-  claim.budget = m_budget + max_tokens;
-  claim.need = std::max<Tokens>(1, max_tokens - Available());
-  claim.wish = claim.need;
-  return claim;
+bool TokenLedger::MayFitLater(const std::string& program, Tokens max_tokens,
+                              Time now, const SenderCheck& sender_runs) const {
+  const Entry* entry = Find(program);
+  if (entry == nullptr) return false;
+  Tokens may_return = 0;
+  for (const auto& [id, turn] : entry->unsettled) {
+    const bool recent = now - turn.granted_at < kSettlementWait;
+    if (recent && sender_runs(id.sender)) may_return += turn.max_tokens;
+  }
+  return may_return > 0 &&
+         entry->granted - may_return + max_tokens <= entry->limit;
 }
 
-void TokenAccount::OnGranted(Tokens granted) { m_granted += granted; }
-
-void TokenAccount::EndTurn(Tokens max_tokens, Tokens used) {
-  m_reserved -= max_tokens;
-  m_used += used;
+void TokenLedger::MarkStale() {
+  for (auto& [program, entry] : m_entries) entry.stale = true;
 }
 
-Tokens TokenAccount::ReleaseUnused() {
-  const Tokens available = Available();
-  m_granted -= available;
-  return available;
+void TokenLedger::Expire(Time now) {
+  std::erase_if(m_entries, [now](const auto& entry) {
+    return entry.second.expires_at < now;
+  });
 }
 
 }  // namespace yuccawick::programs
--- a/src/yuccawick/programs/token_ledger.h
+++ b/src/yuccawick/programs/token_ledger.h
@@ -1,25 +1,28 @@
 // Limits the tokens an agent program may generate across all nodes.
 //
-// A node that wants to run turns of a program appends a claim to the log.
-// TokenLedger replays the claims in log order, so every node computes the same
-// grants; no leases, fencing or ownership transfer are needed. TokenAccount is
-// one node's view of one program: tokens granted to it, reserved by running
-// turns, and used.
+// A turn runs only on a reservation of its maximum tokens that a claim in the
+// log grants, and ends with a settlement in the log that says what it used.
+// TokenLedger replays both in log order, so every node computes the same
+// grants; no leases, fencing or ownership transfer are needed.
 //
-// Invariants:
-// - A turn runs only on tokens granted in the log, so lost nodes and messages
-//   never cause overuse. Tokens granted to a node that dies are lost; nodes
-//   therefore claim only what waiting turns need and release the rest.
+// The node that sends a turn names its reservation. So it does not matter which
+// node writes a record, or how often:
+// - A reservation is granted once, and settled once. A claim that reaches the
+//   log after the settlement grants nothing.
+// - Tokens are never granted to a node, so none are lost with one. Only a turn
+//   whose sender ends before it has settled it counts in full.
 // - Grants stay within the budget plus one turn, because a program may exhaust
-//   its budget in the middle of a turn. A running turn counts with its maximum
-//   tokens.
+//   its budget in the middle of a turn. An unsettled turn counts with its
+//   maximum tokens.
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
+#include <vector>
 
 #include "yuccawick/net/event_loop.h"
 
@@ -29,76 +32,86 @@
 using net::Time;
 using Tokens = std::int64_t;
 
+// Names the tokens of one turn.
+struct ReservationId {
+  std::string   sender;      // incarnation of the node that sends the turn
+  std::uint64_t number = 0;  // unique within the incarnation
+
+  auto operator<=>(const ReservationId&) const = default;
+};
+
+struct TokenReservation {
+  ReservationId id;
+  Tokens        max_tokens = 0;
+};
+
+// Ends a reservation.
+struct TurnSettlement {
+  ReservationId id;
+  Tokens        reserved = 0;
+  Tokens        used = 0;  // sent to the client; at most `reserved`
+};
+
+// One record about a program.
 struct TokenClaim {
-  std::uint64_t number = 0;  // unique within one incarnation of the node
-  std::string   node;        // the claiming node's incarnation
-  std::string   program;
-  Tokens        budget = 0;  // budget stated by the client, plus one turn
-  Tokens        need = 0;    // minimum useful grant
-  Tokens wish = 0;  // preferred grant; at most half of the remaining budget
-  // True: applied without a check; `wish` is negative, the released tokens.
-  bool   taken = false;
-  // Tokens granted earlier, as known to the claiming node. A reader that finds
-  // the program's older records deleted starts from this value.
-  Tokens before = 0;
+  std::string                   program;
+  Tokens                        budget = 0;  // stated by the client
+  // Tokens granted earlier, as known to the writer. A reader that finds the
+  // program's older records deleted starts from this value.
+  Tokens                        before = 0;
+  std::vector<TurnSettlement>   settled = {};  // applied first
+  std::vector<TokenReservation> reservations = {};
+  std::string                   writer = {};  // incarnation; decides nothing
 };
 
+// Time in ms for which an unsettled turn may still return tokens: the longest
+// turn, then the search for a coordinator that reaches the log. After that it
+// counts in full.
+inline constexpr Duration kSettlementWait = 10'000;
+// Time in ms for which an idle program's entry is kept: twice the longest
+// retention of turns, within which a stopped program may resume.
+inline constexpr Duration kLedgerRetention = 600'000;
+
 class TokenLedger {
  public:
-  // Applies the next claim in log order and returns the tokens granted. A claim
-  // that appears twice in the log counts once.
-  Tokens Apply(const TokenClaim& claim, Time now);
-  // Tokens granted by all claims applied so far, less those released.
+  // Applies the next record in log order. Reservations that do not fit are
+  // ignored; another claim may grant them later.
+  void   Apply(const TokenClaim& claim, Time now);
+  // Whether the turn may run: it is granted and not settled.
+  bool   IsGranted(const std::string& program, const ReservationId& id) const;
+  bool   IsSettled(const std::string& program, const ReservationId& id) const;
+  // Tokens of all granted turns, less what settled ones did not use.
   Tokens Granted(const std::string& program) const;
-  void   Expire(Time now);
+  // Tells whether the node that sends a turn still runs.
+  using SenderCheck = std::function<bool(const std::string& incarnation)>;
+  // Whether a turn that does not fit may do so once unsettled turns, whose
+  // senders run, return what they did not use.
+  bool MayFitLater(const std::string& program, Tokens max_tokens, Time now,
+                   const SenderCheck& sender_runs) const;
+  // Call when records were missed: the next record of a program states what was
+  // granted before it. Reservations that were seen still count once.
+  void MarkStale();
+  void Expire(Time now);
 
  private:
-  using RecordId = std::pair<std::string, std::uint64_t>;  // node, number
+  struct Unsettled {
+    Tokens max_tokens = 0;
+    Time   granted_at = 0;  // when the claim was applied here
+  };
   struct Entry {
-    Tokens             budget = 0;
-    Tokens             granted = 0;
-    Time               expires_at = 0;
-    std::set<RecordId> applied;
+    Tokens                             limit = 0;  // budget and one turn
+    Tokens                             granted = 0;
+    bool                               stale = true;  // `granted` is
+    Time                               expires_at = 0;
+    std::map<ReservationId, Unsettled> unsettled;
+    std::set<ReservationId>            settled;
   };
+  static void  Settle(const TurnSettlement& settlement, Entry* entry);
+  static void  Grant(const TokenReservation& reservation, Tokens budget,
+                     Time now, Entry* entry);
+  const Entry* Find(const std::string& program) const;
 
   std::unordered_map<std::string, Entry> m_entries;  // by program
 };
 
-enum class TokenAnswer : std::uint8_t {
-  kStart,  // reserved; the turn may run
-  kClaim,  // too few tokens: append NextClaim() to the log, then retry
-};
-
-class TokenAccount {
- public:
-  explicit TokenAccount(Tokens budget) : m_budget(budget) {}
-
-  // Tries to reserve tokens for a turn of at most `max_tokens` tokens.
-  TokenAnswer Reserve(Tokens max_tokens);
-  // Whether the turn may fit once running turns end below their maximum. Call
-  // after a claim for the turn was granted no tokens.
-  bool        MayFitLater(Tokens max_tokens) const;
-  // Returns a claim for a turn of at most `max_tokens` tokens; the caller sets
-  // `number`, `node` and `program`.
-  TokenClaim  NextClaim(Tokens max_tokens) const;
-  void        OnGranted(Tokens granted);
-  // Call when a turn ended, after `used` of its tokens were sent to the client.
-  void        EndTurn(Tokens max_tokens, Tokens used);
-  // Removes the available tokens from the account and returns their number.
-  Tokens      ReleaseUnused();
-  // Tokens granted and neither used nor reserved.
-  Tokens      Available() const { return m_granted - m_used - m_reserved; }
-  Tokens      budget() const { return m_budget; }
-
- private:
-  Tokens m_budget;
-  Tokens m_granted = 0;
-  Tokens m_used = 0;
-  Tokens m_reserved = 0;  // sum of the running turns' maximum tokens
-};
-
-// Time in ms for which an idle program's entry is kept: twice the longest
-// retention of turns, within which a stopped program may resume.
-inline constexpr Duration kLedgerRetention = 600'000;
-
 }  // namespace yuccawick::programs
