--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -265,11 +265,23 @@
   }
 }
 
+bool Backends::MaySend(const State& state, SendKind kind) const {
+  if (!state.listed) return false;
+  if (!state.server.draining) return true;
+  return kind == SendKind::kBound && state.leaving_since &&
+         m_loop->now() - *state.leaving_since < m_thresholds->leaving_use;
+}
+
+bool Backends::MaySend(const std::string& id, SendKind kind) const {
+  const auto found = m_servers.find(id);
+  return found != m_servers.end() && MaySend(found->second, kind);
+}
+
 void Backends::IndexServers() {
   std::unordered_map<std::string, std::vector<const traffic::BackendServer*>>
       usable;
   for (const auto& [id, state] : m_servers) {
-    if (!state.listed || state.server.draining) continue;
+    if (!MaySend(state, SendKind::kFree)) continue;
     usable[state.server.service].push_back(&state.server);
   }
   std::erase_if(m_services, [&usable](const auto& entry) {
@@ -348,7 +360,7 @@
   if (found == m_servers.end()) return nullptr;
   const State& state = found->second;
   const bool   usable =
-      state.listed && !state.server.draining && Matches(state.server, filter);
+      MaySend(state, SendKind::kFree) && Matches(state.server, filter);
   return usable ? &state : nullptr;
 }
 
@@ -427,10 +439,9 @@
     const traffic::ServerFilter& filter) const {
   std::vector<traffic::Candidate> candidates;
   if (!filter.version) return candidates;
-  const Time oldest = m_loop->now() - m_thresholds->leaving_use;
   for (const auto& [id, state] : m_servers) {
-    const bool usable = state.listed && state.leaving_since &&
-                        *state.leaving_since > oldest &&
+    const bool usable = state.server.draining &&
+                        MaySend(state, SendKind::kBound) &&
                         Matches(state.server, filter);
     if (!usable) continue;
     traffic::Candidate candidate;
@@ -492,9 +503,11 @@
           candidate.slowdown};
 }
 
-std::optional<Backends::Choice> Backends::Find(const std::string& id) const {
+std::optional<Backends::Choice> Backends::Find(const std::string& id,
+                                               SendKind           kind) const {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end() || !found->second.listed) return std::nullopt;
+  if (found == m_servers.end() || !MaySend(found->second, kind))
+    return std::nullopt;
   traffic::Candidate candidate;
   candidate.server = &found->second.server;
   FillObservations(found->second, &candidate);
@@ -506,6 +519,11 @@
   return found == m_servers.end() ? nullptr : &found->second.server;
 }
 
+bool Backends::IsListed(const std::string& id) const {
+  const auto found = m_servers.find(id);
+  return found != m_servers.end() && found->second.listed;
+}
+
 bool Backends::IsLeaving(const std::string& id) const {
   const auto found = m_servers.find(id);
   return found != m_servers.end() && found->second.server.draining;
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -130,15 +130,25 @@
     std::int64_t tokens = 0;
     double       memory_part = 0;  // see traffic::Candidate
   };
-  // Chooses a server for a request; empty if none is usable. A server that is
-  // leaving is used for `leaving_use` ms if it is one of the last of the
-  // version: a stream cannot go on elsewhere.
-  std::optional<Choice>         Choose(const traffic::ServerFilter& filter,
-                                       const Prompt&                prompt);
-  // The server's state as a Choice; empty if it is not listed.
-  std::optional<Choice>         Find(const std::string& id) const;
+  // Chooses a server for a request; empty if none may be sent it. One that is
+  // leaving is used if it is one of the last of the filter's version.
+  std::optional<Choice> Choose(const traffic::ServerFilter& filter,
+                               const Prompt&                prompt);
+  // How a request is tied to the server that it is sent to.
+  enum class SendKind : std::uint8_t {
+    kFree,   // others may serve it
+    kBound,  // only this server, or its version, may: an attempt that may use
+             // no further server, or a stream that began there
+  };
+  // Whether the server may be sent a request now. Every send depends on it, at
+  // the choice of the server and again if its connection opens later. A server
+  // that is leaving only takes kBound requests, for `leaving_use` ms.
+  bool                  MaySend(const std::string& id, SendKind kind) const;
+  // The server's state as a Choice; empty if it may not be sent the request.
+  std::optional<Choice> Find(const std::string& id, SendKind kind) const;
   // Also a server whose entry lapsed a short time ago; nullptr if unknown.
   const traffic::BackendServer* FindKnown(const std::string& id) const;
+  bool                          IsListed(const std::string& id) const;
   // Whether the server announced that it will end.
   bool                          IsLeaving(const std::string& id) const;
   // Ids of the listed servers that are not leaving.
@@ -244,6 +254,7 @@
     std::map<std::string, traffic::ServerPool> by_version;
     capacity::SlowdownBaseline                 baseline;
   };
+  bool MaySend(const State& state, SendKind kind) const;
   void IndexServers();
   void IndexVersions(const std::vector<const traffic::BackendServer*>& servers,
                      Service* service) const;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -188,6 +188,8 @@
     choice = m_parts.backends->Choose(filter, prompt);
   }
   if (choice) {
+    m_send_kind =
+        filter.version ? Backends::SendKind::kBound : Backends::SendKind::kFree;
     SendTo(*choice, m_resends > 0);
     return;
   }
@@ -258,6 +260,13 @@
 }
 
 void Exchange::OnBackendConnected() {
+  if (!m_parts.backends->MaySend(m_server_id, m_send_kind)) {
+    // It began to leave while the connection opened; nothing was sent yet.
+    DetachServer(false);
+    m_parts.suspects->OnReleased(m_key, m_server_id);
+    OnSendFailed(SendFailureCause::kNotRun);
+    return;
+  }
   m_sent_time = m_parts.loop->now();
   if (std::find(m_sent_servers.begin(), m_sent_servers.end(), m_server_id) ==
       m_sent_servers.end()) {
@@ -390,9 +399,11 @@
 }
 
 void Exchange::SendToSameServer() {
-  const auto same_server = m_parts.backends->Find(m_server_id);
+  const auto same_server =
+      m_parts.backends->Find(m_server_id, Backends::SendKind::kBound);
   const bool has_ended = m_parts.suspects->HasEnded(m_server_id);
   if (same_server && m_progress.MayServe(same_server->server) && !has_ended) {
+    m_send_kind = Backends::SendKind::kBound;
     SendTo(*same_server, true);
     return;
   }
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -253,10 +253,11 @@
   // Token of the workspace's rate limit.
   std::optional<workspaces::TokenPool::Batch> m_rate_token;
   Duration                                    m_rate_retry_delay = 0;  // ms
-  bool                                        m_reserved = false;
-  Reservation                                 m_reservation;
-  programs::Tokens                            m_tokens_used = 0;
-  std::string                                 m_prompt_body;  // for the server
+  Backends::SendKind m_send_kind = Backends::SendKind::kFree;  // last send
+  bool               m_reserved = false;
+  Reservation        m_reservation;
+  programs::Tokens   m_tokens_used = 0;
+  std::string        m_prompt_body;  // for the server
 
   pressure::MemoryCharge m_memory_charge;
 
--- a/src/yuccawick/gateway/suspect_service.cc
+++ b/src/yuccawick/gateway/suspect_service.cc
@@ -606,7 +606,7 @@
   // Other traffic may show until then that they run.
   for (const std::string& server :
        m_requests.ServersToAsk(now - m_thresholds->doubt_after)) {
-    if (m_backends->Find(server) && !WasSilentLately(server))
+    if (m_backends->IsListed(server) && !WasSilentLately(server))
       AskIfMarked(server);
   }
   SaveMarksOfOthers();
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -66,7 +66,7 @@
   // connection is not used for this long: a server that sends the body anyway
   // would have it read as the next answer. Must be shorter than idle_limit.
   Duration     unexpected_body_wait = 200;
-  // A leaving server still takes streams that cannot go on elsewhere for this
+  // A leaving server still takes requests that no other may serve for this
   // long. The platform lets it serve for 2000 after its notice, which nodes
   // learn within 1000.
   Duration     leaving_use = 800;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -368,9 +368,10 @@
   void Observe(const std::string& id, double took) {
     m_backends.ObserveServiceTime(id, "", took);
   }
-  double LoadOf(const std::string& id) { return m_backends.Find(id)->load; }
-  double SlowdownOf(const std::string& id) {
-    return m_backends.Find(id)->slowdown;
+  double LoadOf(const std::string& id) { return Find(id).load; }
+  double SlowdownOf(const std::string& id) { return Find(id).slowdown; }
+  gateway::Backends::Choice Find(const std::string& id) {
+    return *m_backends.Find(id, gateway::Backends::SendKind::kFree);
   }
   gateway::Backends&          backends() { return m_backends; }
   std::vector<BackendServer>& servers() { return m_servers; }
