--- a/src/yuccawick/gateway/appender.cc
+++ b/src/yuccawick/gateway/appender.cc
@@ -35,7 +35,7 @@
 }
 
 void Appender::Pump() {
-  if (m_busy) return;
+  if (m_busy || m_batching) return;
   TakeBatch();
   if (m_in_flight.empty()) return;
   m_busy = true;
--- a/src/yuccawick/gateway/appender.h
+++ b/src/yuccawick/gateway/appender.h
@@ -24,6 +24,22 @@
   using Result = platform::StoreResult<platform::Appended>;
   using Done = std::function<void(const Result&)>;
   using Wanted = std::function<bool()>;
+  // Records that are added during its lifetime go into one append.
+  class Batch {
+   public:
+    explicit Batch(Appender* appender) : m_appender(appender) {
+      m_appender->m_batching = true;
+    }
+    ~Batch() {
+      m_appender->m_batching = false;
+      m_appender->Pump();
+    }
+    Batch(const Batch&) = delete;
+    Batch& operator=(const Batch&) = delete;
+
+   private:
+    Appender* m_appender;
+  };
 
   // `producer` must be unique among the writers of the partition.
   Appender(net::EventLoop* loop, const Thresholds* thresholds,
@@ -62,6 +78,7 @@
   std::vector<Item>    m_queue;
   std::vector<Item>    m_in_flight;
   bool                 m_busy = false;
+  bool                 m_batching = false;  // a Batch exists
   net::Time            m_sent_at = 0;
   net::Duration        m_timeout = 0;       // of the current attempt, in ms
   net::Duration        m_mean_latency = 0;  // moving average, in ms
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -124,6 +124,7 @@
     Entry{"outage_hold", &T::outage_hold, 0, 60'000},
     Entry{"outage_hold_share", &T::outage_hold_share, 0, 1},
     Entry{"settle_delay", &T::settle_delay, 0, 10'000},
+    Entry{"settle_answer", &T::settle_answer, 1, 60'000},
     Entry{"reserve_timeout", &T::reserve_timeout, 10, 60'000},
     Entry{"home_answer", &T::home_answer, 1, 60'000},
     Entry{"reserve_pause", &T::reserve_pause, 1, 10'000},
@@ -166,6 +167,9 @@
     Order{
         "load_memory", &T::news_anyway, &T::load_memory,
         "must exceed news_anyway, or load reports expire before the next one"},
+    Order{"reserve_timeout", &T::settle_answer, &T::reserve_timeout,
+          "must exceed settle_answer, or a coordinator that waits for the log "
+          "seems unreachable"},
     Order{"reserve_timeout", &T::home_answer, &T::reserve_timeout,
           "must exceed home_answer, or a coordinator that holds a request "
           "seems unreachable"},
--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -145,9 +145,12 @@
   double   outage_hold_share = 0.45;
 
   // Tokens -------------------------------------------------------------------
-  // What a turn used is appended after this delay, so that the program's next
-  // claim takes it along and one append carries several settlements.
-  Duration settle_delay = 60;
+  // What a turn used is appended after this delay, so that the claim of the
+  // program's next turn takes it along, and one append carries several. It must
+  // count within a second of the turn's end. The coordinator confirms it within
+  // settle_answer, whatever the log does.
+  Duration settle_delay = 400;
+  Duration settle_answer = 600;
   // Includes the log call of a coordinator.
   Duration reserve_timeout = 700;
   // A coordinator answers within this time, whatever the log does. The
--- a/src/yuccawick/gateway/token_coordinator.cc
+++ b/src/yuccawick/gateway/token_coordinator.cc
@@ -191,18 +191,29 @@
     const SettleDone taken = std::exchange(*callback, nullptr);
     if (taken) taken(recorded);
   };
-  m_loop->After(m_thresholds->home_answer, [complete] { complete(false); });
+  m_loop->After(m_thresholds->settle_answer, [complete] { complete(false); });
   Program& state = m_programs[turn.program];
   state.last_used = m_loop->now();
   if (!turn.server.empty()) state.server = turn.server;
-  const auto same = std::find_if(
-      state.settlements.begin(), state.settlements.end(),
-      [&](const auto& each) { return each.settlement.id == settlement.id; });
-  if (same != state.settlements.end()) {
+  for (auto* pending : {&state.settlements, &state.sent_settlements}) {
+    const auto same = std::find_if(
+        pending->begin(), pending->end(),
+        [&](const auto& each) { return each.settlement.id == settlement.id; });
+    if (same == pending->end()) continue;
     same->done.emplace_back(complete);
-  } else {
-    state.settlements.push_back({settlement, {complete}});
-    Balance(turn.program, &state);
+    return;
+  }
+  state.settlements.push_back({settlement, {complete}});
+  Balance(turn.program, &state);
+}
+
+void TokenCoordinator::CompleteSettlements(const std::string& program,
+                                           bool               recorded) {
+  const auto found = m_programs.find(program);
+  if (found == m_programs.end()) return;
+  for (const PendingSettlement& each :
+       std::exchange(found->second.sent_settlements, {})) {
+    for (const SettleDone& done : each.done) done(recorded);
   }
 }
 
@@ -231,6 +242,7 @@
   m_settling.push_back(program);
   if (m_settling.size() > 1) return;  // a timer runs
   m_loop->After(m_thresholds->settle_delay, [this] {
+    const Appender::Batch batch(&m_appender);
     for (const std::string& due : std::exchange(m_settling, {}))
       AppendSettlements(due);
   });
@@ -277,8 +289,8 @@
   TokenClaim claim{program};
   claim.before = m_ledger.Granted(program);
   claim.writer = m_incarnation;
-  auto settlements = std::exchange(state->settlements, {});
-  for (const PendingSettlement& each : settlements)
+  state->sent_settlements = std::exchange(state->settlements, {});
+  for (const PendingSettlement& each : state->sent_settlements)
     claim.settled.push_back(each.settlement);
   for (PendingRequest& request : state->waiting) {
     if (request.denied) continue;
@@ -289,8 +301,8 @@
   state->appending = true;
   std::string encoded = programs::EncodeClaim(claim);
   m_appender.Add(
-      encoded, [this, encoded, claim, settlements = std::move(settlements)](
-                   const Appender::Result& result) {
+      encoded, [this, encoded, claim](const Appender::Result& result) {
+        CompleteSettlements(claim.program, result.has_value());
         if (result) {
           OnRecordAppended(claim, encoded, result->offset);
         } else {
@@ -299,9 +311,6 @@
                                           {"status", result.error().status}});
           OnRecordRefused(claim);
         }
-        for (const PendingSettlement& each : settlements) {
-          for (const SettleDone& done : each.done) done(result.has_value());
-        }
       });
 }
 
--- a/src/yuccawick/gateway/token_coordinator.h
+++ b/src/yuccawick/gateway/token_coordinator.h
@@ -90,7 +90,7 @@
 
   // Calls `done` once, within `home_answer` ms.
   void        Reserve(const TurnBudget& turn, ReserveDone done);
-  // Records what a turn used. Calls `done` once, within `home_answer` ms;
+  // Records what a turn used. Calls `done` once, within `settle_answer` ms;
   // false: ask again, here or at another coordinator.
   void        Settle(const EndedTurn& turn, SettleDone done);
   // The turn runs under another coordinator's count, or its sender cannot be
@@ -125,6 +125,7 @@
     Time                           last_used = 0;
     std::vector<PendingRequest>    waiting = {};
     std::vector<PendingSettlement> settlements = {};  // not sent yet
+    std::vector<PendingSettlement> sent_settlements = {};
     bool        appending = false;  // a record is on its way to the log
     bool        started = false;    // some turn was admitted
     std::string server = {};        // server that ran the last turn
@@ -149,6 +150,7 @@
   void OnRecordAppended(const programs::TokenClaim& claim,
                         const std::string& record, std::int64_t offset);
   void OnRecordRefused(const programs::TokenClaim& claim);
+  void CompleteSettlements(const std::string& program, bool recorded);
   // The outcome of the own record is known.
   void OnRecordDecided(const programs::TokenClaim& claim);
   void CatchUp();
