--- a/src/yuccawick/gateway/origin_records.cc
+++ b/src/yuccawick/gateway/origin_records.cc
@@ -110,10 +110,11 @@
   // Nodes begin at different ones, so that they share the work.
   auto next = m_unwritten.begin();
   std::advance(next, m_random() % m_unwritten.size());
-  m_store->Put(Topic::kHistory, RecordKey(*next),
-               programs::EncodePossibleOrigin(*next), kWriteTimeout,
-               [this](const StoreResult<platform::Appended>& result) {
-                 // An acknowledged one comes back as a record.
+  const std::string key = RecordKey(*next);
+  m_store->Put(Topic::kHistory, key, programs::EncodePossibleOrigin(*next),
+               kWriteTimeout,
+               [this, key](const StoreResult<platform::Appended>& result) {
+                 if (result) m_written.insert(key);
                  WriteLater(result ? 0 : kRetryDelay);
                });
 }
