--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -1,5 +1,6 @@
 #include "yuccawick/gateway/client_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -44,7 +45,9 @@
       m_body_charge(parts.memory, pressure::MemoryKind::kRequests),
       m_output_charge(parts.memory, pressure::MemoryKind::kToClients),
       m_stream(parts.loop, this, fd, false, &m_output_charge),
-      m_reader(net::HttpRole::kRequests, LimitsOf(host->Limits()), this),
+      m_reader(
+          net::HttpRole::kRequests, [host] { return LimitsOf(host->Limits()); },
+          this),
       m_opened_at(parts.loop->now()) {
   RestartTimer();
 }
@@ -66,12 +69,13 @@
          m_stream.pending() == 0 && !m_input.empty()) {
     if (!m_reader.in_message()) {
       m_request_start_time = m_parts.loop->now();
+      m_in_head = true;
       RestartTimer();
     }
     const std::size_t consumed = m_reader.Feed(m_input);
     m_input.erase(0, consumed);
     if (m_reader.fault()) {
-      Refuse(RefusalFor(*m_reader.fault()));
+      RefuseInvalid(*m_reader.fault());
     } else if (const auto refusal =
                    std::exchange(m_early_refusal, std::nullopt)) {
       RejectEarly(*refusal);
@@ -90,6 +94,7 @@
 void ClientConnection::OnHead(net::Head head) {
   m_head = std::move(head);
   m_body.clear();
+  m_in_head = false;
   RestartTimer();
   if (!EndsInTime()) {
     m_early_refusal = traffic::Refusal::kNodeStops;
@@ -157,6 +162,13 @@
   exchange->Reject(refusal);
 }
 
+void ClientConnection::RefuseInvalid(net::HttpFault fault) {
+  // Without a manifest it is not known what is too large.
+  const bool unknown =
+      fault != net::HttpFault::kMalformed && m_host->Routes() == nullptr;
+  Refuse(unknown ? traffic::Refusal::kNotReady : RefusalFor(fault));
+}
+
 void ClientConnection::Refuse(traffic::Refusal refusal) {
   m_parts.metrics->CountRefusal(refusal);
   m_parts.log->Write(LogEvent::kRefused,
@@ -165,6 +177,8 @@
   answer.method = m_reader.method();
   answer.status = Status(refusal);
   answer.reason = Name(refusal);
+  if (traffic::IsRetriable(refusal))
+    answer.retry_after = Exchange::NotReadyDelay(m_parts);
   answer.close = true;
   m_stream.Write(platform::EncodeOwnAnswer(answer));
   Linger();
@@ -285,17 +299,21 @@
 }
 
 void ClientConnection::RestartTimer() {
-  m_parts.loop->Cancel(&m_timer);
+  m_timer_since = m_parts.loop->now();
+  ScheduleTimeout();
+}
+
+Duration ClientConnection::TimeLimit() const {
   const traffic::ClientLimits limits = m_host->Limits();
-  Duration                    limit = limits.idle_timeout;
-  if (m_stream.pending() > 0) {
-    limit = m_parts.thresholds->reader_patience;
-  } else if (m_reader.in_body()) {
-    limit = limits.head_timeout * kBodyTimeoutFactor;
-  } else if (m_request_start_time == m_parts.loop->now()) {
-    limit = limits.head_timeout;
-  }
-  m_timer = m_parts.loop->After(limit, [this] {
+  if (m_stream.pending() > 0) return m_parts.thresholds->reader_patience;
+  if (m_reader.in_body()) return limits.head_timeout * kBodyTimeoutFactor;
+  return m_in_head ? limits.head_timeout : limits.idle_timeout;
+}
+
+void ClientConnection::ScheduleTimeout() {
+  m_parts.loop->Cancel(&m_timer);
+  const Duration left = m_timer_since + TimeLimit() - m_parts.loop->now();
+  m_timer = m_parts.loop->After(std::max<Duration>(0, left), [this] {
     m_timer = 0;
     OnTimeout();
   });
@@ -309,6 +327,8 @@
 void ClientConnection::OnTimeout() {
   if (TakesAnswer()) {
     RestartTimer();
+  } else if (m_parts.loop->now() < m_timer_since + TimeLimit()) {
+    ScheduleTimeout();  // the limit was raised meanwhile
   } else if (!m_reader.in_message()) {
     m_stream.Close();
     RemoveSelf();
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -1,10 +1,10 @@
 // An HTTP/1.1 connection of a client: reads requests one at a time, passes each
 // complete request to an Exchange, and writes the answer. Gateway owns it.
 //
-// Memory per connection is bounded: a body is accepted only within the limit of
-// the manifest and the node's memory budget, and nothing is read while an
-// exchange is running or its answer is still unsent. Even then, the end of the
-// connection is detected.
+// Memory per connection is bounded: a body is accepted only within the limits
+// of the manifest, read for each request, and the node's memory budget, and
+// nothing is read while an exchange is running or its answer is still unsent.
+// Even then, the end of the connection is detected.
 #pragma once
 
 #include <functional>
@@ -69,27 +69,32 @@
   std::size_t ClientBacklog() const override { return m_stream.pending(); }
 
  private:
-  void ProcessInput();
-  void StartExchange();
+  void     ProcessInput();
+  void     StartExchange();
   // The answer is written; goes on with the next request or closes.
-  void OnAnswerWritten();
+  void     OnAnswerWritten();
   // Reserves memory for the body; false if the node's budget is used up.
-  bool ReserveBodyMemory(std::size_t body_bytes);
+  bool     ReserveBodyMemory(std::size_t body_bytes);
   // Whether a request with the current head would end before the node if its
   // body ended now.
-  bool EndsInTime() const;
+  bool     EndsInTime() const;
   // Refuses a request whose body is not received completely.
-  void RejectEarly(traffic::Refusal refusal);
-  // Answers input that is not a valid request, and closes the connection.
-  void Refuse(traffic::Refusal refusal);
-  void RestartTimer();
-  void OnTimeout();
+  void     RejectEarly(traffic::Refusal refusal);
+  // Answers a request that cannot be read, and closes the connection.
+  void     RefuseInvalid(net::HttpFault fault);
+  void     Refuse(traffic::Refusal refusal);
+  void     RestartTimer();
+  // How long the connection may remain in its current state, in ms. The limits
+  // are those in force now.
+  Duration TimeLimit() const;
+  void     ScheduleTimeout();
+  void     OnTimeout();
   // Whether the client is still reading bytes that wait for it here.
-  bool TakesAnswer() const;
+  bool     TakesAnswer() const;
   // Sends what is pending and closes; input is discarded meanwhile.
-  void Linger();
-  void RestartLinger();
-  void RemoveSelf();
+  void     Linger();
+  void     RestartLinger();
+  void     RemoveSelf();
 
   GatewayParts                    m_parts;
   ClientHost*                     m_host;
@@ -100,6 +105,7 @@
   std::string                     m_input;  // received and not yet parsed
   net::Head                       m_head;
   std::string                     m_body;
+  bool                            m_in_head = false;  // some of one was read
   bool                            m_request_complete = false;  // ready to start
   // Refusal of the current request, whose body is discarded.
   std::optional<traffic::Refusal> m_early_refusal;
@@ -108,6 +114,7 @@
   bool                      m_processing = false;  // inside ProcessInput()
   Time                      m_opened_at = 0;
   Time                      m_request_start_time = 0;  // 0: none yet
+  Time                      m_timer_since = 0;         // see TimeLimit()
   net::TimerId              m_timer = 0;
   std::shared_ptr<Exchange> m_exchange;
   // Of the answer that was begun.
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -440,14 +440,17 @@
   }
 }
 
+Duration Exchange::NotReadyDelay(const GatewayParts& parts) {
+  return std::clamp(parts.loop->now() - parts.started,
+                    parts.thresholds->start_delay,
+                    parts.thresholds->outage_return);
+}
+
 Duration Exchange::RetryAfter(Refusal refusal) const {
   if (!traffic::IsRetriable(refusal)) return -1;
   const Thresholds& limits = *m_parts.thresholds;
   Duration          mean_delay = limits.return_delay;
-  if (refusal == Refusal::kNotReady) {
-    mean_delay = std::clamp(m_parts.loop->now() - m_parts.started,
-                            limits.start_delay, limits.outage_return);
-  }
+  if (refusal == Refusal::kNotReady) mean_delay = NotReadyDelay(m_parts);
   if (refusal == Refusal::kOverLimit) {
     mean_delay = std::max(m_rate_retry_delay, limits.return_delay);
   }
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -91,17 +91,19 @@
            std::string body);
   ~Exchange() override;
 
-  void Start();
+  void            Start();
   // Called instead of Start() to refuse the request without serving it.
-  void Reject(traffic::Refusal refusal);
-  void OnClientDisconnected();
+  void            Reject(traffic::Refusal refusal);
+  void            OnClientDisconnected();
   // Aborts the answer of a client that does not read it, to free memory.
-  void OnClientStalled() { AbortAnswer("reader_stalled"); }
-  void ClientDrained();
+  void            OnClientStalled() { AbortAnswer("reader_stalled"); }
+  void            ClientDrained();
   // Refuses a request that waits and might end after the node.
-  void OnNodeStopping();
+  void            OnNodeStopping();
   // The node ends now.
-  void OnNodeEnd();
+  void            OnNodeEnd();
+  // Mean retry delay (ms) of a client while the node has no manifest.
+  static Duration NotReadyDelay(const GatewayParts& parts);
   // The longest time (ms) that a request with this head may take once it is
   // complete; empty if it cannot be served at all.
   static std::optional<Duration> MaxDuration(const GatewayParts&        parts,
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -340,8 +340,7 @@
       ScopedId(m_info.program), {}, *m_info.budget, m_info.max_tokens};
   FillAdmissionRequest(&turn);
   m_wait_refusal = Refusal::kBudgetUnsure;
-  const Duration patience =
-      std::min(m_parts.thresholds->log_wait, WaitTimeLeft());
+  const Duration patience = std::min(MaxLogWait(), WaitTimeLeft());
   m_parts.peers->Reserve(
       turn, patience,
       [self = shared_from_this()](const Reservation& reservation) {
--- a/src/yuccawick/net/http.cc
+++ b/src/yuccawick/net/http.cc
@@ -100,8 +100,8 @@
                     [&](const Header& h) { return SameName(h.name, name); }));
 }
 
-HttpReader::HttpReader(HttpRole role, HttpLimits limits, HttpSink* sink)
-    : m_role(role), m_limits(limits), m_sink(sink) {
+HttpReader::HttpReader(HttpRole role, LimitsLookup limits, HttpSink* sink)
+    : m_role(role), m_lookup(std::move(limits)), m_sink(sink) {
   http_parser_init(&m_parser,
                    role == HttpRole::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
@@ -148,9 +148,17 @@
   return consumed;
 }
 
+bool HttpReader::IsWithin(std::size_t HttpLimits::*part, std::size_t bytes) {
+  if (bytes > m_limits.*part)
+    m_limits.*part = std::max(m_limits.*part, m_lookup().*part);
+  return bytes <= m_limits.*part;
+}
+
 std::size_t HttpReader::FeedHead(std::string_view bytes) {
   // The end of the head may span the buffered and the new bytes.
   const std::size_t before = m_raw_head.size();
+  if (before == 0) m_limits = m_lookup();
+  IsWithin(&HttpLimits::head_bytes, before + bytes.size());
   const std::size_t capacity = m_limits.head_bytes + kHeadEnd.size() - before;
   m_raw_head.append(bytes.substr(0, capacity));
   if (m_role == HttpRole::kRequests) m_method = MethodOf(m_raw_head);
@@ -158,7 +166,7 @@
       before > kHeadEnd.size() ? before - kHeadEnd.size() : 0;
   const auto end = m_raw_head.find(kHeadEnd, from);
   if (end == std::string::npos) {
-    if (m_raw_head.size() > m_limits.head_bytes) {
+    if (!IsWithin(&HttpLimits::head_bytes, m_raw_head.size())) {
       m_fault = HttpFault::kHeadTooLarge;
     }
     return std::min(bytes.size(), capacity);
@@ -253,7 +261,7 @@
   }
   const bool has_length = head.headers.Find("Content-Length") != nullptr;
   if (has_body && has_length &&
-      parser->content_length > self->m_limits.body_bytes) {
+      !self->IsWithin(&HttpLimits::body_bytes, parser->content_length)) {
     self->m_fault = HttpFault::kBodyTooLarge;
     return -1;
   }
@@ -267,7 +275,7 @@
                             std::size_t size) {
   auto* self = static_cast<HttpReader*>(parser->data);
   self->m_body_bytes += size;
-  if (self->m_body_bytes > self->m_limits.body_bytes) {
+  if (!self->IsWithin(&HttpLimits::body_bytes, self->m_body_bytes)) {
     self->m_fault = HttpFault::kBodyTooLarge;
     return -1;
   }
--- a/src/yuccawick/net/http.h
+++ b/src/yuccawick/net/http.h
@@ -10,6 +10,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,7 +71,15 @@
 
 class HttpReader {
  public:
-  HttpReader(HttpRole role, HttpLimits limits, HttpSink* sink);
+  // The limits that are in force now.
+  using LimitsLookup = std::function<HttpLimits()>;
+
+  HttpReader(HttpRole role, HttpLimits limits, HttpSink* sink)
+      : HttpReader(
+            role, [limits] { return limits; }, sink) {}
+  // A message may use the limits in force at its first byte, or larger ones
+  // that come into force before it exceeds those.
+  HttpReader(HttpRole role, LimitsLookup limits, HttpSink* sink);
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
@@ -100,13 +109,16 @@
   static int OnEnd(http_parser* parser);
   static const http_parser_settings& Callbacks();
 
+  // Whether the message may have that many bytes of `part`.
+  bool        IsWithin(std::size_t HttpLimits::*part, std::size_t bytes);
   std::size_t FeedHead(std::string_view bytes);
   std::size_t Parse(std::string_view bytes);
   void        AddHeader();
   void        StartMessage();
 
   HttpRole                 m_role;
-  HttpLimits               m_limits;
+  LimitsLookup             m_lookup;
+  HttpLimits               m_limits;  // of the current message
   HttpSink*                m_sink;
   http_parser              m_parser{};
   std::optional<HttpFault> m_fault;
