--- a/src/yuccawick/gateway/thresholds.h
+++ b/src/yuccawick/gateway/thresholds.h
@@ -145,11 +145,11 @@
   double   outage_hold_share = 0.45;
 
   // Tokens -------------------------------------------------------------------
-  // What a turn used is appended after this delay, so that the claim of the
-  // program's next turn takes it along, and one append carries several. It must
-  // count within a second of the turn's end. The coordinator confirms it within
-  // settle_answer, whatever the log does.
-  Duration settle_delay = 400;
+  // What a turn used is appended after this delay, so that one append carries
+  // several settlements. A loss of all nodes before that counts the turn in
+  // full. The coordinator confirms it within settle_answer, whatever the log
+  // does.
+  Duration settle_delay = 20;
   Duration settle_answer = 600;
   // Includes the log call of a coordinator.
   Duration reserve_timeout = 700;
--- a/src/yuccawick/gateway/token_coordinator.cc
+++ b/src/yuccawick/gateway/token_coordinator.cc
@@ -236,8 +236,15 @@
       });
 }
 
-// Settlements are delayed, so that the program's next claim takes them along
-// and one append carries those of several programs.
+void TokenCoordinator::Close() {
+  m_closed = true;
+  const Appender::Batch batch(&m_appender);
+  for (const std::string& program : std::exchange(m_settling, {}))
+    AppendSettlements(program);
+}
+
+// Settlements are delayed, so that one append carries those of several
+// programs.
 void TokenCoordinator::ScheduleSettlements(const std::string& program) {
   m_settling.push_back(program);
   if (m_settling.size() > 1) return;  // a timer runs
--- a/src/yuccawick/gateway/token_coordinator.h
+++ b/src/yuccawick/gateway/token_coordinator.h
@@ -100,8 +100,8 @@
   std::string LastServer(const std::string& program) const;
   // Whether settlements wait for the log.
   bool        HasSettlements() const;
-  // Grants nothing more, for the shutdown of the node.
-  void        Close() { m_closed = true; }
+  // Grants nothing more and appends what waits, for the shutdown of the node.
+  void        Close();
   // Removes programs that were idle for kLedgerRetention.
   void        Sweep();
 
--- a/src/yuccawick/gateway/turn_settler.cc
+++ b/src/yuccawick/gateway/turn_settler.cc
@@ -42,12 +42,13 @@
 }
 
 // The coordinator that granted the tokens also frees the turn's capacity, so it
-// is asked first.
+// is asked first, unless it ends soon.
 std::vector<NodeInfo> TurnSettler::RankFor(const Pending& pending) const {
   auto nodes = m_rank_lookup(ClaimPartitionOf(pending.turn.program));
   std::stable_partition(nodes.begin(), nodes.end(),
-                        [&pending](const NodeInfo& node) {
-                          return node.name == pending.coordinator;
+                        [this, &pending](const NodeInfo& node) {
+                          return node.name == pending.coordinator &&
+                                 !m_members->Stopping(node.name);
                         });
   if (nodes.size() > kMaxCoordinatorsTried) nodes.resize(kMaxCoordinatorsTried);
   return nodes;
