--- a/src/yuccawick/programs/record.capnp
+++ b/src/yuccawick/programs/record.capnp
@@ -85,9 +85,9 @@
 
 enum Reserved {
   unsure @0;  # the log does not answer
-  start  @1;
+  start  @1;  # answered by granted
   spent  @2;
-  hold   @3;  # not decided yet; another home would only split the tokens
+  hold   @3;  # waits for turns that are not settled yet
   noRoom @4;  # model servers have no room for another program
 }
 
