--- a/tests/engine_client_test.cc
+++ b/tests/engine_client_test.cc
@@ -87,7 +87,7 @@
     Poco::Net::StreamSocket connection = listener.acceptConnection();
     std::array<char, 4096>  buffer{};
     std::string             received;
-    while (received.find("}") == std::string::npos) {
+    while (received.find('}') == std::string::npos) {
       const int size = connection.receiveBytes(buffer.data(),
                                                       static_cast<int>(buffer.size()));
       if (size <= 0) break;
@@ -99,8 +99,8 @@
   });
   Poco::JSON::Object body;
   body.set("key", "value");
-  const auto result = backends::PostJson(
-      {"127.0.0.1", listener.address().port()}, "/v1/calls", body, {});
+  auto result = backends::PostJson({"127.0.0.1", listener.address().port()},
+                                   "/v1/calls", body, {});
   server.join();
   return result;
 }
@@ -139,8 +139,13 @@
   for (const std::string odd :
        {R"({})", R"(null)", R"(7)", R"({"vm":[],"address":"h:1","leaving":0})",
         R"({"vm":"b","address":{"a":1},"leaving":false})"}) {
-    const std::string body =
-        R"({"vms":[)" + good + "," + odd + "," + good + "]}";
+    const std::string body = std::string(R"({"vms":[)")
+                                 .append(good)
+                                 .append(",")
+                                 .append(odd)
+                                 .append(",")
+                                 .append(good)
+                                 .append("]}");
     Poco::Net::ServerSocket listener(
         Poco::Net::SocketAddress("127.0.0.1", Poco::UInt16{0}));
     std::thread server([&] {
