Small servers hold one answer and 32 connections at most

What callers saw: a client that pipelines requests at the address of readiness or metrics and reads nothing made the process grow until it was ended; connections that say nothing there took all descriptors. Cause: SmallServer answered each request as it was read, whatever waited already, and kept every connection for 30 s. Why it works: nothing is read while an answer waits, and a new connection replaces the one that was quiet for longest, so checks of the balancer always get in.

--- a/src/yuccawick/gateway/small_server.cc
+++ b/src/yuccawick/gateway/small_server.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <iterator>
 #include <utility>
 
 #include "yuccawick/net/http.h"
@@ -15,6 +16,7 @@
 constexpr int             kUnackedTimeout =
     5000;  // ms that sent bytes may stay unacknowledged
 constexpr net::Duration kMaxIdle = 30'000;  // ms
+constexpr std::size_t   kMaxConnections = 32;
 
 }  // namespace
 
@@ -29,16 +31,38 @@
   }
   ~Connection() override { m_server->m_loop->Cancel(&m_timer); }
 
+  // Position in the server's list; set once it is there.
+  void SetPosition(Connections::iterator position) { m_position = position; }
+  void Close() {
+    m_server->m_loop->Cancel(&m_timer);
+    m_stream.Close();
+  }
+
   void OnBytes(std::string_view bytes) override {
-    while (!bytes.empty() && m_stream.is_open()) {
-      bytes.remove_prefix(m_reader.Feed(bytes));
-      if (m_reader.fault()) Drop();
-    }
+    if (m_last_sent) return;
+    m_input.append(bytes);
+    ProcessInput();
+  }
+  void OnDrained() override {
+    m_server->MarkActive(m_position);
+    m_stream.SetReading(net::Reading::kOn);
+    ProcessInput();
   }
   void OnClosed(net::CloseCause /*cause*/) override { Drop(); }
   void OnHead(net::Head head) override { m_head = std::move(head); }
   void OnBody(std::string_view /*bytes*/) override {}
-  void OnMessageEnd() override {
+  void OnMessageEnd() override { m_request_complete = true; }
+
+ private:
+  void ProcessInput() {
+    while (!m_input.empty() && !m_last_sent && m_stream.pending() == 0) {
+      m_input.erase(0, m_reader.Feed(m_input));
+      if (m_reader.fault()) return Drop();
+      if (std::exchange(m_request_complete, false)) SendAnswer();
+    }
+    if (m_stream.pending() > 0) m_stream.SetReading(net::Reading::kWatchEnd);
+  }
+  void SendAnswer() {
     const SmallAnswer answer = m_server->m_answer(m_head.target);
     std::string       out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
     out.append(net::StatusText(answer.status)).append("\r\n");
@@ -50,11 +74,11 @@
     out += "\r\n";
     body.AppendPart(&out, answer.body);
     m_stream.Write(out);
-    if (!m_head.keep_alive) m_stream.EndWriting();
+    m_last_sent = !m_head.keep_alive;
+    if (m_last_sent) m_stream.EndWriting();
+    m_server->MarkActive(m_position);
     WatchIdle();
   }
-
- private:
   void WatchIdle() {
     m_server->m_loop->Cancel(&m_timer);
     m_timer = m_server->m_loop->After(kMaxIdle, [this] {
@@ -62,20 +86,17 @@
       Drop();
     });
   }
-  void Drop() {
-    m_stream.Close();
-    auto node = m_server->m_connections.extract(this);
-    if (node.empty()) return;
-    // Deferred destruction: this connection is still on the call stack.
-    const std::shared_ptr<Connection> dying = std::move(node.mapped());
-    m_server->m_loop->Defer([dying] {});
-  }
+  void Drop() { m_server->Drop(m_position); }
 
-  SmallServer*    m_server;
-  net::Stream     m_stream;
-  net::HttpReader m_reader;
-  net::Head       m_head;
-  net::TimerId    m_timer = 0;
+  SmallServer*          m_server;
+  Connections::iterator m_position;
+  net::Stream           m_stream;
+  net::HttpReader       m_reader;
+  std::string           m_input;  // received and not yet parsed
+  net::Head             m_head;
+  bool                  m_request_complete = false;
+  bool                  m_last_sent = false;  // the connection ends with it
+  net::TimerId          m_timer = 0;
 };
 
 SmallServer::SmallServer(net::EventLoop* loop, Answer answer)
@@ -97,10 +118,22 @@
 void SmallServer::OnReadable() {
   for (int fd = net::Accept(m_listener, kUnackedTimeout); fd >= 0;
        fd = net::Accept(m_listener, kUnackedTimeout)) {
-    auto        connection = std::make_unique<Connection>(this, fd);
-    Connection* raw = connection.get();
-    m_connections.emplace(raw, std::move(connection));
+    if (m_connections.size() >= kMaxConnections) Drop(m_connections.begin());
+    m_connections.push_back(std::make_unique<Connection>(this, fd));
+    m_connections.back()->SetPosition(std::prev(m_connections.end()));
   }
 }
 
+void SmallServer::MarkActive(Connections::iterator connection) {
+  m_connections.splice(m_connections.end(), m_connections, connection);
+}
+
+void SmallServer::Drop(Connections::iterator connection) {
+  // Deferred destruction: the connection may be on the call stack.
+  const std::shared_ptr<Connection> dying = std::move(*connection);
+  m_connections.erase(connection);
+  dying->Close();
+  m_loop->Defer([dying] {});
+}
+
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/small_server.h
+++ b/src/yuccawick/gateway/small_server.h
@@ -1,12 +1,16 @@
-// Minimal HTTP server for readiness checks and metrics. Answers
-// requests without a body through one callback on the event loop.
+// Minimal HTTP server for readiness checks and metrics. Answers requests
+// without a body through one callback on the event loop.
+//
+// Memory and descriptors are bounded: each connection holds one answer at most,
+// the next request is read once the client has taken it, and a new connection
+// replaces the one that was quiet for longest.
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 #include "yuccawick/net/endpoint.h"
 #include "yuccawick/net/event_loop.h"
@@ -34,10 +38,16 @@
 
  private:
   class Connection;
-  net::EventLoop*                                              m_loop;
-  Answer                                                       m_answer;
-  int                                                          m_listener = -1;
-  std::unordered_map<Connection*, std::unique_ptr<Connection>> m_connections;
+  using Connections = std::list<std::unique_ptr<Connection>>;
+
+  void Drop(Connections::iterator connection);
+  // The connection sent a request or took its answer.
+  void MarkActive(Connections::iterator connection);
+
+  net::EventLoop* m_loop;
+  Answer          m_answer;
+  int             m_listener = -1;
+  Connections     m_connections;  // quiet for longest first
 };
 
 }  // namespace yuccawick::gateway
