A node keeps half of its descriptors for others, and silent clients yield

What callers saw: 600 connections that say nothing took all 400 descriptors of a node; ordinary callers were not connected, and servers, the log and peers had none left. accept() failed and the loop reported the same connection without end. Cause: the settings' maxFds was not read, and nothing bounded the connections. Why it works: clients get at most half of the sockets. At the bound, one connection without a whole request yields to each new one: silent first, then lingering, then the request furthest behind a minimum rate, then idle. Listeners of clients, peers and small servers are one class now, which rests for 100 ms when no descriptor is left.

--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -6,6 +6,7 @@
 // reloads the settings file.
 #include <gflags/gflags.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -171,6 +172,13 @@
   net::Newest<traffic::SoftwareHistory> m_software;
 };
 
+// Limit of the kernel on this process; 0: unlimited.
+std::size_t DescriptorLimit() {
+  rlimit     limit{};
+  const bool known = getrlimit(RLIMIT_NOFILE, &limit) == 0;
+  return known && limit.rlim_cur != RLIM_INFINITY ? limit.rlim_cur : 0;
+}
+
 int Serve(const platform::Settings& settings, const std::string& path,
           const gateway::Thresholds& thresholds) {
   const std::string incarnation = NewIncarnation(settings.node);
@@ -226,7 +234,9 @@
 int Main() {
   const std::string path =
       FLAGS_settings.empty() ? platform::SettingsPath() : FLAGS_settings;
-  const auto settings = platform::ReadSettings(path);
+  auto settings = platform::ReadSettings(path);
+  if (settings && settings->descriptors == 0)
+    settings->descriptors = DescriptorLimit();
   if (!settings) {
     std::cerr << path << ": " << Name(settings.error().fault) << " "
               << settings.error().field << "\n";
--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -48,14 +48,18 @@
       m_reader(
           net::HttpRole::kRequests, [host] { return LimitsOf(host->Limits()); },
           this),
-      m_opened_at(parts.loop->now()) {
+      m_opened_at(parts.loop->now()),
+      m_schedule(parts.thresholds->memory.yield_rate),
+      m_yield_place(parts.yield_order, this) {
   RestartTimer();
+  UpdateYieldPlace();
 }
 
 ClientConnection::~ClientConnection() { m_parts.loop->Cancel(&m_timer); }
 
 void ClientConnection::OnBytes(std::string_view bytes) {
   if (m_lingering) return;
+  m_schedule.OnBytes(bytes.size(), m_parts.loop->now());
   m_input.append(bytes);
   ProcessInput();
 }
@@ -70,6 +74,7 @@
     if (!m_reader.in_message()) {
       m_request_start_time = m_parts.loop->now();
       m_in_head = true;
+      m_schedule.Start(m_request_start_time);
       RestartTimer();
     }
     const std::size_t consumed = m_reader.Feed(m_input);
@@ -89,6 +94,39 @@
   if (m_stream.pending() > 0 && !m_lingering) {
     m_stream.SetReading(net::Reading::kWatchEnd);
   }
+  UpdateYieldPlace();
+}
+
+bool ClientConnection::IsReceiving() const {
+  return m_reader.in_message() || !m_input.empty();
+}
+
+void ClientConnection::UpdateYieldPlace() {
+  using pressure::YieldClass;
+  if (!m_stream.is_open()) {
+    m_yield_place.Leave();
+  } else if (m_lingering) {
+    m_yield_place.Set(YieldClass::kLingering, m_timer_since);
+  } else if (m_exchange || m_stream.pending() > 0) {
+    m_yield_place.Leave();
+  } else if (IsReceiving()) {
+    m_yield_place.Set(YieldClass::kReceiving, m_schedule.due());
+  } else if (m_request_start_time == 0) {
+    m_yield_place.Set(YieldClass::kSilent, m_opened_at);
+  } else {
+    m_yield_place.Set(YieldClass::kIdle, m_timer_since);
+  }
+}
+
+void ClientConnection::Yield() {
+  if (m_lingering || !IsReceiving()) {
+    m_stream.Close();
+    RemoveSelf();
+  } else if (m_reader.in_body()) {
+    RejectEarly(traffic::Refusal::kNodeFull);
+  } else {
+    Refuse(traffic::Refusal::kNodeFull);
+  }
 }
 
 void ClientConnection::OnHead(net::Head head) {
@@ -159,6 +197,7 @@
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
                                           std::move(m_head), std::string());
   const auto exchange = m_exchange;
+  UpdateYieldPlace();
   exchange->Reject(refusal);
 }
 
@@ -343,7 +382,9 @@
   m_body = {};
   m_body_charge.Set(0);
   m_stream.EndWriting();
+  m_timer_since = m_parts.loop->now();
   RestartLinger();
+  UpdateYieldPlace();
 }
 
 void ClientConnection::RestartLinger() {
@@ -360,6 +401,9 @@
   });
 }
 
-void ClientConnection::RemoveSelf() { m_host->RemoveConnection(this); }
+void ClientConnection::RemoveSelf() {
+  m_yield_place.Leave();
+  m_host->RemoveConnection(this);
+}
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -4,7 +4,9 @@
 // Memory per connection is bounded: a body is accepted only within the limits
 // of the manifest, read for each request, and the node's memory budget, and
 // nothing is read while an exchange is running or its answer is still unsent.
-// Even then, the end of the connection is detected.
+// Even then, the end of the connection is detected. A connection without a
+// whole request yields when the node runs out of connections, see
+// pressure/yield_order.h.
 #pragma once
 
 #include <functional>
@@ -14,6 +16,7 @@
 
 #include "yuccawick/gateway/exchange.h"
 #include "yuccawick/net/stream.h"
+#include "yuccawick/pressure/receive_schedule.h"
 
 namespace yuccawick::gateway {
 
@@ -30,6 +33,7 @@
 
 class ClientConnection final : public net::StreamOwner,
                                public net::HttpSink,
+                               public pressure::Yielder,
                                public ClientSide {
  public:
   ClientConnection(const GatewayParts& parts, ClientHost* host, int fd);
@@ -51,6 +55,8 @@
   // Aborts the connection of a client that does not read its answer.
   void DropClient();
 
+  void Yield() override;
+
   void OnBytes(std::string_view bytes) override;
   void OnDrained() override;
   void OnClosed(net::CloseCause cause) override;
@@ -71,6 +77,10 @@
  private:
   void     ProcessInput();
   void     StartExchange();
+  // Whether a part of a request was received.
+  bool     IsReceiving() const;
+  // Call after each change of what the connection waits for.
+  void     UpdateYieldPlace();
   // The answer is written; goes on with the next request or closes.
   void     OnAnswerWritten();
   // Reserves memory for the body; false if the node's budget is used up.
@@ -111,12 +121,14 @@
   std::optional<traffic::Refusal> m_early_refusal;
   bool                            m_close_after_answer = false;
   bool                            m_lingering = false;
-  bool                      m_processing = false;  // inside ProcessInput()
-  Time                      m_opened_at = 0;
-  Time                      m_request_start_time = 0;  // 0: none yet
-  Time                      m_timer_since = 0;         // see TimeLimit()
-  net::TimerId              m_timer = 0;
-  std::shared_ptr<Exchange> m_exchange;
+  bool                        m_processing = false;  // inside ProcessInput()
+  Time                        m_opened_at = 0;
+  Time                        m_request_start_time = 0;  // 0: none yet
+  Time                        m_timer_since = 0;         // see TimeLimit()
+  net::TimerId                m_timer = 0;
+  pressure::ReceiveSchedule   m_schedule;  // of the request being received
+  pressure::YieldOrder::Place m_yield_place;
+  std::shared_ptr<Exchange>   m_exchange;
   // Of the answer that was begun.
   std::optional<net::ResponseBody> m_answer_body;
   std::string m_unsent_head;  // of an answer without a body
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -30,6 +30,7 @@
 #include "yuccawick/gateway/turn_dispatcher.h"
 #include "yuccawick/gateway/turn_store.h"
 #include "yuccawick/pressure/memory_budget.h"
+#include "yuccawick/pressure/yield_order.h"
 #include "yuccawick/traffic/answer_progress.h"
 #include "yuccawick/traffic/event_stream.h"
 #include "yuccawick/traffic/graceful_stop.h"
@@ -80,6 +81,7 @@
   StreamOriginService*                              stream_origins = nullptr;
   SuspectService*                                   suspects = nullptr;
   traffic::GracefulStop*                            stop = nullptr;
+  pressure::YieldOrder*                             yield_order = nullptr;
   pressure::MemoryBudgetPtr                         memory;
 };
 
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <utility>
 
+#include "yuccawick/pressure/connection_limit.h"
 #include "yuccawick/programs/record.h"
 
 namespace yuccawick::gateway {
@@ -122,16 +123,19 @@
               &m_rate_limiter, &m_turns, &m_backends, &m_admission,
               &m_stream_origins, &m_suspects, log),
       m_readiness(loop, [this](std::string_view) { return AnswerReadiness(); }),
-      m_metrics_server(loop, [metrics](std::string_view) {
-        return SmallAnswer{200, metrics->Text()};
-      }) {}
+      m_metrics_server(loop,
+                       [metrics](std::string_view) {
+                         return SmallAnswer{200, metrics->Text()};
+                       }),
+      m_listener(loop, static_cast<int>(thresholds->client_silence),
+                 [this](int fd) { OnClientConnected(fd); }),
+      m_max_clients(pressure::MaxClients(settings.descriptors)),
+      m_yield_order(thresholds->memory.yield_after) {}
 
-Gateway::~Gateway() { StopListening(); }
+Gateway::~Gateway() = default;
 
 bool Gateway::Listen() {
-  m_listener = net::Listen(m_settings.clients);
-  if (m_listener < 0) return false;
-  m_loop->Watch(m_listener, this, true, false);
+  if (!m_listener.Listen(m_settings.clients)) return false;
   if (!m_readiness.Listen(m_settings.readiness)) return false;
   if (!m_metrics_server.Listen({m_settings.address, kMetricsPort})) {
     m_log->Write(LogEvent::kFault, {{"what", "no address for metrics"}});
@@ -241,31 +245,37 @@
   return {Ready() ? 200 : 503, Ready() ? "ready\n" : "not ready\n"};
 }
 
-void Gateway::OnReadable() {
-  const auto silence = static_cast<int>(m_thresholds->client_silence);
-  for (int fd = net::Accept(m_listener, silence); fd >= 0;
-       fd = net::Accept(m_listener, silence)) {
-    m_accepted_at = m_loop->now();
-    const GatewayParts parts{m_loop,
-                             m_thresholds,
-                             &m_backends,
-                             &m_turns,
-                             &m_peers,
-                             m_log,
-                             m_metrics,
-                             m_started,
-                             &m_routes,
-                             &m_key_lease,
-                             &m_rate_limiter,
-                             &m_dispatcher,
-                             &m_stream_origins,
-                             &m_suspects,
-                             &m_stop,
-                             m_memory};
-    auto connection = std::make_unique<ClientConnection>(parts, this, fd);
-    ClientConnection* raw = connection.get();
-    m_clients.emplace(raw, std::move(connection));
+void Gateway::OnClientConnected(int fd) {
+  m_accepted_at = m_loop->now();
+  while (m_clients.size() >= m_max_clients) {
+    if (!m_yield_order.YieldConnection(m_loop->now())) {
+      // Nothing of the client was read, so it may go to another node.
+      close(fd);
+      m_metrics->CountClientTurnedAway();
+      return;
+    }
+    m_metrics->CountClientYielded();
   }
+  const GatewayParts parts{m_loop,
+                           m_thresholds,
+                           &m_backends,
+                           &m_turns,
+                           &m_peers,
+                           m_log,
+                           m_metrics,
+                           m_started,
+                           &m_routes,
+                           &m_key_lease,
+                           &m_rate_limiter,
+                           &m_dispatcher,
+                           &m_stream_origins,
+                           &m_suspects,
+                           &m_stop,
+                           &m_yield_order,
+                           m_memory};
+  auto connection = std::make_unique<ClientConnection>(parts, this, fd);
+  ClientConnection* raw = connection.get();
+  m_clients.emplace(raw, std::move(connection));
 }
 
 void Gateway::RemoveConnection(ClientConnection* connection) {
@@ -408,13 +418,6 @@
                     [](const auto& client) { return client.first->busy(); }));
 }
 
-void Gateway::StopListening() {
-  if (m_listener < 0) return;
-  m_loop->Forget(m_listener);
-  close(m_listener);
-  m_listener = -1;
-}
-
 void Gateway::CloseIdle() {
   for (ClientConnection* connection : Connections()) connection->CloseIfIdle();
 }
@@ -427,11 +430,11 @@
 
 void Gateway::ContinueStop() {
   const Time now = m_loop->now();
-  if (!m_stop.KeepsListening(now, m_accepted_at)) StopListening();
+  if (!m_stop.KeepsListening(now, m_accepted_at)) m_listener.Close();
   for (ClientConnection* connection : Connections())
     connection->OnNodeStopping();
   if (m_stop.ClosesConnections(now)) CloseIdle();
-  const bool served = m_listener < 0 && m_clients.empty() &&
+  const bool served = !m_listener.is_open() && m_clients.empty() &&
                       m_turns.pending_persists() == 0 && AllTurnsSettled();
   if (served || *m_stop.TimeLeft(now) <= 0) {
     Finish();
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -16,10 +16,12 @@
 #include "yuccawick/gateway/server_probes.h"
 #include "yuccawick/gateway/small_server.h"
 #include "yuccawick/gateway/suspect_service.h"
+#include "yuccawick/net/listener.h"
+#include "yuccawick/pressure/yield_order.h"
 
 namespace yuccawick::gateway {
 
-class Gateway final : public ClientHost, public net::SocketHandler {
+class Gateway final : public ClientHost {
  public:
   Gateway(net::EventLoop* loop, const Thresholds* thresholds,
           const platform::Settings& settings, Log* log, Metrics* metrics,
@@ -68,10 +70,7 @@
   }
   void RemoveConnection(ClientConnection* connection) override;
   const pressure::MemoryBudget& memory() const { return *m_memory; }
-
-  void OnReadable() override;
-  void OnWritable() override {}
-  void OnHangup() override {}
+  std::size_t                   connections() const { return m_clients.size(); }
 
  private:
   SmallAnswer                    AnswerReadiness() const;
@@ -83,7 +82,7 @@
   void                           WriteUsageMargins();
   void                           WriteSlowdownChanges();
   void                           CloseIdle();
-  void                           StopListening();
+  void                           OnClientConnected(int fd);
   // Repeats itself until all requests have ended or the time is up.
   void                           ContinueStop();
   bool                           AllTurnsSettled() const;
@@ -138,11 +137,13 @@
   PeerService                   m_peers;
   SmallServer                   m_readiness;
   SmallServer                   m_metrics_server;
-  int                           m_listener = -1;
+  net::Listener                 m_listener;
+  std::size_t                   m_max_clients;
   bool                          m_servers_known = false;
   traffic::GracefulStop         m_stop;
   Time                          m_accepted_at = 0;  // last connection accepted
   Time                          m_usage_logged_at = 0;
+  pressure::YieldOrder          m_yield_order;
   std::shared_ptr<const traffic::RouteTable> m_routes;
   std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>>
       m_clients;
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -162,6 +162,12 @@
       &CounterFamily(registry, "yuccawick_readers_let_go_total",
                      "Clients cut off that did not take their answers")
            .Add({});
+  auto& yielded =
+      CounterFamily(registry, "yuccawick_clients_yielded_total",
+                    "Clients without a whole request that were refused or "
+                    "closed to make room, and those closed unread");
+  m_clients_yielded = &yielded.Add({{"what", "made_room"}});
+  m_clients_turned_away = &yielded.Add({{"what", "turned_away"}});
 }
 
 void Metrics::SetMemory(const pressure::MemoryBudget& memory) {
@@ -176,6 +182,10 @@
 
 void Metrics::CountClientDropped() { m_clients_dropped->Increment(); }
 
+void Metrics::CountClientYielded() { m_clients_yielded->Increment(); }
+
+void Metrics::CountClientTurnedAway() { m_clients_turned_away->Increment(); }
+
 void Metrics::CountRefusal(traffic::Refusal refusal) {
   m_refusals[static_cast<std::size_t>(refusal)]->Increment();
 }
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -71,6 +71,10 @@
   void Set(Gauge gauge, double value);
   void SetMemory(const pressure::MemoryBudget& memory);
   void CountClientDropped();
+  // A client without a whole request made room for another.
+  void CountClientYielded();
+  // A client was closed unread, since no other could make room.
+  void CountClientTurnedAway();
   // Calls of one kind on one topic since the previous TakeLogUsage().
   struct LogUsage {
     platform::Topic    topic;
@@ -111,6 +115,8 @@
   prometheus::Gauge*     m_memory_limit = nullptr;
   prometheus::Gauge*     m_memory_level = nullptr;
   prometheus::Counter*   m_clients_dropped = nullptr;
+  prometheus::Counter*   m_clients_yielded = nullptr;
+  prometheus::Counter*   m_clients_turned_away = nullptr;
   prometheus::Histogram* m_answer_seconds = nullptr;
   prometheus::Histogram* m_first_event_seconds = nullptr;
   prometheus::Histogram* m_turn_persist_seconds = nullptr;
--- a/src/yuccawick/gateway/peer_network.cc
+++ b/src/yuccawick/gateway/peer_network.cc
@@ -4,7 +4,6 @@
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
-#include <unistd.h>
 
 #include <utility>
 
@@ -214,27 +213,17 @@
 
 PeerNetwork::PeerNetwork(net::EventLoop* loop, const Thresholds* thresholds,
                          programs::Membership* members, Log* log)
-    : m_loop(loop), m_thresholds(thresholds), m_members(members), m_log(log) {}
+    : m_loop(loop),
+      m_thresholds(thresholds),
+      m_members(members),
+      m_log(log),
+      m_listener(loop, kUnackedTimeout, [this](int fd) { OnAccepted(fd); }) {}
 
-PeerNetwork::~PeerNetwork() {
-  if (m_listener < 0) return;
-  m_loop->Forget(m_listener);
-  close(m_listener);
-}
-
-bool PeerNetwork::Listen(const net::Endpoint& at) {
-  m_listener = net::Listen(at);
-  if (m_listener < 0) return false;
-  m_loop->Watch(m_listener, this, true, false);
-  return true;
-}
+PeerNetwork::~PeerNetwork() = default;
 
-void PeerNetwork::OnReadable() {
-  for (int fd = net::Accept(m_listener, kUnackedTimeout); fd >= 0;
-       fd = net::Accept(m_listener, kUnackedTimeout)) {
-    const ConnectionId id = ++m_last_connection;
-    m_inbound.emplace(id, std::make_unique<InboundConnection>(this, id, fd));
-  }
+void PeerNetwork::OnAccepted(int fd) {
+  const ConnectionId id = ++m_last_connection;
+  m_inbound.emplace(id, std::make_unique<InboundConnection>(this, id, fd));
 }
 
 PeerNetwork::OutboundConnection* PeerNetwork::ConnectTo(
--- a/src/yuccawick/gateway/peer_network.h
+++ b/src/yuccawick/gateway/peer_network.h
@@ -21,6 +21,7 @@
 #include "yuccawick/gateway/log.h"
 #include "yuccawick/gateway/thresholds.h"
 #include "yuccawick/net/endpoint.h"
+#include "yuccawick/net/listener.h"
 #include "yuccawick/net/stream.h"
 #include "yuccawick/programs/membership.h"
 #include "yuccawick/programs/record.capnp.h"
@@ -31,7 +32,7 @@
 using net::Time;
 using PeerMessage = programs::wire::PeerMessage;
 
-class PeerNetwork final : public net::SocketHandler {
+class PeerNetwork final {
  public:
   using Fill = std::function<void(PeerMessage::Builder)>;
   // Receives the response; nothing on a timeout or a closed connection.
@@ -59,22 +60,19 @@
 
   PeerNetwork(net::EventLoop* loop, const Thresholds* thresholds,
               programs::Membership* members, Log* log);
-  ~PeerNetwork() override;
+  ~PeerNetwork();
   void SetMessageHandler(MessageHandler* handler) { m_handler = handler; }
-  bool Listen(const net::Endpoint& at);
+  bool Listen(const net::Endpoint& at) { return m_listener.Listen(at); }
 
   // Returns the number that identifies the request.
   std::uint64_t SendRequest(const programs::NodeInfo& node, const Fill& fill,
                             Duration timeout, ResponseCallback done);
   void          SendOneWay(const programs::NodeInfo& node, const Fill& fill);
 
-  void OnReadable() override;
-  void OnWritable() override {}
-  void OnHangup() override {}
-
  private:
   class OutboundConnection;  // opened by this node
   class InboundConnection;   // opened by a peer
+  void                OnAccepted(int fd);
   void                MarkReachable(const std::string& node);
   OutboundConnection* ConnectTo(const programs::NodeInfo& node);
   // The node did not respond in time, or its connection closed.
@@ -87,7 +85,7 @@
   programs::Membership* m_members;
   Log*                  m_log;
   MessageHandler*       m_handler = nullptr;
-  int                   m_listener = -1;
+  net::Listener         m_listener;
   std::uint64_t         m_last_request = 0;
   ConnectionId          m_last_connection = 0;
   std::unordered_map<std::string, std::unique_ptr<OutboundConnection>>
--- a/src/yuccawick/gateway/small_server.cc
+++ b/src/yuccawick/gateway/small_server.cc
@@ -1,7 +1,5 @@
 #include "yuccawick/gateway/small_server.h"
 
-#include <unistd.h>
-
 #include <iterator>
 #include <utility>
 
@@ -100,28 +98,16 @@
 };
 
 SmallServer::SmallServer(net::EventLoop* loop, Answer answer)
-    : m_loop(loop), m_answer(std::move(answer)) {}
+    : m_loop(loop),
+      m_answer(std::move(answer)),
+      m_listener(loop, kUnackedTimeout, [this](int fd) { OnAccepted(fd); }) {}
 
-SmallServer::~SmallServer() {
-  if (m_listener < 0) return;
-  m_loop->Forget(m_listener);
-  close(m_listener);
-}
+SmallServer::~SmallServer() = default;
 
-bool SmallServer::Listen(const net::Endpoint& at) {
-  m_listener = net::Listen(at);
-  if (m_listener < 0) return false;
-  m_loop->Watch(m_listener, this, true, false);
-  return true;
-}
-
-void SmallServer::OnReadable() {
-  for (int fd = net::Accept(m_listener, kUnackedTimeout); fd >= 0;
-       fd = net::Accept(m_listener, kUnackedTimeout)) {
-    if (m_connections.size() >= kMaxConnections) Drop(m_connections.begin());
-    m_connections.push_back(std::make_unique<Connection>(this, fd));
-    m_connections.back()->SetPosition(std::prev(m_connections.end()));
-  }
+void SmallServer::OnAccepted(int fd) {
+  if (m_connections.size() >= kMaxConnections) Drop(m_connections.begin());
+  m_connections.push_back(std::make_unique<Connection>(this, fd));
+  m_connections.back()->SetPosition(std::prev(m_connections.end()));
 }
 
 void SmallServer::MarkActive(Connections::iterator connection) {
--- a/src/yuccawick/gateway/small_server.h
+++ b/src/yuccawick/gateway/small_server.h
@@ -14,6 +14,7 @@
 
 #include "yuccawick/net/endpoint.h"
 #include "yuccawick/net/event_loop.h"
+#include "yuccawick/net/listener.h"
 
 namespace yuccawick::gateway {
 
@@ -23,30 +24,27 @@
   std::string content_type = "text/plain";
 };
 
-class SmallServer final : public net::SocketHandler {
+class SmallServer final {
  public:
   using Answer = std::function<SmallAnswer(std::string_view target)>;
   SmallServer(net::EventLoop* loop, Answer answer);
-  ~SmallServer() override;
+  ~SmallServer();
 
   // Returns false if the address cannot be bound.
-  bool Listen(const net::Endpoint& at);
-
-  void OnReadable() override;
-  void OnWritable() override {}
-  void OnHangup() override {}
+  bool Listen(const net::Endpoint& at) { return m_listener.Listen(at); }
 
  private:
   class Connection;
   using Connections = std::list<std::unique_ptr<Connection>>;
 
+  void OnAccepted(int fd);
   void Drop(Connections::iterator connection);
   // The connection sent a request or took its answer.
   void MarkActive(Connections::iterator connection);
 
   net::EventLoop* m_loop;
   Answer          m_answer;
-  int             m_listener = -1;
+  net::Listener   m_listener;
   Connections     m_connections;  // quiet for longest first
 };
 
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -110,6 +110,8 @@
     Entry{"memory_turns", &M::turns, 0, 1},
     Entry{"memory_hold", &M::hold, 0, 600'000},
     Entry{"memory_full_patience", &M::full_stall_timeout, 0, 600'000},
+    Entry{"memory_yield_rate", &M::yield_rate, 0.001, 1'000'000},
+    Entry{"memory_yield_after", &M::yield_after, 0, 600'000},
     Entry{"log_timeout", &T::log_timeout, 10, 60'000},
     Entry{"log_patience", &T::log_patience, 0, 10'000},
     Entry{"append_first_timeout", &T::append_first_timeout, 5, 60'000},
--- a/src/yuccawick/pressure/memory_budget.h
+++ b/src/yuccawick/pressure/memory_budget.h
@@ -61,6 +61,12 @@
   // A full node drops clients that have not read for this long, in ms. Must
   // allow for several round trips and a retransmitted packet.
   Duration full_stall_timeout = 500;
+  // A request that is being received is behind once its bytes arrive more
+  // slowly than this, in bytes per ms. One that is behind by `yield_after` ms
+  // is refused if the node has no room for others. Must allow for a
+  // retransmitted packet.
+  double   yield_rate = 16;
+  Duration yield_after = 250;
 };
 
 // Copies of a body in memory: the received one and the one being sent.
