Requests that fall behind make room for others

What callers saw: 503 at every try, at one node or at all, while some clients held bodies without their end, or only announced them. Cause: what is half received was worth as much as what is whole. It kept its reservation for three times the head's time, and the level it caused made every node not ready. Why it works: a request that is received has to keep up a minimum rate to be waited for under pressure. If room is short, the one furthest behind gets 503 node_full, which is true since it was not whole, until the other fits. The node's level leaves out what would yield at once, and small requests may use a fifth of the spare memory, so that whole large bodies do not keep them out.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -122,6 +122,9 @@
   if (m_lingering || !IsReceiving()) {
     m_stream.Close();
     RemoveSelf();
+  } else if (m_stream.HasInput()) {
+    m_schedule.Start(m_parts.loop->now());
+    UpdateYieldPlace();
   } else if (m_reader.in_body()) {
     RejectEarly(traffic::Refusal::kNodeFull);
   } else {
@@ -160,7 +163,11 @@
 }
 
 bool ClientConnection::ReserveBodyMemory(std::size_t body_bytes) {
-  if (!m_parts.memory->CanAcceptBody(body_bytes, m_body_charge.bytes())) {
+  const bool fits =
+      m_parts.yield_order->MakeRoom(m_parts.loop->now(), this, [&] {
+        return m_parts.memory->CanAcceptBody(body_bytes, m_body_charge.bytes());
+      });
+  if (!fits) {
     m_body_charge.Set(0);
     m_body = {};
     return false;
@@ -192,6 +199,8 @@
 void ClientConnection::RejectEarly(traffic::Refusal refusal) {
   m_parts.loop->Cancel(&m_timer);
   m_request_complete = false;
+  m_body = {};
+  m_body_charge.Set(0);
   // The body is still unread, and other nodes may serve the request.
   m_close_after_answer = true;
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -5,7 +5,7 @@
 // of the manifest, read for each request, and the node's memory budget, and
 // nothing is read while an exchange is running or its answer is still unsent.
 // Even then, the end of the connection is detected. A connection without a
-// whole request yields when the node runs out of connections, see
+// whole request yields when the node runs out of connections or memory, see
 // pressure/yield_order.h.
 #pragma once
 
@@ -55,7 +55,8 @@
   // Aborts the connection of a client that does not read its answer.
   void DropClient();
 
-  void Yield() override;
+  void        Yield() override;
+  std::size_t held_bytes() const override { return m_body_charge.bytes(); }
 
   void OnBytes(std::string_view bytes) override;
   void OnDrained() override;
@@ -83,7 +84,8 @@
   void     UpdateYieldPlace();
   // The answer is written; goes on with the next request or closes.
   void     OnAnswerWritten();
-  // Reserves memory for the body; false if the node's budget is used up.
+  // Reserves memory for the body, for which other requests may have to yield;
+  // false if the node's budget is used up.
   bool     ReserveBodyMemory(std::size_t body_bytes);
   // Whether a request with the current head would end before the node if its
   // body ended now.
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -298,7 +298,8 @@
                   {"turn_bytes", history.bytes()}});
   }
   m_turn_charge.Set(history.bytes());
-  if (m_memory->Update(m_loop->now())) {
+  const Time now = m_loop->now();
+  if (m_memory->Update(now, m_yield_order.BytesBehind(now))) {
     const auto bytes_held = [this](pressure::MemoryKind kind) {
       return m_memory->used(kind);
     };
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -104,6 +104,7 @@
     Entry{"reader_patience", &T::reader_patience, 100, 600'000},
     Entry{"memory_own_mb", &M::own_mb, 0, 100'000},
     Entry{"memory_spare", &M::spare, 0, 0.95},
+    Entry{"memory_small_spare", &M::small_spare, 0, 1},
     Entry{"memory_near", &M::near, 0.01, 1},
     Entry{"memory_full", &M::full, 0.01, 1},
     Entry{"memory_calm", &M::calm, 0, 1},
--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -1,5 +1,6 @@
 #include "yuccawick/net/stream.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -53,6 +54,11 @@
   return pending() == 0 ? 0 : m_loop->now() - m_progress_at;
 }
 
+bool Stream::HasInput() const {
+  pollfd socket{m_fd, POLLIN, 0};
+  return m_fd >= 0 && poll(&socket, 1, 0) > 0;
+}
+
 void Stream::Trim() {
   if (pending() == 0) {
     m_buffer.clear();
--- a/src/yuccawick/net/stream.h
+++ b/src/yuccawick/net/stream.h
@@ -63,6 +63,8 @@
   // Time in ms since the peer last accepted buffered bytes; 0 if none are
   // pending.
   Duration    stalled() const;
+  // Whether received bytes, or the peer's close, wait in the kernel.
+  bool        HasInput() const;
 
   void OnReadable() override;
   void OnWritable() override;
--- a/src/yuccawick/pressure/memory_budget.cc
+++ b/src/yuccawick/pressure/memory_budget.cc
@@ -20,6 +20,12 @@
       std::max(kMinBound, usable - settings.own_mb * kBytesPerMb));
 }
 
+std::size_t ComputeSmallReserve(const MemoryBudgetSettings& settings,
+                                std::size_t                 limit_bytes) {
+  return static_cast<std::size_t>(settings.small_spare * settings.spare *
+                                  static_cast<double>(limit_bytes));
+}
+
 }  // namespace
 
 std::string_view Name(MemoryKind kind) {
@@ -35,15 +41,20 @@
 
 MemoryBudget::MemoryBudget(const MemoryBudgetSettings& settings,
                            std::size_t                 limit_bytes)
-    : m_settings(settings), m_bound(ComputeBound(settings, limit_bytes)) {}
+    : m_settings(settings),
+      m_bound(ComputeBound(settings, limit_bytes)),
+      m_small_reserve(ComputeSmallReserve(settings, limit_bytes)) {}
 
 bool MemoryBudget::CanAcceptBody(std::size_t body_bytes,
                                  std::size_t charged) const {
   if (!bounded()) return true;
+  const std::size_t total = m_total - charged + kBodyCopies * body_bytes;
+  if (body_bytes <= kSmallBody && m_small_reserve > 0)
+    return total <= m_bound + m_small_reserve;
   // A request that is already being read may finish when the node becomes full,
   // as long as it fits.
-  if (charged == 0 && Above(m_settings.full)) return false;
-  return m_total - charged + kBodyCopies * body_bytes <= m_bound;
+  if (charged == 0 && IsFull()) return false;
+  return total <= m_bound;
 }
 
 bool MemoryBudget::bounded() const { return m_bound != kUnbounded; }
@@ -57,21 +68,21 @@
   return static_cast<std::size_t>(kTargetShare * max_bytes);
 }
 
-bool MemoryBudget::Above(double share) const {
-  return static_cast<double>(m_total) > share * static_cast<double>(m_bound);
+bool MemoryBudget::IsAbove(double share, std::size_t bytes) const {
+  return static_cast<double>(bytes) > share * static_cast<double>(m_bound);
 }
 
-PressureLevel MemoryBudget::LevelNow() const {
+PressureLevel MemoryBudget::LevelFor(std::size_t bytes) const {
   if (!bounded()) return PressureLevel::kCalm;
-  if (Above(m_settings.full)) return PressureLevel::kFull;
-  if (Above(m_settings.near)) return PressureLevel::kNear;
+  if (IsAbove(m_settings.full, bytes)) return PressureLevel::kFull;
+  if (IsAbove(m_settings.near, bytes)) return PressureLevel::kNear;
   const bool stays_near =
-      m_level != PressureLevel::kCalm && Above(m_settings.calm);
+      m_level != PressureLevel::kCalm && IsAbove(m_settings.calm, bytes);
   return stays_near ? PressureLevel::kNear : PressureLevel::kCalm;
 }
 
-bool MemoryBudget::Update(Time now) {
-  const PressureLevel new_level = LevelNow();
+bool MemoryBudget::Update(Time now, std::size_t yielding) {
+  const PressureLevel new_level = LevelFor(m_total - yielding);
   if (new_level >= m_level)
     m_level_time = new_level == PressureLevel::kCalm ? m_level_time : now;
   const bool is_held =
--- a/src/yuccawick/pressure/memory_budget.h
+++ b/src/yuccawick/pressure/memory_budget.h
@@ -5,6 +5,10 @@
 // buffers bytes for a client, a server or a program owns a MemoryCharge, which
 // returns the bytes when destroyed. Call CanAcceptBody() before reading a body.
 //
+// Requests that have fallen behind while they are received make room first, see
+// yield_order.h. Small requests may use a little more than the bound, so that
+// large ones under way do not keep them out.
+//
 //   calm  accepts every request that fits
 //   near  reports not ready to the load balancer, but serves requests
 //   full  refuses new requests
@@ -48,6 +52,8 @@
   double   own_mb = 24;
   // Share of the limit left to the allocator and kernel socket buffers.
   double   spare = 0.25;
+  // Share of `spare` that small requests may use beyond the bound.
+  double   small_spare = 0.2;
   // Shares of the bound at which the levels near and full begin; the level
   // returns to calm below `calm`.
   double   near = 0.7;
@@ -71,6 +77,8 @@
 
 // Copies of a body in memory: the received one and the one being sent.
 inline constexpr std::size_t kBodyCopies = 2;
+// Largest body of a small request, in bytes.
+inline constexpr std::size_t kSmallBody = 64UL * 1024;
 
 class MemoryBudget {
  public:
@@ -84,10 +92,11 @@
   bool CanAcceptBody(std::size_t body_bytes, std::size_t charged = 0) const;
   // Whether the node is full at this moment; level() may be higher, because it
   // is held before it drops.
-  bool IsFull() const { return bounded() && Above(m_settings.full); }
+  bool IsFull() const { return bounded() && IsAbove(m_settings.full, m_total); }
   // Updates level() and returns true if it changed. Call periodically, and
-  // after each large change.
-  bool Update(Time now);
+  // after each large change. `yielding`: bytes that would make room at once;
+  // they do not make the node turn clients away.
+  bool Update(Time now, std::size_t yielding = 0);
   PressureLevel              level() const { return m_level; }
   bool                       bounded() const;
   std::size_t                bound() const { return m_bound; }
@@ -103,11 +112,12 @@
  private:
   friend class MemoryCharge;
   void          Change(MemoryKind kind, std::size_t from, std::size_t to);
-  PressureLevel LevelNow() const;
-  bool          Above(double share) const;
+  PressureLevel LevelFor(std::size_t bytes) const;
+  bool          IsAbove(double share, std::size_t bytes) const;
 
   MemoryBudgetSettings                      m_settings;
   std::size_t                               m_bound;
+  std::size_t                               m_small_reserve;
   std::size_t                               m_total = 0;
   std::array<std::size_t, kMemoryKindCount> m_used{};
   PressureLevel                             m_level = PressureLevel::kCalm;
--- a/src/yuccawick/pressure/yield_order.cc
+++ b/src/yuccawick/pressure/yield_order.cc
@@ -21,11 +21,39 @@
     if (waiting.empty()) continue;
     const auto& [since, place] = *waiting.begin();
     const bool is_receiving = place->m_class == YieldClass::kReceiving;
-    if (is_receiving && now - since < m_yield_after) continue;
+    if (is_receiving && !IsBehind(since, now)) continue;
     place->m_yielder->Yield();
     return true;
   }
   return false;
 }
 
+YieldOrder::Place* YieldOrder::FindBehind(Time           now,
+                                          const Yielder* asking) const {
+  for (const auto& [due, place] : receiving()) {
+    if (!IsBehind(due, now)) return nullptr;
+    if (place->m_yielder != asking) return place;
+  }
+  return nullptr;
+}
+
+bool YieldOrder::MakeRoom(Time now, const Yielder* asking,
+                          const std::function<bool()>& fits) {
+  while (!fits()) {
+    const Place* behind = FindBehind(now, asking);
+    if (behind == nullptr) return false;
+    behind->m_yielder->Yield();
+  }
+  return true;
+}
+
+std::size_t YieldOrder::BytesBehind(Time now) const {
+  std::size_t bytes = 0;
+  for (const auto& [due, place] : receiving()) {
+    if (!IsBehind(due, now)) break;
+    bytes += place->m_yielder->held_bytes();
+  }
+  return bytes;
+}
+
 }  // namespace yuccawick::pressure
--- a/src/yuccawick/pressure/yield_order.h
+++ b/src/yuccawick/pressure/yield_order.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -37,8 +38,11 @@
  public:
   virtual ~Yielder() = default;
   // Refuses the request in progress, or closes a connection without one. Either
-  // leaves its class.
-  virtual void Yield() = 0;
+  // leaves its class. A request whose bytes wait unread is not behind and takes
+  // a later place instead.
+  virtual void        Yield() = 0;
+  // Bytes that Yield() would release.
+  virtual std::size_t held_bytes() const = 0;
 };
 
 class YieldOrder {
@@ -74,7 +78,13 @@
 
   // Asks one connection to yield, of the first class above that has one, and in
   // it the one that has waited longest. False if none can.
-  bool YieldConnection(Time now);
+  bool        YieldConnection(Time now);
+  // Asks the requests that are behind to yield, the one furthest behind first,
+  // until `fits` returns true. Never asks `asking`. Returns whether it fits.
+  bool        MakeRoom(Time now, const Yielder* asking,
+                       const std::function<bool()>& fits);
+  // Bytes held by requests that are behind.
+  std::size_t BytesBehind(Time now) const;
 
  private:
   using Waiting = std::set<std::pair<Time, Place*>>;
@@ -82,6 +92,12 @@
   Waiting& WaitingIn(YieldClass yield_class) {
     return m_waiting[static_cast<std::size_t>(yield_class)];
   }
+  const Waiting& receiving() const {
+    return m_waiting[static_cast<std::size_t>(YieldClass::kReceiving)];
+  }
+  bool IsBehind(Time due, Time now) const { return now - due >= m_yield_after; }
+  // The request furthest behind, without `asking`; nullptr if none is behind.
+  Place* FindBehind(Time now, const Yielder* asking) const;
 
   Duration m_yield_after;
   std::array<Waiting, static_cast<std::size_t>(YieldClass::kCount)> m_waiting;
