Bodies are accounted by the capacity of their strings and by all copies

What was seen: bodies in chunks were counted by size and held in strings that double; a request that was whole gave back the reservation of its second copy before it was sent; head and body were joined in a third copy. Change: a body of unknown length grows by 256 KB at most, in a string whose capacity is reserved before; an exchange keeps both copies reserved until the prompt is at the server's connection; large bodies are not joined to their heads.

--- a/src/yuccawick/gateway/backends.cc
+++ b/src/yuccawick/gateway/backends.cc
@@ -69,14 +69,21 @@
 BackendConnection::~BackendConnection() { m_loop->Cancel(&m_connect_timer); }
 
 void BackendConnection::Send(BackendHandler* handler, std::string_view method,
-                             std::string_view request) {
+                             std::string head, std::string_view body) {
   m_handler = handler;
   m_reader.SetRequestMethod(method);
   if (!net::ResponseHasBody(method, kOk)) m_method_excludes_body = true;
   m_answer_complete = false;
   m_in_sync = true;
   m_interim_answers = 0;
-  m_stream.Write(request);
+  // A large body is not copied once more to be sent together with its head.
+  constexpr std::size_t kMaxJoined = 64UL * 1024;
+  if (body.size() <= kMaxJoined) {
+    m_stream.Write(head.append(body));
+  } else {
+    m_stream.Write(head);
+    m_stream.Write(body);
+  }
 }
 
 void BackendConnection::HoldReading(bool hold) {
--- a/src/yuccawick/gateway/backends.h
+++ b/src/yuccawick/gateway/backends.h
@@ -60,14 +60,14 @@
 
   // Sends a request; `handler` receives its events until Detach(). `method` is
   // that of the request.
-  void               Send(BackendHandler* handler, std::string_view method,
-                          std::string_view request);
-  void               HoldReading(bool hold);
-  bool               connected() const { return m_connected; }
-  bool               reusable() const;
+  void Send(BackendHandler* handler, std::string_view method, std::string head,
+            std::string_view body = {});
+  void HoldReading(bool hold);
+  bool connected() const { return m_connected; }
+  bool reusable() const;
   // Removes the handler and marks the connection idle since `now`.
-  void               Detach(Time now);
-  void               Close();
+  void Detach(Time now);
+  void Close();
   const std::string& server_id() const { return m_server_id; }
   bool               ReusableAt(Time now) const;
   // Whether the server may still send the body of an answer that has none.
--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -8,7 +8,9 @@
 namespace {
 
 // Time limit of a body as a multiple of the time limit of a head.
-constexpr Duration kBodyTimeoutFactor = 3;
+constexpr Duration    kBodyTimeoutFactor = 3;
+// Most bytes by which the capacity of a body of unknown length grows at once.
+constexpr std::size_t kMaxBodyGrowth = 256UL * 1024;
 
 net::HttpLimits LimitsOf(const traffic::ClientLimits& limits) {
   return {limits.max_head_bytes, limits.max_body_bytes};
@@ -134,7 +136,7 @@
 
 void ClientConnection::OnHead(net::Head head) {
   m_head = std::move(head);
-  m_body.clear();
+  m_body = {};
   m_in_head = false;
   RestartTimer();
   if (!EndsInTime()) {
@@ -153,27 +155,42 @@
 void ClientConnection::OnBody(std::string_view bytes) {
   if (m_early_refusal) return;
   const std::size_t size = m_body.size() + bytes.size();
-  // The length of a chunked body is not known in advance.
-  if (pressure::kBodyCopies * size > m_body_charge.bytes() &&
-      !ReserveBodyMemory(size)) {
+  if (size > m_body.capacity() && !GrowBody(size)) {
+    ReleaseBody();
     m_early_refusal = traffic::Refusal::kNodeFull;
     return;
   }
   m_body += bytes;
 }
 
-bool ClientConnection::ReserveBodyMemory(std::size_t body_bytes) {
+bool ClientConnection::GrowBody(std::size_t size) {
+  const std::size_t capacity = m_body.capacity();
+  std::size_t       next =
+      std::max(size, capacity + std::min(capacity, kMaxBodyGrowth));
+  if (!ReserveBodyMemory(next)) {
+    next = size;
+    if (!ReserveBodyMemory(next)) return false;
+  }
+  // Growing m_body itself would double its capacity.
+  std::string grown;
+  grown.reserve(next);
+  grown.append(m_body);
+  m_body = std::move(grown);
+  return true;
+}
+
+void ClientConnection::ReleaseBody() {
+  m_body = {};
+  m_body_charge.Set(0);
+}
+
+bool ClientConnection::ReserveBodyMemory(std::size_t capacity) {
   const bool fits =
       m_parts.yield_order->MakeRoom(m_parts.loop->now(), this, [&] {
-        return m_parts.memory->CanAcceptBody(body_bytes, m_body_charge.bytes());
+        return m_parts.memory->CanAcceptBody(capacity, m_body_charge.bytes());
       });
-  if (!fits) {
-    m_body_charge.Set(0);
-    m_body = {};
-    return false;
-  }
-  m_body_charge.Set(pressure::kBodyCopies * body_bytes);
-  return true;
+  if (fits) m_body_charge.Set(pressure::kBodyCopies * capacity);
+  return fits;
 }
 
 void ClientConnection::OnMessageEnd() { m_request_complete = true; }
@@ -199,8 +216,7 @@
 void ClientConnection::RejectEarly(traffic::Refusal refusal) {
   m_parts.loop->Cancel(&m_timer);
   m_request_complete = false;
-  m_body = {};
-  m_body_charge.Set(0);
+  ReleaseBody();
   // The body is still unread, and other nodes may serve the request.
   m_close_after_answer = true;
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
@@ -388,8 +404,7 @@
 void ClientConnection::Linger() {
   m_lingering = true;
   m_input = {};
-  m_body = {};
-  m_body_charge.Set(0);
+  ReleaseBody();
   m_stream.EndWriting();
   m_timer_since = m_parts.loop->now();
   RestartLinger();
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -84,9 +84,12 @@
   void     UpdateYieldPlace();
   // The answer is written; goes on with the next request or closes.
   void     OnAnswerWritten();
-  // Reserves memory for the body, for which other requests may have to yield;
-  // false if the node's budget is used up.
-  bool     ReserveBodyMemory(std::size_t body_bytes);
+  // Reserves memory for a body with this capacity, for which other requests may
+  // have to yield; false if the node's budget is used up.
+  bool     ReserveBodyMemory(std::size_t capacity);
+  // Makes room in m_body, whose length is not known, for `size` bytes.
+  bool     GrowBody(std::size_t size);
+  void     ReleaseBody();
   // Whether a request with the current head would end before the node if its
   // body ended now.
   bool     EndsInTime() const;
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -77,8 +77,13 @@
 }
 
 void Exchange::UpdateMemoryCharge() {
-  m_memory_charge.Set(m_body.size() + m_prompt_body.size() +
-                      m_plain_body.size() + m_output.size());
+  // Until the prompt is sent, its second copy stays reserved. Then the server's
+  // connection accounts for it.
+  const std::size_t copies = m_connection == nullptr && !m_progress.begun()
+                                 ? pressure::kBodyCopies
+                                 : 1;
+  m_memory_charge.Set(copies * (m_body.capacity() + m_prompt_body.capacity()) +
+                      m_plain_body.capacity() + m_output.capacity());
 }
 
 Duration Exchange::TimeLeft() const { return m_deadline - m_parts.loop->now(); }
@@ -253,9 +258,10 @@
   if (m_may_have_run && m_rate_token)
     m_parts.limiter->Charge(m_workspace->name);
   const bool connected = m_connection->connected();
-  m_connection->Send(
-      this, m_head.method,
-      platform::EncodeRequest(m_head, forwarding) + m_prompt_body);
+  m_connection->Send(this, m_head.method,
+                     platform::EncodeRequest(m_head, forwarding),
+                     m_prompt_body);
+  UpdateMemoryCharge();
   if (connected) OnBackendConnected();
 }
 
@@ -278,6 +284,7 @@
 void Exchange::DetachServer(bool reuse) {
   BackendConnection* connection = std::exchange(m_connection, nullptr);
   if (connection == nullptr) return;
+  UpdateMemoryCharge();
   if (reuse) {
     m_parts.backends->Release(connection);
   } else {
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -298,8 +298,7 @@
 
 void Exchange::FindHistory() {
   if (!m_route->keeps_turns) {
-    m_prompt_body = std::move(m_body);
-    m_body.clear();
+    m_prompt_body = std::exchange(m_body, {});
     ReserveTokens();
     return;
   }
