Large blocks go back to the system when they are freed

What callers saw: a node of 64 MB whose account was within its bound had 97 MB resident under whole bodies in chunks, and would be ended. Cause: glibc raises the size from which blocks are mapped to the largest one that was freed, so growing bodies come from the heap and leave holes in it. Why it works: a fixed threshold of 256 KB turns that off.

--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -5,6 +5,7 @@
 // the list of backend servers. SIGTERM and SIGINT stop gracefully, SIGHUP
 // reloads the settings file.
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
@@ -231,7 +232,16 @@
   return std::nullopt;
 }
 
+// Returns large blocks to the system as soon as they are freed. Otherwise bodies
+// that grow leave holes, and the process may be twice as large as what it holds.
+void LimitFragmentation() {
+  constexpr int kMappedBytes = 256 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kMappedBytes);
+}
+
 int Main() {
+  LimitFragmentation();
   const std::string path =
       FLAGS_settings.empty() ? platform::SettingsPath() : FLAGS_settings;
   auto settings = platform::ReadSettings(path);
