Heads and unparsed input of clients are accounted for

What callers saw: a node of 64 MB held 173 MB of heads and would be ended; no account knew of them. Cause: raw heads, parsed heads (13 times their bytes if the fields are tiny) and input that waits were not charged. A refused exchange kept its head until the end of the loop's iteration, 128 of them at once. Why it works: each connection charges what it holds, beyond 6 MB of the process's own share against the bound. If that does not fit, requests that are behind yield; if none is, the one that does not fit is refused.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -9,6 +9,8 @@
 
 // Time limit of a body as a multiple of the time limit of a head.
 constexpr Duration    kBodyTimeoutFactor = 3;
+// Memory of a connection with nothing buffered, with its entries in tables.
+constexpr std::size_t kConnectionBytes = sizeof(ClientConnection) + 1024;
 // Most bytes by which the capacity of a body of unknown length grows at once.
 constexpr std::size_t kMaxBodyGrowth = 256UL * 1024;
 
@@ -44,6 +46,7 @@
                                    int fd)
     : m_parts(parts),
       m_host(host),
+      m_connection_charge(parts.memory, pressure::MemoryKind::kConnections),
       m_body_charge(parts.memory, pressure::MemoryKind::kRequests),
       m_output_charge(parts.memory, pressure::MemoryKind::kToClients),
       m_stream(parts.loop, this, fd, false, &m_output_charge),
@@ -54,6 +57,7 @@
       m_schedule(parts.thresholds->memory.yield_rate),
       m_yield_place(parts.yield_order, this) {
   RestartTimer();
+  UpdateConnectionCharge();
   UpdateYieldPlace();
 }
 
@@ -96,7 +100,20 @@
   if (m_stream.pending() > 0 && !m_lingering) {
     m_stream.SetReading(net::Reading::kWatchEnd);
   }
+  UpdateConnectionCharge();
   UpdateYieldPlace();
+  const bool fits = m_parts.yield_order->MakeRoom(
+      m_parts.loop->now(), this, [this] { return m_parts.memory->Fits(); });
+  if (!fits && IsWaitingForInput()) RefuseUnreceived();
+}
+
+void ClientConnection::UpdateConnectionCharge() {
+  m_connection_charge.Set(kConnectionBytes + m_input.capacity() +
+                          m_reader.buffered_bytes() + m_head_bytes);
+}
+
+bool ClientConnection::IsWaitingForInput() const {
+  return m_stream.is_open() && !m_lingering && !m_exchange && IsReceiving();
 }
 
 bool ClientConnection::IsReceiving() const {
@@ -127,7 +144,13 @@
   } else if (m_stream.HasInput()) {
     m_schedule.Start(m_parts.loop->now());
     UpdateYieldPlace();
-  } else if (m_reader.in_body()) {
+  } else {
+    RefuseUnreceived();
+  }
+}
+
+void ClientConnection::RefuseUnreceived() {
+  if (m_reader.in_body()) {
     RejectEarly(traffic::Refusal::kNodeFull);
   } else {
     Refuse(traffic::Refusal::kNodeFull);
@@ -136,6 +159,7 @@
 
 void ClientConnection::OnHead(net::Head head) {
   m_head = std::move(head);
+  m_head_bytes = m_head.memory();
   m_body = {};
   m_in_head = false;
   RestartTimer();
@@ -200,6 +224,7 @@
   m_close_after_answer = !m_head.keep_alive;
   m_stream.SetReading(net::Reading::kWatchEnd);
   m_body_charge.Set(0);  // the exchange accounts for it now
+  m_head_bytes = 0;
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
                                           std::move(m_head), std::move(m_body));
   const auto exchange = m_exchange;
@@ -217,6 +242,7 @@
   m_parts.loop->Cancel(&m_timer);
   m_request_complete = false;
   ReleaseBody();
+  m_head_bytes = 0;
   // The body is still unread, and other nodes may serve the request.
   m_close_after_answer = true;
   m_exchange = std::make_shared<Exchange>(m_parts, this, m_host->Routes(),
@@ -404,7 +430,11 @@
 void ClientConnection::Linger() {
   m_lingering = true;
   m_input = {};
+  m_head = {};
+  m_head_bytes = 0;
+  m_reader.Discard();
   ReleaseBody();
+  UpdateConnectionCharge();
   m_stream.EndWriting();
   m_timer_since = m_parts.loop->now();
   RestartLinger();
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -56,7 +56,9 @@
   void DropClient();
 
   void        Yield() override;
-  std::size_t held_bytes() const override { return m_body_charge.bytes(); }
+  std::size_t held_bytes() const override {
+    return m_body_charge.bytes() + m_connection_charge.bytes();
+  }
 
   void OnBytes(std::string_view bytes) override;
   void OnDrained() override;
@@ -80,8 +82,12 @@
   void     StartExchange();
   // Whether a part of a request was received.
   bool     IsReceiving() const;
-  // Call after each change of what the connection waits for.
+  // Whether a request that is not whole may still be refused.
+  bool     IsWaitingForInput() const;
+  void     RefuseUnreceived();
+  // Call after each change of what the connection waits for or holds.
   void     UpdateYieldPlace();
+  void     UpdateConnectionCharge();
   // The answer is written; goes on with the next request or closes.
   void     OnAnswerWritten();
   // Reserves memory for a body with this capacity, for which other requests may
@@ -113,12 +119,14 @@
 
   GatewayParts                    m_parts;
   ClientHost*                     m_host;
+  pressure::MemoryCharge          m_connection_charge;
   pressure::MemoryCharge          m_body_charge;
   pressure::MemoryCharge          m_output_charge;
   net::Stream                     m_stream;
   net::HttpReader                 m_reader;
   std::string                     m_input;  // received and not yet parsed
   net::Head                       m_head;
+  std::size_t                     m_head_bytes = 0;  // memory of m_head
   std::string                     m_body;
   bool                            m_in_head = false;  // some of one was read
   bool                            m_request_complete = false;  // ready to start
--- a/src/yuccawick/gateway/exchange.cc
+++ b/src/yuccawick/gateway/exchange.cc
@@ -57,7 +57,9 @@
       m_body(std::move(body)),
       m_phase(traffic::GetAttemptChart().Start()),
       m_start_time(parts.loop->now()),
-      m_memory_charge(parts.memory, pressure::MemoryKind::kRequests) {
+      m_memory_charge(parts.memory, pressure::MemoryKind::kRequests),
+      m_head_charge(parts.memory, pressure::MemoryKind::kConnections) {
+  m_head_charge.Set(m_head.memory());
   UpdateMemoryCharge();
 }
 
@@ -578,6 +580,15 @@
     m_parts.peers->EndTurn(m_reservation, m_tokens_used,
                            m_event_count > 0 ? m_server_id : std::string());
   }
+  ReleaseRequest();
+}
+
+void Exchange::ReleaseRequest() {
+  m_head = {};
+  m_body = {};
+  m_prompt_body = {};
+  m_head_charge.Set(0);
+  UpdateMemoryCharge();
 }
 
 }  // namespace yuccawick::gateway
--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -206,6 +206,8 @@
   void AbortAnswer(std::string_view why);
   void LogCutOff(std::string_view why);
   void End();
+  // Callbacks may hold the exchange for long after its end.
+  void ReleaseRequest();
 
   static double           UniformRandom();  // uniform in [0, 1)
   bool                    MayHaveRun() const;
@@ -264,6 +266,7 @@
   std::string        m_prompt_body;  // for the server
 
   pressure::MemoryCharge m_memory_charge;
+  pressure::MemoryCharge m_head_charge;
 
   // The current server and the servers tried before it.
   BackendConnection*       m_connection = nullptr;
--- a/src/yuccawick/gateway/thresholds.cc
+++ b/src/yuccawick/gateway/thresholds.cc
@@ -103,6 +103,7 @@
     Entry{"linger", &T::linger, 0, 60'000},
     Entry{"reader_patience", &T::reader_patience, 100, 600'000},
     Entry{"memory_own_mb", &M::own_mb, 0, 100'000},
+    Entry{"memory_connections_mb", &M::connections_mb, 0, 100'000},
     Entry{"memory_spare", &M::spare, 0, 0.95},
     Entry{"memory_small_spare", &M::small_spare, 0, 1},
     Entry{"memory_near", &M::near, 0.01, 1},
--- a/src/yuccawick/net/http.cc
+++ b/src/yuccawick/net/http.cc
@@ -100,6 +100,17 @@
                     [&](const Header& h) { return SameName(h.name, name); }));
 }
 
+std::size_t Headers::memory() const {
+  // Short strings are stored in the Header itself.
+  const auto allocated = [](const std::string& text) {
+    return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+  };
+  std::size_t bytes = m_headers.capacity() * sizeof(Header);
+  for (const Header& header : m_headers)
+    bytes += allocated(header.name) + allocated(header.value);
+  return bytes;
+}
+
 HttpReader::HttpReader(HttpRole role, LimitsLookup limits, HttpSink* sink)
     : m_role(role), m_lookup(std::move(limits)), m_sink(sink) {
   http_parser_init(&m_parser,
--- a/src/yuccawick/net/http.h
+++ b/src/yuccawick/net/http.h
@@ -30,6 +30,8 @@
   const std::string*         Find(std::string_view name) const;
   std::size_t                Count(std::string_view name) const;
   const std::vector<Header>& all() const { return m_headers; }
+  // Bytes of memory.
+  std::size_t                memory() const;
 
  private:
   std::vector<Header> m_headers;
@@ -46,6 +48,8 @@
   bool        has_body = true;     // false: ends with its head
   bool        keep_alive = false;  // the sender allows reuse of the connection
   bool        ends_with_connection = false;  // response without a length
+
+  std::size_t memory() const { return target.capacity() + headers.memory(); }
 };
 
 enum class HttpFault : std::uint8_t {
@@ -98,6 +102,10 @@
   std::optional<HttpFault> fault() const { return m_fault; }
   bool                     in_message() const;  // some of it was read
   bool                     in_body() const { return m_in_body; }
+  // Memory of the part of a head that was read.
+  std::size_t buffered_bytes() const { return m_raw_head.capacity(); }
+  // Drops the message that is being read; nothing may be fed afterwards.
+  void        Discard() { m_raw_head = {}; }
 
  private:
   static int OnField(http_parser* parser, const char* at, std::size_t size);
--- a/src/yuccawick/pressure/memory_budget.cc
+++ b/src/yuccawick/pressure/memory_budget.cc
@@ -1,6 +1,7 @@
 #include "yuccawick/pressure/memory_budget.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace yuccawick::pressure {
 namespace {
@@ -30,7 +31,7 @@
 
 std::string_view Name(MemoryKind kind) {
   constexpr std::array<std::string_view, kMemoryKindCount> kNames{
-      "requests", "to_clients", "to_servers", "turns"};
+      "requests", "to_clients", "to_servers", "turns", "connections"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
@@ -43,18 +44,26 @@
                            std::size_t                 limit_bytes)
     : m_settings(settings),
       m_bound(ComputeBound(settings, limit_bytes)),
-      m_small_reserve(ComputeSmallReserve(settings, limit_bytes)) {}
+      m_small_reserve(ComputeSmallReserve(settings, limit_bytes)),
+      m_own_connections(
+          static_cast<std::size_t>(settings.connections_mb * kBytesPerMb)) {}
+
+std::size_t MemoryBudget::total() const {
+  const std::size_t connections = used(MemoryKind::kConnections);
+  return std::accumulate(m_used.begin(), m_used.end(), std::size_t{0}) -
+         std::min(connections, m_own_connections);
+}
 
 bool MemoryBudget::CanAcceptBody(std::size_t body_bytes,
                                  std::size_t charged) const {
   if (!bounded()) return true;
-  const std::size_t total = m_total - charged + kBodyCopies * body_bytes;
+  const std::size_t needed = total() - charged + kBodyCopies * body_bytes;
   if (body_bytes <= kSmallBody && m_small_reserve > 0)
-    return total <= m_bound + m_small_reserve;
+    return needed <= m_bound + m_small_reserve;
   // A request that is already being read may finish when the node becomes full,
   // as long as it fits.
   if (charged == 0 && IsFull()) return false;
-  return total <= m_bound;
+  return needed <= m_bound;
 }
 
 bool MemoryBudget::bounded() const { return m_bound != kUnbounded; }
@@ -82,7 +91,8 @@
 }
 
 bool MemoryBudget::Update(Time now, std::size_t yielding) {
-  const PressureLevel new_level = LevelFor(m_total - yielding);
+  const PressureLevel new_level =
+      LevelFor(total() - std::min(total(), yielding));
   if (new_level >= m_level)
     m_level_time = new_level == PressureLevel::kCalm ? m_level_time : now;
   const bool is_held =
@@ -93,9 +103,7 @@
 }
 
 void MemoryBudget::Change(MemoryKind kind, std::size_t from, std::size_t to) {
-  std::size_t& bytes = m_used[static_cast<std::size_t>(kind)];
-  bytes += to - from;
-  m_total += to - from;
+  m_used[static_cast<std::size_t>(kind)] += to - from;
 }
 
 void MemoryCharge::Set(std::size_t bytes) {
--- a/src/yuccawick/pressure/memory_budget.h
+++ b/src/yuccawick/pressure/memory_budget.h
@@ -33,10 +33,11 @@
 using net::Time;
 
 enum class MemoryKind : std::uint8_t {
-  kRequests,   // bodies, prepended history, responses not yet forwarded
-  kToClients,  // waiting to be sent to clients
-  kToServers,  // waiting to be sent to servers
-  kTurns,      // turns of programs cached in memory
+  kRequests,     // bodies, prepended history, responses not yet forwarded
+  kToClients,    // waiting to be sent to clients
+  kToServers,    // waiting to be sent to servers
+  kTurns,        // turns of programs cached in memory
+  kConnections,  // of clients: their objects, heads, bytes not yet parsed
   kCount,
 };
 inline constexpr std::size_t kMemoryKindCount =
@@ -50,6 +51,9 @@
   // Memory of the process itself in MB: code, threads, connections, tables, and
   // pages of the log.
   double   own_mb = 24;
+  // MB of `own_mb` for connections of clients; what they use beyond counts
+  // against the bound.
+  double   connections_mb = 6;
   // Share of the limit left to the allocator and kernel socket buffers.
   double   spare = 0.25;
   // Share of `spare` that small requests may use beyond the bound.
@@ -90,9 +94,13 @@
   // Whether a body of this size may be read. `charged`: bytes already charged
   // for this body.
   bool CanAcceptBody(std::size_t body_bytes, std::size_t charged = 0) const;
+  // Whether what is held is within the bound and the reserve of small requests.
+  bool Fits() const {
+    return !bounded() || total() <= m_bound + m_small_reserve;
+  }
   // Whether the node is full at this moment; level() may be higher, because it
   // is held before it drops.
-  bool IsFull() const { return bounded() && IsAbove(m_settings.full, m_total); }
+  bool IsFull() const { return bounded() && IsAbove(m_settings.full, total()); }
   // Updates level() and returns true if it changed. Call periodically, and
   // after each large change. `yielding`: bytes that would make room at once;
   // they do not make the node turn clients away.
@@ -100,7 +108,8 @@
   PressureLevel              level() const { return m_level; }
   bool                       bounded() const;
   std::size_t                bound() const { return m_bound; }
-  std::size_t                total() const { return m_total; }
+  // Bytes held of all kinds, without the process's own share for connections.
+  std::size_t                total() const;
   // Size to which the cached turns should shrink; nullopt if `turn_bytes` is
   // within their share. Lies 10% below the share, so that they need not shrink
   // again at once.
@@ -118,7 +127,7 @@
   MemoryBudgetSettings                      m_settings;
   std::size_t                               m_bound;
   std::size_t                               m_small_reserve;
-  std::size_t                               m_total = 0;
+  std::size_t                               m_own_connections;
   std::array<std::size_t, kMemoryKindCount> m_used{};
   PressureLevel                             m_level = PressureLevel::kCalm;
   Time m_level_time = 0;  // last time that the load required m_level or more
