Bodies in tiny chunks are not copied for each chunk under pressure

What was seen: ChunkedBodiesWithoutTheirEnd took 54 s and failed once, since under pressure a body of unknown length grew by exactly what arrived, 16 bytes a chunk, and each step copied the whole body. Change: it grows by 16 KB at least. The test takes 10 s and passes.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -11,7 +11,9 @@
 constexpr Duration    kBodyTimeoutFactor = 3;
 // Memory of a connection with nothing buffered, with its entries in tables.
 constexpr std::size_t kConnectionBytes = sizeof(ClientConnection) + 1024;
-// Most bytes by which the capacity of a body of unknown length grows at once.
+// Bytes by which the capacity of a body of unknown length grows at once. Each
+// step copies what was received, and a client may send one byte a chunk.
+constexpr std::size_t kMinBodyGrowth = 16UL * 1024;
 constexpr std::size_t kMaxBodyGrowth = 256UL * 1024;
 
 net::HttpLimits LimitsOf(const traffic::ClientLimits& limits) {
@@ -189,10 +191,10 @@
 
 bool ClientConnection::GrowBody(std::size_t size) {
   const std::size_t capacity = m_body.capacity();
-  std::size_t       next =
-      std::max(size, capacity + std::min(capacity, kMaxBodyGrowth));
+  std::size_t       next = std::max(
+            size, capacity + std::clamp(capacity, kMinBodyGrowth, kMaxBodyGrowth));
   if (!ReserveBodyMemory(next)) {
-    next = size;
+    next = std::max(size, capacity + kMinBodyGrowth);
     if (!ReserveBodyMemory(next)) return false;
   }
   // Growing m_body itself would double its capacity.
