Unread bytes of clients are bounded by small receive buffers

What callers saw: 300 clients that send on behind a request under way made 34 MB wait in the kernel, which counts as the process's memory, beside 36 MB resident. Cause: the kernel's default buffer (128 KB and more) on each connection, and a number of connections that did not depend on memory. Why it works: clients' sockets buffer 16 KB, and half of the spare memory divided by that bounds how many clients a node serves: 512 with 64 MB.

--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -129,13 +129,15 @@
                        }),
       m_listener(loop, static_cast<int>(thresholds->client_silence),
                  [this](int fd) { OnClientConnected(fd); }),
-      m_max_clients(pressure::MaxClients(settings.descriptors)),
+      m_max_clients(
+          pressure::MaxClients(settings.descriptors, m_memory->spare())),
       m_yield_order(thresholds->memory.yield_after) {}
 
 Gateway::~Gateway() = default;
 
 bool Gateway::Listen() {
-  if (!m_listener.Listen(m_settings.clients)) return false;
+  if (!m_listener.Listen(m_settings.clients, pressure::kReceiveBuffer))
+    return false;
   if (!m_readiness.Listen(m_settings.readiness)) return false;
   if (!m_metrics_server.Listen({m_settings.address, kMetricsPort})) {
     m_log->Write(LogEvent::kFault, {{"what", "no address for metrics"}});
--- a/src/yuccawick/net/endpoint.cc
+++ b/src/yuccawick/net/endpoint.cc
@@ -53,11 +53,16 @@
   return endpoint;
 }
 
-int Listen(const Endpoint& at) {
+int Listen(const Endpoint& at, int receive_buffer) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return -1;
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  // Accepted connections inherit it.
+  if (receive_buffer > 0) {
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof receive_buffer);
+  }
   const sockaddr_in address = ToSystem(at);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
           0 ||
--- a/src/yuccawick/net/endpoint.h
+++ b/src/yuccawick/net/endpoint.h
@@ -24,7 +24,9 @@
 // in ms: how long sent bytes may stay unacknowledged. A peer that lost power
 // sends no reset; without the timeout, a pooled connection to it would hang for
 // minutes.
-int Listen(const Endpoint& at);
+// `receive_buffer`: bytes that may wait unread on each accepted connection; 0:
+// the system's default.
+int Listen(const Endpoint& at, int receive_buffer = 0);
 int Connect(const Endpoint& to, int user_timeout);
 int Accept(int listener, int user_timeout);
 
--- a/src/yuccawick/net/listener.cc
+++ b/src/yuccawick/net/listener.cc
@@ -26,8 +26,8 @@
 
 Listener::~Listener() { Close(); }
 
-bool Listener::Listen(const Endpoint& at) {
-  m_fd = net::Listen(at);
+bool Listener::Listen(const Endpoint& at, int receive_buffer) {
+  m_fd = net::Listen(at, receive_buffer);
   if (m_fd < 0) return false;
   m_loop->Watch(m_fd, this, true, false);
   return true;
--- a/src/yuccawick/net/listener.h
+++ b/src/yuccawick/net/listener.h
@@ -23,8 +23,9 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
-  // Returns false if the address cannot be bound.
-  bool Listen(const Endpoint& at);
+  // Returns false if the address cannot be bound. `receive_buffer`: see
+  // net::Listen().
+  bool Listen(const Endpoint& at, int receive_buffer = 0);
   void Close();
   bool is_open() const { return m_fd >= 0; }
 
--- a/src/yuccawick/pressure/connection_limit.cc
+++ b/src/yuccawick/pressure/connection_limit.cc
@@ -13,11 +13,14 @@
 
 }  // namespace
 
-std::size_t MaxClients(std::size_t descriptors) {
-  if (descriptors == 0) return kUnlimited;
+std::size_t MaxClients(std::size_t descriptors, std::size_t spare_bytes) {
+  const std::size_t buffers =
+      spare_bytes == kUnlimited ? kUnlimited : spare_bytes / 2 / kReceiveBuffer;
+  if (descriptors == 0) return std::max(kMinClients, buffers);
   const std::size_t sockets =
       descriptors - std::min(descriptors, kFileDescriptors);
-  return std::max(kMinClients, sockets / kDescriptorsPerClient);
+  return std::max(kMinClients,
+                  std::min(buffers, sockets / kDescriptorsPerClient));
 }
 
 }  // namespace yuccawick::pressure
--- a/src/yuccawick/pressure/connection_limit.h
+++ b/src/yuccawick/pressure/connection_limit.h
@@ -7,9 +7,16 @@
 
 inline constexpr std::size_t kUnlimited = static_cast<std::size_t>(-1);
 
+// Bytes that may wait unread on the connection of a client. They count as the
+// process's memory.
+inline constexpr int kReceiveBuffer = 16 * 1024;
+
 // `descriptors`: limit of the process; 0: unlimited. Half of those that sockets
 // may use are left to servers, to the log, to peers and to checks of readiness:
-// each client may need one more for its server.
-std::size_t MaxClients(std::size_t descriptors);
+// each client may need one more for its server. `spare_bytes`: memory that the
+// budget leaves to the kernel and the allocator, of which half may be full
+// receive buffers.
+std::size_t MaxClients(std::size_t descriptors,
+                       std::size_t spare_bytes = kUnlimited);
 
 }  // namespace yuccawick::pressure
--- a/src/yuccawick/pressure/memory_budget.cc
+++ b/src/yuccawick/pressure/memory_budget.cc
@@ -10,20 +10,20 @@
 // Minimum bound in bytes, so that one or two bodies still fit if the limit is
 // too small for the process itself.
 constexpr double kMinBound = 4 * kBytesPerMb;
-constexpr auto   kUnbounded = std::numeric_limits<std::size_t>::max();
 
 std::size_t ComputeBound(const MemoryBudgetSettings& settings,
                          std::size_t                 limit_bytes) {
-  if (limit_bytes == 0) return kUnbounded;
+  if (limit_bytes == 0) return kUnlimited;
   const double usable =
       (1.0 - settings.spare) * static_cast<double>(limit_bytes);
   return static_cast<std::size_t>(
       std::max(kMinBound, usable - settings.own_mb * kBytesPerMb));
 }
 
-std::size_t ComputeSmallReserve(const MemoryBudgetSettings& settings,
-                                std::size_t                 limit_bytes) {
-  return static_cast<std::size_t>(settings.small_spare * settings.spare *
+std::size_t ComputeSpare(const MemoryBudgetSettings& settings,
+                         std::size_t                 limit_bytes) {
+  if (limit_bytes == 0) return kUnlimited;
+  return static_cast<std::size_t>(settings.spare *
                                   static_cast<double>(limit_bytes));
 }
 
@@ -44,7 +44,9 @@
                            std::size_t                 limit_bytes)
     : m_settings(settings),
       m_bound(ComputeBound(settings, limit_bytes)),
-      m_small_reserve(ComputeSmallReserve(settings, limit_bytes)),
+      m_spare(ComputeSpare(settings, limit_bytes)),
+      m_small_reserve(static_cast<std::size_t>(settings.small_spare *
+                                               static_cast<double>(m_spare))),
       m_own_connections(
           static_cast<std::size_t>(settings.connections_mb * kBytesPerMb)) {}
 
@@ -66,7 +68,7 @@
   return needed <= m_bound;
 }
 
-bool MemoryBudget::bounded() const { return m_bound != kUnbounded; }
+bool MemoryBudget::bounded() const { return m_bound != kUnlimited; }
 
 std::optional<std::size_t> MemoryBudget::TurnBytesTarget(
     std::size_t turn_bytes) const {
--- a/src/yuccawick/pressure/memory_budget.h
+++ b/src/yuccawick/pressure/memory_budget.h
@@ -26,6 +26,7 @@
 
 #include "yuccawick/net/event_loop.h"
 #include "yuccawick/net/stream.h"
+#include "yuccawick/pressure/connection_limit.h"
 
 namespace yuccawick::pressure {
 
@@ -108,6 +109,8 @@
   PressureLevel              level() const { return m_level; }
   bool                       bounded() const;
   std::size_t                bound() const { return m_bound; }
+  // Bytes left to the allocator and the kernel; kUnlimited without a limit.
+  std::size_t                spare() const { return m_spare; }
   // Bytes held of all kinds, without the process's own share for connections.
   std::size_t                total() const;
   // Size to which the cached turns should shrink; nullopt if `turn_bytes` is
@@ -126,6 +129,7 @@
 
   MemoryBudgetSettings                      m_settings;
   std::size_t                               m_bound;
+  std::size_t                               m_spare;
   std::size_t                               m_small_reserve;
   std::size_t                               m_own_connections;
   std::array<std::size_t, kMemoryKindCount> m_used{};
