Prompts of chains are built only if the memory budget allows it

Cause: only the bytes that a client sends were reserved; the prompt was built from the whole chain and charged afterwards, for all turns that had waited for the chain at once. Why it works: the prompt and its copy on the way to the server are reserved before they are built. What does not fit gets 503 node_full; it has not run.

--- a/src/yuccawick/gateway/exchange.h
+++ b/src/yuccawick/gateway/exchange.h
@@ -134,6 +134,8 @@
   void                  AcquireRateToken();
   void                  WaitForLog();
   void                  FindHistory();
+  // Builds the prompt from the history, if the node's memory allows it.
+  void                  BuildPrompt();
   void                  ReserveTokens();
   // Fills in the turn's demand; no effect if the service has no engine.
   void                  FillAdmissionRequest(TurnBudget* turn) const;
--- a/src/yuccawick/gateway/exchange_prepare.cc
+++ b/src/yuccawick/gateway/exchange_prepare.cc
@@ -309,25 +309,39 @@
     return;
   }
   m_wait_refusal = Refusal::kHistoryUnsure;
-  m_parts.turns->Find(
-      ScopedId(m_info.previous_turn), ScopedId(m_info.program),
-      [self = shared_from_this()](FindOutcome outcome) {
-        if (self->m_client == nullptr) return;
-        if (outcome == FindOutcome::kUnknown) {
-          self->Refuse(Refusal::kUnknownTurn);
-        } else if (outcome == FindOutcome::kUnsure) {
-          self->Refuse(Refusal::kHistoryUnsure);
-        } else {
-          self->m_prompt_body =
-              self->m_parts.turns->history()
-                  .Build(self->ScopedId(self->m_info.previous_turn),
-                         self->m_body, self->m_parts.loop->now(),
-                         self->m_route->retention)
-                  .body;
-          self->UpdateMemoryCharge();
-          self->ReserveTokens();
-        }
+  m_parts.turns->Find(ScopedId(m_info.previous_turn), ScopedId(m_info.program),
+                      [self = shared_from_this()](FindOutcome outcome) {
+                        if (self->m_client == nullptr) return;
+                        if (outcome == FindOutcome::kUnknown) {
+                          self->Refuse(Refusal::kUnknownTurn);
+                        } else if (outcome == FindOutcome::kUnsure) {
+                          self->Refuse(Refusal::kHistoryUnsure);
+                        } else {
+                          self->BuildPrompt();
+                        }
+                      });
+}
+
+void Exchange::BuildPrompt() {
+  auto&             history = m_parts.turns->history();
+  const std::string previous = ScopedId(m_info.previous_turn);
+  // A chain may be many times as long as the request. Turns that waited for the
+  // same chain all get here at once.
+  const std::size_t bytes = history.PromptBytes(previous) + m_body.size();
+  const bool        fits = m_parts.yield_order->MakeRoom(
+             m_parts.loop->now(), nullptr, [this, bytes] {
+        return m_parts.memory->CanAcceptBody(m_body.size() + bytes,
+                                                    m_memory_charge.bytes());
       });
+  if (!fits) {
+    Refuse(Refusal::kNodeFull);
+    return;
+  }
+  m_prompt_body =
+      history.Build(previous, m_body, m_parts.loop->now(), m_route->retention)
+          .body;
+  UpdateMemoryCharge();
+  ReserveTokens();
 }
 
 void Exchange::ReserveTokens() {
--- a/src/yuccawick/programs/turn_history.cc
+++ b/src/yuccawick/programs/turn_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,14 @@
          turn.program.size() + turn.input.size() + turn.output.size();
 }
 
+std::size_t SizeOfPrompt(const std::vector<const Turn*>& chain_turns) {
+  return std::accumulate(chain_turns.begin(), chain_turns.end(), std::size_t{0},
+                         [](std::size_t bytes, const Turn* turn) {
+                           return bytes + turn->input.size() +
+                                  turn->output.size();
+                         });
+}
+
 }  // namespace
 
 void TurnHistory::Add(Turn turn, Time now, Duration retention) {
@@ -45,6 +54,10 @@
   return chain_turns.empty() ? id : chain_turns.back()->previous;
 }
 
+std::size_t TurnHistory::PromptBytes(const std::string& previous) const {
+  return SizeOfPrompt(CollectChain(previous));
+}
+
 PromptBuildResult TurnHistory::Build(const std::string& previous,
                                      const std::string& input, Time now,
                                      Duration retention) {
@@ -52,6 +65,7 @@
   result.missing = Missing(previous);
   if (!result.missing.empty()) return result;
   const auto chain_turns = CollectChain(previous);
+  result.body.reserve(SizeOfPrompt(chain_turns) + input.size());
   for (auto turn = chain_turns.rbegin(); turn != chain_turns.rend(); ++turn) {
     result.body += (*turn)->input;
     result.body += (*turn)->output;
--- a/src/yuccawick/programs/turn_history.h
+++ b/src/yuccawick/programs/turn_history.h
@@ -47,6 +47,9 @@
   // of the whole chain: a turn is useless without its ancestors.
   PromptBuildResult Build(const std::string& previous, const std::string& input,
                           Time now, Duration retention);
+  // Bytes of the model input that continues `previous`, as far as its chain is
+  // cached and without the new input.
+  std::size_t       PromptBytes(const std::string& previous) const;
   // Returns the turn and its cached ancestors, newest first.
   std::vector<const Turn*> CollectChain(const std::string& id) const;
   void                     Expire(Time now);
