--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -124,12 +124,11 @@
 
 void ClientConnection::UpdateYieldPlace() {
   using pressure::YieldClass;
-  if (!m_stream.is_open()) {
+  const bool is_busy = m_exchange != nullptr || m_stream.pending() > 0;
+  if (!m_stream.is_open() || (is_busy && !m_lingering)) {
     m_yield_place.Leave();
   } else if (m_lingering) {
     m_yield_place.Set(YieldClass::kLingering, m_timer_since);
-  } else if (m_exchange || m_stream.pending() > 0) {
-    m_yield_place.Leave();
   } else if (IsReceiving()) {
     m_yield_place.Set(YieldClass::kReceiving, m_schedule.due());
   } else if (m_request_start_time == 0) {
