Yields are counted and logged; bodies whose memory is reserved are not refused

What was seen on reading the diff: a body that still arrived was refused if the node was over its bound for another reason, though its memory was reserved; only a head that grows may be too much. Connections that made room for memory were not counted.

--- a/src/yuccawick/gateway/client_connection.cc
+++ b/src/yuccawick/gateway/client_connection.cc
@@ -102,16 +102,19 @@
   if (m_stream.pending() > 0 && !m_lingering) {
     m_stream.SetReading(net::Reading::kWatchEnd);
   }
-  UpdateConnectionCharge();
+  const bool holds_more = UpdateConnectionCharge();
   UpdateYieldPlace();
   const bool fits = m_parts.yield_order->MakeRoom(
       m_parts.loop->now(), this, [this] { return m_parts.memory->Fits(); });
-  if (!fits && IsWaitingForInput()) RefuseUnreceived();
+  // The memory of a body was reserved before; only a head may be too much.
+  if (!fits && holds_more && IsWaitingForInput()) RefuseUnreceived();
 }
 
-void ClientConnection::UpdateConnectionCharge() {
+bool ClientConnection::UpdateConnectionCharge() {
+  const std::size_t before = m_connection_charge.bytes();
   m_connection_charge.Set(kConnectionBytes + m_input.capacity() +
                           m_reader.buffered_bytes() + m_head_bytes);
+  return m_connection_charge.bytes() > before;
 }
 
 bool ClientConnection::IsWaitingForInput() const {
--- a/src/yuccawick/gateway/client_connection.h
+++ b/src/yuccawick/gateway/client_connection.h
@@ -87,7 +87,8 @@
   void     RefuseUnreceived();
   // Call after each change of what the connection waits for or holds.
   void     UpdateYieldPlace();
-  void     UpdateConnectionCharge();
+  // Returns whether the connection holds more than before, without its body.
+  bool     UpdateConnectionCharge();
   // The answer is written; goes on with the next request or closes.
   void     OnAnswerWritten();
   // Reserves memory for a body with this capacity, for which other requests may
--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -253,10 +253,9 @@
     if (!m_yield_order.YieldConnection(m_loop->now())) {
       // Nothing of the client was read, so it may go to another node.
       close(fd);
-      m_metrics->CountClientTurnedAway();
+      ++m_turned_away;
       return;
     }
-    m_metrics->CountClientYielded();
   }
   const GatewayParts parts{m_loop,
                            m_thresholds,
@@ -353,6 +352,7 @@
   m_metrics->SetMemory(*m_memory);
   if (ShouldYieldClients()) CloseIdle();
   WriteSlowdownChanges();
+  WriteYields();
   WriteLogUsage();
   m_log->Flush();
   m_loop->After(kSweepInterval, [this] { Tick(); });
@@ -369,6 +369,18 @@
   }
 }
 
+void Gateway::WriteYields() {
+  const std::size_t yields = m_yield_order.TakeYields();
+  const std::size_t turned_away = std::exchange(m_turned_away, 0);
+  if (yields + turned_away == 0) return;
+  m_metrics->CountYields(yields, turned_away);
+  m_log->Write(LogEvent::kPressure, {{"made_room", yields},
+                                     {"turned_away", turned_away},
+                                     {"connections", m_clients.size()},
+                                     {"most_connections", m_max_clients},
+                                     {"held", m_memory->total()}});
+}
+
 void Gateway::WriteSlowdownChanges() {
   constexpr double kPercent = 100.0;
   m_metrics->Set(Gauge::kSlowServers,
--- a/src/yuccawick/gateway/gateway.h
+++ b/src/yuccawick/gateway/gateway.h
@@ -106,6 +106,8 @@
     return m_memory->level() != pressure::PressureLevel::kCalm;
   }
   void WatchMemory();
+  // Logs how many clients made room or were turned away since the last call.
+  void WriteYields();
   // Drops clients that do not read their answers, while memory is full.
   void DropStalledClients();
 
@@ -139,6 +141,7 @@
   SmallServer                   m_metrics_server;
   net::Listener                 m_listener;
   std::size_t                   m_max_clients;
+  std::size_t                   m_turned_away = 0;  // since WriteYields()
   bool                          m_servers_known = false;
   traffic::GracefulStop         m_stop;
   Time                          m_accepted_at = 0;  // last connection accepted
--- a/src/yuccawick/gateway/metrics.cc
+++ b/src/yuccawick/gateway/metrics.cc
@@ -182,9 +182,10 @@
 
 void Metrics::CountClientDropped() { m_clients_dropped->Increment(); }
 
-void Metrics::CountClientYielded() { m_clients_yielded->Increment(); }
-
-void Metrics::CountClientTurnedAway() { m_clients_turned_away->Increment(); }
+void Metrics::CountYields(std::size_t made_room, std::size_t turned_away) {
+  m_clients_yielded->Increment(static_cast<double>(made_room));
+  m_clients_turned_away->Increment(static_cast<double>(turned_away));
+}
 
 void Metrics::CountRefusal(traffic::Refusal refusal) {
   m_refusals[static_cast<std::size_t>(refusal)]->Increment();
--- a/src/yuccawick/gateway/metrics.h
+++ b/src/yuccawick/gateway/metrics.h
@@ -71,10 +71,9 @@
   void Set(Gauge gauge, double value);
   void SetMemory(const pressure::MemoryBudget& memory);
   void CountClientDropped();
-  // A client without a whole request made room for another.
-  void CountClientYielded();
-  // A client was closed unread, since no other could make room.
-  void CountClientTurnedAway();
+  // Clients without a whole request that made room for others, and clients that
+  // were closed unread, since no other could make room.
+  void CountYields(std::size_t made_room, std::size_t turned_away);
   // Calls of one kind on one topic since the previous TakeLogUsage().
   struct LogUsage {
     platform::Topic    topic;
--- a/src/yuccawick/pressure/yield_order.cc
+++ b/src/yuccawick/pressure/yield_order.cc
@@ -22,12 +22,17 @@
     const auto& [since, place] = *waiting.begin();
     const bool is_receiving = place->m_class == YieldClass::kReceiving;
     if (is_receiving && !IsBehind(since, now)) continue;
-    place->m_yielder->Yield();
+    AskToYield(*place);
     return true;
   }
   return false;
 }
 
+void YieldOrder::AskToYield(const Place& place) {
+  ++m_yields;
+  place.m_yielder->Yield();
+}
+
 YieldOrder::Place* YieldOrder::FindBehind(Time           now,
                                           const Yielder* asking) const {
   for (const auto& [due, place] : receiving()) {
@@ -42,7 +47,7 @@
   while (!fits()) {
     const Place* behind = FindBehind(now, asking);
     if (behind == nullptr) return false;
-    behind->m_yielder->Yield();
+    AskToYield(*behind);
   }
   return true;
 }
--- a/src/yuccawick/pressure/yield_order.h
+++ b/src/yuccawick/pressure/yield_order.h
@@ -83,6 +83,8 @@
   // until `fits` returns true. Never asks `asking`. Returns whether it fits.
   bool        MakeRoom(Time now, const Yielder* asking,
                        const std::function<bool()>& fits);
+  // How often a connection was asked since the last call.
+  std::size_t TakeYields() { return std::exchange(m_yields, 0); }
   // Bytes held by requests that are behind.
   std::size_t BytesBehind(Time now) const;
 
@@ -96,11 +98,13 @@
     return m_waiting[static_cast<std::size_t>(YieldClass::kReceiving)];
   }
   bool IsBehind(Time due, Time now) const { return now - due >= m_yield_after; }
+  void AskToYield(const Place& place);
   // The request furthest behind, without `asking`; nullptr if none is behind.
   Place* FindBehind(Time now, const Yielder* asking) const;
 
   Duration m_yield_after;
   std::array<Waiting, static_cast<std::size_t>(YieldClass::kCount)> m_waiting;
+  std::size_t m_yields = 0;  // since TakeYields()
 };
 
 }  // namespace yuccawick::pressure
