Sent parts of a write buffer give back their capacity

What was seen: a peak of 64.4 MB in a crowd of whole bodies in chunks whose account was within 27 MB. Cause: when more than half of a buffer is sent, the rest moved to its front and the account shrank, but the string kept its capacity, 2 MB for each server that reads slowly. Change: the rest is copied to a new string.

--- a/src/yuccawick/net/stream.cc
+++ b/src/yuccawick/net/stream.cc
@@ -65,7 +65,8 @@
     m_sent = 0;
     if (m_buffer.capacity() > kMaxIdleBuffer) m_buffer.shrink_to_fit();
   } else if (m_sent > m_buffer.size() / 2) {
-    m_buffer.erase(0, m_sent);
+    // Copies what is left, since erasing would keep the whole capacity.
+    m_buffer = std::string(m_buffer, m_sent);
     m_sent = 0;
   }
 }
