Clients of a node with few connections have larger receive buffers

Evidence: 4 MB to a reader that pauses 5 ms between reads: 1,276 ms with 16 KB, 336 ms if the accepted socket is raised to 256 KB, 435 ms with the system's default. Change: the listener keeps 16 KB, and each accepted socket gets its share of a sixteenth of the spare memory, 256 KB at most.

--- a/src/yuccawick/gateway/gateway.cc
+++ b/src/yuccawick/gateway/gateway.cc
@@ -136,7 +136,7 @@
 Gateway::~Gateway() = default;
 
 bool Gateway::Listen() {
-  if (!m_listener.Listen(m_settings.clients, pressure::kReceiveBuffer))
+  if (!m_listener.Listen(m_settings.clients, pressure::kMinReceiveBuffer))
     return false;
   if (!m_readiness.Listen(m_settings.readiness)) return false;
   if (!m_metrics_server.Listen({m_settings.address, kMetricsPort})) {
@@ -257,6 +257,8 @@
       return;
     }
   }
+  net::SetReceiveBuffer(
+      fd, pressure::ReceiveBufferFor(m_clients.size(), m_memory->spare()));
   const GatewayParts parts{m_loop,
                            m_thresholds,
                            &m_backends,
--- a/src/yuccawick/net/endpoint.cc
+++ b/src/yuccawick/net/endpoint.cc
@@ -59,10 +59,7 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   // Accepted connections inherit it.
-  if (receive_buffer > 0) {
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
-               sizeof receive_buffer);
-  }
+  if (receive_buffer > 0) SetReceiveBuffer(fd, receive_buffer);
   const sockaddr_in address = ToSystem(at);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
           0 ||
@@ -94,4 +91,8 @@
   return fd;
 }
 
+void SetReceiveBuffer(int fd, int bytes) {
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 }  // namespace yuccawick::net
--- a/src/yuccawick/net/endpoint.h
+++ b/src/yuccawick/net/endpoint.h
@@ -30,4 +30,7 @@
 int Connect(const Endpoint& to, int user_timeout);
 int Accept(int listener, int user_timeout);
 
+// Sets how many bytes may wait unread on a connected socket.
+void SetReceiveBuffer(int fd, int bytes);
+
 }  // namespace yuccawick::net
