--- a/src/yuccawick/daemon/gateway_main.cc
+++ b/src/yuccawick/daemon/gateway_main.cc
@@ -232,8 +232,9 @@
   return std::nullopt;
 }
 
-// Returns large blocks to the system as soon as they are freed. Otherwise bodies
-// that grow leave holes, and the process may be twice as large as what it holds.
+// Returns large blocks to the system as soon as they are freed. Otherwise
+// bodies that grow leave holes, and the process may be twice as large as what
+// it holds.
 void LimitFragmentation() {
   constexpr int kMappedBytes = 256 * 1024;
   mallopt(M_MMAP_THRESHOLD, kMappedBytes);
